--- /dev/null
+++ b/packages/platform/embeddedworkers.cpp
@@ -0,0 +1,305 @@
+#include <platform/embeddedworkers.h>
+
+#include <algorithm>
+#include <charconv>
+
+namespace QuetzalRock {
+
+namespace {
+
+constexpr std::string_view RunPrefix = "run ";
+
+/** The run time in "run SECONDS"; zero for commands that run until stopped. */
+Duration runTimeOf(std::string_view command)
+{
+    if (!command.starts_with(RunPrefix)) {
+        return Duration::zero();
+    }
+    const std::string_view digits = command.substr(RunPrefix.size());
+    int seconds = 0;
+    std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+    return std::chrono::seconds(seconds);
+}
+
+double progressOf(std::string_view checkpoint)
+{
+    double progress = 0;
+    std::from_chars(checkpoint.data(), checkpoint.data() + checkpoint.size(), progress);
+    return progress;
+}
+
+} // namespace
+
+EmbeddedWorkers::EmbeddedWorkers(Clock &clock, Duration usageLag)
+    : m_clock(clock)
+    , m_usageLag(usageLag)
+{
+}
+
+void EmbeddedWorkers::addVm(const Vm &vm)
+{
+    std::lock_guard guard(m_mutex);
+    if (vm.role == VmRole::Worker) {
+        m_workers[vm.name].vm = vm;
+        return;
+    }
+    m_otherVms.push_back(vm);
+}
+
+void EmbeddedWorkers::setVmState(std::string_view name, VmState state)
+{
+    std::lock_guard guard(m_mutex);
+    for (Vm &it : m_otherVms) {
+        if (it.name == name) {
+            it.state = state;
+        }
+    }
+    const auto it = m_workers.find(name);
+    if (it == m_workers.end()) {
+        return;
+    }
+    bringUpToDate(it->second);
+    it->second.vm.state = state;
+    if (state != VmState::Gone) {
+        return;
+    }
+    for (auto &[id, attempt] : it->second.attempts) {
+        if (!isEnded(attempt.state)) {
+            endAttempt(attempt, AttemptState::Stopped);
+        }
+    }
+    it->second.attempts.clear();
+}
+
+void EmbeddedWorkers::setFaults(std::string_view worker, const WorkerFaults &faults)
+{
+    std::lock_guard guard(m_mutex);
+    const auto it = m_workers.find(worker);
+    if (it == m_workers.end()) {
+        throw NotFound("no worker " + std::string(worker));
+    }
+    it->second.faults = faults;
+}
+
+int EmbeddedWorkers::maxConcurrentAttempts(const TaskId &task) const
+{
+    std::lock_guard guard(m_mutex);
+    const auto it = m_maxRunning.find(task);
+    return it == m_maxRunning.end() ? 0 : it->second;
+}
+
+int EmbeddedWorkers::startCount(const AttemptId &attempt) const
+{
+    std::lock_guard guard(m_mutex);
+    const auto it = m_starts.find(attempt);
+    return it == m_starts.end() ? 0 : it->second;
+}
+
+void EmbeddedWorkers::start(std::string_view worker, const StartCommand &command)
+{
+    std::lock_guard guard(m_mutex);
+    Worker &w = reach(worker);
+    bringUpToDate(w);
+    if (!acceptEpoch(w, command.epoch) || w.attempts.contains(command.attempt)) {
+        throwIfAnswerLost(w);
+        return;
+    }
+    Attempt attempt;
+    attempt.command = command;
+    attempt.started = m_clock.now();
+    attempt.progressedAt = attempt.started;
+    attempt.leaseExpiry = attempt.started + command.lease;
+    attempt.checkpoint = command.checkpoint;
+    attempt.progress = progressOf(command.checkpoint);
+    if (workerNow() > command.startBefore) {
+        attempt.state = AttemptState::Barred;
+        w.attempts.emplace(command.attempt, attempt);
+        throwIfAnswerLost(w);
+        return;
+    }
+    countRunning(command.attempt);
+    if (w.faults.failStarts || command.command == "fail") {
+        attempt.error = "exited with status 1";
+        endAttempt(attempt, AttemptState::Failed);
+    }
+    w.attempts.emplace(command.attempt, attempt);
+    throwIfAnswerLost(w);
+}
+
+void EmbeddedWorkers::renew(std::string_view worker,
+                            std::uint64_t epoch,
+                            std::span<const AttemptId> attempts,
+                            Duration lease)
+{
+    std::lock_guard guard(m_mutex);
+    Worker &w = reach(worker);
+    bringUpToDate(w);
+    if (acceptEpoch(w, epoch)) {
+        for (const AttemptId &id : attempts) {
+            const auto it = w.attempts.find(id);
+            if (it != w.attempts.end() && !isEnded(it->second.state)) {
+                it->second.leaseExpiry = m_clock.now() + lease;
+            }
+        }
+    }
+    throwIfAnswerLost(w);
+}
+
+void EmbeddedWorkers::stop(std::string_view worker, std::uint64_t epoch, const AttemptId &attempt, StopMode mode)
+{
+    std::lock_guard guard(m_mutex);
+    Worker &w = reach(worker);
+    bringUpToDate(w);
+    if (!acceptEpoch(w, epoch)) {
+        throwIfAnswerLost(w);
+        return;
+    }
+    const auto it = w.attempts.find(attempt);
+    if (it == w.attempts.end()) {
+        Attempt barred;
+        barred.command.attempt = attempt;
+        barred.state = AttemptState::Barred;
+        w.attempts.emplace(attempt, barred);
+    } else if (!isEnded(it->second.state)) {
+        if (mode == StopMode::Checkpoint) {
+            it->second.checkpoint = std::to_string(it->second.progress);
+        }
+        endAttempt(it->second, AttemptState::Stopped);
+    }
+    throwIfAnswerLost(w);
+}
+
+void EmbeddedWorkers::throttle(std::string_view worker, std::uint64_t epoch, const AttemptId &attempt, int permille)
+{
+    std::lock_guard guard(m_mutex);
+    Worker &w = reach(worker);
+    bringUpToDate(w);
+    const auto it = w.attempts.find(attempt);
+    if (acceptEpoch(w, epoch) && it != w.attempts.end() && !isEnded(it->second.state)) {
+        it->second.permille = std::clamp(permille, 1, 1000);
+        it->second.state = permille < 1000 ? AttemptState::Throttled : AttemptState::Running;
+    }
+    throwIfAnswerLost(w);
+}
+
+WorkerReport EmbeddedWorkers::report(std::string_view worker)
+{
+    std::lock_guard guard(m_mutex);
+    Worker &w = reach(worker);
+    bringUpToDate(w);
+    WorkerReport report;
+    report.worker = w.vm.name;
+    report.workerClock = workerNow();
+    report.measuredAt = report.workerClock - std::chrono::duration_cast<WorkerTime>(m_usageLag);
+    for (const auto &[id, it] : w.attempts) {
+        AttemptReport entry;
+        entry.attempt = id;
+        entry.state = it.state;
+        entry.progress = it.progress;
+        entry.checkpoint = it.checkpoint;
+        entry.error = it.error;
+        const bool seenByMeasurement = it.started + m_usageLag <= m_clock.now();
+        if (!isEnded(it.state) && seenByMeasurement) {
+            entry.usage = it.command.resources;
+            entry.usage.cpuMillis = it.command.resources.cpuMillis * it.permille / 1000;
+        }
+        report.attempts.push_back(entry);
+    }
+    return report;
+}
+
+void EmbeddedWorkers::forget(std::string_view worker, std::span<const AttemptId> attempts)
+{
+    std::lock_guard guard(m_mutex);
+    Worker &w = reach(worker);
+    for (const AttemptId &id : attempts) {
+        const auto it = w.attempts.find(id);
+        if (it != w.attempts.end() && isEnded(it->second.state)) {
+            w.attempts.erase(it);
+        }
+    }
+    throwIfAnswerLost(w);
+}
+
+std::vector<Vm> EmbeddedWorkers::vms()
+{
+    std::lock_guard guard(m_mutex);
+    std::vector<Vm> all = m_otherVms;
+    for (const auto &[name, worker] : m_workers) {
+        all.push_back(worker.vm);
+    }
+    return all;
+}
+
+EmbeddedWorkers::Worker &EmbeddedWorkers::reach(std::string_view name)
+{
+    const auto it = m_workers.find(name);
+    if (it == m_workers.end() || it->second.faults.unreachable || it->second.vm.state == VmState::Gone) {
+        throw Unavailable("worker " + std::string(name) + " cannot be reached");
+    }
+    return it->second;
+}
+
+bool EmbeddedWorkers::acceptEpoch(Worker &worker, std::uint64_t epoch) const
+{
+    if (epoch < worker.highestEpoch) {
+        return false;
+    }
+    worker.highestEpoch = epoch;
+    return true;
+}
+
+void EmbeddedWorkers::bringUpToDate(Worker &worker)
+{
+    const TimePoint now = m_clock.now();
+    for (auto &[id, it] : worker.attempts) {
+        if (isEnded(it.state)) {
+            continue;
+        }
+        const TimePoint until = std::min(now, it.leaseExpiry);
+        const Duration runTime = runTimeOf(it.command.command);
+        if (runTime > Duration::zero() && until > it.progressedAt) {
+            const auto ran = std::chrono::duration<double>(until - it.progressedAt) * it.permille / 1000;
+            it.progress += ran / std::chrono::duration<double>(runTime);
+            it.progressedAt = until;
+        }
+        if (it.progress >= 1) {
+            it.progress = 1;
+            endAttempt(it, AttemptState::Finished);
+        } else if (now >= it.leaseExpiry) {
+            endAttempt(it, AttemptState::Stopped);
+        }
+    }
+}
+
+void EmbeddedWorkers::endAttempt(Attempt &attempt, AttemptState state)
+{
+    attempt.state = state;
+    --m_running[attempt.command.attempt.task];
+}
+
+void EmbeddedWorkers::countRunning(const AttemptId &id)
+{
+    // Attempts whose lease lapsed unseen no longer run: bring all workers up to date before counting.
+    for (auto &[name, worker] : m_workers) {
+        bringUpToDate(worker);
+    }
+    ++m_starts[id];
+    const int running = ++m_running[id.task];
+    int &most = m_maxRunning[id.task];
+    most = std::max(most, running);
+}
+
+void EmbeddedWorkers::throwIfAnswerLost(const Worker &worker) const
+{
+    if (worker.faults.loseAnswers) {
+        throw OutcomeUnknown("answer of worker " + worker.vm.name + " was lost");
+    }
+}
+
+WorkerTime EmbeddedWorkers::workerNow() const
+{
+    return std::chrono::duration_cast<WorkerTime>(m_clock.now().time_since_epoch());
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/platform/faultykeyvalue.cpp
@@ -0,0 +1,108 @@
+#include <platform/faultykeyvalue.h>
+
+namespace QuetzalRock {
+
+namespace {
+
+/** Takes one from @p counter if there is one. */
+bool takeOne(std::atomic<int> &counter)
+{
+    int n = counter.load();
+    while (n > 0) {
+        if (counter.compare_exchange_weak(n, n - 1)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+FaultyKeyValue::FaultyKeyValue(KeyValueService &service)
+    : m_service(service)
+{
+}
+
+std::optional<KeyValue> FaultyKeyValue::get(std::string_view key)
+{
+    throwIfDown();
+    return m_service.get(key);
+}
+
+std::vector<KeyValue> FaultyKeyValue::list(std::string_view prefix)
+{
+    throwIfDown();
+    return m_service.list(prefix);
+}
+
+CasResult FaultyKeyValue::compareAndSwap(std::string_view key, Revision expected, std::string_view value, LeaseId lease)
+{
+    beforeWrite();
+    const CasResult result = m_service.compareAndSwap(key, expected, value, lease);
+    afterWrite();
+    return result;
+}
+
+CasResult FaultyKeyValue::remove(std::string_view key, Revision expected)
+{
+    beforeWrite();
+    const CasResult result = m_service.remove(key, expected);
+    afterWrite();
+    return result;
+}
+
+LeaseId FaultyKeyValue::grantLease(Duration ttl)
+{
+    beforeWrite();
+    const LeaseId lease = m_service.grantLease(ttl);
+    afterWrite();
+    return lease;
+}
+
+bool FaultyKeyValue::renewLease(LeaseId lease)
+{
+    beforeWrite();
+    const bool renewed = m_service.renewLease(lease);
+    afterWrite();
+    return renewed;
+}
+
+void FaultyKeyValue::revokeLease(LeaseId lease)
+{
+    beforeWrite();
+    m_service.revokeLease(lease);
+    afterWrite();
+}
+
+WatchResult FaultyKeyValue::watch(std::string_view prefix, Revision after, Duration timeout)
+{
+    throwIfDown();
+    return m_service.watch(prefix, after, timeout);
+}
+
+void FaultyKeyValue::throwIfDown() const
+{
+    if (down) {
+        throw Unavailable("key-value service is down");
+    }
+}
+
+void FaultyKeyValue::beforeWrite()
+{
+    throwIfDown();
+    if (takeOne(refuseWrites)) {
+        throw Unavailable("write refused");
+    }
+    if (takeOne(loseWrites)) {
+        throw OutcomeUnknown("write lost on its way");
+    }
+}
+
+void FaultyKeyValue::afterWrite()
+{
+    if (takeOne(loseWriteAnswers)) {
+        throw OutcomeUnknown("answer lost on its way");
+    }
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/platform/tests/platformtest.cpp
@@ -0,0 +1,91 @@
+#include <platform/embeddedkeyvalue.h>
+#include <platform/embeddedworkers.h>
+#include <platform/faultykeyvalue.h>
+
+#include <gtest/gtest.h>
+
+using namespace QuetzalRock;
+using namespace std::chrono_literals;
+
+TEST(KeyValue, swapsOnlyAtTheExpectedRevision)
+{
+    ManualClock clock;
+    EmbeddedKeyValue store(clock);
+    const CasResult first = store.compareAndSwap("a", 0, "1", 0);
+    EXPECT_TRUE(first.swapped);
+    EXPECT_FALSE(store.compareAndSwap("a", 0, "2", 0).swapped);
+    EXPECT_TRUE(store.compareAndSwap("a", first.revision, "2", 0).swapped);
+    EXPECT_EQ(store.get("a")->value, "2");
+}
+
+TEST(KeyValue, dropsKeysWithTheirLease)
+{
+    ManualClock clock;
+    EmbeddedKeyValue store(clock);
+    const LeaseId lease = store.grantLease(5s);
+    store.compareAndSwap("member/a", 0, "x", lease);
+    const WatchResult before = store.watch("member/", 0, 0s);
+    EXPECT_EQ(before.changed.size(), 1U);
+    clock.advance(6s);
+    EXPECT_FALSE(store.renewLease(lease));
+    EXPECT_EQ(store.watch("member/", before.revision, 0s).removed, std::vector<std::string>{"member/a"});
+}
+
+TEST(FaultyKeyValue, losesTheAnswerOfAWriteThatTookEffect)
+{
+    ManualClock clock;
+    EmbeddedKeyValue store(clock);
+    FaultyKeyValue faulty(store);
+    faulty.loseWriteAnswers = 1;
+    EXPECT_THROW(faulty.compareAndSwap("a", 0, "1", 0), OutcomeUnknown);
+    EXPECT_EQ(faulty.get("a")->value, "1");
+    faulty.down = true;
+    EXPECT_THROW(faulty.get("a"), Unavailable);
+}
+
+struct Workers : public testing::Test
+{
+    void SetUp() override
+    {
+        workers.addVm({"w1", VmRole::Worker, VmState::Live, "r", "fd", "rack1", "", {32000, 125000, 0}});
+    }
+    StartCommand command(std::uint32_t number, const std::string &text, const std::string &checkpoint = {}) const
+    {
+        const auto now = std::chrono::duration_cast<WorkerTime>(clock.now().time_since_epoch());
+        return {{{1, 0}, number}, 1, now + 1s, WorkloadKind::Batch, "manifest", {1000, 100, 0}, text, checkpoint, 10s};
+    }
+    ManualClock clock;
+    EmbeddedWorkers workers{clock, 5s};
+};
+
+TEST_F(Workers, resumesFromTheCheckpointOfTheStoppedAttempt)
+{
+    workers.start("w1", command(1, "run 8"));
+    clock.advance(4s);
+    workers.stop("w1", 1, {{1, 0}, 1}, StopMode::Checkpoint);
+    const AttemptReport stopped = workers.report("w1").attempts.at(0);
+    EXPECT_EQ(stopped.state, AttemptState::Stopped);
+    workers.start("w1", command(2, "run 8", stopped.checkpoint));
+    clock.advance(4s);
+    EXPECT_EQ(workers.report("w1").attempts.at(1).state, AttemptState::Finished);
+    EXPECT_EQ(workers.maxConcurrentAttempts({1, 0}), 1);
+}
+
+TEST_F(Workers, barsAnAttemptThatWasStoppedBeforeItsStartArrived)
+{
+    workers.stop("w1", 1, {{1, 0}, 1}, StopMode::Kill);
+    workers.start("w1", command(1, "run 8"));
+    EXPECT_EQ(workers.report("w1").attempts.at(0).state, AttemptState::Barred);
+    EXPECT_EQ(workers.startCount({{1, 0}, 1}), 0);
+}
+
+TEST_F(Workers, stopsWhatIsNotRenewedAndIgnoresAnOldOwner)
+{
+    const StartCommand late = command(2, "run 50");
+    workers.start("w1", command(1, "serve"));
+    clock.advance(11s);
+    EXPECT_EQ(workers.report("w1").attempts.at(0).state, AttemptState::Stopped);
+    workers.renew("w1", 7, {}, 10s);
+    workers.start("w1", late);
+    EXPECT_EQ(workers.report("w1").attempts.size(), 1U);
+}
