--- a/packages/base/types.h
+++ b/packages/base/types.h
@@ -5,9 +5,12 @@
  *   Resources            what a task takes and a worker has
  *   JobId ... AttemptId  names of running things
  *   WorkloadKind         services, batch jobs, standing watches
+ *   JobSpec              what an operator asks for
  */
 #pragma once
 
+#include <base/clock.h>
+
 #include <compare>
 #include <cstdint>
 #include <functional>
