Serve the platform's stand-in over HTTP and adapt to it

Cause: several daemons must share one platform and lose it, so the in-memory stand-ins need a server, and the daemon an adapter with typed errors. A lost read is Unavailable (nothing changed), a lost write OutcomeUnknown. Before: in process only. Conclusion: the daemon can run against either.

--- /dev/null
+++ b/packages/platform/httpplatform.h
@@ -0,0 +1,55 @@
+/**
+ * The adapter to a platform that serves JSON over HTTP, as the stand-in does.
+ *
+ * Index of this file
+ *   HttpPlatform   all three interfaces of platform.h at one address
+ */
+#pragma once
+
+#include <platform/platform.h>
+#include <web/web.h>
+
+namespace QuetzalRock {
+
+struct HttpPlatformSettings
+{
+    std::string address;                        ///< "ip:port" of the platform's service
+    std::string token;                          ///< sent as a bearer token; empty: none
+    Duration timeout = std::chrono::seconds(2); ///< of a call; a watch may take its own timeout longer
+};
+
+/** Thread-safe. Reads that are lost on the way throw Unavailable, writes OutcomeUnknown. */
+class HttpPlatform final : public KeyValueService, public VmList, public WorkerAgent
+{
+public:
+    explicit HttpPlatform(HttpPlatformSettings settings);
+
+    std::optional<KeyValue> get(std::string_view key) override;
+    std::vector<KeyValue> list(std::string_view prefix) override;
+    CasResult compareAndSwap(std::string_view key, Revision expected, std::string_view value, LeaseId lease) override;
+    CasResult remove(std::string_view key, Revision expected) override;
+    LeaseId grantLease(Duration ttl) override;
+    bool renewLease(LeaseId lease) override;
+    void revokeLease(LeaseId lease) override;
+    WatchResult watch(std::string_view prefix, Revision after, Duration timeout) override;
+
+    std::vector<Vm> vms() override;
+
+    void start(std::string_view worker, const StartCommand &command) override;
+    void
+    renew(std::string_view worker, std::uint64_t epoch, std::span<const AttemptId> attempts, Duration lease) override;
+    void stop(std::string_view worker, std::uint64_t epoch, const AttemptId &attempt, StopMode mode) override;
+    void throttle(std::string_view worker, std::uint64_t epoch, const AttemptId &attempt, int permille) override;
+    WorkerReport report(std::string_view worker) override;
+    void forget(std::string_view worker, std::span<const AttemptId> attempts) override;
+
+private:
+    WebResponse send(std::string method, const std::string &path, std::string body, Duration timeout);
+    WebResponse read(const std::string &path, Duration timeout);  ///< a lost answer is Unavailable: nothing changed
+    std::string write(const std::string &path, std::string body); ///< the answer's body
+
+    HttpPlatformSettings m_settings;
+    WebClient m_client;
+};
+
+} // namespace QuetzalRock
