Say what an owner learns that was fenced off long ago

Cause: a batch in doubt cannot be called written or not written once later owners have used its slot again; Fenced promises "not written", which a caller may pass on as "not run". Before: one error for both. After: FencedInDoubt, a kind of OutcomeUnknown that only resolve() throws, and resolve()'s three errors spelled out. Conclusion: "not run" stays true.

--- a/packages/journal/log.h
+++ b/packages/journal/log.h
@@ -3,9 +3,10 @@
  * fake for tests of whatever stands on a log.
  *
  * Index of this file
- *   Replay    what a new owner reads back
- *   Log       append, resolve, snapshot, take over
- *   Fenced    another owner has taken over
+ *   Replay          what a new owner reads back
+ *   Log             append, resolve, snapshot, take over
+ *   Fenced          another owner has taken over
+ *   FencedInDoubt   the same, too long ago to tell whether the batch in doubt was written
  *
  * Use
  *   Replay replay = log.takeOver();          // rebuild the state from replay.snapshot, then replay.records in order
@@ -44,6 +45,19 @@
     }
 };
 
+/**
+ * From resolve() only: another owner has taken over, and so long ago that the slot of the batch in doubt has been used
+ * again. This one must stand down too, and must not report the batch as not written. epoch() is 0 afterwards.
+ */
+class FencedInDoubt : public OutcomeUnknown
+{
+public:
+    explicit FencedInDoubt(const std::string &message)
+        : OutcomeUnknown(message)
+    {
+    }
+};
+
 class Log
 {
 public:
@@ -60,7 +74,12 @@
      */
     virtual void append(std::span<const std::string> records) = 0;
 
-    /** After OutcomeUnknown: true where the batch (or snapshot) in doubt was written. Throws as append() does. */
+    /**
+     * After OutcomeUnknown: true where the batch (or snapshot) in doubt was written, false where it never will be. Throws
+     *   OutcomeUnknown  still in doubt: call again later
+     *   Fenced          it was not written; stand down
+     *   FencedInDoubt   nobody can tell; stand down
+     */
     virtual bool resolve() = 0;
 
     /** Replaces everything up to now by @p state. Throws as append() does; on OutcomeUnknown resolve() settles it too. */
