Keep a log in a ring of keys of the platform's service

Cause: whatever must last goes through one fenced log. A write whose answer was lost is read back, and sent again where it is not there: only one of the two can take effect. WriteBudget and GroupCommit pace the appends of a process; MemoryLog is the fake with faults.

--- /dev/null
+++ b/packages/journal/format.cpp
@@ -0,0 +1,222 @@
+#include <journal/format.h>
+
+#include <msgpack.hpp>
+#include <xxhash.h>
+
+namespace QuetzalRock {
+
+LogCorrupt::LogCorrupt(const std::string &message)
+    : Error(ErrorCode::Failed, "journal: " + message)
+{
+}
+
+FormatTooNew::FormatTooNew(std::uint32_t version)
+    : Error(ErrorCode::Unavailable,
+            "journal: written in format " + std::to_string(version) + ", this version reads up to "
+                + std::to_string(JournalFormat))
+{
+}
+
+namespace detail {
+
+namespace {
+
+constexpr std::uint32_t HeaderFields = 7; // version and the members of BatchHeader
+constexpr std::uint32_t BatchFields = HeaderFields + 1;
+constexpr std::uint32_t SnapshotRefFields = 5;
+constexpr std::uint32_t ChunkFields = 5;
+constexpr std::size_t HeaderBytes = 128; // room that spares the first reallocations
+
+using Packer = msgpack::packer<msgpack::sbuffer>;
+
+void packBytes(Packer &packer, std::string_view bytes)
+{
+    const auto n = static_cast<std::uint32_t>(bytes.size());
+    packer.pack_bin(n);
+    packer.pack_bin_body(bytes.data(), n);
+}
+
+void packHeader(Packer &packer, const BatchHeader &header)
+{
+    packer.pack_array(BatchFields);
+    packer.pack(JournalFormat);
+    packer.pack(static_cast<std::uint8_t>(header.kind));
+    packer.pack(header.slots);
+    packer.pack(header.sequence);
+    packer.pack(header.epoch);
+    packer.pack(header.writer);
+    packer.pack(header.id);
+}
+
+std::string toString(const msgpack::sbuffer &buf)
+{
+    return {buf.data(), buf.size()};
+}
+
+/** The fields of a value, once its version has been found readable. */
+std::span<const msgpack::object> fieldsOf(const msgpack::object &object, std::size_t least)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size == 0) {
+        throw LogCorrupt("value is not an array");
+    }
+    const std::span<const msgpack::object> fields(object.via.array.ptr, object.via.array.size);
+    const auto version = fields[0].as<std::uint32_t>();
+    if (version > JournalFormat) {
+        throw FormatTooNew(version);
+    }
+    if (fields.size() < least) {
+        throw LogCorrupt("value has " + std::to_string(fields.size()) + " fields");
+    }
+    return fields;
+}
+
+std::string bytesOf(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::BIN) {
+        throw LogCorrupt("record is not a byte string");
+    }
+    return {object.via.bin.ptr, object.via.bin.size};
+}
+
+std::vector<std::string> recordsOf(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY) {
+        throw LogCorrupt("records are not an array");
+    }
+    std::vector<std::string> records;
+    records.reserve(object.via.array.size);
+    for (const msgpack::object &it : std::span(object.via.array.ptr, object.via.array.size)) {
+        records.push_back(bytesOf(it));
+    }
+    return records;
+}
+
+SnapshotRef snapshotRefOf(const msgpack::object &object)
+{
+    if (object.type != msgpack::type::ARRAY || object.via.array.size < SnapshotRefFields) {
+        throw LogCorrupt("snapshot reference is not an array");
+    }
+    const std::span<const msgpack::object> fields(object.via.array.ptr, object.via.array.size);
+    SnapshotRef snapshot;
+    snapshot.side = fields[0].as<std::uint8_t>();
+    snapshot.chunks = fields[1].as<std::uint32_t>();
+    snapshot.id = fields[2].as<std::uint64_t>();
+    snapshot.bytes = fields[3].as<std::uint64_t>();
+    snapshot.checksum = fields[4].as<std::uint64_t>();
+    return snapshot;
+}
+
+BatchKind kindOf(const msgpack::object &object)
+{
+    const auto kind = object.as<std::uint8_t>();
+    if (kind > static_cast<std::uint8_t>(BatchKind::Snapshot)) {
+        throw LogCorrupt("unknown kind of batch " + std::to_string(kind));
+    }
+    return static_cast<BatchKind>(kind);
+}
+
+Batch batchOf(std::span<const msgpack::object> fields)
+{
+    Batch batch;
+    batch.header.kind = kindOf(fields[1]);
+    batch.header.slots = fields[2].as<std::uint32_t>();
+    batch.header.sequence = fields[3].as<std::uint64_t>();
+    batch.header.epoch = fields[4].as<std::uint64_t>();
+    batch.header.writer = fields[5].as<std::string>();
+    batch.header.id = fields[6].as<std::uint64_t>();
+    if (batch.header.kind == BatchKind::Records) {
+        batch.records = recordsOf(fields[HeaderFields]);
+    } else if (batch.header.kind == BatchKind::Snapshot) {
+        batch.snapshot = snapshotRefOf(fields[HeaderFields]);
+    }
+    return batch;
+}
+
+} // namespace
+
+std::string encodeRecords(const BatchHeader &header, std::span<const std::string> records)
+{
+    msgpack::sbuffer buf(HeaderBytes);
+    Packer packer(buf);
+    packHeader(packer, header);
+    packer.pack_array(static_cast<std::uint32_t>(records.size()));
+    for (const std::string &it : records) {
+        packBytes(packer, it);
+    }
+    return toString(buf);
+}
+
+std::string encodeTakeover(const BatchHeader &header)
+{
+    msgpack::sbuffer buf(HeaderBytes);
+    Packer packer(buf);
+    packHeader(packer, header);
+    packer.pack_nil();
+    return toString(buf);
+}
+
+std::string encodeSnapshotRef(const BatchHeader &header, const SnapshotRef &snapshot)
+{
+    msgpack::sbuffer buf(HeaderBytes);
+    Packer packer(buf);
+    packHeader(packer, header);
+    packer.pack_array(SnapshotRefFields);
+    packer.pack(snapshot.side);
+    packer.pack(snapshot.chunks);
+    packer.pack(snapshot.id);
+    packer.pack(snapshot.bytes);
+    packer.pack(snapshot.checksum);
+    return toString(buf);
+}
+
+Batch decodeBatch(std::string_view bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        return batchOf(fieldsOf(handle.get(), BatchFields));
+    } catch (const msgpack::unpack_error &) {
+        throw LogCorrupt("batch cannot be decoded");
+    } catch (const msgpack::type_error &) {
+        throw LogCorrupt("a field of a batch has the wrong type");
+    }
+}
+
+std::string encodeChunk(std::uint64_t epoch, std::uint64_t id, std::uint32_t index, std::string_view data)
+{
+    msgpack::sbuffer buf(HeaderBytes + data.size());
+    Packer packer(buf);
+    packer.pack_array(ChunkFields);
+    packer.pack(JournalFormat);
+    packer.pack(epoch);
+    packer.pack(id);
+    packer.pack(index);
+    packBytes(packer, data);
+    return toString(buf);
+}
+
+SnapshotChunk decodeChunk(std::string_view bytes)
+{
+    try {
+        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const auto fields = fieldsOf(handle.get(), ChunkFields);
+        SnapshotChunk chunk;
+        chunk.epoch = fields[1].as<std::uint64_t>();
+        chunk.id = fields[2].as<std::uint64_t>();
+        chunk.index = fields[3].as<std::uint32_t>();
+        chunk.data = bytesOf(fields[4]);
+        return chunk;
+    } catch (const msgpack::unpack_error &) {
+        throw LogCorrupt("snapshot chunk cannot be decoded");
+    } catch (const msgpack::type_error &) {
+        throw LogCorrupt("a field of a snapshot chunk has the wrong type");
+    }
+}
+
+std::uint64_t checksumOf(std::string_view bytes)
+{
+    return XXH64(bytes.data(), bytes.size(), 0);
+}
+
+} // namespace detail
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/journal/journal.cpp
@@ -0,0 +1,410 @@
+#include <journal/journal.h>
+
+#include <algorithm>
+#include <cctype>
+
+namespace QuetzalRock {
+
+namespace {
+
+constexpr std::uint32_t MinSlots = 8;
+constexpr std::uint32_t MaxSlots = 9999;   // four digits in the keys
+constexpr std::uint32_t ReservedShare = 8; // one slot in so many is kept for takeovers and the snapshot
+constexpr std::uint32_t MinReservedSlots = 3;
+constexpr std::uint32_t SnapshotSlots = 1; // the last free slot is the snapshot's alone
+constexpr int TakeOverTries = 4;
+constexpr int ResolveTries = 3;
+
+bool isNameCharacter(unsigned char c)
+{
+    return std::isalnum(c) != 0 || c == '-' || c == '.' || c == '_';
+}
+
+void check(const JournalSettings &settings)
+{
+    if (settings.name.empty() || !std::ranges::all_of(settings.name, isNameCharacter)) {
+        throw InvalidArgument("name",
+                              "journal: name \"" + settings.name + "\" is empty or has other than [A-Za-z0-9._-]");
+    }
+    if (settings.writer.empty()) {
+        throw InvalidArgument("writer", "journal: writer is empty");
+    }
+    if (settings.slots < MinSlots || settings.slots > MaxSlots) {
+        throw InvalidArgument("slots", "journal: slots must be 8 to 9999");
+    }
+    if (settings.maxBatchBytes == 0 || settings.maxBatchBytes > MaxValueBytes / 2) {
+        throw InvalidArgument("maxBatchBytes", "journal: must be 1 to 500000");
+    }
+    if (settings.chunkBytes == 0 || settings.chunkBytes > MaxValueBytes / 2) {
+        throw InvalidArgument("chunkBytes", "journal: must be 1 to 500000");
+    }
+}
+
+/** What a batch takes in the service, each record at its longest framing. */
+std::size_t sizeOf(std::span<const std::string> records)
+{
+    std::size_t n = 0;
+    for (const std::string &it : records) {
+        n += it.size();
+    }
+    return n;
+}
+
+} // namespace
+
+LogFull::LogFull(const std::string &message)
+    : Unavailable("journal: " + message)
+{
+}
+
+Journal::Journal(KeyValueService &service, const JournalSettings &settings)
+    : m_service(service)
+    , m_settings(settings)
+    , m_snapshots(service, settings.name, settings.chunkBytes, m_counters)
+{
+    check(settings);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Taking over
+// ---------------------------------------------------------------------------------------------------------------------
+
+Replay Journal::takeOver()
+{
+    m_epoch = 0;
+    m_pending.reset();
+    for (int n = 0; n < TakeOverTries; ++n) {
+        bool won = false;
+        Replay replay = tryTakeOver(won);
+        if (won) {
+            return replay;
+        }
+    }
+    throw Unavailable("journal: " + m_settings.name + " changes while it is read; another owner is at work");
+}
+
+Replay Journal::tryTakeOver(bool &won)
+{
+    ++m_counters.reads;
+    detail::Ring ring = detail::readRing(m_service.list(detail::slotPrefix(m_settings.name)), m_settings.name);
+    if (ring.slots == 0) {
+        ring.slots = m_settings.slots;
+        ring.slotRevisions.assign(ring.slots, 0);
+    }
+    Replay replay;
+    try {
+        replay = replayOf(ring);
+    } catch (const detail::TornSnapshot &) {
+        // Either the owner has just replaced the snapshot, then the ring says so now; or it is damaged.
+        ++m_counters.reads;
+        const auto again = detail::readRing(m_service.list(detail::slotPrefix(m_settings.name)), m_settings.name);
+        if (again.base == ring.base) {
+            throw;
+        }
+        return {};
+    }
+    won = writeTakeover(ring);
+    replay.epoch = m_epoch;
+    return replay;
+}
+
+Replay Journal::replayOf(const detail::Ring &ring)
+{
+    Replay replay;
+    if (const auto snapshot = ring.snapshot()) {
+        replay.snapshot = m_snapshots.read(*snapshot, ring.live.front().header.epoch);
+    }
+    for (const detail::Batch &it : ring.live) {
+        replay.records.insert(replay.records.end(), it.records.begin(), it.records.end());
+    }
+    return replay;
+}
+
+/** Appends the batch that begins this owner's epoch; false where somebody else wrote that slot first. */
+bool Journal::writeTakeover(const detail::Ring &ring)
+{
+    loadRing(ring);
+    requireRoom(SnapshotSlots);
+    const std::uint64_t epoch = ring.epoch + 1;
+    Pending pending;
+    pending.header = nextHeader(detail::BatchKind::Takeover, epoch);
+    pending.value = detail::encodeTakeover(pending.header);
+    m_pending = std::move(pending);
+    WriteOutcome outcome = WriteOutcome::Unknown;
+    try {
+        outcome = sendPending();
+    } catch (...) {
+        m_pending.reset();
+        throw;
+    }
+    if (outcome == WriteOutcome::Written) {
+        finishPending();
+        m_epoch = epoch;
+        return true;
+    }
+    m_pending.reset();
+    if (outcome == WriteOutcome::Unknown) {
+        // The next try reads the ring anew: where this one takes effect yet, it is one more owner before.
+        throw Unavailable("journal: the answer to the takeover of " + m_settings.name + " was lost");
+    }
+    return false;
+}
+
+void Journal::loadRing(const detail::Ring &ring)
+{
+    m_slots = ring.slots;
+    m_head = ring.head;
+    m_base = ring.base;
+    m_slotRevisions = ring.slotRevisions;
+    m_side = ring.snapshot() ? ring.snapshot()->side : 1;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Writing
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Journal::append(std::span<const std::string> records)
+{
+    requireOwner();
+    if (sizeOf(records) > m_settings.maxBatchBytes) {
+        throw InvalidArgument("records", "journal: batch exceeds maxBatchBytes");
+    }
+    requireRoom(reservedSlots());
+    Pending pending;
+    pending.header = nextHeader(detail::BatchKind::Records, m_epoch);
+    pending.records = records.size();
+    pending.value = detail::encodeRecords(pending.header, records);
+    if (pending.value.size() > MaxValueBytes) {
+        throw InvalidArgument("records", "journal: too many records for one value of the service");
+    }
+    m_pending = std::move(pending);
+    writePending();
+}
+
+void Journal::snapshot(std::string_view state)
+{
+    requireOwner();
+    requireRoom(0);
+    const std::uint8_t side = 1 - m_side;
+    detail::SnapshotRef snapshot;
+    try {
+        snapshot = m_snapshots.write(state, side, m_epoch, ++m_lastId);
+    } catch (const Fenced &ec) {
+        standDown(ec.what());
+    }
+    Pending pending;
+    pending.header = nextHeader(detail::BatchKind::Snapshot, m_epoch);
+    pending.snapshot = snapshot;
+    pending.stateBytes = state.size();
+    pending.value = detail::encodeSnapshotRef(pending.header, snapshot);
+    m_pending = std::move(pending);
+    writePending();
+}
+
+bool Journal::resolve()
+{
+    if (m_epoch == 0) {
+        throw Fenced("journal: " + m_settings.name + " is not owned");
+    }
+    if (!m_pending) {
+        throw InvalidArgument("resolve", "journal: nothing is in doubt");
+    }
+    try {
+        for (int n = 0; n < ResolveTries; ++n) {
+            if (findPending() || sendPending() == WriteOutcome::Written) {
+                ++m_counters.resolved;
+                finishPending();
+                return true;
+            }
+        }
+    } catch (const Unavailable &ec) {
+        throw OutcomeUnknown(std::string("journal: still in doubt: ") + ec.what());
+    }
+    throw OutcomeUnknown("journal: still in doubt");
+}
+
+void Journal::requireOwner() const
+{
+    if (m_epoch == 0) {
+        throw Fenced("journal: " + m_settings.name + " is not owned");
+    }
+    if (m_pending) {
+        throw OutcomeUnknown("journal: a batch is in doubt; call resolve() first");
+    }
+}
+
+/** There must be a free slot, and @p kept more. */
+void Journal::requireRoom(std::uint32_t kept) const
+{
+    if (usedSlots() + kept >= m_slots) {
+        throw LogFull(m_settings.name + " has " + std::to_string(usedSlots()) + " of " + std::to_string(m_slots)
+                      + " slots in use; a snapshot is due");
+    }
+}
+
+detail::BatchHeader Journal::nextHeader(detail::BatchKind kind, std::uint64_t epoch)
+{
+    return {kind, m_slots, m_head + 1, epoch, m_settings.writer, ++m_lastId};
+}
+
+void Journal::writePending()
+{
+    WriteOutcome outcome = WriteOutcome::Unknown;
+    try {
+        outcome = sendPending();
+    } catch (...) {
+        m_pending.reset();
+        throw;
+    }
+    if (outcome == WriteOutcome::Unknown) {
+        throw OutcomeUnknown("journal: the answer to batch " + std::to_string(m_pending->header.sequence)
+                             + " was lost");
+    }
+    if (outcome == WriteOutcome::Conflict) {
+        // Only an owner writes slots, and this one has nothing else on its way: there is another.
+        standDown("another owner has taken over " + m_settings.name);
+    }
+    finishPending();
+}
+
+/** One compare-and-swap. Throws Unavailable where the service did not take it. */
+Journal::WriteOutcome Journal::sendPending()
+{
+    const std::uint64_t slot = slotOf(m_pending->header.sequence);
+    ++m_counters.writes;
+    m_counters.writeBytes += m_pending->value.size();
+    try {
+        const CasResult result
+            = m_service.compareAndSwap(detail::slotKey(m_settings.name, slot), m_slotRevisions[slot], m_pending->value);
+        if (!result.swapped) {
+            ++m_counters.conflicts;
+            return WriteOutcome::Conflict;
+        }
+        m_slotRevisions[slot] = result.revision;
+        return WriteOutcome::Written;
+    } catch (const OutcomeUnknown &) {
+        ++m_counters.unknowns;
+        return WriteOutcome::Unknown;
+    }
+}
+
+/** Reads the slot back: true where the batch in doubt is there, false where the slot is as it was before. */
+bool Journal::findPending()
+{
+    const std::uint64_t slot = slotOf(m_pending->header.sequence);
+    ++m_counters.reads;
+    const auto found = m_service.get(detail::slotKey(m_settings.name, slot));
+    if (!found || found->revision == m_slotRevisions[slot]) {
+        return false;
+    }
+    checkIsPending(found->value);
+    m_slotRevisions[slot] = found->revision;
+    return true;
+}
+
+/** Stands down where @p value, found in the slot of the batch in doubt, is another batch. */
+void Journal::checkIsPending(std::string_view value)
+{
+    const detail::BatchHeader &mine = m_pending->header;
+    detail::BatchHeader there;
+    try {
+        there = detail::decodeBatch(value).header;
+    } catch (const FormatTooNew &) {
+        standDownInDoubt();
+    }
+    if (there.sequence > mine.sequence) {
+        standDownInDoubt();
+    }
+    if (there.writer != mine.writer || there.id != mine.id) {
+        standDown("another owner has taken over " + m_settings.name);
+    }
+}
+
+/** The pending batch is known to be written. */
+void Journal::finishPending()
+{
+    const Pending &pending = *m_pending;
+    m_head = pending.header.sequence;
+    switch (pending.header.kind) {
+    case detail::BatchKind::Records:
+        ++m_counters.appends;
+        m_counters.records += pending.records;
+        break;
+    case detail::BatchKind::Takeover:
+        ++m_counters.takeovers;
+        break;
+    case detail::BatchKind::Snapshot:
+        ++m_counters.snapshots;
+        m_counters.snapshotBytes += pending.stateBytes;
+        m_base = m_head;
+        m_side = pending.snapshot->side;
+        break;
+    }
+    m_pending.reset();
+}
+
+void Journal::leave()
+{
+    m_epoch = 0;
+    m_pending.reset();
+    ++m_counters.fenced;
+}
+
+void Journal::standDown(const std::string &message)
+{
+    leave();
+    throw Fenced("journal: " + message);
+}
+
+void Journal::standDownInDoubt()
+{
+    leave();
+    throw FencedInDoubt("journal: later owners of " + m_settings.name + " have used the slot of the batch in doubt");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// State
+// ---------------------------------------------------------------------------------------------------------------------
+
+bool Journal::snapshotDue() const
+{
+    // Half of the room between the due mark and the full ring is left to appends while the snapshot is prepared.
+    return m_epoch != 0 && usedSlots() + 2 * reservedSlots() >= m_slots;
+}
+
+std::size_t Journal::maxBatchBytes() const
+{
+    return m_settings.maxBatchBytes;
+}
+
+std::uint64_t Journal::epoch() const
+{
+    return m_epoch;
+}
+
+const JournalCounters &Journal::counters() const
+{
+    return m_counters;
+}
+
+std::uint64_t Journal::headSequence() const
+{
+    return m_head;
+}
+
+std::uint32_t Journal::usedSlots() const
+{
+    return static_cast<std::uint32_t>(m_head + 1 - m_base);
+}
+
+std::uint64_t Journal::slotOf(std::uint64_t sequence) const
+{
+    return sequence % m_slots;
+}
+
+std::uint32_t Journal::reservedSlots() const
+{
+    return std::max(MinReservedSlots, m_slots / ReservedShare);
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/journal/tests/journaltest.cpp
@@ -0,0 +1,440 @@
+#include <journal/groupcommit.h>
+#include <journal/journal.h>
+#include <journal/memorylog.h>
+#include <platform/embeddedkeyvalue.h>
+#include <platform/faultykeyvalue.h>
+
+#include <gtest/gtest.h>
+
+using namespace QuetzalRock;
+using namespace std::chrono_literals;
+
+namespace {
+
+using Records = std::vector<std::string>;
+
+JournalSettings settingsFor(const std::string &writer)
+{
+    JournalSettings settings;
+    settings.name = "muuga";
+    settings.writer = writer;
+    settings.slots = 16;
+    settings.chunkBytes = 8;
+    return settings;
+}
+
+struct JournalTest : public testing::Test
+{
+    void append(Journal &journal, const std::string &record)
+    {
+        journal.append(Records{record});
+    }
+    void fillTo(Journal &journal, std::uint32_t used)
+    {
+        while (journal.usedSlots() < used) {
+            append(journal, "filler");
+        }
+    }
+    ManualClock clock;
+    EmbeddedKeyValue store{clock};
+    FaultyKeyValue wayOfA{store};
+    FaultyKeyValue wayOfB{store};
+    Journal a{wayOfA, settingsFor("a")};
+    Journal b{wayOfB, settingsFor("b")};
+};
+
+} // namespace
+
+TEST_F(JournalTest, replaysWhatWasAppendedInOrder)
+{
+    EXPECT_EQ(a.takeOver().epoch, 1U);
+    a.append(Records{"1", "2"});
+    append(a, "3");
+    const Replay replay = b.takeOver();
+    EXPECT_EQ(replay.epoch, 2U);
+    EXPECT_EQ(replay.records, (Records{"1", "2", "3"}));
+    EXPECT_TRUE(replay.snapshot.empty());
+}
+
+TEST_F(JournalTest, fencesTheOwnerBefore)
+{
+    a.takeOver();
+    b.takeOver();
+    EXPECT_THROW(append(a, "late"), Fenced);
+    EXPECT_EQ(a.epoch(), 0U);
+    EXPECT_THROW(append(a, "later"), Fenced);
+    append(b, "1");
+    EXPECT_EQ(a.takeOver().records, Records{"1"});
+}
+
+TEST_F(JournalTest, refusesAnAppendWithoutOwnership)
+{
+    EXPECT_THROW(append(a, "1"), Fenced);
+    EXPECT_EQ(store.counters().writes, 0U);
+}
+
+TEST_F(JournalTest, settlesALostAnswerByReadingBack)
+{
+    a.takeOver();
+    wayOfA.loseWriteAnswers = 1;
+    EXPECT_THROW(append(a, "1"), OutcomeUnknown);
+    EXPECT_THROW(append(a, "2"), OutcomeUnknown) << "nothing may follow a batch in doubt";
+    const std::uint64_t writes = store.counters().writes;
+    EXPECT_TRUE(a.resolve());
+    EXPECT_EQ(store.counters().writes, writes) << "reading back is enough";
+    append(a, "2");
+    EXPECT_EQ(b.takeOver().records, (Records{"1", "2"}));
+}
+
+TEST_F(JournalTest, carriesALostWriteThrough)
+{
+    a.takeOver();
+    wayOfA.loseWrites = 2;
+    EXPECT_THROW(append(a, "1"), OutcomeUnknown);
+    wayOfA.down = true;
+    EXPECT_THROW(a.resolve(), OutcomeUnknown);
+    wayOfA.down = false;
+    EXPECT_TRUE(a.resolve());
+    EXPECT_EQ(a.counters().resolved, 1U);
+    EXPECT_EQ(b.takeOver().records, Records{"1"});
+}
+
+TEST_F(JournalTest, saysThatABatchInDoubtWasNotWrittenWhereARivalHasItsSlot)
+{
+    a.takeOver();
+    wayOfA.loseWrites = 1;
+    EXPECT_THROW(append(a, "1"), OutcomeUnknown);
+    EXPECT_TRUE(b.takeOver().records.empty());
+    EXPECT_THROW(a.resolve(), Fenced);
+}
+
+TEST_F(JournalTest, saysThatABatchInDoubtWasWrittenThoughARivalFollowed)
+{
+    a.takeOver();
+    wayOfA.loseWriteAnswers = 1;
+    EXPECT_THROW(append(a, "1"), OutcomeUnknown);
+    EXPECT_EQ(b.takeOver().records, Records{"1"});
+    EXPECT_TRUE(a.resolve());
+    EXPECT_THROW(append(a, "2"), Fenced);
+}
+
+TEST_F(JournalTest, claimsNothingOnceTheSlotInDoubtWasUsedAgain)
+{
+    a.takeOver();
+    wayOfA.loseWriteAnswers = 1;
+    EXPECT_THROW(append(a, "1"), OutcomeUnknown);
+    b.takeOver();
+    b.snapshot("s");
+    for (int n = 0; n < 2; ++n) {
+        fillTo(b, 10);
+        b.snapshot("s");
+    }
+    EXPECT_THROW(a.resolve(), FencedInDoubt);
+    EXPECT_EQ(a.epoch(), 0U);
+}
+
+TEST_F(JournalTest, writesNothingWhereTheServiceRefuses)
+{
+    a.takeOver();
+    wayOfA.refuseWrites = 1;
+    EXPECT_THROW(append(a, "1"), Unavailable);
+    append(a, "2");
+    EXPECT_EQ(b.takeOver().records, Records{"2"});
+}
+
+TEST_F(JournalTest, foldsTheRingIntoASnapshotOfSeveralChunks)
+{
+    const std::string state = "a state of more than three chunks";
+    a.takeOver();
+    fillTo(a, 10);
+    EXPECT_TRUE(a.snapshotDue());
+    a.snapshot(state);
+    EXPECT_FALSE(a.snapshotDue());
+    append(a, "after");
+    const Replay replay = b.takeOver();
+    EXPECT_EQ(replay.snapshot, state);
+    EXPECT_EQ(replay.records, Records{"after"});
+}
+
+TEST_F(JournalTest, boundsItsKeysOverManyRounds)
+{
+    a.takeOver();
+    for (int n = 0; n < 50; ++n) {
+        fillTo(a, 10);
+        a.snapshot("state " + std::to_string(n));
+    }
+    EXPECT_LE(store.list("").size(), 16U + 2 * 2);
+    EXPECT_EQ(b.takeOver().snapshot, "state 49");
+}
+
+TEST_F(JournalTest, keepsSlotsForTakeoversAndTheSnapshot)
+{
+    a.takeOver();
+    EXPECT_THROW(fillTo(a, 16), LogFull);
+    b.takeOver();
+    EXPECT_TRUE(b.snapshotDue());
+    EXPECT_THROW(append(b, "x"), LogFull);
+    a.takeOver();
+    EXPECT_THROW(b.takeOver(), LogFull) << "the last slot is the snapshot's";
+    a.snapshot("s");
+    append(a, "1");
+    EXPECT_EQ(b.takeOver().records, Records{"1"});
+}
+
+TEST_F(JournalTest, keepsTheOldSnapshotUntilTheNewOneIsInForce)
+{
+    a.takeOver();
+    a.snapshot("the first state");
+    append(a, "1");
+    wayOfA.refuseWrites = 1;
+    EXPECT_THROW(a.snapshot("the second state"), Unavailable);
+    const Replay replay = b.takeOver();
+    EXPECT_EQ(replay.snapshot, "the first state");
+    EXPECT_EQ(replay.records, Records{"1"});
+}
+
+TEST_F(JournalTest, neverLetsAFencedOwnerTouchTheLiveSnapshot)
+{
+    a.takeOver();
+    b.takeOver();
+    b.snapshot("the state of b");
+    EXPECT_THROW(a.snapshot("the state of a"), Fenced);
+    EXPECT_EQ(a.takeOver().snapshot, "the state of b");
+}
+
+TEST_F(JournalTest, overwritesChunksThatAnOwnerBeforeLeftBehind)
+{
+    a.takeOver();
+    a.snapshot("aaaaaaaaaaaa");
+    a.snapshot("aaaaaaaaaaaaaaaa");
+    b.takeOver();
+    b.snapshot("the state of b");
+    b.snapshot("the next state of b");
+    EXPECT_EQ(a.takeOver().snapshot, "the next state of b");
+}
+
+TEST_F(JournalTest, settlesASnapshotWhoseAnswersWereLost)
+{
+    a.takeOver();
+    append(a, "1");
+    wayOfA.loseWriteAnswers = 3; // two chunks and the batch that names them
+    EXPECT_THROW(a.snapshot("0123456789"), OutcomeUnknown);
+    EXPECT_TRUE(a.resolve());
+    EXPECT_EQ(a.counters().snapshots, 1U);
+    EXPECT_EQ(b.takeOver().snapshot, "0123456789");
+}
+
+TEST_F(JournalTest, refusesARingWithAGap)
+{
+    a.takeOver();
+    append(a, "1");
+    append(a, "2");
+    store.remove("journal/muuga/0002", store.get("journal/muuga/0002")->revision);
+    const std::uint64_t writes = store.counters().writes;
+    EXPECT_THROW(b.takeOver(), LogCorrupt);
+    EXPECT_EQ(store.counters().writes, writes);
+}
+
+TEST_F(JournalTest, refusesABatchOfAnEpochThatNoTakeoverBegan)
+{
+    a.takeOver();
+    const std::string foreign = detail::encodeRecords({detail::BatchKind::Records, 16, 2, 7, "c", 1}, Records{"x"});
+    store.compareAndSwap("journal/muuga/0002", 0, foreign, 0);
+    EXPECT_THROW(b.takeOver(), LogCorrupt);
+}
+
+TEST_F(JournalTest, refusesATornSnapshot)
+{
+    a.takeOver();
+    a.snapshot("0123456789");
+    const auto chunk = store.get("snapshot/muuga/a/1");
+    ASSERT_TRUE(chunk);
+    store.compareAndSwap(chunk->key, chunk->revision, detail::encodeChunk(1, 99, 1, "89"), 0);
+    EXPECT_THROW(b.takeOver(), LogCorrupt);
+}
+
+TEST_F(JournalTest, keepsTheRingSizeOfTheExistingJournal)
+{
+    a.takeOver();
+    fillTo(a, 5);
+    JournalSettings wider = settingsFor("c");
+    wider.slots = 64;
+    Journal c(store, wider);
+    EXPECT_EQ(c.takeOver().records.size(), 4U);
+    c.snapshot("s");
+    EXPECT_THROW(fillTo(c, 32), LogFull);
+}
+
+TEST_F(JournalTest, checksItsSettings)
+{
+    JournalSettings settings = settingsFor("a");
+    settings.name = "muuga/1";
+    EXPECT_THROW(Journal(store, settings), InvalidArgument);
+    settings = settingsFor("a");
+    settings.slots = 4;
+    EXPECT_THROW(Journal(store, settings), InvalidArgument);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Formats
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+/** What the first version of the program wrote: a takeover and two records. These bytes must stay readable. */
+const std::string FirstFormatTakeover("\x98\x01\x01\x10\x01\x01\xa1z\x01\xc0", 10);
+const std::string FirstFormatRecords("\x98\x01\x00\x10\x02\x01\xa1z\x02\x92\xc4\x02hi\xc4\x00", 16);
+
+} // namespace
+
+TEST_F(JournalTest, readsTheFirstFormat)
+{
+    store.compareAndSwap("journal/muuga/0001", 0, FirstFormatTakeover, 0);
+    store.compareAndSwap("journal/muuga/0002", 0, FirstFormatRecords, 0);
+    EXPECT_EQ(a.takeOver().records, (Records{"hi", ""}));
+}
+
+TEST_F(JournalTest, refusesANewerFormatAndWritesNothing)
+{
+    a.takeOver();
+    std::string newer = FirstFormatRecords;
+    newer[1] = static_cast<char>(JournalFormat + 1);
+    store.compareAndSwap("journal/muuga/0002", 0, newer, 0);
+    const std::uint64_t writes = store.counters().writes;
+    EXPECT_THROW(b.takeOver(), FormatTooNew);
+    EXPECT_EQ(store.counters().writes, writes);
+    EXPECT_THROW(append(a, "1"), Fenced);
+}
+
+TEST_F(JournalTest, passesOverFieldsAddedLater)
+{
+    std::string longer = FirstFormatTakeover + '\x05';
+    longer[0] = '\x99';
+    store.compareAndSwap("journal/muuga/0001", 0, longer, 0);
+    EXPECT_EQ(a.takeOver().epoch, 2U);
+}
+
+TEST(JournalFormat, refusesBytesThatAreNoBatch)
+{
+    for (const std::string &it : {std::string(), std::string("\xc0"), std::string("\x91\x01"), std::string("junk")}) {
+        EXPECT_THROW(detail::decodeBatch(it), LogCorrupt);
+    }
+    for (std::size_t n = 0; n < FirstFormatRecords.size(); ++n) {
+        EXPECT_THROW(detail::decodeBatch(FirstFormatRecords.substr(0, n)), LogCorrupt);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// MemoryLog
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(MemoryLog, behavesAsAJournalDoes)
+{
+    MemoryLogStore store;
+    MemoryLog a(store);
+    MemoryLog b(store);
+    a.takeOver();
+    a.append(Records{"1"});
+    a.loseWriteAnswers = 1;
+    EXPECT_THROW(a.append(Records{"2"}), OutcomeUnknown);
+    EXPECT_THROW(a.append(Records{"3"}), OutcomeUnknown);
+    EXPECT_TRUE(a.resolve());
+    a.dropWrites = 1;
+    EXPECT_THROW(a.append(Records{"3"}), OutcomeUnknown);
+    EXPECT_FALSE(a.resolve());
+    EXPECT_EQ(b.takeOver().records, (Records{"1", "2"}));
+    EXPECT_THROW(a.append(Records{"4"}), Fenced);
+    b.snapshot("s");
+    EXPECT_EQ(a.takeOver().snapshot, "s");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// GroupCommit
+// ---------------------------------------------------------------------------------------------------------------------
+
+struct GroupCommitTest : public testing::Test
+{
+    /** Lets the bucket run dry. */
+    void drain()
+    {
+        while (budget.tryTake(true)) { }
+    }
+    ManualClock clock;
+    WriteBudget budget{clock, {10, 10, 2}};
+    GroupCommit commit{clock, budget};
+};
+
+TEST_F(GroupCommitTest, asksForNothingWhenIdle)
+{
+    EXPECT_FALSE(commit.dueAt());
+    EXPECT_FALSE(commit.begin());
+    EXPECT_EQ(budget.fill(), 1);
+}
+
+TEST_F(GroupCommitTest, gathersBrieflyWithBudgetToSpare)
+{
+    commit.add(100, false);
+    EXPECT_FALSE(commit.begin());
+    clock.advance(20ms);
+    EXPECT_TRUE(commit.begin());
+    EXPECT_FALSE(commit.dueAt());
+}
+
+TEST_F(GroupCommitTest, gathersLongerAsTheBudgetRunsOut)
+{
+    drain();
+    commit.add(100, false);
+    clock.advance(199ms);
+    EXPECT_FALSE(commit.begin());
+    clock.advance(101ms); // 0.3 s bring three writes, of which two are the reserve
+    EXPECT_TRUE(commit.begin());
+}
+
+TEST_F(GroupCommitTest, letsUrgentRecordsUseTheReserve)
+{
+    while (budget.tryTake(false)) { }
+    commit.add(100, false);
+    EXPECT_EQ(commit.dueAt(), clock.now() + 200ms);
+    commit.add(100, true);
+    EXPECT_EQ(commit.dueAt(), clock.now() + 20ms);
+    clock.advance(20ms);
+    EXPECT_TRUE(commit.begin());
+}
+
+TEST_F(GroupCommitTest, sendsAFullBatchAtOnce)
+{
+    commit.add(128 * 1024, false);
+    EXPECT_TRUE(commit.begin());
+}
+
+TEST_F(GroupCommitTest, holdsTheBudgetOverALongLoad)
+{
+    WriteBudget shared(clock, {10, 10, 2});
+    GroupCommit first(clock, shared);
+    GroupCommit second(clock, shared);
+    int writes = 0;
+    for (int n = 0; n < 60'000; ++n) {
+        first.add(100, n % 7 == 0);
+        second.add(100, false);
+        writes += first.begin() ? 1 : 0;
+        writes += second.begin() ? 1 : 0;
+        clock.advance(1ms);
+    }
+    EXPECT_LE(writes, 10 + 10 * 60);
+    EXPECT_GE(writes, 10 * 60 - 10);
+}
+
+TEST_F(GroupCommitTest, makesUpForForcedWrites)
+{
+    budget.force(20);
+    EXPECT_FALSE(budget.tryTake(true));
+    EXPECT_EQ(budget.availableAt(true), clock.now() + 1100ms);
+    clock.advance(1100ms);
+    EXPECT_TRUE(budget.tryTake(true));
+}
+
+TEST_F(GroupCommitTest, triesAgainWithoutGatheringAnew)
+{
+    commit.giveBack(100, false);
+    EXPECT_TRUE(commit.begin());
+}
