--- a/packages/journal/journal.cpp
+++ b/packages/journal/journal.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 
 namespace QuetzalRock {
 
@@ -12,7 +13,7 @@
 constexpr std::uint32_t ReservedShare = 8; // one slot in so many is kept for takeovers and the snapshot
 constexpr std::uint32_t MinReservedSlots = 3;
 constexpr std::uint32_t SnapshotSlots = 1; // the last free slot is the snapshot's alone
-constexpr int TakeOverTries = 4;
+constexpr int ReplayTries = 4;
 constexpr int ResolveTries = 3;
 
 bool isNameCharacter(unsigned char c)
@@ -40,7 +41,6 @@
     }
 }
 
-/** What a batch takes in the service, each record at its longest framing. */
 std::size_t sizeOf(std::span<const std::string> records)
 {
     std::size_t n = 0;
@@ -73,17 +73,29 @@
 {
     m_epoch = 0;
     m_pending.reset();
-    for (int n = 0; n < TakeOverTries; ++n) {
-        bool won = false;
-        Replay replay = tryTakeOver(won);
-        if (won) {
-            return replay;
+    for (int n = 0; n < ReplayTries; ++n) {
+        detail::Ring ring;
+        std::optional<Replay> replay = tryReplay(ring);
+        if (replay && writeTakeover(ring)) {
+            replay->epoch = m_epoch;
+            return std::move(*replay);
         }
     }
     throw Unavailable("journal: " + m_settings.name + " changes while it is read; another owner is at work");
 }
 
-Replay Journal::tryTakeOver(bool &won)
+Replay Journal::read()
+{
+    for (int n = 0; n < ReplayTries; ++n) {
+        detail::Ring ring;
+        if (std::optional<Replay> replay = tryReplay(ring)) {
+            return std::move(*replay);
+        }
+    }
+    throw Unavailable("journal: " + m_settings.name + " changes while it is read");
+}
+
+detail::Ring Journal::readRing()
 {
     ++m_counters.reads;
     detail::Ring ring = detail::readRing(m_service.list(detail::slotPrefix(m_settings.name)), m_settings.name);
@@ -91,31 +103,28 @@
         ring.slots = m_settings.slots;
         ring.slotRevisions.assign(ring.slots, 0);
     }
-    Replay replay;
-    try {
-        replay = replayOf(ring);
-    } catch (const detail::TornSnapshot &) {
-        // Either the owner has just replaced the snapshot, then the ring says so now; or it is damaged.
-        ++m_counters.reads;
-        const auto again = detail::readRing(m_service.list(detail::slotPrefix(m_settings.name)), m_settings.name);
-        if (again.base == ring.base) {
-            throw;
-        }
-        return {};
-    }
-    won = writeTakeover(ring);
-    replay.epoch = m_epoch;
-    return replay;
+    return ring;
 }
 
-Replay Journal::replayOf(const detail::Ring &ring)
+/** Reads the ring and the state that it holds; nothing where its snapshot was replaced meanwhile. */
+std::optional<Replay> Journal::tryReplay(detail::Ring &ring)
 {
+    ring = readRing();
     Replay replay;
-    if (const auto snapshot = ring.snapshot()) {
-        replay.snapshot = m_snapshots.read(*snapshot, ring.live.front().header.epoch);
+    replay.epoch = ring.epoch;
+    const std::optional<detail::SnapshotRef> snapshot = ring.snapshot();
+    try {
+        if (snapshot) {
+            replay.snapshot = m_snapshots.read(*snapshot, ring.live.front().header.epoch);
+        }
+    } catch (const detail::TornSnapshot &) {
+        if (readRing().base == ring.base) {
+            throw; // still said to be live: it is damaged
+        }
+        return std::nullopt;
     }
-    for (const detail::Batch &it : ring.live) {
-        replay.records.insert(replay.records.end(), it.records.begin(), it.records.end());
+    for (detail::Batch &it : ring.live) {
+        std::ranges::move(it.records, std::back_inserter(replay.records));
     }
     return replay;
 }
--- a/packages/journal/journal.h
+++ b/packages/journal/journal.h
@@ -89,6 +89,9 @@
     std::size_t maxBatchBytes() const override;
     std::uint64_t epoch() const override;
 
+    /** Reads what is durable without taking over, for status and export; the epoch is that of the present owner. */
+    Replay read();
+
     const JournalCounters &counters() const;
 
     /** For status pages: the last batch known to be written, and how many slots replay would have to read. */
@@ -111,8 +114,8 @@
         Unknown,
     };
 
-    Replay tryTakeOver(bool &won);
-    Replay replayOf(const detail::Ring &ring);
+    detail::Ring readRing();
+    std::optional<Replay> tryReplay(detail::Ring &ring);
     bool writeTakeover(const detail::Ring &ring);
     void loadRing(const detail::Ring &ring);
 
