Drive jobs, tasks and attempts of one shard from its log

Cause: work must be journaled before it starts, and its room freed only on a known end. Before: no scheduler.

--- /dev/null
+++ b/packages/scheduler/status.cpp
@@ -0,0 +1,156 @@
+#include <scheduler/scheduler.h>
+
+#include <algorithm>
+
+namespace QuetzalRock {
+
+std::string_view phaseName(TaskPhase phase)
+{
+    switch (phase) {
+    case TaskPhase::Pending:
+        return "pending";
+    case TaskPhase::Starting:
+        return "starting";
+    case TaskPhase::Running:
+        return "running";
+    case TaskPhase::Stopping:
+        return "stopping";
+    case TaskPhase::Unreachable:
+        return "unreachable";
+    case TaskPhase::Ending:
+        return "ending";
+    case TaskPhase::Done:
+        return "done";
+    }
+    return "unknown";
+}
+
+ShardStatus ShardScheduler::buildStatus() const
+{
+    const TimePoint now = m_clock.now();
+    ShardStatus status;
+    status.shard = m_settings.shard;
+    status.epoch = m_log.epoch();
+    status.operatorName = m_state.operatorName;
+    status.platformAway = m_isAway || m_doubt;
+    status.platformAwayFor = m_isAway ? now - m_awaySince : Duration::zero();
+    status.unwrittenEnds = m_ends.size();
+    status.openTransfers = m_state.given.size();
+    status.counters = m_counters;
+    status.counters.fleet = m_fleet.counters();
+    for (const auto &[id, job] : m_state.jobs) {
+        if (job.phase == JobPhase::Active) {
+            ++status.activeJobs;
+            status.jobs.push_back(id);
+        }
+        for (const TaskState &it : job.tasks) {
+            status.heldTasks += it.active ? 1 : 0;
+            status.pendingTasks += !it.active && !it.done && job.phase == JobPhase::Active ? 1 : 0;
+        }
+    }
+    for (const auto &[name, it] : m_fleet.workers()) {
+        WorkerStatus worker;
+        worker.worker = name;
+        worker.vmState = it.vm.state;
+        worker.listed = it.listed;
+        worker.readBack = it.readBack;
+        worker.reachable = it.reachable;
+        worker.silentFor = it.reachable ? Duration::zero() : now - it.silentSince;
+        worker.attempts = it.attempts.size();
+        worker.reserved = it.reserved;
+        worker.capacity = it.vm.capacity;
+        status.workers.push_back(std::move(worker));
+    }
+    return status;
+}
+
+JobStatus ShardScheduler::buildJobStatus(JobId id) const
+{
+    JobStatus status;
+    if (const JobState *job = m_state.findJob(id)) {
+        status.spec = job->spec;
+        status.phase = job->phase;
+        status.reason = job->reason;
+        status.submittedAt = job->submittedAt;
+        status.endedAt = job->endedAt;
+        const auto unrunnable = m_unrunnable.find(id);
+        if (unrunnable != m_unrunnable.end() && status.reason.empty()) {
+            status.reason = unrunnable->second;
+        }
+        for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
+            status.tasks.push_back(buildTaskStatus(*job, i));
+        }
+        return status;
+    }
+    const auto isIt = [id](const EndedJob &it) { return it.spec.id == id; };
+    const auto it = std::find_if(m_state.endedJobs.rbegin(), m_state.endedJobs.rend(), isIt);
+    if (it == m_state.endedJobs.rend()) {
+        throw NotFound("no job " + std::to_string(id));
+    }
+    status.spec = it->spec;
+    status.phase = it->phase;
+    status.reason = it->reason;
+    status.submittedAt = it->submittedAt;
+    status.endedAt = it->endedAt;
+    return status;
+}
+
+TaskStatus ShardScheduler::buildTaskStatus(const JobState &job, std::uint32_t index) const
+{
+    const TaskState &task = job.tasks[index];
+    TaskStatus status;
+    status.task = {job.spec.id, index};
+    status.attempt = task.lastAttempt;
+    status.failures = task.failures;
+    status.progress = task.progress;
+    status.reason = task.reason;
+    if (task.done) {
+        status.phase = TaskPhase::Done;
+        return status;
+    }
+    if (!task.active) {
+        status.reason
+            = m_isEngineLoaded ? m_engine.explain(status.task) : "the platform's VM list has not been read yet";
+        return status;
+    }
+    status.worker = task.worker;
+    const auto worker = m_fleet.workers().find(task.worker);
+    const AttemptView *view = m_fleet.findAttempt(task.worker, {status.task, task.lastAttempt});
+    if (worker == m_fleet.workers().end() || view == nullptr) {
+        return status;
+    }
+    status.progress = std::max(status.progress, view->progress);
+    if (view->ended) {
+        status.phase = TaskPhase::Ending;
+        status.reason = "ended; waits for the platform to take the write";
+    } else if (!worker->second.reachable || worker->second.isGone()) {
+        status.phase = TaskPhase::Unreachable;
+        status.reason = worker->second.isGone()
+                            ? "the VM is gone; waits for the term of the attempt's lease"
+                            : "the worker does not answer and the platform does not say that its VM is "
+                              "gone: the task may be running, so it is not started elsewhere";
+    } else if (view->stopWanted) {
+        status.phase = TaskPhase::Stopping;
+    } else {
+        status.phase = view->seen ? TaskPhase::Running : TaskPhase::Starting;
+    }
+    return status;
+}
+
+std::vector<TransferOffer> ShardScheduler::buildOffers() const
+{
+    std::vector<TransferOffer> offers;
+    for (const auto &[id, it] : m_state.given) {
+        offers.push_back({id,
+                          m_settings.failureDomain,
+                          it.toDomain,
+                          it.spec,
+                          it.tasks,
+                          it.tenant,
+                          it.amount,
+                          m_state.settledBelow()});
+    }
+    return offers;
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/scheduler/tests/fakes.h
@@ -0,0 +1,345 @@
+/**
+ * Fakes for tests of the scheduler.
+ *
+ * Index of this file
+ *   LogStore, ScriptedLog   a log in memory, with fencing and faults; one store, a ScriptedLog for each owner
+ *   FirstFitEngine          places pending tasks in order on the first worker with room; checks how it is called
+ *   ShakyAgent              one owner's way to the workers: keeps starts, to deliver them again late; can cut the owner off
+ */
+#pragma once
+
+#include <journal/log.h>
+#include <placement/engine.h>
+#include <platform/platform.h>
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <set>
+
+namespace QuetzalRock {
+
+struct LogStore
+{
+    std::uint64_t epoch = 0;
+    std::string snapshot;
+    std::vector<std::string> records;
+    std::size_t appends = 0;
+    std::size_t bytes = 0;
+    std::size_t snapshotEvery = 1000; ///< records
+};
+
+class ScriptedLog final : public Log
+{
+public:
+    explicit ScriptedLog(LogStore &store)
+        : m_store(store)
+    {
+    }
+
+    bool down = false;      ///< nothing is taken
+    int loseAnswers = 0;    ///< so many next writes take effect, and throw OutcomeUnknown
+    int loseWrites = 0;     ///< so many next writes have no effect, and throw OutcomeUnknown
+    int refuseResolves = 0; ///< so many next resolve() throw Unavailable
+    bool dieAfter = false;  ///< the next append takes effect, and then the owner's process is gone: see Death
+    std::size_t batchBytes = 900'000;
+
+    struct Death
+    {
+    };
+
+    Replay takeOver() override
+    {
+        if (down) {
+            throw Unavailable("log is down");
+        }
+        m_epoch = ++m_store.epoch;
+        m_inDoubt = false;
+        return {m_epoch, m_store.snapshot, m_store.records};
+    }
+
+    void append(std::span<const std::string> records) override
+    {
+        EXPECT_FALSE(m_inDoubt) << "nothing may be written before resolve()";
+        check();
+        if (loseWrites > 0) {
+            --loseWrites;
+            doubt(false);
+        }
+        m_store.records.insert(m_store.records.end(), records.begin(), records.end());
+        ++m_store.appends;
+        for (const std::string &it : records) {
+            m_store.bytes += it.size();
+        }
+        if (dieAfter) {
+            throw Death();
+        }
+        if (loseAnswers > 0) {
+            --loseAnswers;
+            doubt(true);
+        }
+    }
+
+    bool resolve() override
+    {
+        EXPECT_TRUE(m_inDoubt);
+        check();
+        if (refuseResolves > 0) {
+            --refuseResolves;
+            throw Unavailable("log does not answer");
+        }
+        m_inDoubt = false;
+        return m_isWritten;
+    }
+
+    void snapshot(std::string_view state) override
+    {
+        EXPECT_FALSE(m_inDoubt);
+        check();
+        m_store.snapshot = state;
+        m_store.records.clear();
+        if (loseAnswers > 0) {
+            --loseAnswers;
+            doubt(true);
+        }
+    }
+
+    bool snapshotDue() const override
+    {
+        return m_store.records.size() >= m_store.snapshotEvery;
+    }
+
+    std::size_t maxBatchBytes() const override
+    {
+        return batchBytes;
+    }
+
+    std::uint64_t epoch() const override
+    {
+        return m_epoch;
+    }
+
+private:
+    void check()
+    {
+        if (down) {
+            throw Unavailable("log is down");
+        }
+        if (m_epoch != m_store.epoch) {
+            m_epoch = 0;
+            throw Fenced("another owner");
+        }
+    }
+
+    [[noreturn]] void doubt(bool isWritten)
+    {
+        m_inDoubt = true;
+        m_isWritten = isWritten;
+        throw OutcomeUnknown("answer lost");
+    }
+
+    LogStore &m_store;
+    std::uint64_t m_epoch = 0;
+    bool m_inDoubt = false;
+    bool m_isWritten = false;
+};
+
+class FirstFitEngine final : public DecisionEngine
+{
+public:
+    std::set<TaskId> evict; ///< stopped, with a checkpoint, by the next decide()
+
+    void setWorker(const Vm &vm) override
+    {
+        m_workers[vm.name].vm = vm;
+    }
+
+    void addJob(const JobSpec &spec, TimePoint) override
+    {
+        for (std::uint32_t i = 0; i < spec.taskCount; ++i) {
+            EXPECT_TRUE(m_tasks.emplace(TaskId{spec.id, i}, Task{spec.resources, {}, true}).second) << "added twice";
+        }
+    }
+
+    void removeTask(const TaskId &id) override
+    {
+        const auto it = m_tasks.find(id);
+        if (it == m_tasks.end()) {
+            return;
+        }
+        it->second.isWanted = false;
+        if (it->second.worker.empty()) {
+            m_tasks.erase(it);
+        }
+    }
+
+    void restoreAttempt(const TaskId &id, const WorkerId &worker, TimePoint) override
+    {
+        EXPECT_TRUE(m_workers.contains(worker));
+        hold(id, worker);
+    }
+
+    void abandonStart(const TaskId &id) override
+    {
+        release(id);
+    }
+
+    void endAttempt(const TaskId &id, AttemptState state, double, TimePoint) override
+    {
+        if (state == AttemptState::Finished) {
+            m_tasks.at(id).isWanted = false;
+        }
+        release(id);
+    }
+
+    void observe(const WorkerReport &, TimePoint) override
+    {
+        ++observed;
+    }
+
+    Decisions decide(TimePoint) override
+    {
+        Decisions todo;
+        for (const TaskId &it : evict) {
+            todo.stops.push_back({it, StopMode::Checkpoint, {}, "evicted by the test"});
+        }
+        evict.clear();
+        for (auto &[id, task] : m_tasks) {
+            if (!task.worker.empty() || !task.isWanted) {
+                continue;
+            }
+            for (auto &[name, worker] : m_workers) {
+                if (worker.vm.state == VmState::Live && (worker.used + task.resources).fitsIn(worker.vm.capacity)) {
+                    hold(id, name);
+                    todo.starts.push_back({id, name, "first fit"});
+                    break;
+                }
+            }
+        }
+        return todo;
+    }
+
+    std::string explain(const TaskId &) const override
+    {
+        return "no worker has room";
+    }
+
+    int observed = 0;
+
+private:
+    struct Task
+    {
+        Resources resources;
+        WorkerId worker;
+        bool isWanted = true;
+    };
+    struct Worker
+    {
+        Vm vm;
+        Resources used;
+    };
+
+    void hold(const TaskId &id, const WorkerId &worker)
+    {
+        Task &task = m_tasks.at(id);
+        EXPECT_TRUE(task.worker.empty()) << "held twice";
+        task.worker = worker;
+        m_workers.at(worker).used += task.resources;
+    }
+
+    void release(const TaskId &id)
+    {
+        Task &task = m_tasks.at(id);
+        EXPECT_FALSE(task.worker.empty()) << "ended what does not run";
+        m_workers.at(task.worker).used -= task.resources;
+        task.worker.clear();
+        if (!task.isWanted) {
+            m_tasks.erase(id);
+        }
+    }
+
+    std::map<TaskId, Task> m_tasks;
+    std::map<WorkerId, Worker> m_workers;
+};
+
+class ShakyAgent final : public WorkerAgent
+{
+public:
+    explicit ShakyAgent(WorkerAgent &agent)
+        : m_agent(agent)
+    {
+    }
+
+    bool cutOff = false;     ///< this owner reaches no worker
+    bool losesCalls = false; ///< calls but report() have no effect, and their answers are lost
+    std::vector<std::pair<WorkerId, StartCommand>> sentStarts;
+
+    /** Delivers every start that was ever sent once more. */
+    void deliverStartsAgain()
+    {
+        for (const auto &[worker, command] : sentStarts) {
+            try {
+                m_agent.start(worker, command);
+            } catch (const Error &) {
+                continue; // a duplicate in the network has nobody to tell
+            }
+        }
+    }
+
+    void start(std::string_view worker, const StartCommand &command) override
+    {
+        sentStarts.emplace_back(worker, command);
+        checkCall();
+        m_agent.start(worker, command);
+    }
+
+    void renew(std::string_view worker, std::uint64_t epoch, std::span<const AttemptId> ids, Duration lease) override
+    {
+        checkCall();
+        m_agent.renew(worker, epoch, ids, lease);
+    }
+
+    void stop(std::string_view worker, std::uint64_t epoch, const AttemptId &id, StopMode mode) override
+    {
+        checkCall();
+        ++stops;
+        m_agent.stop(worker, epoch, id, mode);
+    }
+
+    void throttle(std::string_view worker, std::uint64_t epoch, const AttemptId &id, int permille) override
+    {
+        checkCall();
+        m_agent.throttle(worker, epoch, id, permille);
+    }
+
+    WorkerReport report(std::string_view worker) override
+    {
+        if (cutOff) {
+            throw Unavailable("cut off");
+        }
+        return m_agent.report(worker);
+    }
+
+    void forget(std::string_view worker, std::span<const AttemptId> attempts) override
+    {
+        checkCall();
+        m_agent.forget(worker, attempts);
+    }
+
+    int stops = 0;
+
+private:
+    void checkCall() const
+    {
+        if (cutOff) {
+            throw Unavailable("cut off");
+        }
+        if (losesCalls) {
+            throw OutcomeUnknown("lost");
+        }
+    }
+
+    WorkerAgent &m_agent;
+};
+
+} // namespace QuetzalRock
