--- /dev/null
+++ b/packages/placement/interference.cpp
@@ -0,0 +1,277 @@
+#include <placement/interference.h>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace QuetzalRock {
+
+namespace {
+
+constexpr std::size_t LevelFeature = 0;
+constexpr std::size_t LoadFeature = 1;
+constexpr std::size_t FirstNeighbour = 2;
+constexpr double WeakPrior = 0.05;     ///< strength of the priors of level and load, in reports
+constexpr double PinnedStrength = 1e9; ///< of a pinned slowdown's prior
+constexpr double MaxLogRatio = 4;      ///< measurements beyond are cut off: they say "very late", not how late
+constexpr double NoiseSmoothing = 0.01;
+
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// InterferenceModel
+// ---------------------------------------------------------------------------------------------------------------------
+
+InterferenceModel::InterferenceModel(const PlacementSettings &settings)
+    : m_settings(settings)
+{
+}
+
+ClassIndex InterferenceModel::classOf(std::string_view name)
+{
+    const auto found = m_classes.find(name);
+    if (found != m_classes.end()) {
+        return found->second;
+    }
+    const auto index = static_cast<ClassIndex>(std::min<std::size_t>(m_names.size(), MaxClasses - 1));
+    if (m_names.size() < MaxClasses) {
+        m_names.emplace_back(name);
+    }
+    m_classes.emplace(std::string(name), index);
+    return index;
+}
+
+const std::string &InterferenceModel::nameOf(ClassIndex index) const
+{
+    return m_names[index];
+}
+
+InterferenceModel::Row InterferenceModel::featuresOf(const ServiceSample &sample)
+{
+    Row row{};
+    row[LevelFeature] = 1;
+    row[LoadFeature] = sample.logLoad;
+    std::copy(sample.neighbours.begin(), sample.neighbours.end(), row.begin() + FirstNeighbour);
+    return row;
+}
+
+InterferenceModel::Target &InterferenceModel::targetOf(ClassIndex service)
+{
+    while (m_targets.size() <= service) {
+        setPrior(m_targets.emplace_back());
+    }
+    return m_targets[service];
+}
+
+void InterferenceModel::setPrior(Target &target) const
+{
+    target.coefficients.fill(m_settings.priorSlowdown);
+    target.errors.fill(std::sqrt(target.noise / m_settings.priorStrength));
+    target.coefficients[LevelFeature] = 0;
+    target.coefficients[LoadFeature] = 0;
+}
+
+void InterferenceModel::observe(const ServiceSample &sample)
+{
+    Target &target = targetOf(sample.service);
+    const Row row = featuresOf(sample);
+    const double measured = std::clamp(sample.logRatio, -MaxLogRatio, MaxLogRatio);
+    const double error = measured - predict(sample);
+    target.noise += NoiseSmoothing * (std::min(error * error, 1.0) - target.noise);
+    const std::size_t n = FirstNeighbour + m_names.size();
+    for (std::size_t i = 0; i < n; ++i) {
+        if (row[i] == 0) {
+            continue;
+        }
+        for (std::size_t j = 0; j <= i; ++j) {
+            target.products[i][j] += row[i] * row[j];
+        }
+        target.sums[i] += row[i] * measured;
+    }
+    target.dirty = true;
+}
+
+bool InterferenceModel::refresh(TimePoint now)
+{
+    const Duration elapsed = now - m_refreshed;
+    if (elapsed < m_settings.modelRefresh) {
+        return false;
+    }
+    m_refreshed = now;
+    const double keep = std::exp(-std::chrono::duration<double>(elapsed) / m_settings.forgetting);
+    for (Target &target : m_targets) {
+        if (!target.dirty) {
+            continue; // without reports there is nothing newer to make room for
+        }
+        solve(target);
+        for (std::size_t i = 0; i < Features; ++i) {
+            for (std::size_t j = 0; j <= i; ++j) {
+                target.products[i][j] *= keep;
+            }
+            target.sums[i] *= keep;
+        }
+        target.dirty = false;
+    }
+    return true;
+}
+
+void InterferenceModel::pin(std::string_view service, std::string_view neighbour, double logSlowdown)
+{
+    const ClassIndex row = classOf(service);
+    const ClassIndex column = classOf(neighbour);
+    Target &target = targetOf(row);
+    target.pinned[column] = true;
+    target.coefficients[FirstNeighbour + column] = logSlowdown;
+    target.errors[FirstNeighbour + column] = 0;
+}
+
+float InterferenceModel::slowdown(ClassIndex service, ClassIndex neighbour) const
+{
+    if (service >= m_targets.size()) {
+        return static_cast<float>(m_settings.priorSlowdown);
+    }
+    return static_cast<float>(std::max(0.0, m_targets[service].coefficients[FirstNeighbour + neighbour]));
+}
+
+float InterferenceModel::uncertainty(ClassIndex service, ClassIndex neighbour) const
+{
+    if (service >= m_targets.size()) {
+        return static_cast<float>(m_settings.priorSlowdown);
+    }
+    return static_cast<float>(m_targets[service].errors[FirstNeighbour + neighbour]);
+}
+
+float InterferenceModel::predict(const ServiceSample &sample) const
+{
+    if (sample.service >= m_targets.size()) {
+        return 0;
+    }
+    const Target &target = m_targets[sample.service];
+    double sum = target.coefficients[LevelFeature] + target.coefficients[LoadFeature] * sample.logLoad;
+    for (std::size_t it = 0; it < m_names.size(); ++it) {
+        sum += std::max(0.0, target.coefficients[FirstNeighbour + it]) * sample.neighbours[it];
+    }
+    return static_cast<float>(sum);
+}
+
+/** Cholesky of (products + prior), then the coefficients and the diagonal of the inverse. */
+void InterferenceModel::solve(Target &target) const
+{
+    const std::size_t n = FirstNeighbour + m_names.size();
+    std::array<Row, Features> lower{};
+    Row right{};
+    for (std::size_t i = 0; i < n; ++i) {
+        const bool neighbour = i >= FirstNeighbour;
+        const bool pinned = neighbour && target.pinned[i - FirstNeighbour];
+        const double strength = pinned ? PinnedStrength : neighbour ? m_settings.priorStrength : WeakPrior;
+        const double mean = pinned ? target.coefficients[i] : neighbour ? m_settings.priorSlowdown : 0;
+        for (std::size_t j = 0; j <= i; ++j) {
+            double sum = target.products[i][j] + (i == j ? strength : 0);
+            for (std::size_t k = 0; k < j; ++k) {
+                sum -= lower[i][k] * lower[j][k];
+            }
+            lower[i][j] = i == j ? std::sqrt(std::max(sum, 1e-9)) : sum / lower[j][j];
+        }
+        right[i] = target.sums[i] + strength * mean;
+        for (std::size_t k = 0; k < i; ++k) {
+            right[i] -= lower[i][k] * right[k];
+        }
+        right[i] /= lower[i][i];
+    }
+    Row solution{};
+    for (std::size_t i = n; i-- > 0;) {
+        double sum = right[i];
+        for (std::size_t k = i + 1; k < n; ++k) {
+            sum -= lower[k][i] * solution[k];
+        }
+        solution[i] = sum / lower[i][i];
+    }
+    for (std::size_t i = 0; i < n; ++i) {
+        const bool pinned = i >= FirstNeighbour && target.pinned[i - FirstNeighbour];
+        if (!pinned) {
+            target.coefficients[i] = solution[i];
+            // The conditional error: cheap, and enough to tell a pair seldom seen from one that is known.
+            const double strength = i >= FirstNeighbour ? m_settings.priorStrength : WeakPrior;
+            target.errors[i] = std::sqrt(target.noise / (target.products[i][i] + strength));
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// ResidencyHistory
+// ---------------------------------------------------------------------------------------------------------------------
+
+void ResidencyHistory::add(ClassIndex index, float share, TimePoint now)
+{
+    m_now[index] = std::max(0.0F, m_now[index] + share);
+    const Change change{now, index, share};
+    if (m_changes.size() < MaxChanges) {
+        m_changes.push_back(change);
+        return;
+    }
+    m_reachesBackTo = m_changes[m_next].when;
+    m_changes[m_next] = change;
+    m_next = (m_next + 1) % MaxChanges;
+}
+
+const Shares &ResidencyHistory::now() const
+{
+    return m_now;
+}
+
+bool ResidencyHistory::at(TimePoint when, Shares &out) const
+{
+    if (when < m_reachesBackTo) {
+        return false;
+    }
+    out = m_now;
+    const std::size_t n = m_changes.size();
+    for (std::size_t back = 1; back <= n; ++back) {
+        const Change &change = m_changes[(m_next + n - back) % n];
+        if (change.when <= when) {
+            break;
+        }
+        out[change.index] = std::max(0.0F, out[change.index] - change.share);
+    }
+    return true;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// WorkerClockOffset
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkerClockOffset::widen(WorkerTime written)
+{
+    if (written > m_last) {
+        const Duration drift = (written - m_last) * DriftPermille / 1000;
+        m_upper += drift;
+        m_lower -= drift;
+        m_last = written;
+    }
+}
+
+void WorkerClockOffset::noteArrival(WorkerTime written, TimePoint now)
+{
+    if (!m_hasUpper) {
+        m_last = written;
+    }
+    widen(written);
+    const Duration offset = now.time_since_epoch() - written;
+    m_upper = m_hasUpper ? std::min(m_upper, offset) : offset;
+    m_hasUpper = true;
+}
+
+void WorkerClockOffset::noteStart(WorkerTime written, TimePoint started)
+{
+    const Duration offset = started.time_since_epoch() - written;
+    m_lower = m_hasLower ? std::max(m_lower, offset) : offset;
+    m_hasLower = true;
+}
+
+TimePoint WorkerClockOffset::toLocal(WorkerTime time) const
+{
+    const Duration offset = m_hasLower ? std::min(m_lower, m_upper) : m_upper;
+    return TimePoint(offset + time);
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/placement/interference.h
@@ -0,0 +1,143 @@
+/**
+ * How much each class of neighbours slows each class of services, learned from late and noisy reports.
+ *
+ * Index of this file
+ *   ClassIndex, Shares   workload classes and how much of a worker each takes
+ *   ServiceSample        one measurement, with who was co-resident when it was taken
+ *   InterferenceModel    samples in, slowdowns out
+ *   ResidencyHistory     who was co-resident on one worker at a past time
+ *   WorkerClockOffset    a worker's clock against ours, from late reports
+ *
+ * Use
+ *   model.observe(sample); model.refresh(now);           // refresh() about once a second
+ *   model.slowdown(service, neighbour) * share           // is added to the log of the service's latency
+ */
+#pragma once
+
+#include <base/clock.h>
+#include <placement/settings.h>
+#include <platform/platform.h>
+
+#include <array>
+#include <deque>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace QuetzalRock {
+
+using ClassIndex = std::uint16_t;
+constexpr ClassIndex MaxClasses = 32; ///< classes beyond share the last index
+
+using Shares = std::array<float, MaxClasses>; ///< part of the worker's processors that each class takes
+
+struct ServiceSample
+{
+    ClassIndex service = 0;
+    double logRatio = 0; ///< log of measured latency over target
+    double logLoad = 0;  ///< log of the service's used over its reserved processors; 0 where unknown
+    Shares neighbours{}; ///< without the service itself
+};
+
+/**
+ * A ridge regression for each service class over its neighbours' shares, with a prior and exponential forgetting.
+ * Samples cost a few hundred additions; all solving is done in refresh().
+ */
+class InterferenceModel
+{
+public:
+    explicit InterferenceModel(const PlacementSettings &settings);
+
+    ClassIndex classOf(std::string_view name); ///< known or new
+    const std::string &nameOf(ClassIndex index) const;
+
+    void observe(const ServiceSample &sample);
+    bool refresh(TimePoint now); ///< brings samples into the slowdowns when due; true where it did
+
+    /** A slowdown that is known and not to be learned, as log of the slowdown by a neighbour that fills the worker. */
+    void pin(std::string_view service, std::string_view neighbour, double logSlowdown);
+
+    float slowdown(ClassIndex service, ClassIndex neighbour) const;    ///< never negative
+    float uncertainty(ClassIndex service, ClassIndex neighbour) const; ///< standard error in the same unit
+    float predict(const ServiceSample &sample) const;                  ///< what observe() would expect as logRatio
+
+private:
+    static constexpr std::size_t Features = 2 + MaxClasses; ///< level, load, neighbours
+    using Row = std::array<double, Features>;
+
+    /** What has been seen of one service class. */
+    struct Target
+    {
+        std::array<Row, Features> products{}; ///< sum of feature products; lower triangle
+        Row sums{};                           ///< sum of feature times measured
+        Row coefficients{};
+        Row errors{};
+        std::array<bool, MaxClasses> pinned{};
+        double noise = 0.04; ///< variance of what the neighbours do not explain
+        bool dirty = false;
+    };
+
+    static Row featuresOf(const ServiceSample &sample);
+    Target &targetOf(ClassIndex service);
+    void solve(Target &target) const;
+    void setPrior(Target &target) const;
+
+    PlacementSettings m_settings;
+    std::map<std::string, ClassIndex, std::less<>> m_classes;
+    std::vector<std::string> m_names;
+    std::vector<Target> m_targets;
+    TimePoint m_refreshed{};
+};
+
+/** Remembers the latest changes on one worker, so that a late measurement meets the neighbours of its own time. */
+class ResidencyHistory
+{
+public:
+    void add(ClassIndex index, float share, TimePoint now); ///< negative share: it left
+
+    const Shares &now() const;
+
+    /** The shares at @p when; false where the history does not reach back so far. */
+    bool at(TimePoint when, Shares &out) const;
+
+private:
+    struct Change
+    {
+        TimePoint when;
+        ClassIndex index;
+        float share;
+    };
+    static constexpr std::size_t MaxChanges = 128;
+
+    Shares m_now{};
+    std::vector<Change> m_changes; ///< a ring once it is full
+    std::size_t m_next = 0;
+    TimePoint m_reachesBackTo{}; ///< nothing before is known
+};
+
+/**
+ * Bounds the difference between a worker's clock and ours. A report cannot have been written after it arrived, nor
+ * before a task that it names was started; the second bound also holds when every report is late by the same time.
+ */
+class WorkerClockOffset
+{
+public:
+    void noteArrival(WorkerTime written, TimePoint now);
+    void noteStart(WorkerTime written, TimePoint started); ///< the report written then names a task started then
+
+    TimePoint toLocal(WorkerTime time) const;
+
+private:
+    static constexpr std::int64_t DriftPermille = 1; ///< by which both bounds widen as the worker's clock goes on
+
+    void widen(WorkerTime written);
+
+    bool m_hasUpper = false;
+    bool m_hasLower = false;
+    Duration m_upper{};
+    Duration m_lower{};
+    WorkerTime m_last{};
+};
+
+} // namespace QuetzalRock
