Join the packages into two binaries that carry the whole path

Cause: the parts stood alone. The daemon wires platform, shard scheduler, request path, claims and the administration API; the command line creates, shows and cancels work; the stand-in's program lets several daemons share one platform. Conclusion: the thin path stands; each part can now be deepened behind its interface.

--- /dev/null
+++ b/packages/admin/adminapi.cpp
@@ -0,0 +1,212 @@
+#include <admin/adminapi.h>
+
+#include <admin/jobjson.h>
+#include <admin/jsonfields.h>
+#include <platform/platformjson.h>
+
+#include <charconv>
+
+namespace QuetzalRock {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t DefaultPage = 100;
+constexpr std::size_t MaxPage = 1000;
+constexpr std::size_t MaxNameBytes = 128;
+constexpr std::string_view Prefix = "/v1/";
+
+WebResponse answer(int status, const Json &body)
+{
+    return {status, "application/json", body.dump() + "\n", {}};
+}
+
+/** The parts of @p path after /v1/. */
+std::vector<std::string> splitPath(std::string_view path)
+{
+    std::vector<std::string> parts;
+    if (!path.starts_with(Prefix)) {
+        return parts;
+    }
+    std::string_view rest = path.substr(Prefix.size());
+    while (!rest.empty()) {
+        const std::size_t slash = rest.find('/');
+        parts.emplace_back(rest.substr(0, slash));
+        rest = slash == std::string_view::npos ? std::string_view() : rest.substr(slash + 1);
+    }
+    return parts;
+}
+
+std::uint64_t queryNumber(const WebRequest &request, const char *key, std::uint64_t absent, std::uint64_t most)
+{
+    const auto it = request.query.find(key);
+    if (it == request.query.end()) {
+        return absent;
+    }
+    std::uint64_t n = 0;
+    const char *end = it->second.data() + it->second.size();
+    const auto [stop, ec] = std::from_chars(it->second.data(), end, n);
+    if (ec != std::errc() || stop != end || n > most) {
+        throw InvalidArgument(key, std::string(key) + ": want a whole number up to " + std::to_string(most));
+    }
+    return n;
+}
+
+void requireMethod(const WebRequest &request, std::string_view method)
+{
+    if (request.method != method) {
+        throw Error(ErrorCode::InvalidArgument, request.path + " takes " + std::string(method) + " only", "method");
+    }
+}
+
+std::optional<WorkloadKind> kindOfCollection(std::string_view name)
+{
+    if (name == "services") {
+        return WorkloadKind::Service;
+    }
+    if (name == "jobs") {
+        return WorkloadKind::Batch;
+    }
+    if (name == "watches") {
+        return WorkloadKind::Watch;
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+AdminApi::AdminApi(ControlBackend &backend, Credentials credentials)
+    : m_backend(backend)
+    , m_credentials(std::move(credentials))
+{
+}
+
+WebResponse AdminApi::handle(const WebRequest &request)
+{
+    if (request.path == "/v1/version") {
+        requireMethod(request, "GET");
+        return answer(200, {{"name", "quetzalrock"}, {"api", 1}, {"version", QUETZALROCK_VERSION}});
+    }
+    if (request.path == "/v1/openapi.json") {
+        requireMethod(request, "GET");
+        return {200, "application/json", std::string(openApiDocument()), {}};
+    }
+    const Account &account = m_credentials.authenticate(request.authorization);
+    const std::vector<std::string> parts = splitPath(request.path);
+    const std::string collection = parts.empty() ? std::string() : parts.front();
+    if (const auto kind = kindOfCollection(collection)) {
+        return handleWork(request, account, *kind);
+    }
+    if (parts.size() != 1) {
+        throw NotFound("no " + request.path);
+    }
+    if (collection == "operator") {
+        requireMethod(request, "PUT");
+        requireRole(account, Role::Operate);
+        return changeOperator(request);
+    }
+    if (collection == "status") {
+        requireMethod(request, "GET");
+        return answer(200, toJson(m_backend.shard()));
+    }
+    if (collection == "workers") {
+        requireMethod(request, "GET");
+        Json workers = Json::array();
+        for (const WorkerStatus &it : m_backend.shard().workers) {
+            workers.push_back(toJson(it));
+        }
+        return answer(200, {{"workers", workers}});
+    }
+    if (collection == "history") {
+        requireMethod(request, "GET");
+        requireRole(account, Role::Operate);
+        return {200, "application/x-ndjson", m_backend.history(), {}};
+    }
+    if (collection == "debug") {
+        requireMethod(request, "GET");
+        requireRole(account, Role::Operate);
+        return answer(200, m_backend.debugState());
+    }
+    throw NotFound("no " + request.path);
+}
+
+WebResponse AdminApi::handleWork(const WebRequest &request, const Account &account, WorkloadKind kind)
+{
+    const std::vector<std::string> parts = splitPath(request.path);
+    if (parts.size() == 1) {
+        if (request.method == "POST") {
+            return create(request, account, kind);
+        }
+        requireMethod(request, "GET");
+        return list(request, account, kind);
+    }
+    if (parts.size() != 3) {
+        throw NotFound("no " + request.path);
+    }
+    const std::string &tenant = parts[1];
+    const std::string &name = parts[2];
+    requireRole(account, request.method == "DELETE" ? Role::Submit : Role::Read, tenant);
+    const JobStatus job = m_backend.describe(tenant, name);
+    if (job.spec.kind != kind) {
+        throw NotFound(tenant + "/" + name + " is a " + std::string(kindName(job.spec.kind)));
+    }
+    if (request.method == "DELETE") {
+        m_backend.cancel(tenant, name);
+        return answer(202, {{"tenant", tenant}, {"name", name}, {"cancelled", true}});
+    }
+    requireMethod(request, "GET");
+    return answer(200, toJson(job, true));
+}
+
+WebResponse AdminApi::create(const WebRequest &request, const Account &account, WorkloadKind kind)
+{
+    const JobSpec spec = parseJobSpec(parseJson(request.body), kind);
+    requireRole(account, Role::Submit, spec.team);
+    const JobId id = m_backend.submit(spec);
+    return answer(201, {{"id", id}, {"tenant", spec.team}, {"name", spec.name}});
+}
+
+WebResponse AdminApi::list(const WebRequest &request, const Account &account, WorkloadKind kind)
+{
+    const auto wanted = request.query.find("tenant");
+    const std::string tenant = wanted == request.query.end() ? account.tenant : wanted->second;
+    requireRole(account, Role::Read, tenant);
+    const std::size_t limit = queryNumber(request, "limit", DefaultPage, MaxPage);
+    JobId after = queryNumber(request, "after", 0, UINT64_MAX);
+    Json items = Json::array();
+    bool more = true;
+    while (more && items.size() < limit) {
+        const std::vector<JobStatus> page = m_backend.jobs(after, limit);
+        more = page.size() == limit;
+        for (const JobStatus &it : page) {
+            after = it.spec.id;
+            const bool chosen = it.spec.kind == kind && (tenant.empty() || it.spec.team == tenant);
+            if (chosen) {
+                items.push_back(toJson(it, false));
+            }
+            if (items.size() == limit) {
+                more = true;
+                break;
+            }
+        }
+    }
+    Json body{{"items", items}};
+    if (more && limit > 0) {
+        body["next_after"] = after;
+    }
+    return answer(200, body);
+}
+
+WebResponse AdminApi::changeOperator(const WebRequest &request)
+{
+    const Json body = parseJson(request.body);
+    std::string name;
+    JsonFields fields(body);
+    fields.readRequired("name", name, MaxNameBytes);
+    fields.end();
+    m_backend.changeOperator(name);
+    return answer(200, {{"operator", name}});
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/admin/tests/adminapitest.cpp
@@ -0,0 +1,209 @@
+#include <admin/adminapi.h>
+#include <admin/jobjson.h>
+
+#include <gtest/gtest.h>
+
+using namespace QuetzalRock;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+
+namespace {
+
+/** Keeps what was asked of it; answers from a list of jobs. */
+class FakeBackend final : public ControlBackend
+{
+public:
+    std::vector<JobSpec> submitted;
+    std::vector<std::string> cancelled;
+    std::string operatorName;
+    bool away = false;
+
+    JobId submit(const JobSpec &spec) override
+    {
+        if (away) {
+            throw NotRun("the platform is away", 2s);
+        }
+        submitted.push_back(spec);
+        submitted.back().id = submitted.size();
+        return submitted.back().id;
+    }
+    void cancel(std::string_view tenant, std::string_view name) override
+    {
+        cancelled.push_back(std::string(tenant) + "/" + std::string(name));
+    }
+    JobStatus describe(std::string_view tenant, std::string_view name) override
+    {
+        for (const JobSpec &it : submitted) {
+            if (it.team == tenant && it.name == name) {
+                JobStatus status;
+                status.spec = it;
+                return status;
+            }
+        }
+        throw NotFound("no such work");
+    }
+    std::vector<JobStatus> jobs(JobId after, std::size_t limit) override
+    {
+        std::vector<JobStatus> page;
+        for (const JobSpec &it : submitted) {
+            if (it.id > after && page.size() < limit) {
+                page.emplace_back();
+                page.back().spec = it;
+            }
+        }
+        return page;
+    }
+    ShardStatus shard() override
+    {
+        return {};
+    }
+    std::string history() override
+    {
+        return "{}\n";
+    }
+    void changeOperator(std::string_view name) override
+    {
+        operatorName = name;
+    }
+    Json debugState() override
+    {
+        return Json::object();
+    }
+};
+
+struct Admin : public testing::Test
+{
+    FakeBackend backend;
+    AdminApi api{backend,
+                 Credentials({{"root", "", Role::Operate, {hashToken("root")}},
+                              {"farm", "coop", Role::Submit, {hashToken("farm-old"), hashToken("farm")}},
+                              {"eye", "coop", Role::Read, {hashToken("eye")}}},
+                             false)};
+
+    WebResponse
+    call(const std::string &method, const std::string &path, const std::string &token, const Json &body = {})
+    {
+        WebRequest request;
+        request.method = method;
+        const std::size_t mark = path.find('?');
+        request.path = path.substr(0, mark);
+        if (mark != std::string::npos) {
+            const std::string query = path.substr(mark + 1);
+            const std::size_t equals = query.find('=');
+            request.query[query.substr(0, equals)] = query.substr(equals + 1);
+        }
+        request.authorization = token.empty() ? "" : "Bearer " + token;
+        request.body = body.is_null() ? "" : body.dump();
+        try {
+            return api.handle(request);
+        } catch (const Error &error) {
+            return errorResponse(error);
+        }
+    }
+    static Json job(const std::string &name)
+    {
+        return {{"name", name}, {"tenant", "coop"}, {"command", "run 5"}, {"cpu_millis", 1000}};
+    }
+};
+
+} // namespace
+
+TEST_F(Admin, createsListsPagesAndCancels)
+{
+    for (const char *name : {"a", "b", "c"}) {
+        EXPECT_EQ(call("POST", "/v1/jobs", "farm", job(name)).status, 201);
+    }
+    EXPECT_EQ(call("POST", "/v1/services", "farm", job("s")).status, 201);
+    const Json page = Json::parse(call("GET", "/v1/jobs?limit=2", "farm").body);
+    EXPECT_EQ(page["items"].size(), 2U);
+    const Json rest = Json::parse(call("GET", "/v1/jobs?after=" + page["next_after"].dump(), "farm").body);
+    ASSERT_EQ(rest["items"].size(), 1U);
+    EXPECT_EQ(rest["items"][0]["spec"]["name"], "c");
+    EXPECT_EQ(call("DELETE", "/v1/jobs/coop/b", "farm").status, 202);
+    EXPECT_EQ(backend.cancelled, std::vector<std::string>{"coop/b"});
+    EXPECT_EQ(call("GET", "/v1/jobs/coop/s", "farm").status, 404);
+}
+
+TEST_F(Admin, namesTheFieldOfABadRequestAndChangesNothing)
+{
+    const std::vector<std::pair<Json, std::string>> bad{
+        {Json::array(), "body"},
+        {{{"tenant", "coop"}, {"command", "x"}}, "name"},
+        {{{"name", "a"}, {"tenant", "coop"}, {"command", "x"}, {"colour", 1}}, "colour"},
+        {{{"name", "a"}, {"tenant", "coop"}, {"command", "x"}, {"tasks", 0}}, "tasks"},
+        {{{"name", "a"}, {"tenant", "coop"}, {"command", "x"}, {"tasks", 1.5}}, "tasks"},
+        {{{"name", "a"}, {"tenant", "coop"}, {"command", "x"}, {"urgent", "yes"}}, "urgent"},
+        {{{"name", "a/b"}, {"tenant", "coop"}, {"command", "x"}}, "name"},
+        {{{"name", "a"}, {"tenant", "coop"}, {"command", "x"}, {"cpu_millis", -1}}, "cpu_millis"},
+        {{{"name", "a"}, {"tenant", "coop"}, {"command", "x"}, {"latency_target_ms", 5}}, "latency_target_ms"},
+    };
+    for (const auto &[body, field] : bad) {
+        const WebResponse response = call("POST", "/v1/jobs", "farm", body);
+        EXPECT_EQ(response.status, 400) << body;
+        EXPECT_EQ(Json::parse(response.body)["field"], field) << body;
+    }
+    WebRequest request;
+    request.method = "POST";
+    request.path = "/v1/jobs";
+    request.authorization = "Bearer farm";
+    request.body = "{\"name\": ";
+    EXPECT_THROW(api.handle(request), InvalidArgument);
+    EXPECT_EQ(call("PATCH", "/v1/jobs", "farm").status, 400);
+    EXPECT_EQ(call("GET", "/v1/jobs?limit=many", "farm").status, 400);
+    EXPECT_TRUE(backend.submitted.empty());
+}
+
+TEST_F(Admin, letsNoOneInWithoutTheRight)
+{
+    call("POST", "/v1/jobs", "farm", job("a"));
+    const Json document = Json::parse(openApiDocument());
+    for (const auto &[path, operations] : document["paths"].items()) {
+        for (const auto &[method, operation] : operations.items()) {
+            const std::string role = operation["x-role"];
+            std::string concrete = path;
+            if (const std::size_t brace = concrete.find("{tenant}"); brace != std::string::npos) {
+                concrete = concrete.substr(0, brace) + "coop/a";
+            }
+            std::string upper;
+            for (const char it : method) {
+                upper += static_cast<char>(std::toupper(static_cast<unsigned char>(it)));
+            }
+            const Json body = upper == "POST" ? job("z") : Json{{"name", "x"}};
+            const bool open = role == "none";
+            EXPECT_EQ(call(upper, concrete, "", body).status == 401, !open) << upper << path;
+            EXPECT_EQ(call(upper, concrete, "wrong", body).status == 401, !open) << upper << path;
+            const int asReader = call(upper, concrete, "eye", body).status;
+            EXPECT_EQ(asReader == 403, role == "submit" || role == "operate") << upper << path << asReader;
+            const int asOperator = call(upper, concrete, "root", body).status;
+            EXPECT_TRUE(asOperator < 300 || asOperator == 404) << upper << path << asOperator;
+        }
+    }
+}
+
+TEST_F(Admin, keepsTenantsApart)
+{
+    Json body = job("a");
+    body["tenant"] = "agency";
+    EXPECT_EQ(call("POST", "/v1/jobs", "farm", body).status, 403);
+    EXPECT_EQ(call("POST", "/v1/jobs", "root", body).status, 201);
+    EXPECT_EQ(call("GET", "/v1/jobs/agency/a", "farm").status, 403);
+    EXPECT_EQ(call("DELETE", "/v1/jobs/agency/a", "farm").status, 403);
+    EXPECT_EQ(call("GET", "/v1/jobs?tenant=agency", "farm").status, 403);
+    EXPECT_EQ(Json::parse(call("GET", "/v1/jobs", "farm").body)["items"].size(), 0U);
+    EXPECT_TRUE(backend.cancelled.empty());
+}
+
+TEST_F(Admin, takesOldAndNewTokenWhileOneIsChanged)
+{
+    EXPECT_EQ(call("GET", "/v1/status", "farm-old").status, 200);
+    EXPECT_EQ(call("GET", "/v1/status", "farm").status, 200);
+}
+
+TEST_F(Admin, saysNotRunWithTheTimeToComeBack)
+{
+    backend.away = true;
+    const WebResponse response = call("POST", "/v1/jobs", "farm", job("a"));
+    EXPECT_EQ(response.status, 503);
+    EXPECT_EQ(response.retryAfter, 2s);
+    EXPECT_EQ(Json::parse(response.body)["error"], "not_run");
+}
--- /dev/null
+++ b/packages/cli/commands.cpp
@@ -0,0 +1,453 @@
+#include <cli/commands.h>
+
+#include <admin/credentials.h>
+#include <base/inifile.h>
+#include <cli/apiclient.h>
+#include <cli/table.h>
+#include <web/web.h>
+
+#include <tclap/CmdLine.h>
+
+#include <array>
+#include <csignal>
+#include <cstdlib>
+#include <iomanip>
+#include <sstream>
+
+namespace QuetzalRock {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr int Ok = static_cast<int>(ExitCode::Done);
+
+/** The arguments that every command which calls a server takes. */
+class ServerArguments
+{
+public:
+    explicit ServerArguments(TCLAP::CmdLine &cmd)
+        : m_server("s", "server", "URL of any entry VM's administration API", false, defaultServer(), "URL", cmd)
+        , m_tokenFile("t", "token-file", "file with the token; else QUETZALROCK_TOKEN", false, "", "FILE", cmd)
+        , m_caFile("", "ca-file", "PEM file with the certificate authority, for https", false, "", "FILE", cmd)
+        , m_json("j", "json", "print the answer's JSON instead of a table", cmd)
+    {
+    }
+
+    ApiClient client()
+    {
+        ServerAddress address;
+        address.url = m_server.getValue();
+        address.caFile = m_caFile.getValue();
+        if (!m_tokenFile.getValue().empty()) {
+            address.token = readTextFile(m_tokenFile.getValue());
+            address.token.erase(address.token.find_last_not_of(" \r\n") + 1);
+        } else if (const char *token = std::getenv("QUETZALROCK_TOKEN")) {
+            address.token = token;
+        }
+        return ApiClient(std::move(address));
+    }
+
+    bool json() const
+    {
+        return m_json.getValue();
+    }
+
+private:
+    static std::string defaultServer()
+    {
+        const char *server = std::getenv("QUETZALROCK_SERVER");
+        return server ? server : "http://127.0.0.1:8081";
+    }
+
+    TCLAP::ValueArg<std::string> m_server;
+    TCLAP::ValueArg<std::string> m_tokenFile;
+    TCLAP::ValueArg<std::string> m_caFile;
+    TCLAP::SwitchArg m_json;
+};
+
+/** A TCLAP command line that throws instead of ending the process. */
+class CommandLine
+{
+public:
+    explicit CommandLine(const Command &command)
+        : m_cmd(std::string(command.help), ' ', QUETZALROCK_VERSION)
+        , m_name("quetzalrock " + std::string(command.name))
+    {
+        m_cmd.setExceptionHandling(false);
+    }
+
+    void parse(std::vector<std::string> arguments)
+    {
+        arguments.insert(arguments.begin(), m_name);
+        m_cmd.parse(arguments);
+    }
+
+    TCLAP::CmdLine &operator*()
+    {
+        return m_cmd;
+    }
+
+private:
+    TCLAP::CmdLine m_cmd;
+    std::string m_name;
+};
+
+std::string collectionOf(const Command &command)
+{
+    if (command.name.starts_with("service")) {
+        return "/v1/services";
+    }
+    if (command.name.starts_with("watch")) {
+        return "/v1/watches";
+    }
+    return "/v1/jobs";
+}
+
+/** "/v1/jobs/TENANT/NAME" of "TENANT/NAME". */
+std::string objectPath(const Command &command, const std::string &object)
+{
+    const std::size_t slash = object.find('/');
+    if (slash == std::string::npos) {
+        throw ApiError(ExitCode::Usage, "want TENANT/NAME in place of " + object);
+    }
+    return collectionOf(command) + "/" + encodeUrl(object.substr(0, slash)) + "/" + encodeUrl(object.substr(slash + 1));
+}
+
+std::string percent(double share)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(0) << share * 100 << "%";
+    return text.str();
+}
+
+std::string phaseCounts(const Json &job)
+{
+    std::ostringstream text;
+    for (const auto &[phase, count] : job.at("task_phases").items()) {
+        text << (text.tellp() > 0 ? " " : "") << phase << ":" << count;
+    }
+    return text.str();
+}
+
+int createWork(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    const bool isBatch = collectionOf(command) == "/v1/jobs";
+    CommandLine line(command);
+    TCLAP::UnlabeledValueArg<std::string> object("object", "who pays and its name", true, "", "TENANT/NAME", *line);
+    TCLAP::ValueArg<std::string> text("c", "command", "what the worker runs", true, "", "TEXT", *line);
+    TCLAP::ValueArg<std::string> cls("", "class", "class of the workload; else the name", false, "", "CLASS", *line);
+    TCLAP::ValueArg<int> tasks("n", "tasks", "instances or tasks, default 1", false, 1, "N", *line);
+    TCLAP::ValueArg<int> cpu("", "cpu-millis", "thousandths of a processor for each task", false, 1000, "N", *line);
+    TCLAP::ValueArg<int> memory("", "memory-mib", "MiB for each task", false, 256, "N", *line);
+    TCLAP::ValueArg<int> accelerators("", "accelerators", "devices for each task", false, 0, "N", *line);
+    TCLAP::ValueArg<int> priority("", "priority", "-100 to 100, higher goes first", false, 0, "N", *line);
+    TCLAP::SwitchArg urgent("", "urgent", "start within seconds, by preemption where needed", *line);
+    TCLAP::SwitchArg gang("", "gang", "start all tasks together or none", *line);
+    TCLAP::ValueArg<int> runTime("", "run-time-s", "batch: declared run time of a task", false, 0, "S", *line);
+    TCLAP::ValueArg<double> target("", "latency-target-ms", "services: wanted p99", false, 0, "MS", *line);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+
+    objectPath(command, object.getValue());
+    const std::size_t slash = object.getValue().find('/');
+    Json body{{"tenant", object.getValue().substr(0, slash)},
+              {"name", object.getValue().substr(slash + 1)},
+              {"command", text.getValue()},
+              {"class", cls.getValue()},
+              {"tasks", tasks.getValue()},
+              {"cpu_millis", cpu.getValue()},
+              {"memory_mib", memory.getValue()},
+              {"accelerators", accelerators.getValue()},
+              {"priority", priority.getValue()},
+              {"urgent", urgent.getValue()},
+              {"gang", gang.getValue()}};
+    if (isBatch) {
+        body["run_time_s"] = runTime.getValue();
+    } else {
+        body["latency_target_ms"] = target.getValue();
+    }
+    const Json answer = server.client().call("POST", collectionOf(command), body);
+    if (server.json()) {
+        console.out << answer.dump() << "\n";
+    } else {
+        console.out << object.getValue() << " created, id " << answer.at("id") << "\n";
+    }
+    return Ok;
+}
+
+int listWork(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    TCLAP::ValueArg<std::string> tenant("", "tenant", "only this tenant's", false, "", "TENANT", *line);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    ApiClient client = server.client();
+    const std::string filter = tenant.getValue().empty() ? "" : "&tenant=" + encodeUrl(tenant.getValue());
+    Json items = Json::array();
+    std::string after = "0";
+    while (!after.empty()) {
+        const Json page = client.call("GET", collectionOf(command) + "?after=" + after + filter);
+        items.insert(items.end(), page.at("items").begin(), page.at("items").end());
+        after = page.contains("next_after") ? page["next_after"].dump() : "";
+    }
+    if (server.json()) {
+        console.out << items.dump() << "\n";
+        return Ok;
+    }
+    Table table({"TENANT/NAME", "ID", "PHASE", "TASKS", "CLASS"});
+    for (const Json &it : items) {
+        const Json &spec = it.at("spec");
+        table.addRow({spec.at("tenant").get<std::string>() + "/" + spec.at("name").get<std::string>(),
+                      spec.at("id").dump(),
+                      it.at("phase"),
+                      phaseCounts(it),
+                      spec.at("class")});
+    }
+    table.print(console.out);
+    return Ok;
+}
+
+int showWork(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    TCLAP::UnlabeledValueArg<std::string> object("object", "which one", true, "", "TENANT/NAME", *line);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    const Json job = server.client().call("GET", objectPath(command, object.getValue()));
+    if (server.json()) {
+        console.out << job.dump() << "\n";
+        return Ok;
+    }
+    console.out << object.getValue() << ": " << job.at("phase").get<std::string>();
+    if (const std::string reason = job.at("reason"); !reason.empty()) {
+        console.out << " (" << reason << ")";
+    }
+    console.out << "\n";
+    Table table({"TASK", "ATTEMPT", "PHASE", "WORKER", "PROGRESS", "WHY"});
+    for (const Json &it : job.at("tasks")) {
+        table.addRow({it.at("task"),
+                      it.at("attempt").dump(),
+                      it.at("phase"),
+                      it.at("worker"),
+                      percent(it.at("progress").get<double>()),
+                      it.at("reason")});
+    }
+    table.print(console.out);
+    return Ok;
+}
+
+int cancelWork(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    TCLAP::UnlabeledValueArg<std::string> object("object", "which one", true, "", "TENANT/NAME", *line);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    const Json answer = server.client().call("DELETE", objectPath(command, object.getValue()));
+    if (server.json()) {
+        console.out << answer.dump() << "\n";
+    } else {
+        console.out << object.getValue() << " cancelled; what runs is being stopped\n";
+    }
+    return Ok;
+}
+
+int showStatus(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    const Json status = server.client().call("GET", "/v1/status");
+    if (server.json()) {
+        console.out << status.dump() << "\n";
+        return Ok;
+    }
+    Table table({"WHAT", "VALUE"});
+    for (const auto &[key, value] : status.items()) {
+        table.addRow({key, value.is_string() ? value.get<std::string>() : value.dump()});
+    }
+    table.print(console.out);
+    return Ok;
+}
+
+int showWorkers(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    const Json workers = server.client().call("GET", "/v1/workers").at("workers");
+    if (server.json()) {
+        console.out << workers.dump() << "\n";
+        return Ok;
+    }
+    Table table({"WORKER", "VM", "REACHABLE", "ATTEMPTS", "CPU", "MEMORY MIB", "ACCELERATORS"});
+    for (const Json &it : workers) {
+        const Json &used = it.at("reserved");
+        const Json &all = it.at("capacity");
+        const auto part = [&](const char *key) { return used.at(key).dump() + "/" + all.at(key).dump(); };
+        table.addRow({it.at("worker"),
+                      it.at("vm_state"),
+                      it.at("reachable").get<bool>() ? "yes" : "no",
+                      it.at("attempts").dump(),
+                      part("cpu_millis"),
+                      part("memory_mib"),
+                      part("accelerators")});
+    }
+    table.print(console.out);
+    return Ok;
+}
+
+int exportHistory(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    console.out << server.client().fetch("GET", "/v1/history");
+    return Ok;
+}
+
+int showDebug(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    console.out << server.client().call("GET", "/v1/debug").dump(server.json() ? -1 : 2) << "\n";
+    return Ok;
+}
+
+int changeOperator(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    TCLAP::UnlabeledValueArg<std::string> name("name", "who takes over", true, "", "NAME", *line);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    const Json answer = server.client().call("PUT", "/v1/operator", {{"name", name.getValue()}});
+    console.out << (server.json() ? answer.dump() : "operator is now " + name.getValue()) << "\n";
+    return Ok;
+}
+
+int makeToken(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    TCLAP::SwitchArg json("j", "json", "print JSON", *line);
+    line.parse(std::move(arguments));
+    const std::string token = newToken();
+    const std::string hash = hashToken(token);
+    if (json.getValue()) {
+        console.out << Json{{"token", token}, {"hash", hash}}.dump() << "\n";
+    } else {
+        console.out << "token " << token << "\nhash  " << hash << "\n";
+    }
+    return Ok;
+}
+
+int printCompletion(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    line.parse(std::move(arguments));
+    console.out << "complete -W \"";
+    for (const Command &it : commands()) {
+        console.out << it.name << " ";
+    }
+    console.out << "\" quetzalrock\n";
+    return Ok;
+}
+
+int printVersion(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    line.parse(std::move(arguments));
+    console.out << "quetzalrock " << QUETZALROCK_VERSION << "\n";
+    return Ok;
+}
+
+constexpr std::array<Command, 20> AllCommands{{
+    {"service create", "Creates a service: instances that run until cancelled and have a latency target", createWork},
+    {"service list", "Lists active services", listWork},
+    {"service show", "Shows a service's instances, where they run and why", showWork},
+    {"service cancel", "Cancels a service", cancelWork},
+    {"job create", "Creates a batch job", createWork},
+    {"job list", "Lists active batch jobs", listWork},
+    {"job show", "Shows a batch job's tasks, where they run and why", showWork},
+    {"job cancel", "Cancels a batch job", cancelWork},
+    {"watch create", "Creates a standing watch", createWork},
+    {"watch list", "Lists active standing watches", listWork},
+    {"watch show", "Shows a standing watch's tasks, where they run and why", showWork},
+    {"watch cancel", "Cancels a standing watch", cancelWork},
+    {"status", "Shows the failure domain's scheduler", showStatus},
+    {"workers", "Shows workers and what is reserved on them", showWorkers},
+    {"export", "Prints the history as newline-delimited JSON", exportHistory},
+    {"operator set", "Records a change of operator", changeOperator},
+    {"debug", "Shows the state of one process", showDebug},
+    {"token", "Makes a token and the hash that goes into [account.NAME] token_hashes", makeToken},
+    {"completion", "Prints a bash completion line", printCompletion},
+    {"version", "Prints the version", printVersion},
+}};
+
+void printHelp(std::ostream &out)
+{
+    out << "usage: quetzalrock COMMAND [OPTIONS]; quetzalrock COMMAND --help lists the options\n\n";
+    Table table({"COMMAND", "WHAT IT DOES"});
+    for (const Command &it : AllCommands) {
+        table.addRow({std::string(it.name), std::string(it.help)});
+    }
+    table.print(out);
+    out << "\nexit codes: 0 done, 1 failed, 2 wrong usage, 3 not run (safe to repeat), 4 outcome unknown (repeat as it "
+           "is),\n"
+           "5 refused (not found, conflict, no right)\n";
+}
+
+/** The command that @p arguments begin with; its words are taken off. Null where there is none. */
+const Command *takeCommand(std::vector<std::string> &arguments)
+{
+    for (const std::size_t words : {2U, 1U}) {
+        if (arguments.size() < words) {
+            continue;
+        }
+        const std::string name = words == 2 ? arguments[0] + " " + arguments[1] : arguments[0];
+        for (const Command &it : AllCommands) {
+            if (it.name == name) {
+                arguments.erase(arguments.begin(), arguments.begin() + static_cast<std::ptrdiff_t>(words));
+                return &it;
+            }
+        }
+    }
+    return nullptr;
+}
+
+} // namespace
+
+std::span<const Command> commands()
+{
+    return AllCommands;
+}
+
+int runCommand(std::vector<std::string> arguments, Console &console)
+{
+    if (arguments.empty() || arguments[0] == "--help" || arguments[0] == "-h" || arguments[0] == "help") {
+        printHelp(arguments.empty() ? console.err : console.out);
+        return arguments.empty() ? static_cast<int>(ExitCode::Usage) : Ok;
+    }
+    const Command *command = takeCommand(arguments);
+    if (!command) {
+        console.err << "quetzalrock: no command " << arguments[0] << "; quetzalrock --help lists them\n";
+        return static_cast<int>(ExitCode::Usage);
+    }
+    try {
+        return command->run(*command, std::move(arguments), console);
+    } catch (const ApiError &error) {
+        console.err << "quetzalrock: " << error.what() << "\n";
+        return static_cast<int>(error.exitCode());
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus();
+    } catch (const TCLAP::ArgException &error) {
+        console.err << "quetzalrock: " << error.argId() << ": " << error.error() << "; see quetzalrock "
+                    << command->name << " --help\n";
+        return static_cast<int>(ExitCode::Usage);
+    } catch (const std::exception &error) {
+        console.err << "quetzalrock: " << error.what() << "\n";
+        return static_cast<int>(ExitCode::Failed);
+    }
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/daemon/main.cpp
@@ -0,0 +1,107 @@
+#include <daemon/daemon.h>
+
+#include <glog/logging.h>
+#include <tclap/CmdLine.h>
+
+#include <csignal>
+#include <iostream>
+
+namespace {
+
+constexpr int ExitOk = 0;
+constexpr int ExitFailed = 1;
+constexpr int ExitUsage = 2; ///< command line or settings are wrong
+
+using namespace QuetzalRock;
+
+struct Arguments
+{
+    std::string config;
+    bool check = false;
+    bool print = false;
+};
+
+Arguments parseArguments(int argc, char **argv)
+{
+    TCLAP::CmdLine cmd(
+        "One entry VM's process of quetzalrock: routes requests, schedules its failure domain's workers. "
+        "Exit codes: 0 drained or checked, 1 failed, 2 wrong command line or settings.",
+        ' ',
+        QUETZALROCK_VERSION);
+    TCLAP::ValueArg<std::string> config("c", "config", "INI file with this process's settings", true, "", "FILE", cmd);
+    TCLAP::SwitchArg check("", "check", "only check the settings", cmd);
+    TCLAP::SwitchArg print("", "print-settings", "print the effective settings and end", cmd);
+    cmd.setExceptionHandling(false);
+    cmd.parse(argc, argv);
+    return {config.getValue(), check.getValue(), print.getValue()};
+}
+
+/** Signals are taken by sigwait() in main alone; every other thread inherits the mask. */
+sigset_t blockSignals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    return signals;
+}
+
+int runDaemon(const DaemonSettings &settings)
+{
+    const sigset_t signals = blockSignals();
+    SystemClock clock;
+    Daemon daemon(settings, clock);
+    daemon.start();
+    LOG(INFO) << settings.process.name << " serves callers on port " << daemon.requestPort()
+              << " and administration on port " << daemon.adminPort();
+    int signal = 0;
+    sigwait(&signals, &signal);
+    LOG(INFO) << "draining on signal " << signal;
+    const bool isClean = daemon.drain();
+    LOG(INFO) << (isClean ? "drained" : "drain limit reached with requests in flight");
+    return isClean ? ExitOk : ExitFailed;
+}
+
+int runWith(const Arguments &arguments)
+{
+    std::vector<SettingFault> faults;
+    const DaemonSettings settings = parseDaemonSettings(arguments.config, readTextFile(arguments.config), faults);
+    for (const SettingFault &it : faults) {
+        std::cerr << it.toString() << "\n";
+    }
+    if (!faults.empty()) {
+        return ExitUsage;
+    }
+    if (arguments.print) {
+        printSettings(settings, std::cout);
+        return ExitOk;
+    }
+    if (arguments.check) {
+        return ExitOk;
+    }
+    return runDaemon(settings);
+}
+
+} // namespace
+
+int main(int argc, char **argv)
+{
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    try {
+        return runWith(parseArguments(argc, argv));
+    } catch (const TCLAP::ExitException &exit) {
+        return exit.getExitStatus();
+    } catch (const TCLAP::ArgException &error) {
+        std::cerr << "quetzalrockd: " << error.argId() << ": " << error.error() << "; see --help\n";
+        return ExitUsage;
+    } catch (const NotFound &error) {
+        std::cerr << "quetzalrockd: " << error.what() << "\n";
+        return ExitUsage;
+    } catch (const std::exception &error) {
+        std::cerr << "quetzalrockd: " << error.what() << "\n";
+        return ExitFailed;
+    }
+}
--- /dev/null
+++ b/packages/daemon/platformbundle.cpp
@@ -0,0 +1,62 @@
+#include <daemon/platformbundle.h>
+
+#include <standin/platformserver.h>
+
+namespace QuetzalRock {
+
+PlatformBundle::PlatformBundle(const DaemonSettings &settings, Clock &clock)
+{
+    if (settings.platform.kind == "http") {
+        const PlatformSection &platform = settings.platform;
+        m_http
+            = std::make_unique<HttpPlatform>(HttpPlatformSettings{platform.address, platform.token, platform.timeout});
+        return;
+    }
+    makeEmbedded(settings, clock);
+}
+
+KeyValueService &PlatformBundle::keyValue()
+{
+    if (m_http) {
+        return *m_http;
+    }
+    return *m_keyValue;
+}
+
+VmList &PlatformBundle::vmList()
+{
+    if (m_http) {
+        return *m_http;
+    }
+    return *m_workers;
+}
+
+WorkerAgent &PlatformBundle::workers()
+{
+    if (m_http) {
+        return *m_http;
+    }
+    return *m_workers;
+}
+
+void PlatformBundle::makeEmbedded(const DaemonSettings &settings, Clock &clock)
+{
+    const EmbeddedSection &embedded = settings.embedded;
+    const std::string &domain = settings.process.failureDomain;
+    m_keyValue = std::make_unique<EmbeddedKeyValue>(clock);
+    m_workers = std::make_unique<EmbeddedWorkers>(clock, embedded.usageLag);
+    const Resources capacity{embedded.workerCpuMillis, embedded.workerMemoryMib, embedded.workerAccelerators};
+    addWorkers(*m_workers, domain, static_cast<int>(embedded.workers), capacity);
+    for (std::int64_t n = 1; n <= embedded.upstreams; ++n) {
+        m_upstreams.push_back(std::make_unique<StandInUpstream>(clock, m_ledger));
+        Vm vm;
+        vm.name = domain + "-u" + std::to_string(n);
+        vm.role = VmRole::Upstream;
+        vm.region = settings.process.region;
+        vm.failureDomain = domain;
+        vm.address = m_upstreams.back()->address();
+        m_workers->addVm(vm);
+    }
+}
+
+} // namespace QuetzalRock
--- /dev/null
+++ b/packages/daemon/tests/e2e.sh
@@ -0,0 +1,151 @@
+#!/usr/bin/env bash
+# The whole path with real processes: the stand-in of the platform, one daemon, the operators' command, curl.
+# usage: e2e.sh BUILD_DIR
+set -u
+build="$1/packages"
+work="$(mktemp -d)"
+pids=()
+cleanup() {
+    for it in "${pids[@]}"; do kill "$it" 2>/dev/null; done
+    rm -rf "$work"
+}
+trap cleanup EXIT
+fail() {
+    echo "FAILED: $*"
+    tail -n 20 "$work"/*.log
+    exit 1
+}
+# Tries a command until it succeeds, 300 times at most.
+eventually() {
+    for _ in $(seq 300); do
+        "$@" >/dev/null 2>&1 && return 0
+        sleep 0.1
+    done
+    fail "never came true: $*"
+}
+expect() { # expect WHAT WANTED FOUND
+    [ "$2" = "$3" ] || fail "$1: wanted '$2', found '$3'"
+}
+
+"$build"/standin/quetzalrock-standin --listen 127.0.0.1:0 --domain muuga --workers 4 --service-ms 400 \
+    >"$work/standin.log" 2>&1 &
+standin=$!
+pids+=("$standin")
+eventually grep -q 'serving on port' "$work/standin.log"
+platform=127.0.0.1:$(sed -n 's/serving on port //p' "$work/standin.log")
+
+token=$("$build"/cli/quetzalrock token --json)
+hash=$(sed -E 's/.*"hash":"([^"]*)".*/\1/' <<<"$token")
+QUETZALROCK_TOKEN=$(sed -E 's/.*"token":"([^"]*)".*/\1/' <<<"$token")
+export QUETZALROCK_TOKEN
+cat >"$work/entry.ini" <<INI
+[process]
+name = entry-1
+failure_domain = muuga
+drain_notice_ms = 200
+[listen]
+requests = 127.0.0.1:0
+admin = 127.0.0.1:0
+[platform]
+kind = http
+address = $platform
+[account.operator]
+role = operate
+token_hashes = $hash
+[class.lookup]
+tenant = coop
+path_prefix = /slots
+methods = GET
+idempotent = true
+deadline_ms = 5000
+[class.booking]
+tenant = coop
+path_prefix = /bookings
+methods = POST
+deadline_ms = 8000
+INI
+"$build"/daemon/quetzalrockd --config "$work/entry.ini" --check || fail "settings were refused"
+printf '[process]\nname =\ncolour = red\n[listen]\nadmin = here\n' >"$work/bad.ini"
+faults=$("$build"/daemon/quetzalrockd --config "$work/bad.ini" 2>&1)
+expect "exit code of bad settings" 2 $?
+expect "faults reported at once" 3 "$(wc -l <<<"$faults")"
+
+"$build"/daemon/quetzalrockd --config "$work/entry.ini" >"$work/daemon.log" 2>&1 &
+daemon=$!
+pids+=("$daemon")
+eventually grep -q 'serves callers' "$work/daemon.log"
+requests=http://127.0.0.1:$(sed -nE 's/.*callers on port ([0-9]+).*/\1/p' "$work/daemon.log")
+admin=http://127.0.0.1:$(sed -nE 's/.*administration on port ([0-9]+).*/\1/p' "$work/daemon.log")
+export QUETZALROCK_SERVER=$admin
+cli="$build/cli/quetzalrock"
+
+# Requests: a lookup, a booking, the same booking again, a class that is not there.
+eventually curl -sf "$requests/slots/7"
+lookup=$(curl -s "$requests/slots/7")
+grep -q '/slots/7' <<<"$lookup" || fail "lookup answered '$lookup'"
+book() { curl -s -X POST -H 'Idempotency-Key: k1' -H 'Booking-Id: b1' -d 'urea 20 t' "$requests/bookings"; }
+booked() { book | grep -q b1; }
+eventually booked
+first=$(book)
+expect "repeated booking" "$first" "$(book)"
+expect "other body under the same key" 422 \
+    "$(curl -s -o /dev/null -w '%{http_code}' -X POST -H 'Idempotency-Key: k1' -d other "$requests/bookings")"
+expect "path of no class" 404 "$(curl -s -o /dev/null -w '%{http_code}' "$requests/none")"
+
+# Work: a service, a batch job, a standing watch; where and why; cancel.
+eventually "$cli" status
+"$cli" service create coop/slots --command serve --tasks 2 || fail "service was not created"
+"$cli" job create coop/manifest --command "run 1" --tasks 3 || fail "job was not created"
+"$cli" job create coop/manifest --command "run 1" --tasks 3 || fail "the same job again was not the same"
+"$cli" job create coop/manifest --command "run 2" --tasks 3 2>/dev/null
+expect "other job of the same name" 5 $?
+"$cli" watch create coop/tide --command watch || fail "watch was not created"
+running() { "$cli" "$1" show "$2" --json | grep -q '"phase":"running"'; }
+eventually running service coop/slots
+eventually running watch coop/tide
+succeeded() { "$cli" job show coop/manifest --json | grep -q '"phase":"succeeded"'; }
+eventually succeeded
+"$cli" service show coop/slots | grep -q 'muuga-w' || fail "status does not say where the service runs"
+"$cli" workers | grep -q 'muuga-w1' || fail "workers are not shown"
+"$cli" service cancel coop/slots || fail "cancel failed"
+cancelled() { "$cli" service show coop/slots --json | grep -q '"phase":"cancelled"'; }
+eventually cancelled
+"$cli" export | grep -q manifest || fail "history lacks the job"
+
+# Bad input changes nothing.
+post() { curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer $1" -X POST -d "$2" "$admin/v1/jobs"; }
+expect "malformed JSON" 400 "$(post "$QUETZALROCK_TOKEN" '{')"
+expect "unknown field" 400 "$(post "$QUETZALROCK_TOKEN" '{"name":"x","tenant":"t","command":"c","colour":1}')"
+expect "wrong token" 401 "$(post wrong '{"name":"x","tenant":"t","command":"c"}')"
+head -c 2000000 /dev/zero | tr '\0' x >"$work/large"
+expect "oversized body" 413 "$(post "$QUETZALROCK_TOKEN" "@$work/large")"
+curl -s "$admin/metrics" | grep -q 'qr_requests_total' || fail "no metrics"
+
+# The platform's service away: a submission is refused as not run, lookups go on.
+curl -s -X POST -d '{"down":true}' "http://$platform/faults" >/dev/null
+refused() {
+    "$cli" job create coop/late --command "run 1" 2>/dev/null
+    [ $? -eq 3 ]
+}
+eventually refused
+curl -sf "$requests/slots/8" >/dev/null || fail "lookup failed while the platform was away"
+curl -s -X POST -d '{"down":false}' "http://$platform/faults" >/dev/null
+eventually "$cli" job create coop/later --command "run 1"
+"$cli" job show coop/late 2>/dev/null
+expect "refused job" 5 $?
+
+# A graceful stop cuts off no request in flight.
+curl -s -o "$work/answer" -w '%{http_code}' -X POST -H 'Idempotency-Key: k2' -H 'Booking-Id: b2' -d x \
+    "$requests/bookings" >"$work/status" &
+inflight=$!
+in_work() { curl -s "$admin/metrics" | grep -Eq 'qr_front_in_work [1-9]'; }
+eventually in_work
+kill -TERM "$daemon"
+wait "$inflight"
+expect "request in flight at the stop" 200 "$(cat "$work/status")"
+wait "$daemon"
+expect "exit code of the stopped daemon" 0 $?
+kill -TERM "$standin"
+wait "$standin"
+grep -q 'bookings 2, highest count of one 1' "$work/standin.log" || fail "a booking ran twice"
+echo "end to end: ok"
--- a/packages/journal/journal.h
+++ b/packages/journal/journal.h
@@ -47,8 +47,8 @@
     /** Sum of the record sizes of one append, default 256 KiB. At most half of MaxValueBytes. */
     std::size_t maxBatchBytes = 256 * 1024;
 
-    /** Of a snapshot in one key, default 512 KiB. At most half of MaxValueBytes. */
-    std::size_t chunkBytes = 512 * 1024;
+    /** Of a snapshot in one key, default 500,000. At most half of MaxValueBytes. */
+    std::size_t chunkBytes = 500'000;
 };
 
 /** Since the construction. Calls count whether they took effect or not. */
--- a/packages/placement/engineexplain.cpp
+++ b/packages/placement/engineexplain.cpp
@@ -16,7 +16,7 @@
     std::ostringstream out;
     out << "task " << toString(id) << " ";
     switch (task.phase) {
-    case TaskPhase::Active:
+    case TaskStage::Active:
         out << "holds room on " << m_ledger.worker(task.worker).id;
         out << (task.stopping ? "; a stop is under way" : "");
         out << (task.wanted ? "" : "; no longer wanted");
@@ -27,14 +27,14 @@
             out << "; predicted latency " << std::exp(task.logRatio) << " of its target";
         }
         break;
-    case TaskPhase::Finished:
+    case TaskStage::Finished:
         out << "has finished";
         break;
-    case TaskPhase::Removed:
+    case TaskStage::Removed:
         out << "was cancelled";
         break;
-    case TaskPhase::Pending:
-    case TaskPhase::Delayed:
+    case TaskStage::Pending:
+    case TaskStage::Delayed:
         out << "waits: " << describeWait(job, task);
         break;
     }
@@ -46,7 +46,7 @@
     if (job.parked) {
         return job.parkedReason.empty() ? "not yet checked against the workers known" : job.parkedReason;
     }
-    if (task.phase == TaskPhase::Delayed) {
+    if (task.phase == TaskStage::Delayed) {
         return "failed " + std::to_string(task.failures) + " times and is tried again later";
     }
     switch (job.waits) {
--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -135,9 +135,9 @@
     }
     Task &task = m_jobs.task(ref);
     task.wanted = false;
-    if (task.phase == TaskPhase::Pending || task.phase == TaskPhase::Delayed) {
+    if (task.phase == TaskStage::Pending || task.phase == TaskStage::Delayed) {
         --m_counters.pendingTasks;
-        finishTask(ref, TaskPhase::Removed);
+        finishTask(ref, TaskStage::Removed);
     }
 }
 
@@ -149,7 +149,7 @@
         return;
     }
     const Task &task = m_jobs.task(ref);
-    if (task.phase == TaskPhase::Pending || task.phase == TaskPhase::Delayed) {
+    if (task.phase == TaskStage::Pending || task.phase == TaskStage::Delayed) {
         attach(ref, index, m_jobs[ref.job].spec.resources, started);
     }
 }
@@ -157,12 +157,12 @@
 void PlacementEngine::abandonStart(const TaskId &id)
 {
     TaskRef ref;
-    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != TaskPhase::Active) {
+    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != TaskStage::Active) {
         return;
     }
     detach(ref, m_now);
     if (!m_jobs.task(ref).wanted) {
-        finishTask(ref, TaskPhase::Removed);
+        finishTask(ref, TaskStage::Removed);
         return;
     }
     makePending(ref, m_now);
@@ -172,7 +172,7 @@
 {
     m_now = std::max(m_now, now);
     TaskRef ref;
-    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != TaskPhase::Active) {
+    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != TaskStage::Active) {
         return;
     }
     const WorkerIndex worker = m_jobs.task(ref).worker;
@@ -190,7 +190,7 @@
         m_jobs[ref.job].succeeded = true;
     }
     if (state == AttemptState::Finished || !task.wanted) {
-        finishTask(ref, state == AttemptState::Finished ? TaskPhase::Finished : TaskPhase::Removed);
+        finishTask(ref, state == AttemptState::Finished ? TaskStage::Finished : TaskStage::Removed);
         return;
     }
     if (state == AttemptState::Failed) {
@@ -223,7 +223,7 @@
     detail::WorkerView &view = m_views[worker];
     m_ledger.restore(worker, reserved);
     m_teams[job.team].usage += reserved;
-    task.phase = TaskPhase::Active;
+    task.phase = TaskStage::Active;
     task.worker = worker;
     task.reserved = reserved;
     task.since = started;
@@ -279,7 +279,7 @@
 void PlacementEngine::makePending(TaskRef ref, TimePoint now)
 {
     Job &job = m_jobs[ref.job];
-    job.tasks[ref.index].phase = TaskPhase::Pending;
+    job.tasks[ref.index].phase = TaskStage::Pending;
     job.tasks[ref.index].since = now;
     job.ready.push_back(ref.index);
     enqueue(ref.job);
@@ -288,7 +288,7 @@
 void PlacementEngine::makeDelayed(TaskRef ref, TimePoint until)
 {
     Job &job = m_jobs[ref.job];
-    job.tasks[ref.index].phase = TaskPhase::Delayed;
+    job.tasks[ref.index].phase = TaskStage::Delayed;
     job.tasks[ref.index].since = until;
     m_delayed.push({until, ref, job.spec.id});
 }
@@ -305,18 +305,18 @@
         m_delayed.pop();
         TaskRef ref;
         const bool known = m_jobs.find({due.job, due.ref.index}, ref);
-        if (known && m_jobs.task(ref).phase == TaskPhase::Delayed && m_jobs.task(ref).since <= now) {
+        if (known && m_jobs.task(ref).phase == TaskStage::Delayed && m_jobs.task(ref).since <= now) {
             makePending(ref, now);
         }
     }
 }
 
 /** The caller has taken the task out of the count of pending or active ones, but for detach(), which counts it in. */
-void PlacementEngine::finishTask(TaskRef ref, TaskPhase phase)
+void PlacementEngine::finishTask(TaskRef ref, TaskStage phase)
 {
     Job &job = m_jobs[ref.job];
     Task &task = job.tasks[ref.index];
-    if (task.phase == TaskPhase::Active) {
+    if (task.phase == TaskStage::Active) {
         --m_counters.pendingTasks;
     }
     task.phase = phase;
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -179,7 +179,7 @@
     void detach(TaskRef ref, TimePoint now);
     void makePending(TaskRef ref, TimePoint now);
     void makeDelayed(TaskRef ref, TimePoint until);
-    void finishTask(TaskRef ref, TaskPhase phase);
+    void finishTask(TaskRef ref, TaskStage phase);
     void enqueue(JobSlot slot);
     void dequeue(JobSlot slot);
     void wakeDelayed(TimePoint now);
--- a/packages/scheduler/commit.cpp
+++ b/packages/scheduler/commit.cpp
@@ -172,7 +172,7 @@
         m_batch = {};
         return false;
     }
-    detail::Batch batch = std::exchange(m_batch, {});
+    detail::CommitBatch batch = std::exchange(m_batch, {});
     try {
         m_log.append(batch.bytes);
     } catch (const Unavailable &) {
@@ -197,7 +197,7 @@
     return true;
 }
 
-void ShardScheduler::applyBatch(const detail::Batch &batch, TimePoint now)
+void ShardScheduler::applyBatch(const detail::CommitBatch &batch, TimePoint now)
 {
     m_isAway = false;
     m_outageRetry = Duration::zero();
@@ -293,7 +293,7 @@
 }
 
 /** Nothing of @p batch was written: its ends and stops wait on, the rest is undone. */
-void ShardScheduler::failBatch(const detail::Batch &batch, const std::exception_ptr &error)
+void ShardScheduler::failBatch(const detail::CommitBatch &batch, const std::exception_ptr &error)
 {
     m_counters.abandonedStarts += batch.starts.size();
     for (const detail::PlannedStart &it : batch.starts) {
@@ -326,7 +326,7 @@
         }
         return;
     }
-    detail::Batch batch = std::move(*m_doubt);
+    detail::CommitBatch batch = std::move(*m_doubt);
     m_doubt.reset();
     m_nextAppend = now + m_settings.appendEvery;
     if (batch.records.empty()) {
