--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -187,7 +187,11 @@
     Json items = Json::array();
     std::string after = "0";
     while (!after.empty()) {
-        const Json page = client.call("GET", collectionOf(command) + "?after=" + after + filter);
+        std::string path = collectionOf(command);
+        path += "?after=";
+        path += after;
+        path += filter;
+        const Json page = client.call("GET", path);
         items.insert(items.end(), page.at("items").begin(), page.at("items").end());
         after = page.contains("next_after") ? page["next_after"].dump() : "";
     }
--- a/packages/placement/engine.h
+++ b/packages/placement/engine.h
@@ -7,7 +7,7 @@
  *
  * Use
  *   engine.setWorker(vm); engine.addJob(spec); engine.observe(report, now);
- *   Decisions todo = engine.decide(now);     // every start in it is already counted against its worker
+ *   Decisions decisions = engine.decide(now);     // every start in it is already counted against its worker
  *   ... make them durable, then act; where that fails: engine.abandonStart(task) ...
  *   engine.endAttempt(task, state, ...);     // only on a known end: this frees the worker's capacity
  */
