Let an owner of claims that was fenced off stay off

Cause: after a fencing LocalClaims took its log over again at once, so two candidates would have taken turns, each takeover turning the other's running claims into Unknown. Before: no bound on takeovers. After: one tenure each; who may try again is for the ownership of the failure domain to say. Its epoch can be read. Tests as before. Conclusion: needed before several members share the claims of a failure domain.

--- a/packages/requests/claims.cpp
+++ b/packages/requests/claims.cpp
@@ -79,6 +79,16 @@
     return m_isOwner;
 }
 
+bool LocalClaims::isFenced() const
+{
+    return m_isFenced;
+}
+
+std::uint64_t LocalClaims::epoch() const
+{
+    return m_epoch;
+}
+
 const ClaimCounters &LocalClaims::counters() const
 {
     return m_counters;
@@ -131,6 +141,7 @@
     try {
         const Replay replay = m_log.takeOver();
         m_table.restore(replay.snapshot, replay.records, m_clock.now());
+        m_epoch = replay.epoch;
         m_isOwner = true;
     } catch (const Error &) {
         m_retryAt = m_clock.now() + m_settings.claimRetry;
@@ -215,7 +226,7 @@
 
 void LocalClaims::workOffBacklog()
 {
-    if (m_clock.now() < m_retryAt) {
+    if (m_clock.now() < m_retryAt || m_isFenced) {
         return;
     }
     try {
@@ -332,6 +343,7 @@
 void LocalClaims::standDown()
 {
     m_isOwner = false;
+    m_isFenced = true;
     refuseAll(false);
     for (const ClaimRequest &it : m_inDoubt) {
         m_table.undoClaim(it);
--- a/packages/requests/claims.h
+++ b/packages/requests/claims.h
@@ -179,7 +179,9 @@
     void claim(const ClaimRequest &request, Reply reply) override;
     void end(const ClaimEnd &end) override;
 
-    bool isOwner() const; ///< false before the takeover and after a fencing
+    bool isOwner() const;        ///< false before the takeover and after a fencing
+    bool isFenced() const;       ///< another owner has taken over: for good, or two candidates would take turns
+    std::uint64_t epoch() const; ///< of the last takeover here; 0: none yet
     const ClaimCounters &counters() const;
 
 private:
@@ -234,6 +236,8 @@
     TimePoint m_retryAt;                                           ///< the log is left alone until then
     std::thread m_thread;                                          ///< duty: the log of claims
     std::atomic<bool> m_isOwner = false;
+    std::atomic<bool> m_isFenced = false;
+    std::atomic<std::uint64_t> m_epoch = 0;
     ClaimCounters m_counters;
 };
 
