Keep members and the ownership of shards in a failure domain

Cause: entry VMs are replaced at any time and each shard of racks needs one owner, found within seconds and not flapping. Chosen: registration under a lease in the platform's service to find each other; heartbeats by peer calls for speed, one call a pair and interval, with what the sender has heard of the others, so that one broken link makes nobody silent.

--- /dev/null
+++ b/packages/membership/tests/membershiptest.cpp
@@ -0,0 +1,212 @@
+#include <membership/tests/world.h>
+
+namespace QuetzalRock {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+std::vector<std::string> liveMembers(const Node &node)
+{
+    std::vector<std::string> names;
+    for (const MemberView &it : node.membership.members()) {
+        if (it.live) {
+            names.push_back(it.info.name);
+        }
+    }
+    return names;
+}
+
+using Names = std::vector<std::string>;
+
+TEST(Heartbeat, comesBackAsItWasSent)
+{
+    Heartbeat sent;
+    sent.from = {"a", "r", "d", "1.2.3.4:5", 77, true};
+    sent.platformAway = seconds(3);
+    sent.note = "7:\"x\"";
+    sent.claims = {{"s1", 4}, {"s2", 5}};
+    sent.heard = {{"b", 6, milliseconds(20), seconds(1), {{"s3", 9}}}};
+    const Heartbeat got = decodeHeartbeat(encodeHeartbeat(sent));
+    EXPECT_EQ(got.from, sent.from);
+    EXPECT_EQ(got.platformAway, sent.platformAway);
+    EXPECT_EQ(got.note, sent.note);
+    EXPECT_EQ(got.claims, sent.claims);
+    ASSERT_EQ(got.heard.size(), 1u);
+    EXPECT_EQ(got.heard[0].age, sent.heard[0].age);
+    EXPECT_EQ(got.heard[0].claims, sent.heard[0].claims);
+    for (const char *text : {"", "[]", "{}", R"({"from":{"name":5}})", R"({"from":1,"away":"x"})"}) {
+        EXPECT_THROW(decodeHeartbeat(text), InvalidArgument) << text;
+    }
+}
+
+TEST(Membership, membersFindEachOtherByTheirRegistrations)
+{
+    World world;
+    for (const char *name : {"a", "b", "c"}) {
+        world.start(name, "muuga");
+    }
+    world.start("z", "paldiski");
+    world.run(seconds(3));
+    EXPECT_EQ(liveMembers(*world.nodes["a"]), (Names{"b", "c"}));
+    EXPECT_EQ(liveMembers(*world.nodes["c"]), (Names{"a", "b"}));
+    EXPECT_EQ(liveMembers(*world.nodes["z"]), Names{});
+    EXPECT_EQ(world.nodes["z"]->membership.elected("duty"), "z");
+    EXPECT_EQ(world.nodes["a"]->membership.elected("duty"), world.nodes["b"]->membership.elected("duty"));
+}
+
+TEST(Membership, startsFromSeedsWhileThePlatformIsAway)
+{
+    World world;
+    world.memberSettings.seeds = {World::addressOf("a"), World::addressOf("b")};
+    world.start("a", "muuga").service.down = true;
+    world.start("b", "muuga").service.down = true;
+    world.run(seconds(5));
+    EXPECT_EQ(liveMembers(*world.nodes["a"]), Names{"b"});
+    EXPECT_EQ(liveMembers(*world.nodes["b"]), Names{"a"});
+    EXPECT_GT(world.nodes["a"]->membership.platformAway(), seconds(2));
+}
+
+TEST(Membership, anOutageOfThePlatformRemovesNobody)
+{
+    World world;
+    world.start("a", "muuga");
+    world.start("b", "muuga");
+    world.run(seconds(3));
+    for (auto &[name, node] : world.nodes) {
+        node->service.down = true;
+    }
+    world.run(minutes(20)); // far longer than the lease and than forgetAfter
+    EXPECT_EQ(liveMembers(*world.nodes["a"]), Names{"b"});
+    world.healAll();
+    world.run(seconds(15));
+    EXPECT_EQ(world.platform.list("members/muuga/").size(), 2u);
+    EXPECT_EQ(liveMembers(*world.nodes["b"]), Names{"a"});
+}
+
+TEST(Membership, aSilentMemberIsSuspectedAndIsEligibleAgainOnlyWhenSteady)
+{
+    World world;
+    world.start("a", "muuga");
+    world.start("b", "muuga");
+    world.run(seconds(3));
+    const auto viewOfB = [&] { return world.nodes["a"]->membership.members().at(0); };
+    EXPECT_TRUE(viewOfB().eligible);
+    world.pause("b");
+    world.run(seconds(4));
+    EXPECT_FALSE(viewOfB().live);
+    world.wake("b");
+    world.run(seconds(3));
+    EXPECT_TRUE(viewOfB().live);
+    EXPECT_FALSE(viewOfB().eligible);
+    world.run(seconds(10));
+    EXPECT_TRUE(viewOfB().eligible);
+}
+
+TEST(Membership, aMemberHeardOnlyThroughAnotherIsLive)
+{
+    World world;
+    for (const char *name : {"a", "b", "c"}) {
+        world.start(name, "muuga");
+    }
+    world.run(seconds(3));
+    world.cut("a", "b");
+    world.run(seconds(20));
+    EXPECT_EQ(liveMembers(*world.nodes["a"]), (Names{"b", "c"}));
+    world.cut("c", "b");
+    world.run(seconds(8));
+    EXPECT_EQ(liveMembers(*world.nodes["a"]), Names{"c"});
+}
+
+TEST(Membership, aRestartReplacesTheFormerIncarnation)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    world.start("b", "muuga");
+    world.run(seconds(10));
+    const std::vector<ShardClaim> before = a.membership.members().at(0).claims;
+    EXPECT_FALSE(before.empty());
+    MemberInfo restarted = world.nodes["b"]->membership.self();
+    restarted.incarnation += 5;
+    a.membership.learn(restarted, true);
+    EXPECT_TRUE(a.membership.members().at(0).claims.empty());
+    EXPECT_FALSE(a.membership.members().at(0).live);
+    restarted.incarnation -= 6;
+    a.membership.learn(restarted, true); // late word of an older one
+    EXPECT_EQ(a.membership.members().at(0).info.incarnation, restarted.incarnation + 6);
+}
+
+TEST(Membership, foreignAndMalformedRegistrationsAreNobody)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    const MemberInfo foreign{"x", "region", "paldiski", "x:1", 1};
+    world.platform.compareAndSwap("members/muuga/x", 0, encodeMember(foreign), 0);
+    world.platform.compareAndSwap("members/muuga/y", 0, "{", 0);
+    world.run(seconds(3));
+    EXPECT_TRUE(a.membership.members().empty());
+    EXPECT_TRUE(a.membership.neighbours().empty());
+    EXPECT_EQ(a.registry.counters().ignored, 2u);
+}
+
+TEST(Membership, membersAreForgottenOnceTheyAreGone)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    world.start("b", "muuga");
+    world.run(seconds(3));
+    world.crash("b");
+    world.run(minutes(5));
+    EXPECT_EQ(a.membership.members().size(), 1u); // its lease lapsed, but it might be cut off only
+    world.run(minutes(7));
+    EXPECT_TRUE(a.membership.members().empty());
+}
+
+TEST(MemberRegistry, registersAgainWhenTheLeaseLapsedOrTheKeyWasRemoved)
+{
+    World world;
+    world.start("a", "muuga");
+    world.run(seconds(1));
+    world.pause("a");
+    world.run(seconds(40));
+    EXPECT_TRUE(world.platform.list("members/").empty());
+    world.wake("a");
+    world.run(seconds(1));
+    EXPECT_EQ(world.platform.list("members/").size(), 1u);
+    const Revision revision = world.platform.get("members/muuga/a")->revision;
+    world.platform.remove("members/muuga/a", revision);
+    world.run(seconds(75));
+    EXPECT_EQ(world.platform.list("members/").size(), 1u);
+}
+
+TEST(MemberRegistry, survivesLostAnswers)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    a.service.loseWriteAnswers = 2;
+    world.run(seconds(10));
+    EXPECT_EQ(world.platform.list("members/muuga/").size(), 1u);
+    EXPECT_EQ(a.membership.platformAway(), Duration::zero());
+}
+
+TEST(MemberRegistry, keepsWithinItsBudgetOfCalls)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    world.run(seconds(1));
+    const RegistryCounters before = a.registry.counters();
+    // The real driver waits in the watch; here each step is a watch that returns at once, so drive it as the watch would.
+    for (int i = 0; i < 60; ++i) {
+        world.clock.advance(seconds(10));
+        a.registry.step(Duration::zero());
+    }
+    const RegistryCounters after = a.registry.counters();
+    EXPECT_LE(after.writes - before.writes, 60u);     // one renewal in 10 s
+    EXPECT_LE(after.reads - before.reads, 60u + 11u); // one watch in 10 s, one listing in a minute
+}
+
+} // namespace
+
+} // namespace QuetzalRock
