Let the members of a failure domain share work, claims and administration

Now Ownership says who tries, claims are spread over four journals by key and asked for by peer call, and a request to a member that is not the owner is passed on once. Before: one process. Claims do not yet span failure domains.

--- a/packages/admin/adminapi.cpp
+++ b/packages/admin/adminapi.cpp
@@ -4,6 +4,8 @@
 #include <admin/jsonfields.h>
 #include <platform/platformjson.h>
 
+#include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace QuetzalRock {
@@ -76,8 +78,9 @@
 
 } // namespace
 
-AdminApi::AdminApi(ControlBackend &backend, Credentials credentials)
+AdminApi::AdminApi(ControlBackend &backend, ProcessBackend &process, Credentials credentials)
     : m_backend(backend)
+    , m_process(process)
     , m_credentials(std::move(credentials))
 {
 }
@@ -123,14 +126,29 @@
         requireRole(account, Role::Operate);
         return {200, "application/x-ndjson", m_backend.history(), {}};
     }
+    if (collection == "members") {
+        requireMethod(request, "GET");
+        return answer(200, m_process.members());
+    }
     if (collection == "debug") {
         requireMethod(request, "GET");
         requireRole(account, Role::Operate);
-        return answer(200, m_backend.debugState());
+        return answer(200, m_process.debugState());
     }
     throw NotFound("no " + request.path);
 }
 
+bool AdminApi::needsOwner(const WebRequest &request)
+{
+    const std::vector<std::string> parts = splitPath(request.path);
+    if (parts.empty()) {
+        return false;
+    }
+    constexpr std::array<std::string_view, 7> Collections{
+        "services", "jobs", "watches", "status", "workers", "history", "operator"};
+    return std::find(Collections.begin(), Collections.end(), parts.front()) != Collections.end();
+}
+
 WebResponse AdminApi::handleWork(const WebRequest &request, const Account &account, WorkloadKind kind)
 {
     const std::vector<std::string> parts = splitPath(request.path);
--- a/packages/admin/adminapi.h
+++ b/packages/admin/adminapi.h
@@ -15,6 +15,7 @@
  *   GET    /v1/status                         read: the shard
  *   GET    /v1/workers                        read: workers with what is reserved on them
  *   GET    /v1/history                        operate: newline-delimited JSON
+ *   GET    /v1/members                        read: members of the failure domain, and who owns what
  *   GET    /v1/debug                          operate: this process
  *   PUT    /v1/operator                       operate: records a handover
  */
@@ -29,11 +30,14 @@
 class AdminApi
 {
 public:
-    AdminApi(ControlBackend &backend, Credentials credentials);
+    AdminApi(ControlBackend &backend, ProcessBackend &process, Credentials credentials);
 
     /** Throws Error for everything that is not a success; WebServer turns it into the typed answer. Thread-safe. */
     WebResponse handle(const WebRequest &request);
 
+    /** True for requests that only the owner of the failure domain's shard can answer. */
+    static bool needsOwner(const WebRequest &request);
+
 private:
     WebResponse handleWork(const WebRequest &request, const Account &account, WorkloadKind kind);
     WebResponse create(const WebRequest &request, const Account &account, WorkloadKind kind);
@@ -41,6 +45,7 @@
     WebResponse changeOperator(const WebRequest &request);
 
     ControlBackend &m_backend;
+    ProcessBackend &m_process;
     Credentials m_credentials;
 };
 
--- a/packages/admin/backend.h
+++ b/packages/admin/backend.h
@@ -1,4 +1,10 @@
-/** What the administration API needs of the process behind it. */
+/**
+ * What the administration API needs of the process behind it.
+ *
+ * Index of this file
+ *   ControlBackend   the work of the failure domain: only the owner of its shard answers
+ *   ProcessBackend   the process itself: every one answers
+ */
 #pragma once
 
 #include <scheduler/scheduler.h>
@@ -27,7 +33,17 @@
     virtual ShardStatus shard() = 0;
     virtual std::string history() = 0; ///< newline-delimited JSON
     virtual void changeOperator(std::string_view name) = 0;
-    virtual nlohmann::json debugState() = 0; ///< of this process: threads, rings, journal, members
+};
+
+/** Thread-safe. */
+class ProcessBackend
+{
+public:
+    virtual ~ProcessBackend() = default;
+
+    virtual nlohmann::json members()
+        = 0; ///< members of the failure domain as this process sees them, and who owns what
+    virtual nlohmann::json debugState() = 0; ///< threads, rings, journals, versions
 };
 
 } // namespace QuetzalRock
--- a/packages/admin/openapi.cpp
+++ b/packages/admin/openapi.cpp
@@ -754,6 +754,26 @@
     }
    }
   },
+  "/v1/members": {
+   "get": {
+    "summary": "Members of the failure domain, and who owns what",
+    "x-role": "read",
+    "responses": {
+     "200": {
+      "description": "members"
+     },
+     "400": {
+      "description": "invalid_argument"
+     },
+     "401": {
+      "description": "unauthenticated"
+     },
+     "403": {
+      "description": "permission_denied"
+     }
+    }
+   }
+  },
   "/v1/debug": {
    "get": {
     "summary": "State of this process",
--- a/packages/admin/tests/adminapitest.cpp
+++ b/packages/admin/tests/adminapitest.cpp
@@ -65,6 +65,15 @@
     {
         operatorName = name;
     }
+};
+
+class FakeProcess final : public ProcessBackend
+{
+public:
+    Json members() override
+    {
+        return Json::object();
+    }
     Json debugState() override
     {
         return Json::object();
@@ -74,7 +83,9 @@
 struct Admin : public testing::Test
 {
     FakeBackend backend;
+    FakeProcess process;
     AdminApi api{backend,
+                 process,
                  Credentials({{"root", "", Role::Operate, {hashToken("root")}},
                               {"farm", "coop", Role::Submit, {hashToken("farm-old"), hashToken("farm")}},
                               {"eye", "coop", Role::Read, {hashToken("eye")}}},
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -301,6 +301,28 @@
     return Ok;
 }
 
+int showMembers(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    const Json answer = server.client().call("GET", "/v1/members");
+    if (server.json()) {
+        console.out << answer.dump() << "\n";
+        return Ok;
+    }
+    Table table({"MEMBER", "LIVE", "ADDRESS", "OWNS"});
+    for (const Json &it : answer.at("members")) {
+        std::ostringstream owns;
+        for (const auto &[shard, epoch] : it.at("owns").items()) {
+            owns << (owns.tellp() > 0 ? " " : "") << shard << "@" << epoch;
+        }
+        table.addRow({it.at("name"), it.at("live").get<bool>() ? "yes" : "no", it.at("address"), owns.str()});
+    }
+    table.print(console.out);
+    return Ok;
+}
+
 int exportHistory(const Command &command, std::vector<std::string> arguments, Console &console)
 {
     CommandLine line(command);
@@ -365,7 +387,7 @@
     return Ok;
 }
 
-constexpr std::array<Command, 20> AllCommands{{
+constexpr std::array<Command, 21> AllCommands{{
     {"service create", "Creates a service: instances that run until cancelled and have a latency target", createWork},
     {"service list", "Lists active services", listWork},
     {"service show", "Shows a service's instances, where they run and why", showWork},
@@ -380,6 +402,7 @@
     {"watch cancel", "Cancels a standing watch", cancelWork},
     {"status", "Shows the failure domain's scheduler", showStatus},
     {"workers", "Shows workers and what is reserved on them", showWorkers},
+    {"members", "Shows the members of the failure domain and who owns what", showMembers},
     {"export", "Prints the history as newline-delimited JSON", exportHistory},
     {"operator set", "Records a change of operator", changeOperator},
     {"debug", "Shows the state of one process", showDebug},
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -1,5 +1,7 @@
 #include <daemon/daemon.h>
 
+#include <daemon/webcodec.h>
+
 #include <glog/logging.h>
 #include <prometheus/text_serializer.h>
 
@@ -8,14 +10,41 @@
 namespace {
 
 constexpr Duration UpstreamsEvery = std::chrono::seconds(1); ///< bounds how long a leaving instance gets new requests
+constexpr Duration HandoverNotice = std::chrono::milliseconds(500); ///< heartbeats tell the others what was released
+constexpr Duration ForwardTimeout = std::chrono::seconds(10);       ///< above the scheduler's own limit
+constexpr Duration ComeBack = std::chrono::seconds(1);              ///< told to operators while no owner is known
 constexpr Duration DrainPollEvery = std::chrono::milliseconds(20);
 
-JournalSettings claimJournalSettings(const DaemonSettings &settings, Clock &clock)
+std::vector<std::unique_ptr<ClaimShard>>
+makeClaimShards(const DaemonSettings &settings, KeyValueService &service, Clock &clock)
+{
+    std::vector<std::unique_ptr<ClaimShard>> shards;
+    for (std::int64_t n = 0; n < settings.peers.claimShards; ++n) {
+        const std::string name = "claims-" + std::to_string(settings.scheduler.shard) + "-" + std::to_string(n);
+        const std::string writer = settings.process.name + "." + std::to_string(clock.wallNow().count());
+        shards.push_back(std::make_unique<ClaimShard>(settings.requests, service, clock, name, writer));
+    }
+    return shards;
+}
+
+std::vector<ClaimShard *> pointersTo(const std::vector<std::unique_ptr<ClaimShard>> &shards)
+{
+    std::vector<ClaimShard *> pointers;
+    pointers.reserve(shards.size());
+    for (const auto &it : shards) {
+        pointers.push_back(it.get());
+    }
+    return pointers;
+}
+
+std::vector<HostedShard *> hostedShards(SchedulerShard &scheduler,
+                                        const std::vector<std::unique_ptr<ClaimShard>> &claims)
 {
-    JournalSettings journal;
-    journal.name = "claims-" + std::to_string(settings.scheduler.shard);
-    journal.writer = settings.process.name + "." + std::to_string(clock.wallNow().count());
-    return journal;
+    std::vector<HostedShard *> shards{&scheduler};
+    for (const auto &it : claims) {
+        shards.push_back(it.get());
+    }
+    return shards;
 }
 
 WebServerSettings adminServerSettings(const ListenSection &listen)
@@ -44,28 +73,26 @@
 
 } // namespace
 
-bool AlwaysCandidate::shouldOwn()
-{
-    return true;
-}
-
-void AlwaysCandidate::noteOwner(bool)
-{
-}
-
 Daemon::Daemon(const DaemonSettings &settings, Clock &clock)
     : m_settings(settings)
     , m_clock(clock)
     , m_platform(settings, clock)
     , m_registry(std::make_shared<prometheus::Registry>())
     , m_gauges(*m_registry)
-    , m_shard(settings, m_platform, m_candidacy, clock)
-    , m_admin(m_shard, Credentials(settings.admin.accounts, settings.admin.open))
-    , m_claimJournal(m_platform.keyValue(), claimJournalSettings(settings, clock))
-    , m_claims(settings.requests, clock, m_claimJournal)
+    , m_scheduler(settings, m_platform, clock)
+    , m_claimShards(makeClaimShards(settings, m_platform.keyValue(), clock))
+    , m_shards(hostedShards(m_scheduler, m_claimShards))
+    , m_member(settings, m_platform.keyValue(), m_platform.vmList(), m_shards, clock)
+    , m_remoteClaims(m_member.transport(), clock)
+    , m_claims(pointersTo(m_claimShards),
+               m_remoteClaims,
+               [this](const std::string &shard) { return m_member.ownerAddress(shard); })
+    , m_admin(m_scheduler, *this, Credentials(settings.admin.accounts, settings.admin.open))
     , m_requests(settings.requests, clock, &m_claims, m_registry.get())
     , m_front(settings.requests, clock, m_requests)
 {
+    m_claims.bind(m_member.router());
+    m_member.router().on("admin.request", [this](const PeerCall &call) { return onForwarded(call); });
     m_front.addRoute("GET", "/healthz", [this](const CallerRequest &) { return answerHealth(true); });
     m_front.addRoute("GET", "/readyz", [this](const CallerRequest &) { return answerHealth(isReady()); });
 }
@@ -77,9 +104,8 @@
 
 void Daemon::start()
 {
-    m_claims.start();
+    m_member.start();
     m_requests.start();
-    m_shard.start();
     m_upstreamThread = std::thread([this] { watchUpstreams(); });
     m_front.start();
     m_adminServer = std::make_unique<WebServer>(adminServerSettings(m_settings.listen),
@@ -97,8 +123,9 @@
     const bool isClean = waitForRequests();
     m_front.stop();
     m_requests.stop();
-    m_claims.stop();
-    m_shard.stop();
+    m_member.beginShutdown();
+    m_clock.sleepFor(HandoverNotice);
+    m_member.stop();
     {
         std::lock_guard guard(m_mutex);
         m_isStopping = true;
@@ -121,7 +148,7 @@
 
 bool Daemon::isReady() const
 {
-    return !m_isDraining;
+    return !m_isDraining && m_member.isReady();
 }
 
 WebResponse Daemon::handleAdmin(const WebRequest &request)
@@ -136,7 +163,48 @@
     if (request.path == "/metrics") {
         return {200, "text/plain", metricsText(), {}};
     }
-    return m_admin.handle(request);
+    const bool isElsewhere = AdminApi::needsOwner(request) && !m_scheduler.isOwner();
+    return isElsewhere ? forwardToOwner(request) : m_admin.handle(request);
+}
+
+WebResponse Daemon::forwardToOwner(const WebRequest &request)
+{
+    const std::string address = m_member.ownerAddress(m_scheduler.shardName());
+    if (address.empty()) {
+        throw NotRun("no member of this failure domain owns its shard at present", ComeBack);
+    }
+    const std::string answer
+        = m_member.transport().call(address, "admin.request", encodeWebRequest(request), ForwardTimeout);
+    return decodeWebResponse(answer);
+}
+
+std::string Daemon::onForwarded(const PeerCall &call)
+{
+    // Answered here or not at all: a request is passed on once only. The caller's token is checked here too.
+    const WebRequest request = decodeWebRequest(call.body);
+    try {
+        return encodeWebResponse(m_admin.handle(request));
+    } catch (const Error &error) {
+        return encodeWebResponse(errorResponse(error));
+    }
+}
+
+nlohmann::json Daemon::members()
+{
+    return m_member.membersJson();
+}
+
+nlohmann::json Daemon::debugState()
+{
+    const FrontCounters front = m_front.counters();
+    nlohmann::json state = m_member.debugJson();
+    state["name"] = m_settings.process.name;
+    state["owns_scheduler"] = m_scheduler.isOwner();
+    state["requests_in_work"] = front.inWork;
+    state["connections"] = front.connections;
+    state["unsent_bytes"] = front.unsentBytes;
+    state["draining"] = m_isDraining.load();
+    return state;
 }
 
 CallerResponse Daemon::answerHealth(bool isGood) const
@@ -155,7 +223,11 @@
     m_gauges.set("qr_front_in_work", "Callers' requests taken and not yet answered", static_cast<double>(front.inWork));
     m_gauges.set("qr_front_connections", "Callers' open connections", static_cast<double>(front.connections));
     m_gauges.set("qr_front_unsent_bytes", "Answers not yet taken by callers", static_cast<double>(front.unsentBytes));
-    m_gauges.set("qr_shard_owner", "1 where this process owns the failure domain's shard", m_shard.isOwner() ? 1 : 0);
+    m_gauges.set(
+        "qr_shard_owner", "1 where this process owns the failure domain's shard", m_scheduler.isOwner() ? 1 : 0);
+    m_gauges.set("qr_members_live", "Live members of the failure domain", static_cast<double>(m_member.liveMembers()));
+    const double version = static_cast<double>(m_member.settings()->document.version);
+    m_gauges.set("qr_settings_version", "Version of the operators' settings in force", version);
     m_gauges.set("qr_ready", "1 where the balancer may send callers here", isReady() ? 1 : 0);
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -2,24 +2,26 @@
  * One entry VM's process: what lives from start to exit, and the order in which it starts and drains.
  *
  * Index of this file
- *   AlwaysCandidate   the candidacy of a process that has no peers
- *   Daemon            everything wired together
+ *   Daemon   everything wired together
  *
  * Threads, one for each duty
  *   requests front    HTTP of callers (Pistache, requests.threads of them)
  *   request path      dispatcher and libcurl
- *   claims            the journal of idempotency keys
- *   shard             the scheduler of this failure domain, where this process owns it
+ *   claims            the journal of each shard of idempotency keys that this process owns; calls to other owners
+ *   scheduler         the shard of this failure domain, where this process owns it
+ *   member            heartbeats, registration, ownership, settings (memberduty.h)
  *   upstreams         reads the platform's list of VMs for the request path
  *   administration    HTTP of operators (Pistache, listen.admin_threads of them)
  */
 #pragma once
 
 #include <admin/adminapi.h>
+#include <daemon/claimshards.h>
 #include <daemon/daemonsettings.h>
 #include <daemon/gauges.h>
+#include <daemon/memberduty.h>
 #include <daemon/platformbundle.h>
-#include <daemon/shardduty.h>
+#include <daemon/schedulershard.h>
 #include <requests/requestpath.h>
 #include <web/web.h>
 
@@ -30,19 +32,12 @@
 
 namespace QuetzalRock {
 
-class AlwaysCandidate final : public Candidacy
-{
-public:
-    bool shouldOwn() override;
-    void noteOwner(bool isOwner) override;
-};
-
-class Daemon
+class Daemon final : public ProcessBackend
 {
 public:
     /** @p settings and @p clock must outlive it. */
     Daemon(const DaemonSettings &settings, Clock &clock);
-    ~Daemon();
+    ~Daemon() override;
 
     void start();
 
@@ -52,9 +47,14 @@
     std::uint16_t requestPort() const;
     std::uint16_t adminPort() const;
 
+    nlohmann::json members() override;
+    nlohmann::json debugState() override;
+
 private:
     bool isReady() const;
     WebResponse handleAdmin(const WebRequest &request);
+    WebResponse forwardToOwner(const WebRequest &request);
+    std::string onForwarded(const PeerCall &call);
     CallerResponse answerHealth(bool isGood) const;
     std::string metricsText();
     void watchUpstreams();
@@ -67,16 +67,18 @@
     std::mutex m_gaugesMutex; ///< guards m_gauges
     Gauges m_gauges;
 
-    AlwaysCandidate m_candidacy;
-    ShardDuty m_shard;
+    SchedulerShard m_scheduler;
+    std::vector<std::unique_ptr<ClaimShard>> m_claimShards;
+    ShardTable m_shards;
+    MemberDuty m_member;
+    RemoteClaims m_remoteClaims;
+    ClaimRouter m_claims;
     AdminApi m_admin;
 
-    Journal m_claimJournal;
-    LocalClaims m_claims;
     RequestPath m_requests;
     HttpFront m_front;
 
-    std::mutex m_mutex; ///< guards the two below
+    std::mutex m_mutex; ///< guards m_isStopping
     std::condition_variable m_wake;
     bool m_isStopping = false;
     std::atomic<bool> m_isDraining = false;
--- a/packages/daemon/daemonsettings.cpp
+++ b/packages/daemon/daemonsettings.cpp
@@ -64,6 +64,40 @@
     reader.endSection();
 }
 
+/** "ID:SECRET" into @p key. */
+bool parseKey(const std::string &text, PeerKey &key)
+{
+    const std::size_t colon = text.find(':');
+    if (colon == std::string::npos || colon == 0) {
+        return false;
+    }
+    key.id = text.substr(0, colon);
+    key.secret = text.substr(colon + 1);
+    return key.secret.size() >= MinSecretBytes;
+}
+
+void readPeers(SettingsReader &reader, PeersSection &section, bool isRequired)
+{
+    std::vector<std::string> keys;
+    reader.beginSection("peers");
+    reader.readAddress("listen", section.listen);
+    reader.readAddress("advertised", section.advertised);
+    reader.readList("keys", keys);
+    reader.readList("seeds", section.seeds);
+    reader.readMillis("settle_ms", section.settle, 0, 60'000);
+    reader.readInt("claim_shards", section.claimShards, 1, 64);
+    for (const std::string &it : keys) {
+        section.keys.emplace_back();
+        if (!parseKey(it, section.keys.back())) {
+            reader.addFault("keys", "ID:SECRET, by commas, each secret of at least 16 bytes");
+        }
+    }
+    if (isRequired && keys.empty()) {
+        reader.addFault("keys", "ID:SECRET; required with [platform] kind = http");
+    }
+    reader.endSection();
+}
+
 void readEmbedded(SettingsReader &reader, EmbeddedSection &section)
 {
     reader.beginSection("embedded");
@@ -205,6 +239,7 @@
     readProcess(reader, settings.process);
     readListen(reader, settings.listen);
     readPlatform(reader, settings.platform);
+    readPeers(reader, settings.peers, settings.platform.kind == "http");
     readEmbedded(reader, settings.embedded);
     readScheduler(reader, settings.scheduler);
     readAdmin(reader, settings.admin);
@@ -244,6 +279,15 @@
     out << "kind = " << settings.platform.kind << "\n";
     out << "address = " << settings.platform.address << "\n";
     out << "timeout_ms = " << millis(settings.platform.timeout) << "\n";
+    const PeersSection &peers = settings.peers;
+    out << "\n[peers]\n";
+    out << "listen = " << peers.listen << "\n";
+    if (!peers.advertised.empty()) {
+        out << "advertised = " << peers.advertised << "\n";
+    }
+    out << "seeds = " << joined(peers.seeds) << "\n";
+    out << "settle_ms = " << millis(peers.settle) << "\n";
+    out << "claim_shards = " << peers.claimShards << "\n";
     const EmbeddedSection &embedded = settings.embedded;
     out << "\n[embedded]\n";
     out << "workers = " << embedded.workers << "\n";
--- a/packages/daemon/daemonsettings.h
+++ b/packages/daemon/daemonsettings.h
@@ -11,6 +11,7 @@
 
 #include <admin/credentials.h>
 #include <base/inifile.h>
+#include <peer/peer.h>
 #include <requests/settings.h>
 
 #include <ostream>
@@ -42,6 +43,20 @@
     std::string keyFile;                     ///< key: PEM
 };
 
+/** [peers]: calls between the processes of this system. */
+struct PeersSection
+{
+    std::string listen = "127.0.0.1:0"; ///< ip:port; port 0 only for a process that has no peers
+    std::string advertised;             ///< ip:port that peers call; empty: the one listened on
+    std::vector<PeerKey>
+        keys; ///< ID:SECRET,ID:SECRET: the first signs, all are accepted. Rotate: {old,new} everywhere,
+              ///< then {new,old}, then {new}. Required with platform kind = http
+    std::vector<std::string> seeds;            ///< ip:port of members to try while the platform's service is away
+    Duration settle = std::chrono::seconds(3); ///< settle_ms: hear the others for so long before owning anything
+    std::int64_t claimShards
+        = 4; ///< claim_shards: idempotency keys are spread over so many owners; the same everywhere
+};
+
 /** [platform] */
 struct PlatformSection
 {
@@ -90,6 +105,7 @@
 {
     ProcessSection process;
     ListenSection listen;
+    PeersSection peers;
     PlatformSection platform;
     EmbeddedSection embedded;
     SchedulerSection scheduler;
@@ -101,7 +117,7 @@
 /** Every fault goes to @p faults; the settings may be used only where there is none. */
 DaemonSettings parseDaemonSettings(std::string_view file, std::string_view text, std::vector<SettingFault> &faults);
 
-/** The effective settings as an INI file that parses to the same; tokens are left out. */
+/** The effective settings as an INI file that parses to the same; tokens, keys and accounts are left out. */
 void printSettings(const DaemonSettings &settings, std::ostream &out);
 
 } // namespace QuetzalRock
--- a/packages/daemon/tests/e2e.sh
+++ b/packages/daemon/tests/e2e.sh
@@ -2,82 +2,20 @@
 # The whole path with real processes: the stand-in of the platform, one daemon, the operators' command, curl.
 # usage: e2e.sh BUILD_DIR
 set -u
-build="$1/packages"
-work="$(mktemp -d)"
-pids=()
-cleanup() {
-    for it in "${pids[@]}"; do kill "$it" 2>/dev/null; done
-    rm -rf "$work"
-}
-trap cleanup EXIT
-fail() {
-    echo "FAILED: $*"
-    tail -n 20 "$work"/*.log
-    exit 1
-}
-# Tries a command until it succeeds, 300 times at most.
-eventually() {
-    for _ in $(seq 300); do
-        "$@" >/dev/null 2>&1 && return 0
-        sleep 0.1
-    done
-    fail "never came true: $*"
-}
-expect() { # expect WHAT WANTED FOUND
-    [ "$2" = "$3" ] || fail "$1: wanted '$2', found '$3'"
-}
-
-"$build"/standin/quetzalrock-standin --listen 127.0.0.1:0 --domain muuga --workers 4 --service-ms 400 \
-    >"$work/standin.log" 2>&1 &
-standin=$!
-pids+=("$standin")
-eventually grep -q 'serving on port' "$work/standin.log"
-platform=127.0.0.1:$(sed -n 's/serving on port //p' "$work/standin.log")
+. "$(dirname "$0")/rig.sh" "$1"
+settle_ms=0
 
-token=$("$build"/cli/quetzalrock token --json)
-hash=$(sed -E 's/.*"hash":"([^"]*)".*/\1/' <<<"$token")
-QUETZALROCK_TOKEN=$(sed -E 's/.*"token":"([^"]*)".*/\1/' <<<"$token")
-export QUETZALROCK_TOKEN
-cat >"$work/entry.ini" <<INI
-[process]
-name = entry-1
-failure_domain = muuga
-drain_notice_ms = 200
-[listen]
-requests = 127.0.0.1:0
-admin = 127.0.0.1:0
-[platform]
-kind = http
-address = $platform
-[account.operator]
-role = operate
-token_hashes = $hash
-[class.lookup]
-tenant = coop
-path_prefix = /slots
-methods = GET
-idempotent = true
-deadline_ms = 5000
-[class.booking]
-tenant = coop
-path_prefix = /bookings
-methods = POST
-deadline_ms = 8000
-INI
+start_standin --domain muuga --workers 4 --service-ms 400
+make_token
+write_settings entry muuga
 "$build"/daemon/quetzalrockd --config "$work/entry.ini" --check || fail "settings were refused"
 printf '[process]\nname =\ncolour = red\n[listen]\nadmin = here\n' >"$work/bad.ini"
 faults=$("$build"/daemon/quetzalrockd --config "$work/bad.ini" 2>&1)
 expect "exit code of bad settings" 2 $?
 expect "faults reported at once" 3 "$(wc -l <<<"$faults")"
 
-"$build"/daemon/quetzalrockd --config "$work/entry.ini" >"$work/daemon.log" 2>&1 &
-daemon=$!
-pids+=("$daemon")
-eventually grep -q 'serves callers' "$work/daemon.log"
-requests=http://127.0.0.1:$(sed -nE 's/.*callers on port ([0-9]+).*/\1/p' "$work/daemon.log")
-admin=http://127.0.0.1:$(sed -nE 's/.*administration on port ([0-9]+).*/\1/p' "$work/daemon.log")
+start_daemon entry
 export QUETZALROCK_SERVER=$admin
-cli="$build/cli/quetzalrock"
 
 # Requests: a lookup, a booking, the same booking again, a class that is not there.
 eventually curl -sf "$requests/slots/7"
@@ -122,14 +60,14 @@
 curl -s "$admin/metrics" | grep -q 'qr_requests_total' || fail "no metrics"
 
 # The platform's service away: a submission is refused as not run, lookups go on.
-curl -s -X POST -d '{"down":true}' "http://$platform/faults" >/dev/null
+set_fault '{"down":true}'
 refused() {
     "$cli" job create coop/late --command "run 1" 2>/dev/null
     [ $? -eq 3 ]
 }
 eventually refused
 curl -sf "$requests/slots/8" >/dev/null || fail "lookup failed while the platform was away"
-curl -s -X POST -d '{"down":false}' "http://$platform/faults" >/dev/null
+set_fault '{"down":false}'
 eventually "$cli" job create coop/later --command "run 1"
 "$cli" job show coop/late 2>/dev/null
 expect "refused job" 5 $?
--- a/packages/platform/embeddedworkers.cpp
+++ b/packages/platform/embeddedworkers.cpp
@@ -88,6 +88,26 @@
     return it == m_maxRunning.end() ? 0 : it->second;
 }
 
+int EmbeddedWorkers::highestConcurrency() const
+{
+    std::lock_guard guard(m_mutex);
+    int highest = 0;
+    for (const auto &[task, n] : m_maxRunning) {
+        highest = std::max(highest, n);
+    }
+    return highest;
+}
+
+int EmbeddedWorkers::highestStartCount() const
+{
+    std::lock_guard guard(m_mutex);
+    int highest = 0;
+    for (const auto &[attempt, n] : m_starts) {
+        highest = std::max(highest, n);
+    }
+    return highest;
+}
+
 int EmbeddedWorkers::startCount(const AttemptId &attempt) const
 {
     std::lock_guard guard(m_mutex);
--- a/packages/platform/embeddedworkers.h
+++ b/packages/platform/embeddedworkers.h
@@ -31,6 +31,9 @@
     /** The most attempts of @p task that were ever seen running at the same time, on all workers together. */
     int maxConcurrentAttempts(const TaskId &task) const;
 
+    int highestConcurrency() const; ///< maxConcurrentAttempts() of the task where it is highest; 1 is right
+    int highestStartCount() const;  ///< startCount() of the attempt where it is highest; 1 is right
+
     /** How often @p attempt began to run, anywhere. */
     int startCount(const AttemptId &attempt) const;
 
--- a/packages/standin/platformserver.cpp
+++ b/packages/standin/platformserver.cpp
@@ -210,7 +210,12 @@
 Json PlatformServer::counters() const
 {
     const KeyValueCounters n = m_keyValue.counters();
-    return {{"reads", n.reads}, {"writes", n.writes}, {"bytes_read", n.bytesRead}, {"bytes_written", n.bytesWritten}};
+    return {{"reads", n.reads},
+            {"writes", n.writes},
+            {"bytes_read", n.bytesRead},
+            {"bytes_written", n.bytesWritten},
+            {"highest_concurrency", m_workers.highestConcurrency()},
+            {"highest_start_count", m_workers.highestStartCount()}};
 }
 
 void addWorkers(EmbeddedWorkers &workers, std::string_view domain, int count, const Resources &capacity)
--- a/packages/standin/platformserver.h
+++ b/packages/standin/platformserver.h
@@ -2,7 +2,7 @@
  * The platform's stand-in over HTTP: what HttpPlatform calls, with faults that a developer switches on. Not shipped.
  *
  * Index of this file
- *   PlatformServer   /kv, /lease, /vms, /workers, and POST /faults
+ *   PlatformServer   /kv, /lease, /vms, /workers, GET /counters, POST /faults
  *
  * POST /faults takes any of
  *   {"down": true}                          the key-value service takes no call
