--- a/packages/journal/journal.cpp
+++ b/packages/journal/journal.cpp
@@ -12,7 +12,8 @@
 constexpr std::uint32_t MaxSlots = 9999;   // four digits in the keys
 constexpr std::uint32_t ReservedShare = 8; // one slot in so many is kept for takeovers and the snapshot
 constexpr std::uint32_t MinReservedSlots = 3;
-constexpr std::uint32_t SnapshotSlots = 1; // the last free slot is the snapshot's alone
+constexpr std::uint32_t SnapshotSlots = 1;                      // the last free slot is the snapshot's alone
+constexpr std::size_t MaxPayloadBytes = MaxValueBytes / 10 * 9; // the rest is for headers
 constexpr int ReplayTries = 4;
 constexpr int ResolveTries = 3;
 
@@ -33,11 +34,11 @@
     if (settings.slots < MinSlots || settings.slots > MaxSlots) {
         throw InvalidArgument("slots", "journal: slots must be 8 to 9999");
     }
-    if (settings.maxBatchBytes == 0 || settings.maxBatchBytes > MaxValueBytes / 2) {
-        throw InvalidArgument("maxBatchBytes", "journal: must be 1 to 500000");
+    if (settings.maxBatchBytes == 0 || settings.maxBatchBytes > MaxPayloadBytes) {
+        throw InvalidArgument("maxBatchBytes", "journal: maxBatchBytes must be 1 to 900000");
     }
-    if (settings.chunkBytes == 0 || settings.chunkBytes > MaxValueBytes / 2) {
-        throw InvalidArgument("chunkBytes", "journal: must be 1 to 500000");
+    if (settings.chunkBytes == 0 || settings.chunkBytes > MaxPayloadBytes) {
+        throw InvalidArgument("chunkBytes", "journal: chunkBytes must be 1 to 900000");
     }
 }
 
--- a/packages/journal/journal.h
+++ b/packages/journal/journal.h
@@ -44,10 +44,10 @@
     /** Of the ring, 8 to 9999, default 512. More: rarer snapshots, longer replay, more keys. */
     std::uint32_t slots = 512;
 
-    /** Sum of the record sizes of one append, default 256 KiB. At most half of MaxValueBytes. */
+    /** Sum of the record sizes of one append, default 256 KiB, at most 900,000. */
     std::size_t maxBatchBytes = 256 * 1024;
 
-    /** Of a snapshot in one key, default 512 KiB. At most half of MaxValueBytes. */
+    /** Of a snapshot in one key, default 512 KiB, at most 900,000. */
     std::size_t chunkBytes = 512 * 1024;
 };
 
--- a/packages/journal/tests/journaltest.cpp
+++ b/packages/journal/tests/journaltest.cpp
@@ -265,6 +265,21 @@
     EXPECT_THROW(fillTo(c, 32), LogFull);
 }
 
+TEST_F(JournalTest, worksWithItsDefaults)
+{
+    JournalSettings defaults;
+    defaults.name = "muuga";
+    defaults.writer = "a";
+    Journal journal(store, defaults);
+    journal.takeOver();
+    const std::string batch(journal.maxBatchBytes(), 'x');
+    append(journal, batch);
+    EXPECT_THROW(append(journal, batch + "x"), InvalidArgument);
+    const std::string state(3 * defaults.chunkBytes, 's');
+    journal.snapshot(state);
+    EXPECT_EQ(journal.read().snapshot, state);
+}
+
 TEST_F(JournalTest, checksItsSettings)
 {
     JournalSettings settings = settingsFor("a");
