--- /dev/null
+++ b/bench/journal.cmake
@@ -0,0 +1,1 @@
+qr_bench(NAME benchjournal SOURCES journal.cpp LIBS qr_journal)
