--- a/packages/journal/journal.h
+++ b/packages/journal/journal.h
@@ -44,11 +44,11 @@
     /** Of the ring, 8 to 9999, default 512. More: rarer snapshots, longer replay, more keys. */
     std::uint32_t slots = 512;
 
-    /** Sum of the record sizes of one append, default 256 KiB. At most half of MaxValueBytes. */
+    /** Sum of the record sizes of one append, default 256 KiB, at most 900,000. */
     std::size_t maxBatchBytes = 256 * 1024;
 
-    /** Of a snapshot in one key, default 500,000. At most half of MaxValueBytes. */
-    std::size_t chunkBytes = 500'000;
+    /** Of a snapshot in one key, default 512 KiB, at most 900,000. */
+    std::size_t chunkBytes = 512 * 1024;
 };
 
 /** Since the construction. Calls count whether they took effect or not. */
