Prove the request path by faults and mend what the tests found

Found and mended: the newcomers' slow start applied to all but one instance of the first list; connections were closed after each answer on both sides, because Pistache closes without "Connection: keep-alive"; headers of our own answers were not written; the forecast of a queue's wait ignored higher classes yet to arrive.

--- a/packages/requests/admission.cpp
+++ b/packages/requests/admission.cpp
@@ -10,11 +10,15 @@
 
 using namespace std::chrono_literals;
 
-constexpr double MaxQueueShare = 0.5; ///< of its deadline a request may spend in the queue: the rest covers surprises
-constexpr double WaitWeight = 0.05;   ///< of the newest queue wait in the moving average
-constexpr double PressedWaitShare = 0.35; ///< brown-out grows where a class waits for more of its deadline than this
-constexpr double PressedShedShare = 0.05; ///< or where more of its arrivals than this are refused for the deadline
-constexpr int CalmIntervals = 10;         ///< without pressure, before one class is let in again
+constexpr double AdmitWaitShare = 0.4;     ///< of its deadline a request may be expected to wait when it is let in
+constexpr double ShedWaitShare = 0.5;      ///< and when it has been let in: between the two the forecast may err
+constexpr double LoadWeight = 0.3;         ///< of the newest interval in the moving average of a class's load
+constexpr double MinPopRate = 0.1;         ///< requests/s; a starved class is still forecast
+constexpr double MinRemainingShare = 0.02; ///< of the slots that higher classes are taken to leave
+constexpr double WaitWeight = 0.05;        ///< of the newest queue wait in the moving average
+constexpr double PressedWaitShare = 0.35;  ///< brown-out grows where a class waits for more of its deadline than this
+constexpr double PressedShedShare = 0.05;  ///< or where more of its arrivals than this are refused for the deadline
+constexpr int CalmIntervals = 10;          ///< without pressure, before one class is let in again
 constexpr double ShrinkFactor = 0.9;
 constexpr Duration ShrinkInterval = 100ms; ///< a tenant's limit shrinks at most once in this time
 constexpr double LateShare = 0.6;          ///< of the deadline: an answer that took longer counts as late
@@ -29,9 +33,9 @@
     return missed || (now - ticket.enqueuedAt) + wait > allowed;
 }
 
-Duration allowedWait(const RequestClass &it)
+Duration allowedWait(const RequestClass &it, double share)
 {
-    return std::chrono::duration_cast<Duration>(it.deadline * MaxQueueShare);
+    return std::chrono::duration_cast<Duration>(it.deadline * share);
 }
 
 } // namespace
@@ -134,7 +138,7 @@
     return true;
 }
 
-Duration Admission::waitFor(std::size_t ahead, const Throughput &throughput) const
+Duration Admission::waitFor(std::size_t classIndex, std::size_t ahead, const Throughput &throughput) const
 {
     if (throughput.capacity <= 0) {
         return NoInstanceWait;
@@ -143,8 +147,28 @@
     if (before <= 0) {
         return {};
     }
-    const double turns = before / std::max(1, throughput.capacity);
-    return std::chrono::duration_cast<Duration>(throughput.meanService * turns);
+    // Higher classes that have yet to arrive will overtake: only what they leave works off this queue.
+    const double share = std::max(MinRemainingShare, 1 - loadAbove(m_settings.classes[classIndex].priority));
+    const double turns = before / (std::max(1, throughput.capacity) * share);
+    const auto forecast = std::chrono::duration_cast<Duration>(throughput.meanService * turns);
+    const double rate = m_classes[classIndex].popRate;
+    if (rate <= 0) {
+        return forecast;
+    }
+    const auto measured = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(before / rate));
+    return std::max(forecast, std::min(measured, NoInstanceWait));
+}
+
+double Admission::loadAbove(int priority) const
+{
+    double sum = 0;
+    for (const std::size_t it : m_byPriority) {
+        if (m_settings.classes[it].priority <= priority) {
+            break;
+        }
+        sum += m_classes[it].load;
+    }
+    return sum;
 }
 
 std::size_t Admission::queuedAbove(int priority) const
@@ -186,8 +210,8 @@
     const std::size_t ownQueued = own == state.tenants.end() ? 0 : own->second.waiting.size();
     const std::size_t turns = (ownQueued + 1) * (activeTenants(state) + (ownQueued == 0 ? 1 : 0)) - 1;
     const std::size_t ahead = queuedAbove(requestClass.priority) + std::min(state.queued, turns);
-    const Duration wait = waitFor(ahead, throughput);
-    if (wouldBeLate(ticket, wait, expected, allowedWait(requestClass), now)) {
+    const Duration wait = waitFor(ticket.classIndex, ahead, throughput);
+    if (wouldBeLate(ticket, wait, expected, allowedWait(requestClass, AdmitWaitShare), now)) {
         ++state.lateSheds;
         return Refusal{RefusalReason::Deadline, std::max(MinRetryAfter, wait)};
     }
@@ -197,6 +221,7 @@
         return Refusal{RefusalReason::TenantRate, refill};
     }
     ++tenant.open;
+    state.work += expected;
     return std::nullopt;
 }
 
@@ -232,7 +257,7 @@
     TenantIndex tenant = 0;
     TenantQueue *longest = longestQueue(state, tenant);
     const auto last = std::prev(longest->waiting.end());
-    const Shed shed{last->second.id, {RefusalReason::QueueFull, waitFor(state.queued, throughput)}};
+    const Shed shed{last->second.id, {RefusalReason::QueueFull, waitFor(ticket.classIndex, state.queued, throughput)}};
     longest->waiting.erase(last);
     --state.queued;
     --m_queued;
@@ -258,6 +283,7 @@
         next->virtualTime += 1;
         --state.queued;
         --m_queued;
+        ++state.pops;
         noteWait(state, now - ticket.enqueuedAt, m_settings.classes[classIndex].deadline);
         return ticket;
     }
@@ -297,12 +323,12 @@
 {
     ClassState &state = m_classes[classIndex];
     const std::size_t active = activeTenants(state);
-    const Duration allowed = allowedWait(m_settings.classes[classIndex]);
+    const Duration allowed = allowedWait(m_settings.classes[classIndex], ShedWaitShare);
     for (auto &[tenant, queue] : state.tenants) {
         std::size_t kept = 0;
         for (auto it = queue.waiting.begin(); it != queue.waiting.end();) {
             const std::size_t before = ahead + std::min(state.queued - 1, kept * active);
-            const Duration wait = waitFor(before, throughput);
+            const Duration wait = waitFor(classIndex, before, throughput);
             if (!wouldBeLate(it->second, wait, expected, allowed, now)) {
                 ++kept;
                 ++it;
@@ -354,9 +380,26 @@
     return false;
 }
 
-void Admission::tick(TimePoint now)
+void Admission::measure(ClassState &state, Duration interval, int capacity) const
+{
+    const double offered = static_cast<double>(state.work.count()) / static_cast<double>(interval.count());
+    state.load += LoadWeight * (offered / std::max(1, capacity) - state.load);
+    state.work = {};
+    const bool hasBacklog = state.queued > 0;
+    if (state.hadBacklog && hasBacklog) {
+        const double rate = std::max(MinPopRate, state.pops / std::chrono::duration<double>(interval).count());
+        state.popRate = state.popRate <= 0 ? rate : state.popRate + LoadWeight * (rate - state.popRate);
+    } else {
+        state.popRate = 0;
+    }
+    state.hadBacklog = hasBacklog;
+    state.pops = 0;
+}
+
+void Admission::tick(const Throughput &throughput, TimePoint now)
 {
-    if (now - m_tickedAt < m_settings.pressureInterval) {
+    const Duration interval = now - m_tickedAt;
+    if (interval < m_settings.pressureInterval) {
         return;
     }
     m_tickedAt = now;
@@ -369,6 +412,7 @@
         --m_brownedOut;
     }
     for (ClassState &it : m_classes) {
+        measure(it, interval, throughput.capacity);
         it.lateSheds = 0;
         it.arrivals = 0;
         it.waitShare *= it.queued == 0 ? 0.5 : 1;
--- a/packages/requests/admission.h
+++ b/packages/requests/admission.h
@@ -103,7 +103,8 @@
     /** An admitted request is over. @p total: from arrival to answer; @p good: answered in time. */
     void onDone(std::size_t classIndex, TenantIndex tenant, Duration total, bool good, TimePoint now);
 
-    void tick(TimePoint now); ///< moves brown-out; call at least each RequestSettings::pressureInterval
+    /** Measures load and moves brown-out; call at least each RequestSettings::pressureInterval. */
+    void tick(const Throughput &throughput, TimePoint now);
 
     std::size_t queued() const;
     int brownedOutClasses() const;
@@ -120,9 +121,14 @@
         std::map<TenantIndex, TenantQueue> tenants; ///< those with waiting requests, and for a while after
         std::size_t queued = 0;
         double virtualNow = 0;
-        double waitShare = 0; ///< moving average of queue wait over deadline
-        int lateSheds = 0;    ///< refusals for the deadline in this interval
-        int arrivals = 0;     ///< in this interval
+        double waitShare = 0;    ///< moving average of queue wait over deadline
+        double load = 0;         ///< share of all slots that what is let in needs, moving average
+        double popRate = 0;      ///< requests/s that left the queue while others waited, moving average; 0: not known
+        int pops = 0;            ///< in this interval
+        bool hadBacklog = false; ///< at the beginning of this interval
+        Duration work{};         ///< upstream time of what was let in, in this interval
+        int lateSheds = 0;       ///< refusals for the deadline in this interval
+        int arrivals = 0;        ///< in this interval
     };
     struct Tenant
     {
@@ -135,8 +141,10 @@
 
     Tenant &tenantAt(TenantIndex index);
     bool takeRateToken(Tenant &tenant, std::size_t classIndex, TimePoint now) const;
-    Duration waitFor(std::size_t ahead, const Throughput &throughput) const;
+    Duration waitFor(std::size_t classIndex, std::size_t ahead, const Throughput &throughput) const;
     std::size_t queuedAbove(int priority) const;
+    double loadAbove(int priority) const;
+    void measure(ClassState &state, Duration interval, int capacity) const;
     static std::size_t activeTenants(const ClassState &state);
     static TenantQueue *longestQueue(ClassState &state, TenantIndex &tenant);
     void shedClass(std::size_t classIndex,
--- a/packages/requests/balancer.cpp
+++ b/packages/requests/balancer.cpp
@@ -46,8 +46,9 @@
     for (Instance &it : m_instances) {
         it.present = false;
     }
+    const TimePoint slowStartFrom = m_byName.empty() ? TimePoint{} : now; // nobody is a newcomer in the first list
     for (const UpstreamInstance &spec : instances) {
-        Instance &it = m_instances[findOrAdd(spec.name, now)];
+        Instance &it = m_instances[findOrAdd(spec.name, slowStartFrom)];
         it.spec = spec;
         it.present = true;
     }
@@ -55,7 +56,7 @@
     rebuildPools();
 }
 
-InstanceId Balancer::findOrAdd(const std::string &name, TimePoint now)
+InstanceId Balancer::findOrAdd(const std::string &name, TimePoint slowStartFrom)
 {
     const auto known = m_byName.find(name);
     if (known != m_byName.end()) {
@@ -70,8 +71,8 @@
     const int slots = m_settings.slotsPerInstance;
     const int share = (slots + m_settings.entryMembers - 1) / m_settings.entryMembers;
     it->limit = m_settings.policy == InstancePolicy::SlotShares ? share : slots;
-    it->slowStartFrom = m_byName.empty() ? TimePoint{} : now; // the first list is not a newcomer among others
-    it->sampledAt = now;
+    it->slowStartFrom = slowStartFrom;
+    it->sampledAt = slowStartFrom;
     const auto id = static_cast<InstanceId>(it - m_instances.begin());
     m_byName.emplace(name, id);
     return id;
--- a/packages/requests/balancer.h
+++ b/packages/requests/balancer.h
@@ -100,7 +100,7 @@
     double score(const Instance &it, TimePoint now) const;
     std::optional<InstanceId> draw(const Pool &pool, std::span<const InstanceId> tried, TimePoint now);
     std::optional<InstanceId> bestOfTwo(const Pool &pool, std::span<const InstanceId> tried, TimePoint now);
-    InstanceId findOrAdd(const std::string &name, TimePoint now);
+    InstanceId findOrAdd(const std::string &name, TimePoint slowStartFrom);
     void rebuildPools();
     void adaptLimit(Instance &it, TimePoint now);
     void ejectIfAllowed(Instance &it, TimePoint now);
--- a/packages/requests/curltransport.cpp
+++ b/packages/requests/curltransport.cpp
@@ -192,6 +192,8 @@
     line += ": " + std::to_string(std::max<std::int64_t>(1, leftMs));
     transfer.headers = curl_slist_append(transfer.headers, line.c_str());
     transfer.headers = curl_slist_append(transfer.headers, "Expect:");
+    // Implied by HTTP/1.1, yet some servers close without it, Pistache among them.
+    transfer.headers = curl_slist_append(transfer.headers, "Connection: keep-alive");
     curl_easy_setopt(transfer.easy, CURLOPT_HTTPHEADER, transfer.headers);
 }
 
--- a/packages/requests/dispatcher.cpp
+++ b/packages/requests/dispatcher.cpp
@@ -38,6 +38,14 @@
     return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+/** The upstream's own failure, passed on whole. */
+CallerResponse asFailed(CallerResponse response)
+{
+    response.outcome = RequestOutcome::Failed;
+    response.headers.push_back({std::string(OutcomeHeader), std::string(outcomeName(RequestOutcome::Failed))});
+    return response;
+}
+
 CallerResponse alreadyRan()
 {
     CallerResponse response;
@@ -351,8 +359,8 @@
         m_budget.earn();
         learnTime(it.classIndex, now - from.startedAt, now);
     }
-    result.response.outcome = isGood ? RequestOutcome::Answered : RequestOutcome::Failed;
-    finish(it, std::move(result.response), now);
+    CallerResponse response = std::move(result.response);
+    finish(it, isGood ? std::move(response) : asFailed(std::move(response)), now);
 }
 
 bool Dispatcher::mayTryAgain(const OpenRequest &it, TimePoint now) const
@@ -376,10 +384,8 @@
         }
         ++m_counters.budgetEmpty;
     }
-    if (result.status == ExchangeStatus::Answered) { // the upstream's own failure, whole
-        CallerResponse response = result.response;
-        response.outcome = RequestOutcome::Failed;
-        finish(it, std::move(response), now);
+    if (result.status == ExchangeStatus::Answered) {
+        finish(it, asFailed(result.response), now);
         return;
     }
     giveUp(it, "no instance answered", now);
@@ -564,7 +570,7 @@
         m_balancer.tick(now);
         forgetOldTimes(now);
     }
-    m_admission.tick(now);
+    m_admission.tick(throughput(), now);
     dispatchQueued(now);
     updateGauges();
 }
--- a/packages/requests/httpfront.cpp
+++ b/packages/requests/httpfront.cpp
@@ -33,6 +33,7 @@
     {
         CallerRequest request;
         Pistache::Http::ResponseWriter writer;
+        bool keepAlive = true; ///< the caller did not ask for the end of the connection
     };
 
     std::mutex mutex; ///< guards all below
@@ -80,6 +81,7 @@
     StatePtr state;
     ConnectionPtr connection;
     Pistache::Http::ResponseWriter writer;
+    bool keepAlive = true;
 };
 
 void markSent(const StatePtr &state, CallerConnection &connection)
@@ -156,6 +158,10 @@
     connection.unsentSince = call.state->clock.now();
     call.state->unsentBytes += connection.unsent;
     addHeaders(call.writer, response);
+    if (call.keepAlive) { // the library says "close" to callers that rely on the default of HTTP/1.1
+        call.writer.headers().remove<Pistache::Http::Header::Connection>();
+        call.writer.headers().add<Pistache::Http::Header::Connection>(Pistache::Http::ConnectionControl::KeepAlive);
+    }
     return call.writer.send(static_cast<Pistache::Http::Code>(response.status), response.body);
 }
 
@@ -211,7 +217,7 @@
 void begin(const StatePtr &state, const ConnectionPtr &connection, CallerConnection::Waiting waiting)
 {
     ++state->inWork;
-    auto call = std::make_shared<Call>(Call{state, connection, std::move(waiting.writer)});
+    auto call = std::make_shared<Call>(Call{state, connection, std::move(waiting.writer), waiting.keepAlive});
     CallerRequest &request = waiting.request;
     const std::string path = request.target.substr(0, request.target.find('?'));
     const auto route = state->routes.find({request.method, path});
@@ -274,7 +280,7 @@
         if (!connection) {
             return;
         }
-        CallerConnection::Waiting waiting{translate(request), std::move(writer)};
+        CallerConnection::Waiting waiting{translate(request), std::move(writer), wantsKeepAlive(request)};
         const auto fault = findFault(request, waiting.request);
         std::unique_lock lock(connection->mutex);
         if (connection->busy) {
@@ -289,7 +295,7 @@
         lock.unlock();
         if (fault) {
             ++m_state->inWork;
-            Call call{m_state, connection, std::move(waiting.writer)};
+            Call call{m_state, connection, std::move(waiting.writer), waiting.keepAlive};
             answer(call, *fault);
             return;
         }
@@ -302,6 +308,13 @@
         return std::static_pointer_cast<CallerConnection>(peer.tryGetData(ConnectionData));
     }
 
+    static bool wantsKeepAlive(const Pistache::Http::Request &request)
+    {
+        const auto raw = request.headers().tryGetRaw("Connection");
+        const bool isDefault = request.version() == Pistache::Http::Version::Http11;
+        return raw ? !equalsIgnoringCase(raw->value(), "close") : isDefault;
+    }
+
     static CallerRequest translate(const Pistache::Http::Request &request)
     {
         CallerRequest it;
--- a/packages/requests/requestpath.cpp
+++ b/packages/requests/requestpath.cpp
@@ -5,7 +5,8 @@
 
 #include <cassert>
 #include <thread>
-#include <variant>
+
+#include <pthread.h>
 
 namespace QuetzalRock {
 
@@ -98,6 +99,7 @@
 
     void run()
     {
+        pthread_setname_np(pthread_self(), "path");
         std::vector<ExchangeResult> results;
         while (!ended) {
             takeInputs();
--- /dev/null
+++ b/packages/requests/tests/faulttest.cpp
@@ -0,0 +1,476 @@
+/** Faults over real sockets: what callers are told, and how often upstreams ran it. */
+#include "pathrig.h"
+
+#include <gtest/gtest.h>
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+#include <set>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace QuetzalRock;
+using namespace QuetzalRock::Test;
+
+namespace {
+
+bool isNotRun(const HttpReply &reply)
+{
+    return reply.hasHead("Quetzalrock-Outcome: not_run");
+}
+
+bool isUnknown(const HttpReply &reply)
+{
+    return reply.status == 504 && reply.hasHead("Quetzalrock-Outcome: outcome_unknown");
+}
+
+HttpReply bookWithin(PathRig &rig, const std::string &id, int milliseconds, const std::string &key = {})
+{
+    std::vector<std::string> headers{"Booking-Id: " + id, "Quetzalrock-Deadline-Ms: " + std::to_string(milliseconds)};
+    if (!key.empty()) {
+        headers.push_back("Idempotency-Key: " + key);
+    }
+    return HttpCaller(rig.front.port()).call({"POST", "/book", headers, "hold"});
+}
+
+/** A plain TCP caller, for what an HTTP library would not do. */
+class RawCaller
+{
+public:
+    explicit RawCaller(std::uint16_t port, int receiveBuffer = 0)
+        : m_fd(::socket(AF_INET, SOCK_STREAM, 0))
+    {
+        if (receiveBuffer > 0) {
+            setsockopt(m_fd, SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof receiveBuffer);
+        }
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(port);
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        EXPECT_EQ(::connect(m_fd, reinterpret_cast<const sockaddr *>(&address), sizeof address), 0);
+    }
+
+    ~RawCaller()
+    {
+        ::close(m_fd);
+    }
+
+    RawCaller(const RawCaller &) = delete;
+    RawCaller &operator=(const RawCaller &) = delete;
+
+    void send(const std::string &text) const
+    {
+        std::size_t sent = 0;
+        while (sent < text.size()) {
+            const ssize_t n = ::send(m_fd, text.data() + sent, text.size() - sent, MSG_NOSIGNAL);
+            ASSERT_GT(n, 0);
+            sent += static_cast<std::size_t>(n);
+        }
+    }
+
+    /** Reads until @p text has been seen or the connection has ended. */
+    std::string readUntil(const std::string &text) const
+    {
+        std::string all;
+        char buf[4096];
+        while (all.find(text) == std::string::npos) {
+            const ssize_t n = ::recv(m_fd, buf, sizeof buf, 0);
+            if (n <= 0) {
+                break;
+            }
+            all.append(buf, static_cast<std::size_t>(n));
+        }
+        return all;
+    }
+
+private:
+    int m_fd;
+};
+
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// One fault at a time
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(Faults, ReusedConnectionThatClosesUnansweredIsNotSentTwice)
+{
+    PathRig rig(1);
+    ASSERT_EQ(rig.book("warm").status, 200); // leaves a proven connection behind
+    rig.setFaults(UpstreamFault::CloseUnanswered);
+    EXPECT_TRUE(isUnknown(rig.book("b1")));
+    EXPECT_EQ(rig.ledger.count("b1"), 1);
+    EXPECT_EQ(rig.path.transportCounters().resendsPrevented, 1U);
+}
+
+TEST(Faults, AnswerCutShortIsNeverPassedOn)
+{
+    PathRig rig(2);
+    for (const auto fault :
+         {UpstreamFault::CloseMidway, UpstreamFault::CloseMidwayChunk, UpstreamFault::CloseUnsized}) {
+        const std::string id = "b" + std::to_string(static_cast<int>(fault));
+        rig.setFaults(fault);
+        EXPECT_TRUE(isUnknown(rig.book(id)));
+        EXPECT_EQ(rig.ledger.count(id), 1);
+        const HttpReply lookup = rig.lookup("l" + id);
+        EXPECT_EQ(lookup.status, 502);
+        EXPECT_TRUE(lookup.hasHead("Quetzalrock-Outcome: failed"));
+    }
+}
+
+TEST(Faults, LookupIsTriedElsewhereAndBookingIsNot)
+{
+    PathRig rig(2);
+    rig.upstreams[0]->setFault(UpstreamFault::CloseMidway);
+    std::set<int> statuses;
+    for (int i = 0; i < 12; ++i) {
+        EXPECT_EQ(rig.lookup("l" + std::to_string(i)).status, 200);
+    }
+    for (int i = 0; i < 12; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        statuses.insert(rig.book(id).status);
+        EXPECT_EQ(rig.ledger.count(id), 1);
+    }
+    EXPECT_LE(statuses.size(), 2U);
+    EXPECT_TRUE(statuses.contains(200));
+}
+
+TEST(Faults, UpstreamsOwnErrorIsPassedOnWhole)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Error);
+    const HttpReply reply = rig.book("b1", "k1");
+    EXPECT_EQ(reply.status, 500);
+    EXPECT_EQ(reply.body, "error b1 /book hold");
+    EXPECT_TRUE(reply.hasHead("Quetzalrock-Outcome: failed"));
+    rig.setFaults(UpstreamFault::None);
+    EXPECT_EQ(rig.book("b1", "k1").status, 500) << "the first answer, not a second run";
+    EXPECT_EQ(rig.ledger.count("b1"), 1);
+}
+
+TEST(Faults, SilentInstance)
+{
+    PathRig rig(2);
+    rig.upstreams[0]->setFault(UpstreamFault::Silent);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(rig.lookup("l" + std::to_string(i)).status, 200) << "hedged";
+    }
+    rig.setFaults(UpstreamFault::Silent);
+    EXPECT_TRUE(isUnknown(bookWithin(rig, "b1", 100, "k1")));
+    rig.setFaults(UpstreamFault::None);
+    EXPECT_TRUE(isUnknown(rig.book("b1", "k1"))) << "never a second run under the same key";
+    EXPECT_EQ(rig.ledger.count("b1"), 1);
+}
+
+TEST(Faults, LateAnswersOutOfOrderReachTheirOwnCallers)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Hold);
+    std::vector<std::future<HttpReply>> replies;
+    replies.reserve(8);
+    for (int i = 0; i < 8; ++i) {
+        replies.push_back(std::async(std::launch::async, [&rig, i] { return rig.book("b" + std::to_string(i)); }));
+    }
+    ASSERT_TRUE(eventually([&] { return rig.upstreams[0]->held() == 8; }));
+    rig.upstreams[0]->releaseHeld();
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(replies[static_cast<std::size_t>(i)].get().body, "b" + std::to_string(i) + " /book hold");
+    }
+}
+
+TEST(Faults, AnswerAfterTheDeadlineReachesNobodyElse)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Hold);
+    EXPECT_TRUE(isUnknown(bookWithin(rig, "late", 100)));
+    rig.setFaults(UpstreamFault::None);
+    rig.upstreams[0]->releaseHeld();
+    EXPECT_EQ(rig.book("next").body, "next /book hold");
+    EXPECT_EQ(rig.ledger.count("late"), 1);
+}
+
+TEST(Faults, AllInstancesOfTheOwnFailureDomainGone)
+{
+    PathRig rig(2);
+    std::vector<UpstreamInstance> list = rig.instances();
+    list[1].failureDomain = "paldiski";
+    rig.upstreams[0].reset(); // refuses connections from here on
+    rig.path.setUpstreams(list);
+    for (int i = 0; i < 10; ++i) {
+        const std::string id = "b" + std::to_string(i);
+        EXPECT_EQ(rig.book(id, id).status, 200) << "no byte had left, so it was tried elsewhere";
+        EXPECT_EQ(rig.ledger.count(id), 1);
+    }
+    rig.upstreams.erase(rig.upstreams.begin());
+}
+
+TEST(Faults, ClaimLogAway)
+{
+    PathRig rig(1);
+    rig.log.down = true;
+    EXPECT_TRUE(isNotRun(rig.book("keyed", "k1")));
+    EXPECT_EQ(rig.ledger.count("keyed"), 0);
+    EXPECT_EQ(rig.lookup("l").status, 200);
+    EXPECT_EQ(rig.book("unkeyed").status, 200);
+    rig.log.down = false;
+    EXPECT_TRUE(eventually([&] { return rig.book("keyed", "k1").status == 200; }));
+    EXPECT_EQ(rig.ledger.count("keyed"), 1);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Keys
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(Keys, RepeatWaitsForTheFirstAnswer)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Hold);
+    auto first = std::async(std::launch::async, [&] { return rig.book("b1", "k1"); });
+    ASSERT_TRUE(eventually([&] { return rig.upstreams[0]->held() == 1; }));
+    auto second = std::async(std::launch::async, [&] { return rig.book("b1", "k1"); });
+    ASSERT_TRUE(eventually([&] { return rig.claims.counters().repeats == 1; }));
+    rig.upstreams[0]->releaseHeld();
+    EXPECT_EQ(first.get().body, "b1 /book hold");
+    const HttpReply repeat = second.get();
+    EXPECT_EQ(repeat.body, "b1 /book hold");
+    EXPECT_TRUE(repeat.hasHead("Idempotency-Replayed: true"));
+    EXPECT_EQ(rig.book("b1", "k1", "other hold").status, 422);
+    EXPECT_EQ(rig.ledger.count("b1"), 1);
+}
+
+TEST(Keys, AfterATakeoverAnUnfinishedRunIsUnknown)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Hold);
+    auto first = std::async(std::launch::async, [&] { return rig.book("b1", "k1"); });
+    ASSERT_TRUE(eventually([&] { return rig.upstreams[0]->held() == 1; }));
+    FakeLog log(rig.store);
+    LocalClaims claims(rig.settings, rig.clock, log);
+    RequestPath path(rig.settings, rig.clock, &claims, nullptr);
+    HttpFront front(rig.settings, rig.clock, path);
+    claims.start();
+    path.start();
+    path.setUpstreams(rig.instances());
+    front.start();
+    ASSERT_TRUE(eventually([&] { return claims.isOwner(); }));
+    const HttpCall call{"POST", "/book", {"Booking-Id: b1", "Idempotency-Key: k1"}, "hold"};
+    EXPECT_TRUE(isUnknown(HttpCaller(front.port()).call(call)));
+    rig.setFaults(UpstreamFault::None);
+    rig.upstreams[0]->releaseHeld();
+    EXPECT_EQ(first.get().status, 200);
+    EXPECT_EQ(rig.ledger.count("b1"), 1);
+    front.stop();
+    path.stop();
+    claims.stop();
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Connections and callers
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(Connections, BookingTakesOnlyAProvenOne)
+{
+    RequestSettings settings = pathSettings();
+    settings.provenWindow = 0s;
+    PathRig rig(1, settings);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(rig.book("b" + std::to_string(i)).status, 200);
+    }
+    EXPECT_EQ(rig.upstreams[0]->connections(), 5U);
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(rig.lookup("l" + std::to_string(i)).status, 200);
+    }
+    EXPECT_EQ(rig.upstreams[0]->connections(), 5U) << "a lookup may use any";
+}
+
+TEST(Connections, LeavingInstanceGetsNothingNew)
+{
+    PathRig rig(2);
+    std::vector<UpstreamInstance> list = rig.instances();
+    list[0].leaving = true;
+    rig.path.setUpstreams(list);
+    for (int i = 0; i < 20; ++i) {
+        EXPECT_EQ(rig.lookup("l" + std::to_string(i)).status, 200);
+    }
+    EXPECT_EQ(rig.upstreams[0]->requests(), 0U);
+}
+
+TEST(Callers, LimitsOfHeadersAndBody)
+{
+    RequestSettings settings = pathSettings();
+    settings.maxHeaderBytes = 2000;
+    settings.maxBodyBytes = 5000;
+    PathRig rig(1, settings);
+    const HttpCall longHeader{"GET", "/lookup/a", {"X-Long: " + std::string(3000, 'x')}, ""};
+    EXPECT_EQ(HttpCaller(rig.front.port()).call(longHeader).status, 431);
+    EXPECT_EQ(rig.book("b1", "", std::string(5500, 'x')).status, 413);
+    EXPECT_EQ(rig.book("b2", "", std::string(50000, 'x')).status, 413);
+    EXPECT_EQ(rig.upstreams[0]->requests(), 0U);
+}
+
+TEST(Callers, ConnectionIsKept)
+{
+    PathRig rig(1);
+    HttpCaller caller(rig.front.port());
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_EQ(caller.call({"GET", "/lookup/a", {}, ""}).status, 200);
+    }
+    EXPECT_EQ(rig.front.counters().connections, 1U);
+    EXPECT_EQ(caller.connects(), 1);
+}
+
+TEST(Callers, AnswersKeepTheOrderOfRequestsOnAConnection)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Hold);
+    const RawCaller caller(rig.front.port());
+    caller.send("GET /lookup/first HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(eventually([&] { return rig.upstreams[0]->held() == 1; }));
+    caller.send("GET /lookup/second HTTP/1.1\r\nHost: x\r\n\r\n");
+    rig.setFaults(UpstreamFault::None);
+    EXPECT_EQ(rig.lookup("meanwhile").status, 200);
+    rig.upstreams[0]->releaseHeld();
+    const std::string all = caller.readUntil("/lookup/second");
+    EXPECT_NE(all.find("/lookup/second"), std::string::npos);
+    EXPECT_LT(all.find("/lookup/first"), all.find("/lookup/second"));
+}
+
+TEST(Callers, SlowReadersAreBoundedInMemory)
+{
+    RequestSettings settings = pathSettings();
+    settings.maxUnsentBytes = 1000;
+    PathRig rig(1, settings);
+    const std::string body(900'000, 'x');
+    {
+        const RawCaller slow(rig.front.port(), 4096);
+        slow.send("POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n"
+                  + body);
+        ASSERT_TRUE(eventually([&] { return rig.front.counters().unsentBytes > 1000; }));
+        EXPECT_TRUE(isNotRun(rig.lookup("l")));
+    }
+    EXPECT_TRUE(eventually([&] { return rig.front.counters().unsentBytes == 0; }));
+    EXPECT_EQ(rig.lookup("l").status, 200);
+}
+
+TEST(Drain, CutsOffNothingInFlight)
+{
+    PathRig rig(1);
+    rig.setFaults(UpstreamFault::Hold);
+    auto inFlight = std::async(std::launch::async, [&] { return rig.book("b1", "k1"); });
+    ASSERT_TRUE(eventually([&] { return rig.upstreams[0]->held() == 1; }));
+    rig.path.beginDrain();
+    EXPECT_TRUE(isNotRun(rig.book("b2")));
+    EXPECT_FALSE(rig.path.drained());
+    rig.upstreams[0]->releaseHeld();
+    EXPECT_EQ(inFlight.get().body, "b1 /book hold");
+    EXPECT_TRUE(eventually([&] { return rig.path.drained() && rig.front.unanswered() == 0; }));
+    EXPECT_EQ(rig.ledger.count("b2"), 0);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Two faults at once
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+struct FaultPair
+{
+    const char *name;
+    std::function<void(PathRig &)> begin;
+};
+
+void breakOwnDomain(PathRig &rig)
+{
+    std::vector<UpstreamInstance> list = rig.instances();
+    list[1].failureDomain = "paldiski";
+    list[2].failureDomain = "paldiski";
+    list[0].address = "127.0.0.1:1"; // nobody listens
+    rig.path.setUpstreams(list);
+}
+
+const FaultPair FaultPairs[] = {
+    {"CutShortAndClaimAnswersLost",
+     [](PathRig &rig) {
+         rig.setFaults(UpstreamFault::CloseMidway, 3);
+         rig.log.loseAnswers = 20;
+     }},
+    {"ClosedUnansweredAndClaimWritesLost",
+     [](PathRig &rig) {
+         rig.setFaults(UpstreamFault::CloseUnanswered, 2);
+         rig.log.loseWrites = 20;
+     }},
+    {"OwnDomainGoneAndErrors",
+     [](PathRig &rig) {
+         breakOwnDomain(rig);
+         rig.setFaults(UpstreamFault::Error, 2);
+     }},
+    {"OwnDomainGoneAndSilence",
+     [](PathRig &rig) {
+         breakOwnDomain(rig);
+         rig.setFaults(UpstreamFault::Silent, 4);
+     }},
+    {"ClaimLogAwayAndCutShort",
+     [](PathRig &rig) {
+         rig.log.down = true;
+         rig.setFaults(UpstreamFault::CloseMidwayChunk, 2);
+     }},
+    {"RefusalsAndClaimAnswersLost",
+     [](PathRig &rig) {
+         rig.setFaults(UpstreamFault::Refuse, 2);
+         rig.log.loseAnswers = 10;
+     }},
+};
+
+/** Books from several callers, each id up to three times under its key; every reply must agree with the ledger. */
+void bookAndCompare(PathRig &rig, int caller)
+{
+    for (int i = 0; i < 20; ++i) {
+        const std::string id = "c" + std::to_string(caller) + "-" + std::to_string(i);
+        bool everUnknown = false;
+        bool everAnswered = false;
+        for (int attempt = 0; attempt < 3 && !everAnswered && !everUnknown; ++attempt) {
+            const HttpReply reply = bookWithin(rig, id, 150, id);
+            everUnknown = isUnknown(reply);
+            everAnswered = reply.status == 200;
+            if (everAnswered) {
+                EXPECT_EQ(reply.body, id + " /book hold");
+                EXPECT_EQ(rig.ledger.count(id), 1);
+            }
+            if (isNotRun(reply)) {
+                EXPECT_EQ(rig.ledger.count(id), 0) << "told not_run, yet it ran";
+            }
+            EXPECT_LE(rig.ledger.count(id), 1);
+        }
+    }
+}
+
+class FaultPairTest : public ::testing::TestWithParam<FaultPair>
+{
+};
+
+} // namespace
+
+TEST_P(FaultPairTest, RepliesAgreeWithWhatRan)
+{
+    RequestSettings settings = pathSettings();
+    settings.claimRetry = 1ms;
+    PathRig rig(3, settings);
+    GetParam().begin(rig);
+    std::vector<std::future<void>> callers;
+    callers.reserve(4);
+    for (int i = 0; i < 4; ++i) {
+        callers.push_back(std::async(std::launch::async, [&rig, i] { bookAndCompare(rig, i); }));
+    }
+    for (auto &it : callers) {
+        it.get();
+    }
+    EXPECT_LE(rig.ledger.highestCount(), 1);
+    rig.log.down = false;
+    rig.setFaults(UpstreamFault::None);
+    rig.publish();
+    EXPECT_TRUE(eventually([&] { return rig.book("after", "after").status == 200; })) << "it comes back";
+}
+
+INSTANTIATE_TEST_SUITE_P(Pairs, FaultPairTest, ::testing::ValuesIn(FaultPairs), [](const auto &it) {
+    return std::string(it.param.name);
+});
--- a/packages/requests/tests/pathrig.h
+++ b/packages/requests/tests/pathrig.h
@@ -199,14 +199,24 @@
         if (curl_easy_perform(m_easy) == CURLE_OK) {
             curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
         }
+        long connects = 0;
+        curl_easy_getinfo(m_easy, CURLINFO_NUM_CONNECTS, &connects);
+        m_connects += static_cast<int>(connects);
         curl_slist_free_all(list);
         reply.status = static_cast<int>(status);
         return reply;
     }
 
+    /** Connections opened so far. */
+    int connects() const
+    {
+        return m_connects;
+    }
+
 private:
     std::string m_base;
     CURL *m_easy;
+    int m_connects = 0;
 };
 
 /** Waits for another thread's progress without a sleep; gives up where there is none for a minute. */
