--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -259,6 +259,7 @@
     Task &task = job.tasks[ref.index];
     detail::WorkerView &view = m_views[task.worker];
     setShare(ref, 0, now);
+    setOveruse(task, {});
     m_ledger.release(task.worker, task.reserved);
     m_teams[job.team].usage -= task.reserved;
     if (isEvictable(job)) {
@@ -469,17 +470,8 @@
     const bool fresh = report.measuredAt > view.measuredAt;
     view.measuredAt = std::max(view.measuredAt, report.measuredAt);
     const TimePoint measured = std::min(now, view.clock.toLocal(report.measuredAt));
-    Resources overuse;
     for (const AttemptReport &it : report.attempts) {
         takeIn(it, worker, measured, fresh, now);
-        TaskRef ref;
-        if (m_jobs.find(it.attempt.task, ref) && m_jobs.task(ref).worker == worker && !isEnded(it.state)) {
-            const Resources beyond = it.usage - m_jobs.task(ref).reserved;
-            overuse += {positive(beyond.cpuMillis), positive(beyond.memoryMib), 0};
-        }
-    }
-    if (fresh) {
-        m_ledger.setOveruse(worker, overuse);
     }
 }
 
@@ -504,6 +496,8 @@
         m_health.noteSuccess(worker);
         job.succeeded = true;
     }
+    const Resources beyond = entry.usage - task.reserved;
+    setOveruse(task, {positive(beyond.cpuMillis), positive(beyond.memoryMib), 0});
     learnSize(ref, entry, measured, now);
     if (job.spec.kind == WorkloadKind::Batch) {
         takeInBatch(task, entry, measured);
@@ -512,6 +506,12 @@
     }
 }
 
+void PlacementEngine::setOveruse(Task &task, const Resources &overuse)
+{
+    m_ledger.changeOveruse(task.worker, task.overuse, overuse);
+    task.overuse = overuse;
+}
+
 void PlacementEngine::takeInBatch(Task &task, const AttemptReport &entry, TimePoint measured)
 {
     task.progress = std::max(task.progress, static_cast<float>(entry.progress));
--- a/packages/placement/interference.cpp
+++ b/packages/placement/interference.cpp
@@ -65,10 +65,18 @@
 
 void InterferenceModel::setPrior(Target &target) const
 {
-    target.coefficients.fill(m_settings.priorSlowdown);
+    for (std::size_t it = 0; it < Features; ++it) {
+        target.coefficients[it] = priorMean(it);
+    }
     target.errors.fill(std::sqrt(target.noise / m_settings.priorStrength));
-    target.coefficients[LevelFeature] = 0;
-    target.coefficients[LoadFeature] = 0;
+}
+
+double InterferenceModel::priorMean(std::size_t feature) const
+{
+    if (feature == LevelFeature) {
+        return std::log(m_settings.priorLevel);
+    }
+    return feature == LoadFeature ? 0 : m_settings.priorSlowdown;
 }
 
 void InterferenceModel::observe(const ServiceSample &sample)
@@ -144,7 +152,7 @@
 float InterferenceModel::predict(const ServiceSample &sample) const
 {
     if (sample.service >= m_targets.size()) {
-        return 0;
+        return static_cast<float>(std::log(m_settings.priorLevel));
     }
     const Target &target = m_targets[sample.service];
     double sum = target.coefficients[LevelFeature] + target.coefficients[LoadFeature] * sample.logLoad;
@@ -164,7 +172,7 @@
         const bool neighbour = i >= FirstNeighbour;
         const bool pinned = neighbour && target.pinned[i - FirstNeighbour];
         const double strength = pinned ? PinnedStrength : neighbour ? m_settings.priorStrength : WeakPrior;
-        const double mean = pinned ? target.coefficients[i] : neighbour ? m_settings.priorSlowdown : 0;
+        const double mean = pinned ? target.coefficients[i] : priorMean(i);
         for (std::size_t j = 0; j <= i; ++j) {
             double sum = target.products[i][j] + (i == j ? strength : 0);
             for (std::size_t k = 0; k < j; ++k) {
--- a/packages/placement/interference.h
+++ b/packages/placement/interference.h
@@ -82,6 +82,7 @@
     Target &targetOf(ClassIndex service);
     void solve(Target &target) const;
     void setPrior(Target &target) const;
+    double priorMean(std::size_t feature) const;
 
     PlacementSettings m_settings;
     std::map<std::string, ClassIndex, std::less<>> m_classes;
--- a/packages/placement/jobs.h
+++ b/packages/placement/jobs.h
@@ -63,6 +63,7 @@
     TimePoint evictedAt{};  ///< last; zero: never
     TimePoint measuredAt{}; ///< services: of the last measurement taken in
     Resources reserved;     ///< Active: what it holds
+    Resources overuse;      ///< Active: measured beyond that
 };
 
 /** Why a job waits, for explain(). */
--- a/packages/placement/ledger.cpp
+++ b/packages/placement/ledger.cpp
@@ -59,12 +59,13 @@
     refreshRoom(worker);
 }
 
-void Ledger::setOveruse(WorkerIndex worker, const Resources &overuse)
+void Ledger::changeOveruse(WorkerIndex worker, const Resources &before, const Resources &after)
 {
-    if (m_workers[worker].overuse == overuse) {
+    if (before == after) {
         return;
     }
-    m_workers[worker].overuse = overuse;
+    m_workers[worker].overuse -= before;
+    m_workers[worker].overuse += after;
     refreshRoom(worker);
 }
 
--- a/packages/placement/ledger.h
+++ b/packages/placement/ledger.h
@@ -42,7 +42,7 @@
     WorkerIndex find(std::string_view id) const; ///< NoWorker where there is none
 
     void setBarred(WorkerIndex worker, bool barred);
-    void setOveruse(WorkerIndex worker, const Resources &overuse);
+    void changeOveruse(WorkerIndex worker, const Resources &before, const Resources &after); ///< of one task
 
     /** True where @p need can be reserved on @p worker now. */
     bool fits(WorkerIndex worker, const Resources &need) const;
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -189,6 +189,7 @@
     void setShare(TaskRef ref, float share, TimePoint now);
     void setPermille(TaskRef ref, int permille, TimePoint now);
     void takeIn(const AttemptReport &entry, WorkerIndex worker, TimePoint measured, bool fresh, TimePoint now);
+    void setOveruse(Task &task, const Resources &overuse);
     void takeInBatch(Task &task, const AttemptReport &entry, TimePoint measured);
     void takeInService(TaskRef ref, const AttemptReport &entry, TimePoint measured, TimePoint now);
     void learnSize(TaskRef ref, const AttemptReport &entry, TimePoint measured, TimePoint now);
--- /dev/null
+++ b/packages/placement/tests/guardstest.cpp
@@ -0,0 +1,187 @@
+#include "fixture.h"
+
+#include <gtest/gtest.h>
+
+using namespace QuetzalRock;
+using namespace QuetzalRock::Testing;
+
+namespace {
+
+/** One worker of 10 processors: a service, and builds of 4 processors that are known to slow it. */
+struct GuardedWorker
+{
+    explicit GuardedWorker(const PlacementSettings &settings = freeSettings(), int builds = 1)
+        : engine(settings)
+    {
+        engine.setWorker(makeWorker(0, 10));
+        engine.addJob(makeJob(2, static_cast<std::uint32_t>(builds), 4), at(0));
+        started = engine.decide(at(0)).starts.size();
+        engine.addJob(makeJob(1, 1, 1, WorkloadKind::Service), at(0));
+        started += engine.decide(at(0)).starts.size();
+        engine.pinSlowdown("lookup", "build", 2.0);
+    }
+
+    /** A report that arrives @p second and shows what was @p lag earlier. */
+    Decisions report(double second, double latencyMs, double lag = 0, AttemptState state = AttemptState::Running)
+    {
+        WorkerReport report = makeReport("w0", 3600 + second, 3600 + second - lag);
+        report.attempts.push_back(makeEntry({1, 0}, 800, latencyMs));
+        report.attempts.push_back(makeEntry({2, 0}, state == AttemptState::Throttled ? 1600 : 4000));
+        report.attempts.back().state = state;
+        engine.observe(report, at(second));
+        return engine.decide(at(second));
+    }
+
+    PlacementEngine engine;
+    std::size_t started = 0;
+};
+
+} // namespace
+
+TEST(Guards, ThrottleFirstThenEvict)
+{
+    GuardedWorker worker;
+    ASSERT_EQ(worker.started, 2U);
+    EXPECT_TRUE(worker.report(1, 300).throttles.empty()); // one report is not enough
+    const Decisions first = worker.report(2, 300);
+    ASSERT_EQ(first.throttles.size(), 1U);
+    EXPECT_TRUE(first.stops.empty());
+    Decisions last;
+    int evictedAt = 0;
+    for (int second = 3; second < 12 && evictedAt == 0; ++second) {
+        last = worker.report(second, 300, 0, AttemptState::Throttled);
+        evictedAt = last.stops.empty() ? 0 : second;
+    }
+    ASSERT_EQ(last.stops.size(), 1U);
+    EXPECT_EQ(last.stops[0].task, (TaskId{2, 0}));
+    EXPECT_EQ(last.stops[0].mode, StopMode::Checkpoint);
+    EXPECT_GE(evictedAt, 5); // the throttle first has its time to show
+}
+
+TEST(Guards, NoSecondActionBeforeTheFirstCanShowInTheLaggingSignal)
+{
+    GuardedWorker worker;
+    worker.report(1, 300);
+    ASSERT_EQ(worker.report(2, 300).throttles.size(), 1U);
+    for (int second = 3; second < 25; ++second) {
+        const Decisions decisions = worker.report(second, 300, 30);
+        EXPECT_TRUE(decisions.stops.empty()) << second; // all of it was measured before the throttle
+    }
+}
+
+TEST(Guards, NoEvictionWhereItWouldNotHelp)
+{
+    PlacementSettings settings = freeSettings();
+    GuardedWorker worker(settings);
+    worker.engine.pinSlowdown("lookup", "build", 0.0);
+    for (int second = 1; second < 60; ++second) {
+        const Decisions decisions = worker.report(second, 900);
+        EXPECT_TRUE(decisions.stops.empty());
+        EXPECT_TRUE(decisions.throttles.empty());
+    }
+}
+
+TEST(Guards, LiftTheThrottleOnceTheServiceIsWell)
+{
+    GuardedWorker worker;
+    worker.report(1, 150);
+    ASSERT_EQ(worker.report(2, 150).throttles.size(), 1U);
+    int lifted = 0;
+    for (int second = 3; second < 60 && lifted == 0; ++second) {
+        for (const ThrottleDecision &it : worker.report(second, 20, 0, AttemptState::Throttled).throttles) {
+            EXPECT_EQ(it.permille, 1000);
+            lifted = second;
+        }
+    }
+    EXPECT_GE(lifted, 9); // settle and five cool reports
+}
+
+TEST(Guards, BatchWorkWaitsRatherThanHarmAServiceNearItsTarget)
+{
+    PlacementEngine engine(freeSettings());
+    engine.pinSlowdown("lookup", "build", 2.0);
+    engine.setWorker(makeWorker(0, 10));
+    engine.addJob(makeJob(1, 1, 1, WorkloadKind::Service), at(0));
+    engine.decide(at(0));
+    for (int second = 1; second < 30; ++second) {
+        WorkerReport report = makeReport("w0", second, second);
+        report.attempts.push_back(makeEntry({1, 0}, 800, 90));
+        engine.observe(report, at(second));
+    }
+    engine.addJob(makeJob(2, 1, 4), at(30));
+    EXPECT_TRUE(engine.decide(at(30)).starts.empty());
+    EXPECT_NE(engine.explain({2, 0}).find("slow services"), std::string::npos);
+    EXPECT_EQ(engine.decide(at(30 + 36000)).starts.size(), 1U); // its worth grows as it waits
+}
+
+TEST(Health, AWorkerThatFailsEverythingIsQuarantinedProbedAndReturned)
+{
+    PlacementEngine engine(freeSettings());
+    engine.setWorker(makeWorker(0));
+    engine.setWorker(makeWorker(1));
+    double second = 0;
+    for (JobId id = 1; engine.workerHealth("w0") == WorkerHealth::Healthy && id < 50; ++id) {
+        engine.addJob(makeJob(id, 2, 5), at(second));
+        for (const StartDecision &it : engine.decide(at(second)).starts) {
+            const bool broken = it.worker == "w0";
+            engine.endAttempt(it.task, broken ? AttemptState::Failed : AttemptState::Finished, 0, at(second));
+        }
+        second += 1;
+    }
+    ASSERT_EQ(engine.workerHealth("w0"), WorkerHealth::Quarantined);
+    EXPECT_EQ(engine.workerHealth("w1"), WorkerHealth::Healthy);
+    EXPECT_EQ(engine.counters().jobsAtFault, 0U);
+    engine.addJob(makeJob(100, 6, 2), at(second));
+    std::vector<TaskId> elsewhere;
+    for (const StartDecision &it : engine.decide(at(second)).starts) {
+        EXPECT_EQ(it.worker, "w1");
+        elsewhere.push_back(it.task);
+    }
+    second += 31;
+    std::vector<StartDecision> probes = engine.decide(at(second)).starts;
+    ASSERT_EQ(probes.size(), 1U); // one at a time
+    EXPECT_EQ(probes[0].worker, "w0");
+    engine.endAttempt(probes[0].task, AttemptState::Finished, 1, at(second));
+    EXPECT_EQ(engine.workerHealth("w0"), WorkerHealth::Healthy);
+}
+
+TEST(Health, AJobThatFailsOnHealthyWorkersIsAtFaultItself)
+{
+    PlacementEngine engine(freeSettings());
+    for (int it = 0; it < 6; ++it) {
+        engine.setWorker(makeWorker(it));
+    }
+    engine.addJob(makeJob(1, 4, 8), at(0));
+    std::vector<UnrunnableJob> named;
+    for (double second = 0; second < 600 && named.empty(); second += 1) {
+        const Decisions decisions = engine.decide(at(second));
+        named = decisions.unrunnable;
+        for (const StartDecision &it : decisions.starts) {
+            engine.endAttempt(it.task, AttemptState::Failed, 0, at(second));
+        }
+    }
+    ASSERT_EQ(named.size(), 1U);
+    EXPECT_EQ(named[0].job, 1U);
+    for (int it = 0; it < 6; ++it) {
+        EXPECT_EQ(engine.workerHealth("w" + std::to_string(it)), WorkerHealth::Healthy);
+    }
+}
+
+TEST(Sizes, WhatUsesMoreThanDeclaredIsGivenMore)
+{
+    PlacementEngine engine(freeSettings());
+    engine.setWorker(makeWorker(0, 10, 10000));
+    engine.addJob(makeJob(1, 20, 1), at(0));
+    ASSERT_EQ(engine.decide(at(0)).starts.size(), 10U);
+    WorkerReport report = makeReport("w0", 10, 10);
+    report.attempts.push_back(makeEntry({1, 0}, 1000));
+    report.attempts.back().usage.memoryMib = 5000;
+    engine.observe(report, at(10));
+    for (std::uint32_t it = 0; it < 10; ++it) {
+        engine.endAttempt({1, it}, AttemptState::Finished, 1, at(11));
+    }
+    report.attempts.clear();
+    report.workerClock = report.measuredAt = WorkerTime(12000);
+    engine.observe(report, at(12));
+    EXPECT_EQ(engine.decide(at(12)).starts.size(), 1U); // one of 5500 MiB rather than ten of 1000
+}
--- a/packages/placement/tests/ledgertest.cpp
+++ b/packages/placement/tests/ledgertest.cpp
@@ -61,7 +61,7 @@
     Ledger ledger;
     const WorkerIndex worker = ledger.setWorker(makeWorker(0, 8, 1000));
     ledger.reserve(worker, {1000, 100, 0});
-    ledger.setOveruse(worker, {0, 700, 0});
+    ledger.changeOveruse(worker, {}, {0, 700, 0});
     EXPECT_FALSE(ledger.fits(worker, {1000, 300, 0}));
     EXPECT_TRUE(ledger.fits(worker, {1000, 200, 0}));
 }
