--- a/packages/placement/engineguards.cpp
+++ b/packages/placement/engineguards.cpp
@@ -41,20 +41,9 @@
 
 void PlacementEngine::relieve(WorkerIndex worker, TimePoint now, Decisions &out)
 {
-    detail::WorkerView &view = m_views[worker];
-    double excess = 0;
-    for (const detail::ServiceView &it : view.services) {
-        const Task &task = m_jobs.task(it.ref);
-        if (task.hot >= m_settings.hotReports) {
-            excess = std::max(excess, it.logRatio - std::log(m_settings.guardHigh) + Margin);
-        }
-    }
     // The measurement is old: whoever slowed the service then may have left since.
-    if (excess <= 0) {
-        return;
-    }
-    if (!throttleSome(worker, excess, now, out)) {
-        evictSome(worker, excess, now, out);
+    if (isStillHot(worker) && !throttleSome(worker, now, out)) {
+        evictOne(worker, now, out);
     }
 }
 
@@ -73,7 +62,26 @@
     return most;
 }
 
-bool PlacementEngine::throttleSome(WorkerIndex worker, double excess, TimePoint now, Decisions &out)
+bool PlacementEngine::isStillHot(WorkerIndex worker) const
+{
+    const std::vector<detail::ServiceView> &services = m_views[worker].services;
+    return std::any_of(services.begin(), services.end(), [this](const detail::ServiceView &it) {
+        return m_jobs.task(it.ref).hot >= m_settings.hotReports
+               && it.logRatio > std::log(m_settings.guardHigh) - Margin;
+    });
+}
+
+/** What the services on @p worker lose where @p neighbour takes @p change more of it; negative where they gain. */
+double PlacementEngine::harmOfChange(WorkerIndex worker, ClassIndex neighbour, float change) const
+{
+    double harm = 0;
+    for (const detail::ServiceView &it : m_views[worker].services) {
+        harm += penalty(it.logRatio + m_model.slowdown(it.classIndex, neighbour) * change) - it.late;
+    }
+    return m_settings.weights.tailLatency * harm;
+}
+
+bool PlacementEngine::throttleSome(WorkerIndex worker, TimePoint now, Decisions &out)
 {
     std::vector<std::pair<double, TaskRef>> candidates;
     for (const TaskRef it : m_views[worker].tasks) {
@@ -84,12 +92,17 @@
         }
     }
     std::sort(candidates.begin(), candidates.end());
+    const double cut = (1000 - m_settings.throttlePermille) / 1000.0;
     bool acted = false;
     for (const auto &[adds, ref] : candidates) {
-        if (excess <= 0 || m_throttles.spent(now) >= m_settings.throttlesPerMinute) {
+        if (!isStillHot(worker) || m_throttles.spent(now) >= m_settings.throttlesPerMinute) {
             break;
         }
-        excess += adds * (1000 - m_settings.throttlePermille) / 1000;
+        const Job &job = m_jobs[ref.job];
+        const auto change = static_cast<float>(-job.tasks[ref.index].share * cut);
+        if (-harmOfChange(worker, job.classIndex, change) < worthOf(job) * cut) {
+            continue; // the services gain less than the batch work loses
+        }
         m_throttles.spend(now);
         ++m_counters.throttles;
         setThrottle(ref, m_settings.throttlePermille, now, "a service beside it is past its target", out);
@@ -98,45 +111,28 @@
     return acted;
 }
 
-void PlacementEngine::evictSome(WorkerIndex worker, double excess, TimePoint now, Decisions &out)
+/** Stops the task that loses least for what it brings back. One at a time: the next waits until this one has shown. */
+void PlacementEngine::evictOne(WorkerIndex worker, TimePoint now, Decisions &out)
 {
-    struct Candidate
-    {
-        double price; ///< loss for each unit of relief
-        double adds;
-        TaskRef ref;
-    };
-    std::vector<Candidate> candidates;
-    double total = 0;
+    TaskRef best;
+    double bestPrice = -1;
     for (const TaskRef it : m_views[worker].tasks) {
-        const double adds = contribution(worker, it);
-        if (isEvictable(m_jobs[it.job]) && !m_jobs.task(it).stopping && adds >= SmallestContribution) {
-            candidates.push_back({lossOf(it, now) / adds, adds, it});
-            total += adds;
+        const Job &job = m_jobs[it.job];
+        const Task &task = job.tasks[it.index];
+        if (!isEvictable(job) || task.stopping || contribution(worker, it) < SmallestContribution) {
+            continue;
         }
-    }
-    // Stopping all of it must bring services back in time, or it only loses work.
-    const auto spread = static_cast<float>(m_settings.lateSpread);
-    const auto relief = static_cast<float>(std::min(total, excess));
-    double gain = 0;
-    for (const detail::ServiceView &it : m_views[worker].services) {
-        if (m_jobs.task(it.ref).hot >= m_settings.hotReports) {
-            gain += it.late - detail::latePenalty(it.logRatio - relief, spread);
+        const float running = task.share * static_cast<float>(task.permille) / 1000;
+        const double gain = -harmOfChange(worker, job.classIndex, -running);
+        const double price = lossOf(it, now) / gain;
+        if (gain >= m_settings.evictionGain * m_settings.weights.evictions && (bestPrice < 0 || price < bestPrice)) {
+            bestPrice = price;
+            best = it;
         }
     }
-    if (gain * m_settings.weights.tailLatency < m_settings.evictionGain * m_settings.weights.evictions) {
-        return;
-    }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate &a, const Candidate &b) {
-        return std::tie(a.price, a.ref) < std::tie(b.price, b.ref);
-    });
-    for (const Candidate &it : candidates) {
-        if (excess <= 0 || !mayEvict(false, now)) {
-            break;
-        }
-        excess -= it.adds;
+    if (bestPrice >= 0 && mayEvict(false, now)) {
         ++m_counters.guardEvictions;
-        evict(it.ref, {}, "a service beside it stays past its target though it is throttled", now, out);
+        evict(best, {}, "a service beside it stays past its target", now, out);
     }
 }
 
@@ -155,43 +151,31 @@
     out.throttles.push_back({m_jobs.idOf(ref), permille, std::move(reason)});
 }
 
-/** Lifts one throttle of @p worker where its services have been well for long enough. */
+/** Lifts throttles of @p worker that cost more than they save, once its services have been well for long enough. */
 void PlacementEngine::cool(WorkerIndex worker, TimePoint now, Decisions &out)
 {
     const detail::WorkerView &view = m_views[worker];
-    const bool well = std::all_of(view.services.begin(), view.services.end(), [this](const detail::ServiceView &it) {
-        return m_jobs.task(it.ref).cool >= m_settings.coolReports;
-    });
-    const double limit = std::log(m_settings.guardHigh) - Margin;
-    TaskRef best;
-    double least = -1;
+    bool well = now >= view.actedAt + m_settings.settle;
+    for (const detail::ServiceView &it : view.services) {
+        well = well && m_jobs.task(it.ref).cool >= m_settings.coolReports;
+    }
     bool any = false;
     for (const TaskRef it : view.tasks) {
-        const Task &task = m_jobs.task(it);
+        const Job &job = m_jobs[it.job];
+        const Task &task = job.tasks[it.index];
         if (task.permille == 1000) {
             continue;
         }
         any = true;
-        double most = 0;
-        bool fits = true;
-        for (const detail::ServiceView &service : view.services) {
-            const double slowdown = m_model.slowdown(service.classIndex, m_jobs[it.job].classIndex);
-            const double adds = slowdown * task.share * (1000 - task.permille) / 1000;
-            most = std::max(most, adds);
-            fits = fits && service.logRatio + adds < limit;
+        const float cut = static_cast<float>(1000 - task.permille) / 1000;
+        const double harm = harmOfChange(worker, job.classIndex, task.share * cut);
+        if (well && !task.stopping && harm < m_settings.guardHysteresis * worthOf(job) * cut) {
+            ++m_counters.throttlesLifted;
+            setThrottle(it, 1000, now, "the services beside it are well", out);
         }
-        if (!task.stopping && fits && (least < 0 || most < least)) {
-            least = most;
-            best = it;
-        }
-    }
-    if (!any) {
-        return;
     }
-    m_throttledWorkers.push_back(worker);
-    if (well && least >= 0 && now >= view.actedAt + m_settings.settle) {
-        ++m_counters.throttlesLifted;
-        setThrottle(best, 1000, now, "the services beside it are well", out);
+    if (any) {
+        m_throttledWorkers.push_back(worker);
     }
 }
 
--- a/packages/placement/enginestarts.cpp
+++ b/packages/placement/enginestarts.cpp
@@ -89,7 +89,8 @@
     {
         double share;
         TeamIndex team;
-        int tries;
+        int tries;  ///< searches without a start
+        int passed; ///< jobs passed over without a search
         QueueKey after;
         Resources lacking; ///< what the team's allotment lacks for a job further ahead: none behind it may take that
 
@@ -103,7 +104,7 @@
     std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
     for (TeamIndex it = 0; it < m_teams.size(); ++it) {
         if (!m_teams[it].queues[band].empty()) {
-            turns.push({m_teams.dominantShare(it, total), it, 0, first, {}});
+            turns.push({m_teams.dominantShare(it, total), it, 0, 0, first, {}});
         }
     }
     while (!turns.empty()) {
@@ -128,9 +129,9 @@
             turn.share = m_teams.dominantShare(turn.team, total);
         } else {
             turn.after = key;
-            turn.tries += outcome == Outcome::Skipped ? 0 : 1;
+            ++(outcome == Outcome::Blocked ? turn.tries : turn.passed);
         }
-        if (turn.tries <= m_settings.backfillDepth) {
+        if (turn.tries <= m_settings.backfillDepth && turn.passed <= m_settings.passOverDepth) {
             turns.push(turn);
         }
     }
@@ -208,6 +209,10 @@
         choice = chooseWorker(slot, need, now);
     }
     if (choice.worker == NoWorker) {
+        if (known != WaitReason::None) {
+            block(slot, known);
+            return Outcome::PassedOver;
+        }
         rememberFailure(job, need, choice.refused);
         return choice.refused == WaitReason::Room ? blockForRoom(slot, need, now, out) : block(slot, choice.refused);
     }
@@ -456,7 +461,11 @@
 bool PlacementEngine::accepts(JobSlot slot, WorkerIndex worker, double cost, TimePoint now) const
 {
     const Job &job = m_jobs[slot];
-    return !isEvictable(job) || m_views[worker].services.empty() || cost <= batchWorth(job, worker, now);
+    if (!isEvictable(job) || m_views[worker].services.empty()) {
+        return true;
+    }
+    const std::chrono::duration<double> waited = now - job.tasks[job.ready.back()].since;
+    return cost <= worthOf(job) * (1 + std::max(0.0, waited / m_settings.patience));
 }
 
 double PlacementEngine::costOf(JobSlot slot, WorkerIndex worker, const Resources &need) const
@@ -472,7 +481,7 @@
     const double harm = harmTo(worker, job.classIndex, shareOf(job, worker), risk);
     const std::int64_t left = slot.capacity.cpuMillis - slot.reserved.cpuMillis - need.cpuMillis;
     const double room = fraction(left, slot.capacity.cpuMillis);
-    return m_settings.weights.tailLatency * harm + m_settings.weights.evictions * risk
+    return m_settings.weights.tailLatency * harm + m_settings.weights.evictions * m_settings.evictionRisk * risk
            + m_settings.weights.throughput * m_settings.packing * room;
 }
 
@@ -485,7 +494,7 @@
     ServiceSample sample;
     sample.service = job.classIndex;
     sample.neighbours = view.history.now();
-    cost += detail::latePenalty(m_model.predict(sample), static_cast<float>(m_settings.lateSpread));
+    cost += penalty(m_model.predict(sample));
     cost *= m_settings.weights.tailLatency;
     const std::uint32_t here = view.mark == m_stamp ? view.markCount : 0;
     cost += m_settings.workerSpread * here;
@@ -497,7 +506,6 @@
 /** How much later the services on @p worker get by one more neighbour; @p risk: the same under a surge of load. */
 double PlacementEngine::harmTo(WorkerIndex worker, ClassIndex neighbour, float share, double &risk) const
 {
-    const auto spread = static_cast<float>(m_settings.lateSpread);
     const auto surge = static_cast<float>(std::log(m_settings.surge));
     const auto explore = static_cast<float>(std::log(m_settings.exploreBelow));
     const auto caution = static_cast<float>(std::log(m_settings.cautionAbove));
@@ -511,19 +519,17 @@
             slowdown += doubt;
         }
         const float after = it.logRatio + slowdown * share;
-        harm += detail::latePenalty(after, spread) - it.late;
-        risk += detail::latePenalty(after + surge, spread) - detail::latePenalty(it.logRatio + surge, spread);
+        harm += penalty(after) - it.late;
+        risk += penalty(after + surge) - penalty(it.logRatio + surge);
     }
     return harm;
 }
 
-/** What running a task of @p job on @p worker is worth now, in the unit of its cost. */
-double PlacementEngine::batchWorth(const Job &job, WorkerIndex worker, TimePoint now) const
+/** What running a task of @p job is worth, in the unit of cost. */
+double PlacementEngine::worthOf(const Job &job) const
 {
-    const double share = fraction(job.spec.resources.cpuMillis, m_ledger.worker(worker).capacity.cpuMillis);
-    const std::chrono::duration<double> waited = now - job.tasks[job.ready.back()].since;
-    const double patience = 1 + std::max(0.0, waited / m_settings.patience);
-    return m_settings.weights.throughput * m_settings.batchBenefit * share * patience;
+    const double processors = static_cast<double>(job.spec.resources.cpuMillis) / 1000;
+    return m_settings.weights.throughput * m_settings.batchBenefit * processors;
 }
 
 bool PlacementEngine::isKnownToFail(const Job &job, const Resources &need, WaitReason &reason) const
--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -235,6 +235,7 @@
     task.cool = 0;
     task.permille = 1000;
     task.minAttempt = task.attempt + 1;
+    rememberStart(view, {m_jobs.idOf(ref), task.minAttempt, started});
     task.slot = static_cast<std::uint32_t>(view.tasks.size());
     view.tasks.push_back(ref);
     if (isEvictable(job)) {
@@ -436,13 +437,19 @@
     return sum;
 }
 
+float PlacementEngine::penalty(float logRatio) const
+{
+    return detail::latePenalty(
+        logRatio, static_cast<float>(m_settings.lateSpread), static_cast<float>(m_settings.overshoot));
+}
+
 void PlacementEngine::refreshServices(WorkerIndex worker)
 {
     detail::WorkerView &view = m_views[worker];
     for (detail::ServiceView &it : view.services) {
         Task &task = m_jobs.task(it.ref);
         it.logRatio = task.level + logSlowdown(it.classIndex, view.history.now(), it.classIndex, task.share);
-        it.late = detail::latePenalty(it.logRatio, static_cast<float>(m_settings.lateSpread));
+        it.late = penalty(it.logRatio);
         task.logRatio = it.logRatio;
     }
 }
@@ -451,6 +458,33 @@
 // Reports
 // ---------------------------------------------------------------------------------------------------------------------
 
+void PlacementEngine::rememberStart(detail::WorkerView &view, const detail::RecentStart &start)
+{
+    if (view.recent.size() < detail::WorkerView::MaxRecent) {
+        view.recent.push_back(start);
+        return;
+    }
+    view.recent[view.nextRecent] = start;
+    view.nextRecent = (view.nextRecent + 1) % detail::WorkerView::MaxRecent;
+}
+
+/** The newest start that the report names tells most about when it was written. */
+void PlacementEngine::boundClock(detail::WorkerView &view, const WorkerReport &report)
+{
+    view.clock.noteArrival(report.workerClock, m_now);
+    const std::size_t n = view.recent.size();
+    for (std::size_t back = 1; back <= n; ++back) {
+        const detail::RecentStart &start = view.recent[(view.nextRecent + n - back) % n];
+        const bool named = std::any_of(report.attempts.begin(), report.attempts.end(), [&start](const auto &it) {
+            return it.attempt.task == start.task && it.attempt.number >= start.minAttempt;
+        });
+        if (named) {
+            view.clock.noteStart(report.workerClock, start.started);
+            return;
+        }
+    }
+}
+
 void PlacementEngine::observe(const WorkerReport &report, TimePoint now)
 {
     m_now = std::max(m_now, now);
@@ -459,14 +493,7 @@
         return;
     }
     detail::WorkerView &view = m_views[worker];
-    view.clock.noteArrival(report.workerClock, now);
-    for (const AttemptReport &it : report.attempts) {
-        TaskRef ref;
-        const bool here = m_jobs.find(it.attempt.task, ref) && m_jobs.task(ref).worker == worker;
-        if (here && it.attempt.number >= m_jobs.task(ref).minAttempt && !isEnded(it.state)) {
-            view.clock.noteStart(report.workerClock, m_jobs.task(ref).since);
-        }
-    }
+    boundClock(view, report);
     const bool fresh = report.measuredAt > view.measuredAt;
     view.measuredAt = std::max(view.measuredAt, report.measuredAt);
     const TimePoint measured = std::min(now, view.clock.toLocal(report.measuredAt));
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -65,8 +65,21 @@
     float late = 0;     ///< penalty at logRatio
 };
 
+/** A start on a worker, remembered after its end: late reports still name it. */
+struct RecentStart
+{
+    TaskId task;
+    std::uint32_t minAttempt = 0;
+    TimePoint started{};
+};
+
 struct WorkerView
 {
+    static constexpr std::size_t MaxRecent = 32;
+
+    std::vector<RecentStart> recent; ///< a ring once it is full
+    std::size_t nextRecent = 0;
+
     std::vector<TaskRef> tasks;
     std::vector<ServiceView> services;
     ResidencyHistory history;
@@ -84,10 +97,10 @@
 };
 
 /** What a service's latency costs: the chance that it is late, and beyond its target how late. */
-inline float latePenalty(float logRatio, float spread)
+inline float latePenalty(float logRatio, float spread, float overshoot)
 {
     const float chance = 1 / (1 + std::exp(-logRatio / spread));
-    return chance + std::max(0.0F, logRatio);
+    return chance + overshoot * std::max(0.0F, logRatio);
 }
 
 /** The times of the last minute's actions, against a budget. */
@@ -151,6 +164,7 @@
     enum class Outcome {
         Started,
         Blocked,
+        PassedOver,
         OverQuota,
         Skipped,
         ShardPaced
@@ -175,6 +189,8 @@
     };
 
     // state and reports
+    void rememberStart(detail::WorkerView &view, const detail::RecentStart &start);
+    void boundClock(detail::WorkerView &view, const WorkerReport &report);
     void attach(TaskRef ref, WorkerIndex worker, const Resources &reserved, TimePoint started);
     void detach(TaskRef ref, TimePoint now);
     void makePending(TaskRef ref, TimePoint now);
@@ -217,7 +233,9 @@
     double batchCost(const Job &job, WorkerIndex worker, const Resources &need) const;
     double serviceCost(const Job &job, WorkerIndex worker, const Resources &need) const;
     double harmTo(WorkerIndex worker, ClassIndex neighbour, float share, double &risk) const;
-    double batchWorth(const Job &job, WorkerIndex worker, TimePoint now) const;
+    double worthOf(const Job &job) const;
+    float penalty(float logRatio) const;
+    double harmOfChange(WorkerIndex worker, ClassIndex neighbour, float change) const;
     bool accepts(JobSlot slot, WorkerIndex worker, double cost, TimePoint now) const;
     bool isKnownToFail(const Job &job, const Resources &need, WaitReason &reason) const;
     void rememberFailure(const Job &job, const Resources &need, WaitReason reason);
@@ -244,10 +262,11 @@
     void runGuards(TimePoint now, Decisions &out);
     void cool(WorkerIndex worker, TimePoint now, Decisions &out);
     void relieve(WorkerIndex worker, TimePoint now, Decisions &out);
-    bool throttleSome(WorkerIndex worker, double excess, TimePoint now, Decisions &out);
-    void evictSome(WorkerIndex worker, double excess, TimePoint now, Decisions &out);
+    bool throttleSome(WorkerIndex worker, TimePoint now, Decisions &out);
+    void evictOne(WorkerIndex worker, TimePoint now, Decisions &out);
     void setThrottle(TaskRef ref, int permille, TimePoint now, std::string reason, Decisions &out);
     double contribution(WorkerIndex worker, TaskRef ref) const;
+    bool isStillHot(WorkerIndex worker) const;
     double lossOf(TaskRef ref, TimePoint now) const;
     bool mayEvict(bool urgent, TimePoint now);
     void evict(TaskRef ref, TaskId inFavourOf, std::string reason, TimePoint now, Decisions &out);
--- a/packages/placement/settings.h
+++ b/packages/placement/settings.h
@@ -46,6 +46,7 @@
     // --- order -------------------------------------------------------------------------------------------------------
     Duration priorityStep = std::chrono::minutes(5); ///< one step of priority counts as so much earlier submission
     int backfillDepth = 8;   ///< jobs of a team that are tried behind a blocked one; costs decision time when raised
+    int passOverDepth = 256; ///< jobs of a team that are passed over in one round where a like one was just refused
     int maxHolds = 4;        ///< blocked jobs that get workers held for them; each held worker takes nothing else
     int holdsPerMille = 100; ///< of workers held at once at most; at least one worker can always be held
 
@@ -83,22 +84,25 @@
     double lateSpread = 0.15;   ///< log of the noise in latency; wider counts damage further below the target
     double surge = 1.3;         ///< growth in load for which the risk of an eviction is judged
     int candidateLimit = 64;    ///< workers that are compared for one start; first come, rotating
-    double batchBenefit = 1.5;  ///< worth of a worker full of batch work, against one late service, both by weight;
-                                ///< batch work waits rather than start where its damage is above its worth
+    double batchBenefit = 0.05; ///< worth of one busy processor of batch work against one late service, both by weight;
+                                ///< batch work waits where its damage is above its worth
+    double overshoot = 0.3;     ///< damage of a service e times past its target, beside 1 for being late at all
+    double evictionRisk = 0.1;  ///< chance that a service which a surge would make late costs an eviction
 
     Duration patience = std::chrono::minutes(10); ///< after so long a wait batch work counts twice as much, and so on
 
     // --- guards ------------------------------------------------------------------------------------------------------
     bool guards = true;
     double guardHigh = 1.0;                    ///< latency over target that makes a service hot
-    double guardLow = 0.7;                     ///< under which a throttle is lifted; well below guardHigh
+    double guardLow = 0.9;                     ///< under which a report counts as cool; below guardHigh
+    double guardHysteresis = 0.8;              ///< a throttle is lifted once its harm is below this times its worth
     int hotReports = 2;                        ///< reports in a row above guardHigh before the first action
     int coolReports = 5;                       ///< reports in a row below guardLow before a throttle is lifted
     Duration settle = std::chrono::seconds(2); ///< after an action, until a measurement can show it
     int throttlePermille = 400;                ///< of its processors that a throttled task keeps
     int evictionsPerMinute = 20;               ///< in any minute, guards and preemption together
     int urgentEvictionsPerMinute = 10;         ///< of those, kept for urgent work
-    double evictionGain = 0.5;                 ///< services, by weight, that an eviction must bring back in time
+    double evictionGain = 2.5;                 ///< services, by weight, that one eviction must bring back in time
     int throttlesPerMinute = 200;              ///< in any minute; lifting a throttle is always allowed
     Duration evictionCooldown = std::chrono::minutes(5); ///< an evicted task counts as dearer to evict for so long
 
