--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::uint8_t MaxStreak = 200;
+constexpr int ManyTimes = 4;            ///< faultyJobWorkers, where no worker is known to be healthy
 constexpr float ShareChange = 0.1F;     ///< relative change of a measured share that is worth taking in
 constexpr float SizeSmoothing = 0.2F;   ///< of a job's learned size, per report
 constexpr float SmallestRatio = 0.05F;  ///< of a learned size, so that no task counts as nothing
@@ -235,6 +236,7 @@
     task.cool = 0;
     task.permille = 1000;
     task.minAttempt = task.attempt + 1;
+    rememberStart(view, {m_jobs.idOf(ref), task.minAttempt, started});
     task.slot = static_cast<std::uint32_t>(view.tasks.size());
     view.tasks.push_back(ref);
     if (isEvictable(job)) {
@@ -259,6 +261,7 @@
     Task &task = job.tasks[ref.index];
     detail::WorkerView &view = m_views[task.worker];
     setShare(ref, 0, now);
+    setOveruse(task, {});
     m_ledger.release(task.worker, task.reserved);
     m_teams[job.team].usage -= task.reserved;
     if (isEvictable(job)) {
@@ -368,8 +371,12 @@
         ++m_counters.quarantines;
     }
     const auto healthy = std::count_if(
-        job.failedOn.begin(), job.failedOn.end(), [this](WorkerIndex it) { return m_health.looksHealthy(it); });
-    if (!job.succeeded && healthy >= m_settings.faultyJobWorkers) {
+        job.failedOn.begin(), job.failedOn.end(), [this](WorkerIndex it) { return m_health.isKnownHealthy(it); });
+    // Where nothing has succeeded yet, only a failure on a great many workers can tell the job's fault from theirs.
+    const std::size_t many = std::min<std::size_t>(m_ledger.openWorkers(), m_settings.faultyJobWorkers * ManyTimes);
+    const bool everywhere = job.active == 0 && job.failedOn.size() >= many;
+    const bool enough = static_cast<int>(job.failedOn.size()) >= m_settings.faultyJobWorkers;
+    if (!job.succeeded && enough && (healthy >= m_settings.faultyJobWorkers || everywhere)) {
         stopFaultyJob(ref.job);
     }
 }
@@ -435,13 +442,19 @@
     return sum;
 }
 
+float PlacementEngine::penalty(float logRatio) const
+{
+    return detail::latePenalty(
+        logRatio, static_cast<float>(m_settings.lateSpread), static_cast<float>(m_settings.overshoot));
+}
+
 void PlacementEngine::refreshServices(WorkerIndex worker)
 {
     detail::WorkerView &view = m_views[worker];
     for (detail::ServiceView &it : view.services) {
         Task &task = m_jobs.task(it.ref);
         it.logRatio = task.level + logSlowdown(it.classIndex, view.history.now(), it.classIndex, task.share);
-        it.late = detail::latePenalty(it.logRatio, static_cast<float>(m_settings.lateSpread));
+        it.late = penalty(it.logRatio);
         task.logRatio = it.logRatio;
     }
 }
@@ -450,6 +463,33 @@
 // Reports
 // ---------------------------------------------------------------------------------------------------------------------
 
+void PlacementEngine::rememberStart(detail::WorkerView &view, const detail::RecentStart &start)
+{
+    if (view.recent.size() < detail::WorkerView::MaxRecent) {
+        view.recent.push_back(start);
+        return;
+    }
+    view.recent[view.nextRecent] = start;
+    view.nextRecent = (view.nextRecent + 1) % detail::WorkerView::MaxRecent;
+}
+
+/** The newest start that the report names tells most about when it was written. */
+void PlacementEngine::boundClock(detail::WorkerView &view, const WorkerReport &report)
+{
+    view.clock.noteArrival(report.workerClock, m_now);
+    const std::size_t n = view.recent.size();
+    for (std::size_t back = 1; back <= n; ++back) {
+        const detail::RecentStart &start = view.recent[(view.nextRecent + n - back) % n];
+        const bool named = std::any_of(report.attempts.begin(), report.attempts.end(), [&start](const auto &it) {
+            return it.attempt.task == start.task && it.attempt.number >= start.minAttempt;
+        });
+        if (named) {
+            view.clock.noteStart(report.workerClock, start.started);
+            return;
+        }
+    }
+}
+
 void PlacementEngine::observe(const WorkerReport &report, TimePoint now)
 {
     m_now = std::max(m_now, now);
@@ -458,28 +498,12 @@
         return;
     }
     detail::WorkerView &view = m_views[worker];
-    view.clock.noteArrival(report.workerClock, now);
-    for (const AttemptReport &it : report.attempts) {
-        TaskRef ref;
-        const bool here = m_jobs.find(it.attempt.task, ref) && m_jobs.task(ref).worker == worker;
-        if (here && it.attempt.number >= m_jobs.task(ref).minAttempt && !isEnded(it.state)) {
-            view.clock.noteStart(report.workerClock, m_jobs.task(ref).since);
-        }
-    }
+    boundClock(view, report);
     const bool fresh = report.measuredAt > view.measuredAt;
     view.measuredAt = std::max(view.measuredAt, report.measuredAt);
     const TimePoint measured = std::min(now, view.clock.toLocal(report.measuredAt));
-    Resources overuse;
     for (const AttemptReport &it : report.attempts) {
         takeIn(it, worker, measured, fresh, now);
-        TaskRef ref;
-        if (m_jobs.find(it.attempt.task, ref) && m_jobs.task(ref).worker == worker && !isEnded(it.state)) {
-            const Resources beyond = it.usage - m_jobs.task(ref).reserved;
-            overuse += {positive(beyond.cpuMillis), positive(beyond.memoryMib), 0};
-        }
-    }
-    if (fresh) {
-        m_ledger.setOveruse(worker, overuse);
     }
 }
 
@@ -504,6 +528,8 @@
         m_health.noteSuccess(worker);
         job.succeeded = true;
     }
+    const Resources beyond = entry.usage - task.reserved;
+    setOveruse(task, {positive(beyond.cpuMillis), positive(beyond.memoryMib), 0});
     learnSize(ref, entry, measured, now);
     if (job.spec.kind == WorkloadKind::Batch) {
         takeInBatch(task, entry, measured);
@@ -512,6 +538,12 @@
     }
 }
 
+void PlacementEngine::setOveruse(Task &task, const Resources &overuse)
+{
+    m_ledger.changeOveruse(task.worker, task.overuse, overuse);
+    task.overuse = overuse;
+}
+
 void PlacementEngine::takeInBatch(Task &task, const AttemptReport &entry, TimePoint measured)
 {
     task.progress = std::max(task.progress, static_cast<float>(entry.progress));
@@ -533,6 +565,7 @@
     float &own = sample.neighbours[job.classIndex];
     own = std::max(0.0F, own - task.share);
     sample.service = job.classIndex;
+    sample.measured = measured;
     sample.logRatio = std::log(entry.latencyMs / job.spec.latencyTargetMs);
     const double load = static_cast<double>(entry.usage.cpuMillis) / static_cast<double>(task.reserved.cpuMillis + 1);
     sample.logLoad = load > SmallestUsage ? std::log(load) : 0;
