Let operators read and change the tree of settings over the API and the command line

Cause: the tree could be changed in tests only. Routes under /v1/settings and nine commands now read, explain, change, import, compare and validate it; a change answers where it is in force, one based on an old version is a 409 with what changed since, a lost answer is settled by its write id. Each route stands in the OpenAPI document and is tried without, with a wrong, and with a weaker token. Conclusion: what is in force still has to reach the decisions; that follows.

--- a/packages/admin/adminapi.cpp
+++ b/packages/admin/adminapi.cpp
@@ -78,9 +78,10 @@
 
 } // namespace
 
-AdminApi::AdminApi(ControlBackend &backend, ProcessBackend &process, Credentials credentials)
+AdminApi::AdminApi(ControlBackend &backend, ProcessBackend &process, SettingsBackend &settings, Credentials credentials)
     : m_backend(backend)
     , m_process(process)
+    , m_settings(settings)
     , m_credentials(std::move(credentials))
 {
 }
@@ -101,6 +102,9 @@
     if (const auto kind = kindOfCollection(collection)) {
         return handleWork(request, account, *kind);
     }
+    if (SettingsApi::handles(request)) {
+        return m_settings.handle(request, account);
+    }
     if (parts.size() != 1) {
         throw NotFound("no " + request.path);
     }
--- a/packages/admin/adminapi.h
+++ b/packages/admin/adminapi.h
@@ -17,12 +17,14 @@
  *   GET    /v1/history                        operate: newline-delimited JSON
  *   GET    /v1/members                        read: members of the failure domain, and who owns what
  *   GET    /v1/debug                          operate: this process
+ *   /v1/settings...                           see settingsapi.h
  *   PUT    /v1/operator                       operate: records a handover
  */
 #pragma once
 
 #include <admin/backend.h>
 #include <admin/credentials.h>
+#include <admin/settingsapi.h>
 #include <web/web.h>
 
 namespace QuetzalRock {
@@ -30,7 +32,7 @@
 class AdminApi
 {
 public:
-    AdminApi(ControlBackend &backend, ProcessBackend &process, Credentials credentials);
+    AdminApi(ControlBackend &backend, ProcessBackend &process, SettingsBackend &settings, Credentials credentials);
 
     /** Throws Error for everything that is not a success; WebServer turns it into the typed answer. Thread-safe. */
     WebResponse handle(const WebRequest &request);
@@ -46,6 +48,7 @@
 
     ControlBackend &m_backend;
     ProcessBackend &m_process;
+    SettingsApi m_settings;
     Credentials m_credentials;
 };
 
--- a/packages/admin/tests/adminapitest.cpp
+++ b/packages/admin/tests/adminapitest.cpp
@@ -80,12 +80,31 @@
     }
 };
 
+class FakeSettings final : public SettingsBackend
+{
+public:
+    SettingsDocument settings() override
+    {
+        return {};
+    }
+    SettingsDocument changeSettings(const SettingsEdit &) override
+    {
+        return {};
+    }
+    std::vector<DomainForce> settingsInForce(std::uint64_t) override
+    {
+        return {};
+    }
+};
+
 struct Admin : public testing::Test
 {
     FakeBackend backend;
     FakeProcess process;
+    FakeSettings settings;
     AdminApi api{backend,
                  process,
+                 settings,
                  Credentials({{"root", "", Role::Operate, {hashToken("root")}},
                               {"farm", "coop", Role::Submit, {hashToken("farm-old"), hashToken("farm")}},
                               {"eye", "coop", Role::Read, {hashToken("eye")}}},
@@ -179,7 +198,10 @@
             for (const char it : method) {
                 upper += static_cast<char>(std::toupper(static_cast<unsigned char>(it)));
             }
-            const Json body = upper == "POST" ? job("z") : Json{{"name", "x"}};
+            const Json body = operation.contains("x-example") ? operation["x-example"] : Json();
+            if (const std::size_t n = concrete.find("in-force"); n != std::string::npos) {
+                concrete += "?version=1";
+            }
             const bool open = role == "none";
             EXPECT_EQ(call(upper, concrete, "", body).status == 401, !open) << upper << path;
             EXPECT_EQ(call(upper, concrete, "wrong", body).status == 401, !open) << upper << path;
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -1,16 +1,12 @@
 #include <cli/commands.h>
 
 #include <admin/credentials.h>
-#include <base/inifile.h>
-#include <cli/apiclient.h>
+#include <cli/clicommand.h>
+#include <cli/settingscommands.h>
 #include <cli/table.h>
 #include <web/web.h>
 
-#include <tclap/CmdLine.h>
-
 #include <array>
-#include <csignal>
-#include <cstdlib>
 #include <iomanip>
 #include <sstream>
 
@@ -20,79 +16,6 @@
 
 using Json = nlohmann::json;
 
-constexpr int Ok = static_cast<int>(ExitCode::Done);
-
-/** The arguments that every command which calls a server takes. */
-class ServerArguments
-{
-public:
-    explicit ServerArguments(TCLAP::CmdLine &cmd)
-        : m_server("s", "server", "URL of any entry VM's administration API", false, defaultServer(), "URL", cmd)
-        , m_tokenFile("t", "token-file", "file with the token; else QUETZALROCK_TOKEN", false, "", "FILE", cmd)
-        , m_caFile("", "ca-file", "PEM file with the certificate authority, for https", false, "", "FILE", cmd)
-        , m_json("j", "json", "print the answer's JSON instead of a table", cmd)
-    {
-    }
-
-    ApiClient client()
-    {
-        ServerAddress address;
-        address.url = m_server.getValue();
-        address.caFile = m_caFile.getValue();
-        if (!m_tokenFile.getValue().empty()) {
-            address.token = readTextFile(m_tokenFile.getValue());
-            address.token.erase(address.token.find_last_not_of(" \r\n") + 1);
-        } else if (const char *token = std::getenv("QUETZALROCK_TOKEN")) {
-            address.token = token;
-        }
-        return ApiClient(std::move(address));
-    }
-
-    bool json() const
-    {
-        return m_json.getValue();
-    }
-
-private:
-    static std::string defaultServer()
-    {
-        const char *server = std::getenv("QUETZALROCK_SERVER");
-        return server ? server : "http://127.0.0.1:8081";
-    }
-
-    TCLAP::ValueArg<std::string> m_server;
-    TCLAP::ValueArg<std::string> m_tokenFile;
-    TCLAP::ValueArg<std::string> m_caFile;
-    TCLAP::SwitchArg m_json;
-};
-
-/** A TCLAP command line that throws instead of ending the process. */
-class CommandLine
-{
-public:
-    explicit CommandLine(const Command &command)
-        : m_cmd(std::string(command.help), ' ', QUETZALROCK_VERSION)
-        , m_name("quetzalrock " + std::string(command.name))
-    {
-        m_cmd.setExceptionHandling(false);
-    }
-
-    void parse(std::vector<std::string> arguments)
-    {
-        arguments.insert(arguments.begin(), m_name);
-        m_cmd.parse(arguments);
-    }
-
-    TCLAP::CmdLine &operator*()
-    {
-        return m_cmd;
-    }
-
-private:
-    TCLAP::CmdLine m_cmd;
-    std::string m_name;
-};
-
 std::string collectionOf(const Command &command)
 {
     if (command.name.starts_with("service")) {
@@ -387,7 +310,7 @@
     return Ok;
 }
 
-constexpr std::array<Command, 21> AllCommands{{
+constexpr std::array<Command, 30> AllCommands{{
     {"service create", "Creates a service: instances that run until cancelled and have a latency target", createWork},
     {"service list", "Lists active services", listWork},
     {"service show", "Shows a service's instances, where they run and why", showWork},
@@ -403,6 +326,15 @@
     {"status", "Shows the failure domain's scheduler", showStatus},
     {"workers", "Shows workers and what is reserved on them", showWorkers},
     {"members", "Shows the members of the failure domain and who owns what", showMembers},
+    {"settings explain", "Shows the effective settings of a node, and the node each comes from", explainSettings},
+    {"settings set", "Sets one value at a node of the settings' tree", setSetting},
+    {"settings unset", "Lets a node inherit a value again", unsetSetting},
+    {"settings export", "Prints the settings' tree as INI", exportSettings},
+    {"settings import", "Makes the settings' tree that of a file", importSettings},
+    {"settings diff", "Shows what an import of a file would change", diffSettings},
+    {"settings validate", "Checks a file, every fault at once; changes nothing", validateSettings},
+    {"settings history", "Shows who changed what", showSettingsHistory},
+    {"settings in-force", "Shows the failure domains in which a version is in force", showSettingsInForce},
     {"export", "Prints the history as newline-delimited JSON", exportHistory},
     {"operator set", "Records a change of operator", changeOperator},
     {"debug", "Shows the state of one process", showDebug},
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -87,7 +87,8 @@
     , m_claims(pointersTo(m_claimShards),
                m_remoteClaims,
                [this](const std::string &shard) { return m_member.ownerAddress(shard); })
-    , m_admin(m_scheduler, *this, Credentials(settings.admin.accounts, settings.admin.open))
+    , m_settingsStore(m_platform.keyValue(), clock)
+    , m_admin(m_scheduler, *this, *this, Credentials(settings.admin.accounts, settings.admin.open))
     , m_requests(settings.requests, clock, &m_claims, m_registry.get())
     , m_front(settings.requests, clock, m_requests)
 {
@@ -207,6 +208,27 @@
     return state;
 }
 
+SettingsDocument Daemon::settings()
+{
+    return m_member.settings()->document;
+}
+
+SettingsDocument Daemon::changeSettings(const SettingsEdit &edit)
+{
+    SettingsDocument document;
+    {
+        std::lock_guard guard(m_settingsMutex);
+        document = m_settingsStore.write(edit, m_member.settings()->document.version);
+    }
+    m_member.propagation().offer(document);
+    return document;
+}
+
+std::vector<DomainForce> Daemon::settingsInForce(std::uint64_t version)
+{
+    return m_member.propagation().inForce(version);
+}
+
 CallerResponse Daemon::answerHealth(bool isGood) const
 {
     CallerResponse response;
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -32,7 +32,7 @@
 
 namespace QuetzalRock {
 
-class Daemon final : public ProcessBackend
+class Daemon final : public ProcessBackend, public SettingsBackend
 {
 public:
     /** @p settings and @p clock must outlive it. */
@@ -50,6 +50,10 @@
     nlohmann::json members() override;
     nlohmann::json debugState() override;
 
+    SettingsDocument settings() override;
+    SettingsDocument changeSettings(const SettingsEdit &edit) override;
+    std::vector<DomainForce> settingsInForce(std::uint64_t version) override;
+
 private:
     bool isReady() const;
     WebResponse handleAdmin(const WebRequest &request);
@@ -73,6 +77,8 @@
     MemberDuty m_member;
     RemoteClaims m_remoteClaims;
     ClaimRouter m_claims;
+    std::mutex m_settingsMutex; ///< guards m_settingsStore
+    SettingsStore m_settingsStore;
     AdminApi m_admin;
 
     RequestPath m_requests;
