--- a/packages/scheduler/scheduler.cpp
+++ b/packages/scheduler/scheduler.cpp
@@ -185,6 +185,7 @@
         tellEngine(now);
         moveFromLeavingVms(now);
         takeRequests(now);
+        snapshotIfDue(now);
         bool isWritten = false;
         if (canWrite(now)) {
             addEnds();
@@ -197,12 +198,13 @@
         }
         m_fleet.sendStops(now);
         m_fleet.renewLeases(now);
-        snapshotIfDue(now);
         return isWritten ? StepOutcome::Progressed : StepOutcome::Idle;
     } catch (const Fenced &) {
         standDown();
-        return StepOutcome::StoodDown;
+    } catch (const FencedInDoubt &) {
+        standDown();
     }
+    return StepOutcome::StoodDown;
 }
 
 void ShardScheduler::waitForWork(TimePoint until)
@@ -321,25 +323,25 @@
     }
     m_nextDecision = now + m_settings.decideEvery;
     m_isDirty = false;
-    const Decisions decisions = m_engine.decide(now);
-    for (const UnrunnableJob &it : decisions.unrunnable) {
+    const Decisions todo = m_engine.decide(now);
+    for (const UnrunnableJob &it : todo.unrunnable) {
         m_unrunnable[it.job] = it.reason;
     }
-    for (const ThrottleDecision &it : decisions.throttles) {
+    for (const ThrottleDecision &it : todo.throttles) {
         const TaskState *task = m_state.findTask(it.task);
         if (task != nullptr && task->active) {
             m_fleet.throttleAttempt(task->worker, {it.task, task->lastAttempt}, it.permille, now);
         }
     }
-    for (const StopDecision &it : decisions.stops) {
+    for (const StopDecision &it : todo.stops) {
         requestStop(it.task, it.mode, it.inFavourOf, it.reason);
     }
     if (mayStart) {
-        addStarts(decisions.starts, now);
+        addStarts(todo.starts, now);
         return;
     }
-    m_counters.abandonedStarts += decisions.starts.size();
-    for (const StartDecision &it : decisions.starts) {
+    m_counters.abandonedStarts += todo.starts.size();
+    for (const StartDecision &it : todo.starts) {
         m_engine.abandonStart(it.task);
     }
 }
