Write answers to callers ourselves, and keep the time of idle connections

Cause: with a caller that does not read, Pistache's writer loops on EAGAIN: one core is spent and every other caller of that thread waits (seen in a stack of the thread, and as a test that failed 3 times in 8). Its header timeout also ends connections whose request is in work, by a 408 (seen with a timeout of 1 s and an answer held for 5 s).

Answers now go out by a non-blocking send on our own duplicate of the descriptor; what the kernel does not take waits in AnswerWriter. The duplicate also means that a number taken again can never be another caller's connection.

--- a/packages/requests/httpfront.cpp
+++ b/packages/requests/httpfront.cpp
@@ -1,3 +1,4 @@
+#include <requests/callerconnection.h>
 #include <requests/httpfront.h>
 
 #include <algorithm>
@@ -8,9 +9,9 @@
 #include <map>
 #include <mutex>
 #include <set>
-#include <shared_mutex>
 #include <thread>
 
+#include <fcntl.h>
 #include <pistache/endpoint.h>
 #include <pistache/peer.h>
 #include <sys/socket.h>
@@ -24,27 +25,30 @@
 constexpr std::size_t MaxWaitingPerConnection = 16; ///< requests sent ahead of their answers
 constexpr Duration SweepInterval = 1s;
 constexpr Duration OverloadRetryAfter = 1s;
+constexpr Duration NoTimeout = 24h * 365;
 constexpr const char *ConnectionData = "caller";
 
-/** One caller's connection. */
-struct CallerConnection
+using detail::AnswerWriter;
+using detail::CallerConnection;
+using detail::ConnectionPtr;
+
+/** A request that has been read whole. */
+struct Arrival
 {
-    struct Waiting
-    {
-        CallerRequest request;
-        Pistache::Http::ResponseWriter writer;
-        bool keepAlive = true; ///< the caller did not ask for the end of the connection
-    };
-
-    std::mutex mutex; ///< guards all below
-    int fd = -1;      ///< -1 once the connection is gone: its number may belong to another caller then
-    bool busy = false;
-    std::deque<Waiting> waiting;
-    std::size_t unsent = 0;
-    TimePoint unsentSince;
+    CallerRequest request;
+    bool keepAlive = true;                 ///< the caller did not ask for the end of the connection
+    std::optional<CallerResponse> fault{}; ///< it is refused for what it is
+};
+
+/** What Pistache keeps for a connection. */
+struct PeerData
+{
+    ConnectionPtr connection = std::make_shared<CallerConnection>();
+    std::mutex mutex;            ///< guards waiting
+    std::deque<Arrival> waiting; ///< requests sent ahead of the answers before them
 };
 
-using ConnectionPtr = std::shared_ptr<CallerConnection>;
+using PeerPtr = std::shared_ptr<PeerData>;
 
 /** Outlives the front where a request is still in work. */
 struct FrontState
@@ -53,6 +57,7 @@
         : settings(frontSettings)
         , clock(frontClock)
         , sink(requestSink)
+        , writer(frontClock)
     {
     }
 
@@ -60,13 +65,10 @@
     Clock &clock;
     RequestSink &sink;
     std::map<std::pair<std::string, std::string>, HttpFront::Route> routes; ///< by method and path
-
-    std::shared_mutex stopMutex; ///< shared while answering, so that the server outlives every answer on its way
-    bool stopped = false;        ///< guarded by stopMutex
+    AnswerWriter writer;
 
     std::mutex mutex; ///< guards connections
     std::set<ConnectionPtr> connections;
-    std::atomic<std::uint64_t> unsentBytes = 0;
     std::atomic<std::uint64_t> inWork = 0;
     std::atomic<std::uint64_t> refusedConnections = 0;
     std::atomic<std::uint64_t> slowReaders = 0;
@@ -75,161 +77,59 @@
 
 using StatePtr = std::shared_ptr<FrontState>;
 
-/** A request from its arrival to its answer. */
-struct Call
-{
-    StatePtr state;
-    ConnectionPtr connection;
-    Pistache::Http::ResponseWriter writer;
-    bool keepAlive = true;
-};
-
-void markSent(const StatePtr &state, CallerConnection &connection)
-{
-    std::lock_guard guard(connection.mutex);
-    state->unsentBytes -= connection.unsent;
-    connection.unsent = 0;
-}
-
-/** A header of any name: the library writes only those that it has a class for. */
-class FieldHeader final : public Pistache::Http::Header::Header
-{
-public:
-    FieldHeader(std::string name, std::string value)
-        : m_name(std::move(name))
-        , m_value(std::move(value))
-    {
-    }
-
-    const char *name() const override
-    {
-        return m_name.c_str();
-    }
-
-    void write(std::ostream &stream) const override
-    {
-        stream << m_value;
-    }
-
-    /** The library keeps one header of a name: further values are joined to it. */
-    void join(std::string_view value)
-    {
-        m_value += ", ";
-        m_value += value;
-    }
-
-#ifdef SAFE_HEADER_CAST
-    std::uint64_t hash() const override
-    {
-        return 0;
-    }
-#endif
-
-private:
-    std::string m_name;
-    std::string m_value;
-};
-
-void addHeaders(Pistache::Http::ResponseWriter &writer, const CallerResponse &response)
-{
-    std::vector<std::shared_ptr<FieldHeader>> added;
-    for (const HeaderField &it : response.headers) {
-        if (equalsIgnoringCase(it.name, "Set-Cookie")) {
-            writer.cookies().add(Pistache::Http::Cookie::fromString(it.value));
-            continue;
-        }
-        const auto same = std::find_if(added.begin(), added.end(), [&](const auto &header) {
-            return equalsIgnoringCase(header->name(), it.name);
-        });
-        if (same != added.end()) {
-            (*same)->join(it.value);
-            continue;
-        }
-        added.push_back(std::make_shared<FieldHeader>(it.name, it.value));
-        writer.headers().add(added.back());
-    }
-}
-
-/** The caller holds the connection's mutex and has seen that it is open. */
-Pistache::Async::Promise<ssize_t> putOnWire(Call &call, const CallerResponse &response)
-{
-    CallerConnection &connection = *call.connection;
-    connection.unsent = response.body.size() + 1;
-    connection.unsentSince = call.state->clock.now();
-    call.state->unsentBytes += connection.unsent;
-    addHeaders(call.writer, response);
-    if (call.keepAlive) { // the library says "close" to callers that rely on the default of HTTP/1.1
-        call.writer.headers().remove<Pistache::Http::Header::Connection>();
-        call.writer.headers().add<Pistache::Http::Header::Connection>(Pistache::Http::ConnectionControl::KeepAlive);
-    }
-    return call.writer.send(static_cast<Pistache::Http::Code>(response.status), response.body);
-}
-
-void begin(const StatePtr &state, const ConnectionPtr &connection, CallerConnection::Waiting waiting);
+void begin(const StatePtr &state, const PeerPtr &peer, Arrival arrival);
 
 /** The next request of this connection, where one waits. */
-std::optional<CallerConnection::Waiting> takeNext(CallerConnection &connection)
+std::optional<Arrival> takeNext(PeerData &peer)
 {
-    std::lock_guard guard(connection.mutex);
-    if (connection.waiting.empty()) {
-        connection.busy = false;
+    std::lock_guard guard(peer.mutex);
+    if (peer.waiting.empty()) {
+        std::lock_guard connectionGuard(peer.connection->mutex);
+        peer.connection->busy = false;
         return std::nullopt;
     }
-    std::optional<CallerConnection::Waiting> next(std::move(connection.waiting.front()));
-    connection.waiting.pop_front();
+    std::optional<Arrival> next(std::move(peer.waiting.front()));
+    peer.waiting.pop_front();
     return next;
 }
 
-void send(Call &call, const CallerResponse &response)
+void answer(const StatePtr &state, const PeerPtr &peer, const CallerResponse &response, bool hasBody, bool keepAlive)
 {
-    std::shared_lock serving(call.state->stopMutex);
-    std::unique_lock lock(call.connection->mutex);
-    if (call.state->stopped || call.connection->fd < 0) {
-        ++call.state->callersGone;
-        return;
-    }
-    try {
-        auto promise = putOnWire(call, response);
-        lock.unlock(); // the promise may already be kept: then this thread runs the callback
-        const auto sent = [state = call.state, it = call.connection](ssize_t) { markSent(state, *it); };
-        const auto lost
-            = [state = call.state, it = call.connection](const std::exception_ptr &) { markSent(state, *it); };
-        promise.then(sent, lost);
-    } catch (const std::exception &) { // the caller hung up a moment ago
-        ++call.state->callersGone;
-    }
-}
-
-void answer(Call &call, const CallerResponse &response)
-{
-    send(call, response);
-    --call.state->inWork;
-    if (auto next = takeNext(*call.connection)) {
-        begin(call.state, call.connection, std::move(*next));
+    {
+        std::lock_guard guard(peer->connection->mutex);
+        peer->connection->closeAfter = !keepAlive;
+        state->callersGone += peer->connection->fd < 0 ? 1 : 0;
     }
+    state->writer.write(peer->connection, detail::toHttp(response, hasBody, keepAlive), [state, peer] {
+        if (auto next = takeNext(*peer)) {
+            begin(state, peer, std::move(*next));
+        }
+        --state->inWork;
+    });
 }
 
-bool isOverloaded(const FrontState &state)
-{
-    return state.unsentBytes > state.settings.maxUnsentBytes;
-}
-
-void begin(const StatePtr &state, const ConnectionPtr &connection, CallerConnection::Waiting waiting)
+void begin(const StatePtr &state, const PeerPtr &peer, Arrival arrival)
 {
     ++state->inWork;
-    auto call = std::make_shared<Call>(Call{state, connection, std::move(waiting.writer), waiting.keepAlive});
-    CallerRequest &request = waiting.request;
-    const std::string path = request.target.substr(0, request.target.find('?'));
-    const auto route = state->routes.find({request.method, path});
+    const bool hasBody = arrival.request.method != "HEAD";
+    const bool keepAlive = arrival.keepAlive;
+    const std::string path = arrival.request.target.substr(0, arrival.request.target.find('?'));
+    if (arrival.fault) {
+        answer(state, peer, *arrival.fault, hasBody, keepAlive);
+        return;
+    }
+    const auto route = state->routes.find({arrival.request.method, path});
     if (route != state->routes.end()) {
-        answer(*call, route->second(request));
+        answer(state, peer, route->second(arrival.request), hasBody, keepAlive);
         return;
     }
-    if (isOverloaded(*state)) {
-        answer(*call, notRun("answers wait for slow readers", OverloadRetryAfter));
+    if (state->writer.unsentBytes() > state->settings.maxUnsentBytes) {
+        answer(state, peer, notRun("answers wait for slow readers", OverloadRetryAfter), hasBody, keepAlive);
         return;
     }
-    state->sink.submit(std::move(request), [call](const CallerResponse &response) { answer(*call, response); });
+    state->sink.submit(std::move(arrival.request), [state, peer, hasBody, keepAlive](const CallerResponse &response) {
+        answer(state, peer, response, hasBody, keepAlive);
+    });
 }
 
 class FrontHandler final : public Pistache::Http::Handler
@@ -245,11 +145,14 @@
     void onConnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
         peer->putData(ParserData, std::make_shared<Pistache::Http::RequestParser>(getMaxRequestSize()));
-        auto connection = std::make_shared<CallerConnection>();
-        connection->fd = peer->fd();
-        peer->putData(ConnectionData, connection);
+        const auto data = std::make_shared<PeerData>();
+        data->connection->fd = ::fcntl(peer->fd(), F_DUPFD_CLOEXEC, 0);
+        data->connection->activeAt = m_state->clock.now();
+        peer->putData(ConnectionData, data);
+        const int sendBuffer = m_state->settings.callerSendBuffer;
+        ::setsockopt(peer->fd(), SOL_SOCKET, SO_SNDBUF, &sendBuffer, sizeof sendBuffer);
         std::lock_guard guard(m_state->mutex);
-        m_state->connections.insert(connection);
+        m_state->connections.insert(data->connection);
         if (m_state->connections.size() > m_state->settings.maxCallerConnections) {
             ++m_state->refusedConnections;
             ::shutdown(peer->fd(), SHUT_RDWR);
@@ -258,54 +161,58 @@
 
     void onDisconnection(const std::shared_ptr<Pistache::Tcp::Peer> &peer) override
     {
-        const auto connection = connectionOf(*peer);
-        if (!connection) {
+        const PeerPtr data = dataOf(*peer);
+        if (!data) {
             return;
         }
-        std::deque<CallerConnection::Waiting> dropped;
         {
-            std::lock_guard guard(connection->mutex);
-            connection->fd = -1;
-            dropped.swap(connection->waiting);
+            std::lock_guard guard(data->mutex);
+            data->waiting.clear();
         }
-        markSent(m_state, *connection);
+        m_state->writer.end(data->connection);
         std::lock_guard guard(m_state->mutex);
-        m_state->connections.erase(connection);
+        m_state->connections.erase(data->connection);
     }
 
     void onRequest(const Pistache::Http::Request &request, Pistache::Http::ResponseWriter writer) override
     {
         const auto peer = writer.getPeer();
-        const auto connection = peer ? connectionOf(*peer) : nullptr;
-        if (!connection) {
+        const PeerPtr data = peer ? dataOf(*peer) : nullptr;
+        if (!data) {
             return;
         }
-        CallerConnection::Waiting waiting{translate(request), std::move(writer), wantsKeepAlive(request)};
-        const auto fault = findFault(request, waiting.request);
-        std::unique_lock lock(connection->mutex);
-        if (connection->busy) {
-            if (connection->waiting.size() >= MaxWaitingPerConnection || fault) {
-                ::shutdown(connection->fd, SHUT_RD); // no more from this caller; what is in work is still answered
-                return;
-            }
-            connection->waiting.push_back(std::move(waiting));
-            return;
+        Arrival arrival{translate(request), wantsKeepAlive(request)};
+        if (const auto fault = findFault(request, arrival.request)) {
+            arrival.fault = *fault;
         }
-        connection->busy = true;
-        lock.unlock();
-        if (fault) {
-            ++m_state->inWork;
-            Call call{m_state, connection, std::move(waiting.writer), waiting.keepAlive};
-            answer(call, *fault);
+        if (mustWait(*data, arrival)) {
             return;
         }
-        begin(m_state, connection, std::move(waiting));
+        begin(m_state, data, std::move(arrival));
     }
 
 private:
-    static ConnectionPtr connectionOf(const Pistache::Tcp::Peer &peer)
+    static PeerPtr dataOf(const Pistache::Tcp::Peer &peer)
     {
-        return std::static_pointer_cast<CallerConnection>(peer.tryGetData(ConnectionData));
+        return std::static_pointer_cast<PeerData>(peer.tryGetData(ConnectionData));
+    }
+
+    /** Queues @p arrival behind the connection's request in work, if there is one. */
+    bool mustWait(PeerData &data, Arrival &arrival) const
+    {
+        std::lock_guard guard(data.mutex);
+        std::lock_guard connectionGuard(data.connection->mutex);
+        data.connection->activeAt = m_state->clock.now();
+        if (!data.connection->busy) {
+            data.connection->busy = true;
+            return false;
+        }
+        if (data.waiting.size() < MaxWaitingPerConnection) {
+            data.waiting.push_back(std::move(arrival));
+        } else if (data.connection->fd >= 0) {
+            ::shutdown(data.connection->fd, SHUT_RDWR); // sends and sends, and reads no answer
+        }
+        return true;
     }
 
     static bool wantsKeepAlive(const Pistache::Http::Request &request)
@@ -375,14 +282,17 @@
     {
     }
 
-    void cutOffSlowReaders() const
+    /** Ends connections that are idle, whose request does not get any further, or that do not read their answer. */
+    void endStaleConnections() const
     {
         const TimePoint now = state->clock.now();
         std::lock_guard guard(state->mutex);
         for (const ConnectionPtr &it : state->connections) {
             std::lock_guard connectionGuard(it->mutex);
-            if (it->fd >= 0 && it->unsent > 0 && it->unsentSince + state->settings.slowReaderTimeout < now) {
-                ++state->slowReaders;
+            const bool isSlow = it->entry != 0 && it->unsentSince + state->settings.slowReaderTimeout < now;
+            const bool isIdle = !it->busy && it->activeAt + state->settings.callerIdleTimeout < now;
+            state->slowReaders += isSlow ? 1 : 0;
+            if ((isSlow || isIdle) && it->fd >= 0) {
                 ::shutdown(it->fd, SHUT_RDWR);
             }
         }
@@ -394,7 +304,7 @@
         while (!sweepEnded) {
             state->clock.waitUntil(lock, sweepWake, state->clock.now() + SweepInterval);
             lock.unlock();
-            cutOffSlowReaders();
+            endStaleConnections();
             lock.lock();
         }
     }
@@ -428,14 +338,14 @@
     const RequestSettings &settings = m_impl->state->settings;
     const Pistache::Address address(settings.listenAddress, Pistache::Port(settings.listenPort));
     m_impl->endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
-    const auto idle = std::chrono::duration_cast<std::chrono::milliseconds>(settings.callerIdleTimeout);
     auto options = Pistache::Http::Endpoint::options();
     options.threads(settings.frontThreads).threadsName("front");
     options.flags(Pistache::Flags<Pistache::Tcp::Options>(Pistache::Tcp::Options::ReuseAddr)
                   | Pistache::Tcp::Options::NoDelay);
     options.maxRequestSize(settings.maxHeaderBytes + settings.maxBodyBytes);
     options.maxResponseSize(settings.maxAnswerBytes + settings.maxHeaderBytes);
-    options.headerTimeout(idle).bodyTimeout(idle).keepaliveTimeout(idle);
+    // The library's timeouts also end connections whose request is in work, by a 408: see endStaleConnections().
+    options.headerTimeout(NoTimeout).bodyTimeout(NoTimeout).keepaliveTimeout(NoTimeout);
     m_impl->endpoint->init(options);
     m_impl->endpoint->setHandler(std::make_shared<FrontHandler>(m_impl->state));
     m_impl->endpoint->serveThreaded();
@@ -458,17 +368,22 @@
     }
     m_impl->sweepWake.notify_all();
     m_impl->sweeper.join();
-    {
-        std::unique_lock lock(m_impl->state->stopMutex);
-        m_impl->state->stopped = true;
-    }
     m_impl->endpoint->shutdown();
     m_impl->endpoint.reset();
+    std::set<ConnectionPtr> connections;
+    {
+        std::lock_guard guard(m_impl->state->mutex);
+        connections.swap(m_impl->state->connections);
+    }
+    for (const ConnectionPtr &it : connections) {
+        m_impl->state->writer.end(it);
+    }
+    m_impl->state->writer.stop(); // here, not on the thread that lets go of the state last
 }
 
 std::uint64_t HttpFront::unanswered() const
 {
-    return m_impl->state->inWork + (m_impl->state->unsentBytes > 0 ? 1 : 0);
+    return m_impl->state->inWork;
 }
 
 FrontCounters HttpFront::counters() const
@@ -479,7 +394,7 @@
         std::lock_guard guard(state.mutex);
         it.connections = state.connections.size();
     }
-    it.unsentBytes = state.unsentBytes;
+    it.unsentBytes = state.writer.unsentBytes();
     it.inWork = state.inWork;
     it.refusedConnections = state.refusedConnections;
     it.slowReaders = state.slowReaders;
--- a/packages/requests/httpfront.h
+++ b/packages/requests/httpfront.h
@@ -8,7 +8,9 @@
  *
  * What it makes sure of
  *   - A connection has one request in work at a time; those that follow on it wait, so answers keep their order.
- *   - An answer goes to the connection that asked, or nowhere: file descriptors that were taken again are told apart.
+ *   - An answer goes to the connection that asked, or nowhere: it is written to our own duplicate of the descriptor,
+ *     whose number cannot be taken again by another caller.
+ *   - A caller that does not read holds up nobody else.
  *   - Header, body, connections and unread answers are bounded.
  *
  * Pitfalls: two requests in one TCP segment (HTTP pipelining) are not supported by Pistache: the second is dropped.
--- a/packages/requests/settings.h
+++ b/packages/requests/settings.h
@@ -91,6 +91,7 @@
     std::size_t maxBodyBytes = 1 << 20;    ///< beyond: 413
     std::size_t maxCallerConnections = 10000;
     std::size_t maxUnsentBytes = 64 << 20; ///< answers handed to slow readers, all together; beyond: not_run
+    int callerSendBuffer = 128 << 10; ///< bytes that the kernel may hold of an answer for a caller that does not read
     Duration callerIdleTimeout = std::chrono::seconds(60);
     Duration slowReaderTimeout = std::chrono::seconds(10); ///< a caller that has not read its answer by then is cut off
 
--- a/packages/requests/tests/faulttest.cpp
+++ b/packages/requests/tests/faulttest.cpp
@@ -352,6 +352,46 @@
     EXPECT_EQ(rig.lookup("l").status, 200);
 }
 
+TEST(Callers, SlowReaderHoldsUpNobodyAndIsCutOff)
+{
+    RequestSettings settings = pathSettings();
+    settings.frontThreads = 1;
+    PathRig rig(1, settings);
+    ManualClock clock;
+    HttpFront front(rig.settings, clock, rig.path);
+    front.start();
+    const std::string body(900'000, 'x');
+    const RawCaller slow(front.port(), 4096);
+    slow.send("POST /book HTTP/1.1\r\nHost: x\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    ASSERT_TRUE(eventually([&] { return front.counters().unsentBytes > 0; }));
+    EXPECT_EQ(HttpCaller(front.port()).call({"GET", "/lookup/a", {}, ""}).status, 200);
+    ASSERT_TRUE(eventually([&] { return clock.waiterCount() == 1; }));
+    clock.advance(rig.settings.slowReaderTimeout + 1s);
+    EXPECT_TRUE(eventually([&] { return front.counters().unsentBytes == 0; }));
+    EXPECT_EQ(front.counters().slowReaders, 1U);
+    EXPECT_TRUE(eventually([&] { return front.unanswered() == 0; }));
+}
+
+TEST(Callers, IdleConnectionEndsAndOneWithARequestInWorkDoesNot)
+{
+    PathRig rig(1);
+    ManualClock clock;
+    HttpFront front(rig.settings, clock, rig.path);
+    front.start();
+    const RawCaller idle(front.port());
+    rig.setFaults(UpstreamFault::Hold);
+    auto held = std::async(std::launch::async, [&] {
+        return HttpCaller(front.port()).call({"POST", "/book", {"Booking-Id: b1"}, "hold"});
+    });
+    ASSERT_TRUE(eventually([&] { return rig.upstreams[0]->held() == 1 && front.counters().connections == 2; }));
+    ASSERT_TRUE(eventually([&] { return clock.waiterCount() == 1; }));
+    clock.advance(rig.settings.callerIdleTimeout + 1s);
+    EXPECT_EQ(idle.readUntil("never"), "");
+    EXPECT_TRUE(eventually([&] { return front.counters().connections == 1; }));
+    rig.upstreams[0]->releaseHeld();
+    EXPECT_EQ(held.get().body, "b1 /book hold");
+}
+
 TEST(Drain, CutsOffNothingInFlight)
 {
     PathRig rig(1);
