--- a/packages/membership/tests/membershiptest.cpp
+++ b/packages/membership/tests/membershiptest.cpp
@@ -164,6 +164,24 @@
     EXPECT_TRUE(a.membership.members().empty());
 }
 
+TEST(Membership, neighboursAreForgottenButForOneOfEachDomain)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    for (const char *name : {"x", "y", "z"}) {
+        world.start(name, "paldiski");
+    }
+    world.run(seconds(3));
+    world.clock.advance(seconds(60));
+    world.run(seconds(3));
+    EXPECT_EQ(a.membership.neighbours().size(), 3u);
+    for (const char *name : {"x", "y", "z"}) {
+        world.crash(name);
+    }
+    world.run(minutes(15));
+    EXPECT_EQ(a.membership.neighbours().size(), 1u);
+}
+
 TEST(MemberRegistry, registersAgainWhenTheLeaseLapsedOrTheKeyWasRemoved)
 {
     World world;
--- a/packages/settings/tests/propagationtest.cpp
+++ b/packages/settings/tests/propagationtest.cpp
@@ -1,6 +1,8 @@
 #include <membership/tests/world.h>
 #include <settings/propagation.h>
 
+#include <nlohmann/json.hpp>
+
 namespace QuetzalRock {
 
 namespace {
@@ -318,6 +320,37 @@
     expectAll(made);
 }
 
+TEST_F(PropagationTest, anOlderDocumentIsNotTaken)
+{
+    startAll();
+    write();
+    const SettingsDocument old = store.read();
+    const std::uint64_t made = write();
+    run(seconds(2));
+    EXPECT_FALSE(settings["a"]->offer(old));
+    EXPECT_EQ(version("a"), made);
+    EXPECT_EQ(settings["a"]->counters().lowerIgnored, 1u);
+}
+
+TEST_F(PropagationTest, anOfferThatGivesAnotherTreeIsNotTaken)
+{
+    startAll();
+    const std::uint64_t made = write();
+    run(seconds(2));
+    const HistoryEntry next{made + 1, "ana", {}, "id", {{Root, "tenant.weight", "1", "7"}}};
+    const std::string entries = encodeHistory({&next, 1});
+    FakeTransport transport(world.peers, World::addressOf("b"));
+    const auto offer = [&](const std::string &digest) {
+        const std::string text = R"({"version":2,"digest":")" + digest + R"(","from":"b","entries":)"
+                                 + nlohmann::json(entries).dump() + "}";
+        return transport.call(World::addressOf("a"), "settings.offer", text, seconds(1));
+    };
+    EXPECT_EQ(offer("0123456789abcdef"), R"({"version":1})");
+    SettingsDocument document = settings["a"]->current()->document;
+    EXPECT_TRUE(advanceDocument(document, next).empty());
+    EXPECT_EQ(offer(digestOf(document.version, document.tree)), R"({"version":2})");
+}
+
 TEST_F(PropagationTest, malformedMessagesAreRefused)
 {
     startAll();
--- a/packages/settings/tests/settingsstoretest.cpp
+++ b/packages/settings/tests/settingsstoretest.cpp
@@ -155,6 +155,19 @@
     EXPECT_EQ(now.history.at(0).writeId, "mine");
 }
 
+TEST_F(SettingsStoreTest, aLostWriteThatAnotherOvertookIsAConflict)
+{
+    service.loseWrites = 1;
+    racing.beforeSwap = [this] {
+        racing.beforeSwap = [this] {
+            SettingsStore other(platform, clock);
+            other.write(edit(0, "99", "theirs"));
+        };
+    };
+    EXPECT_THROW(store.write(edit(0, "20", "mine")), SettingsConflict);
+    EXPECT_EQ(weight(), "99");
+}
+
 TEST_F(SettingsStoreTest, anOutageAfterALostAnswerIsUnknownAndARepeatSettlesIt)
 {
     service.loseWriteAnswers = 1;
