Bring the operators' settings in force into the decisions

Cause: a changed setting was known to every process and changed nothing. The owner of the shard now hands weights, guard, budgets, pacing, headroom, and each tenant's quota and weight to the placement whenever a new version is in force there. Found on the way: scheduler and placement had each taken the name TaskStage; placement's is PlacementStage now. Before: settings without effect. Conclusion: service settings (deadlines, queue limits) still come from the process's own file and are listed as missing.

--- a/packages/admin/jobjson.cpp
+++ b/packages/admin/jobjson.cpp
@@ -128,7 +128,7 @@
 {
     return {{"task", toString(task.task)},
             {"attempt", task.attempt},
-            {"phase", phaseName(task.phase)},
+            {"phase", stageName(task.stage)},
             {"worker", task.worker},
             {"progress", task.progress},
             {"failures", task.failures},
@@ -144,7 +144,7 @@
               {"ended_at_ms", job.endedAt.count()}};
     Json counts = Json::object();
     for (const TaskStatus &it : job.tasks) {
-        const std::string phase(phaseName(it.phase));
+        const std::string phase(stageName(it.stage));
         counts[phase] = counts.value(phase, 0) + 1;
     }
     json["task_phases"] = counts;
--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -92,6 +92,7 @@
     , m_requests(settings.requests, clock, &m_claims, m_registry.get())
     , m_front(settings.requests, clock, m_requests)
 {
+    m_scheduler.setSettingsSource([this] { return m_member.settings(); });
     m_claims.bind(m_member.router());
     m_member.router().on("admin.request", [this](const PeerCall &call) { return onForwarded(call); });
     m_front.addRoute("GET", "/healthz", [this](const CallerRequest &) { return answerHealth(true); });
--- a/packages/daemon/schedulershard.cpp
+++ b/packages/daemon/schedulershard.cpp
@@ -1,5 +1,7 @@
 #include <daemon/schedulershard.h>
 
+#include <daemon/placementpolicy.h>
+
 #include <glog/logging.h>
 
 namespace QuetzalRock {
@@ -45,6 +47,11 @@
     release();
 }
 
+void SchedulerShard::setSettingsSource(SettingsSource source)
+{
+    m_settingsSource = std::move(source);
+}
+
 const std::string &SchedulerShard::shardName() const
 {
     return m_name;
@@ -93,6 +100,7 @@
 void SchedulerShard::serve(Tenure &tenure)
 {
     while (!tenure.isStopping && !tenure.isFenced) {
+        applySettings(tenure);
         if (tenure.scheduler.step(m_clock.now()) == StepOutcome::StoodDown) {
             tenure.isFenced = true;
             break;
@@ -102,6 +110,19 @@
     tenure.scheduler.standDown();
 }
 
+void SchedulerShard::applySettings(Tenure &tenure)
+{
+    const auto settings = m_settingsSource ? m_settingsSource() : nullptr;
+    if (!settings || settings == tenure.settings) {
+        return;
+    }
+    const SettingsPath domain{m_settings.process.region, m_settings.process.failureDomain, {}, {}};
+    const SettingsTree &tree = settings->document.tree;
+    tenure.engine.setSettings(placementSettings(domainPolicy(tree, domain)));
+    tenure.engine.setTeams(teamQuotas(tree, domain));
+    tenure.settings = settings;
+}
+
 JobId SchedulerShard::submit(const JobSpec &spec)
 {
     return await(current()->scheduler.submit(spec), true);
--- a/packages/daemon/schedulershard.h
+++ b/packages/daemon/schedulershard.h
@@ -12,7 +12,9 @@
 #include <daemon/platformbundle.h>
 #include <journal/journal.h>
 #include <placement/placementengine.h>
+#include <settings/propagation.h>
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <thread>
@@ -25,6 +27,10 @@
     SchedulerShard(const DaemonSettings &settings, PlatformBundle &platform, Clock &clock);
     ~SchedulerShard() override;
 
+    /** Where the operators' settings in force are read; before the first acquire(). */
+    using SettingsSource = std::function<std::shared_ptr<const SettingsVersion>()>;
+    void setSettingsSource(SettingsSource source);
+
     const std::string &shardName() const override;
     std::uint64_t acquire() override;
     void release() override;
@@ -53,12 +59,14 @@
         PlacementEngine engine;
         ShardScheduler scheduler;
         std::uint64_t epoch = 0;
+        std::shared_ptr<const SettingsVersion> settings; ///< as applied; null: none yet
         std::atomic<bool> isStopping = false;
         std::atomic<bool> isFenced = false;
         std::thread thread;
     };
 
     void serve(Tenure &tenure);
+    void applySettings(Tenure &tenure);      ///< where their version has changed
     std::shared_ptr<Tenure> current() const; ///< throws NotRun where this process is not the owner
     JournalSettings journalSettings();
 
@@ -69,6 +77,7 @@
     PlatformBundle &m_platform;
     Clock &m_clock;
     const std::string m_name;
+    SettingsSource m_settingsSource;
 
     mutable std::mutex m_mutex; ///< guards m_current
     std::shared_ptr<Tenure> m_current;
--- /dev/null
+++ b/packages/daemon/tests/placementpolicytest.cpp
@@ -0,0 +1,32 @@
+#include <daemon/placementpolicy.h>
+
+#include <gtest/gtest.h>
+
+using namespace QuetzalRock;
+
+TEST(PlacementPolicy, followsTheTreeOfItsFailureDomain)
+{
+    const SettingsParse parse = parseIni("[root]\n"
+                                         "scheduling.tail-weight = 6\n"
+                                         "scheduling.throughput-weight = 2\n"
+                                         "scheduling.eviction-weight = 2\n"
+                                         "[domain r/a]\n"
+                                         "guard.enabled = false\n"
+                                         "[tenant desk]\n"
+                                         "tenant.cpu-millis = 9000\n"
+                                         "tenant.weight = 30\n"
+                                         "[tenant desk in r/a]\n"
+                                         "tenant.cpu-millis = 4000\n",
+                                         "t.ini");
+    ASSERT_TRUE(parse.issues.empty()) << toString(parse.issues.front());
+    const SettingsPath a{"r", "a", {}, {}};
+    const SettingsPath b{"r", "b", {}, {}};
+    const PlacementSettings settings = placementSettings(domainPolicy(parse.tree, a));
+    EXPECT_DOUBLE_EQ(settings.weights.tailLatency, 0.6);
+    EXPECT_FALSE(settings.guards);
+    EXPECT_TRUE(placementSettings(domainPolicy(parse.tree, b)).guards);
+    ASSERT_EQ(teamQuotas(parse.tree, a).size(), 1U);
+    EXPECT_EQ(teamQuotas(parse.tree, a).front().limit.cpuMillis, 4000);
+    EXPECT_EQ(teamQuotas(parse.tree, b).front().limit.cpuMillis, 9000);
+    EXPECT_DOUBLE_EQ(teamQuotas(parse.tree, b).front().weight, 30);
+}
--- a/packages/placement/engineexplain.cpp
+++ b/packages/placement/engineexplain.cpp
@@ -16,7 +16,7 @@
     std::ostringstream out;
     out << "task " << toString(id) << " ";
     switch (task.phase) {
-    case TaskStage::Active:
+    case PlacementStage::Active:
         out << "holds room on " << m_ledger.worker(task.worker).id;
         out << (task.stopping ? "; a stop is under way" : "");
         out << (task.wanted ? "" : "; no longer wanted");
@@ -27,14 +27,14 @@
             out << "; predicted latency " << std::exp(task.logRatio) << " of its target";
         }
         break;
-    case TaskStage::Finished:
+    case PlacementStage::Finished:
         out << "has finished";
         break;
-    case TaskStage::Removed:
+    case PlacementStage::Removed:
         out << "was cancelled";
         break;
-    case TaskStage::Pending:
-    case TaskStage::Delayed:
+    case PlacementStage::Pending:
+    case PlacementStage::Delayed:
         out << "waits: " << describeWait(job, task);
         break;
     }
@@ -46,7 +46,7 @@
     if (job.parked) {
         return job.parkedReason.empty() ? "not yet checked against the workers known" : job.parkedReason;
     }
-    if (task.phase == TaskStage::Delayed) {
+    if (task.phase == PlacementStage::Delayed) {
         return "failed " + std::to_string(task.failures) + " times and is tried again later";
     }
     switch (job.waits) {
--- a/packages/placement/enginestarts.cpp
+++ b/packages/placement/enginestarts.cpp
@@ -171,7 +171,7 @@
 /** Drops stale entries; false where no task is ready. */
 bool PlacementEngine::popStale(Job &job)
 {
-    while (!job.ready.empty() && job.tasks[job.ready.back()].phase != TaskStage::Pending) {
+    while (!job.ready.empty() && job.tasks[job.ready.back()].phase != PlacementStage::Pending) {
         job.ready.pop_back();
     }
     return !job.ready.empty();
@@ -240,7 +240,7 @@
 PlacementEngine::Outcome PlacementEngine::tryStartGang(JobSlot slot, TimePoint now, Decisions &out)
 {
     Job &job = m_jobs[slot];
-    std::erase_if(job.ready, [&job](std::uint32_t it) { return job.tasks[it].phase != TaskStage::Pending; });
+    std::erase_if(job.ready, [&job](std::uint32_t it) { return job.tasks[it].phase != PlacementStage::Pending; });
     const auto n = static_cast<std::uint32_t>(job.ready.size());
     if (n < job.unfinished - job.active) {
         return block(slot, WaitReason::Backoff);
@@ -384,7 +384,7 @@
 {
     m_rackCounts.assign(m_ledger.rackCount(), 0);
     for (const Task &it : job.tasks) {
-        if (it.phase != TaskStage::Active) {
+        if (it.phase != PlacementStage::Active) {
             continue;
         }
         detail::WorkerView &view = m_views[it.worker];
--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -78,6 +78,13 @@
 // Inputs
 // ---------------------------------------------------------------------------------------------------------------------
 
+void PlacementEngine::setSettings(const PlacementSettings &settings)
+{
+    const std::uint64_t seed = m_settings.seed;
+    m_settings = settings;
+    m_settings.seed = seed;
+}
+
 void PlacementEngine::setTeams(std::span<const TeamQuota> quotas)
 {
     m_teams.setQuotas(quotas);
@@ -136,9 +143,9 @@
     }
     Task &task = m_jobs.task(ref);
     task.wanted = false;
-    if (task.phase == TaskStage::Pending || task.phase == TaskStage::Delayed) {
+    if (task.phase == PlacementStage::Pending || task.phase == PlacementStage::Delayed) {
         --m_counters.pendingTasks;
-        finishTask(ref, TaskStage::Removed);
+        finishTask(ref, PlacementStage::Removed);
     }
 }
 
@@ -150,7 +157,7 @@
         return;
     }
     const Task &task = m_jobs.task(ref);
-    if (task.phase == TaskStage::Pending || task.phase == TaskStage::Delayed) {
+    if (task.phase == PlacementStage::Pending || task.phase == PlacementStage::Delayed) {
         attach(ref, index, m_jobs[ref.job].spec.resources, started);
     }
 }
@@ -158,12 +165,12 @@
 void PlacementEngine::abandonStart(const TaskId &id)
 {
     TaskRef ref;
-    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != TaskStage::Active) {
+    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != PlacementStage::Active) {
         return;
     }
     detach(ref, m_now);
     if (!m_jobs.task(ref).wanted) {
-        finishTask(ref, TaskStage::Removed);
+        finishTask(ref, PlacementStage::Removed);
         return;
     }
     makePending(ref, m_now);
@@ -173,7 +180,7 @@
 {
     m_now = std::max(m_now, now);
     TaskRef ref;
-    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != TaskStage::Active) {
+    if (!m_jobs.find(id, ref) || m_jobs.task(ref).phase != PlacementStage::Active) {
         return;
     }
     const WorkerIndex worker = m_jobs.task(ref).worker;
@@ -191,7 +198,7 @@
         m_jobs[ref.job].succeeded = true;
     }
     if (state == AttemptState::Finished || !task.wanted) {
-        finishTask(ref, state == AttemptState::Finished ? TaskStage::Finished : TaskStage::Removed);
+        finishTask(ref, state == AttemptState::Finished ? PlacementStage::Finished : PlacementStage::Removed);
         return;
     }
     if (state == AttemptState::Failed) {
@@ -224,7 +231,7 @@
     detail::WorkerView &view = m_views[worker];
     m_ledger.restore(worker, reserved);
     m_teams[job.team].usage += reserved;
-    task.phase = TaskStage::Active;
+    task.phase = PlacementStage::Active;
     task.worker = worker;
     task.reserved = reserved;
     task.since = started;
@@ -282,7 +289,7 @@
 void PlacementEngine::makePending(TaskRef ref, TimePoint now)
 {
     Job &job = m_jobs[ref.job];
-    job.tasks[ref.index].phase = TaskStage::Pending;
+    job.tasks[ref.index].phase = PlacementStage::Pending;
     job.tasks[ref.index].since = now;
     job.ready.push_back(ref.index);
     enqueue(ref.job);
@@ -291,7 +298,7 @@
 void PlacementEngine::makeDelayed(TaskRef ref, TimePoint until)
 {
     Job &job = m_jobs[ref.job];
-    job.tasks[ref.index].phase = TaskStage::Delayed;
+    job.tasks[ref.index].phase = PlacementStage::Delayed;
     job.tasks[ref.index].since = until;
     m_delayed.push({until, ref, job.spec.id});
 }
@@ -308,18 +315,18 @@
         m_delayed.pop();
         TaskRef ref;
         const bool known = m_jobs.find({due.job, due.ref.index}, ref);
-        if (known && m_jobs.task(ref).phase == TaskStage::Delayed && m_jobs.task(ref).since <= now) {
+        if (known && m_jobs.task(ref).phase == PlacementStage::Delayed && m_jobs.task(ref).since <= now) {
             makePending(ref, now);
         }
     }
 }
 
 /** The caller has taken the task out of the count of pending or active ones, but for detach(), which counts it in. */
-void PlacementEngine::finishTask(TaskRef ref, TaskStage phase)
+void PlacementEngine::finishTask(TaskRef ref, PlacementStage phase)
 {
     Job &job = m_jobs[ref.job];
     Task &task = job.tasks[ref.index];
-    if (task.phase == TaskStage::Active) {
+    if (task.phase == PlacementStage::Active) {
         --m_counters.pendingTasks;
     }
     task.phase = phase;
--- a/packages/placement/jobs.h
+++ b/packages/placement/jobs.h
@@ -32,7 +32,7 @@
     auto operator<=>(const TaskRef &) const = default;
 };
 
-enum class TaskStage : std::uint8_t {
+enum class PlacementStage : std::uint8_t {
     Pending,  ///< ready to start
     Delayed,  ///< pending, after Task::since
     Active,   ///< holds a worker's room: start in doubt, running, or stop not finished
@@ -42,7 +42,7 @@
 
 struct Task
 {
-    TaskStage phase = TaskStage::Pending;
+    PlacementStage phase = PlacementStage::Pending;
     bool wanted = true;
     bool stopping = false; ///< a stop was decided
     bool proven = false;   ///< ran long enough to speak for its worker
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -134,6 +134,7 @@
     explicit PlacementEngine(const PlacementSettings &settings);
 
     // --- inputs ------------------------------------------------------------------------------------------------------
+    void setSettings(const PlacementSettings &settings); ///< takes effect with the next decide(); the seed stays
     void setTeams(std::span<const TeamQuota> quotas); ///< replaces all; jobs that a quota had ruled out are tried again
     void pinSlowdown(std::string_view service, std::string_view neighbour, double logSlowdown);
 
@@ -195,7 +196,7 @@
     void detach(TaskRef ref, TimePoint now);
     void makePending(TaskRef ref, TimePoint now);
     void makeDelayed(TaskRef ref, TimePoint until);
-    void finishTask(TaskRef ref, TaskStage phase);
+    void finishTask(TaskRef ref, PlacementStage phase);
     void enqueue(JobSlot slot);
     void dequeue(JobSlot slot);
     void wakeDelayed(TimePoint now);
--- a/packages/scheduler/scheduler.cpp
+++ b/packages/scheduler/scheduler.cpp
@@ -323,25 +323,25 @@
     }
     m_nextDecision = now + m_settings.decideEvery;
     m_isDirty = false;
-    const Decisions todo = m_engine.decide(now);
-    for (const UnrunnableJob &it : todo.unrunnable) {
+    const Decisions decisions = m_engine.decide(now);
+    for (const UnrunnableJob &it : decisions.unrunnable) {
         m_unrunnable[it.job] = it.reason;
     }
-    for (const ThrottleDecision &it : todo.throttles) {
+    for (const ThrottleDecision &it : decisions.throttles) {
         const TaskState *task = m_state.findTask(it.task);
         if (task != nullptr && task->active) {
             m_fleet.throttleAttempt(task->worker, {it.task, task->lastAttempt}, it.permille, now);
         }
     }
-    for (const StopDecision &it : todo.stops) {
+    for (const StopDecision &it : decisions.stops) {
         requestStop(it.task, it.mode, it.inFavourOf, it.reason);
     }
     if (mayStart) {
-        addStarts(todo.starts, now);
+        addStarts(decisions.starts, now);
         return;
     }
-    m_counters.abandonedStarts += todo.starts.size();
-    for (const StartDecision &it : todo.starts) {
+    m_counters.abandonedStarts += decisions.starts.size();
+    for (const StartDecision &it : decisions.starts) {
         m_engine.abandonStart(it.task);
     }
 }
