Refuse damaged values by a typed error, whatever is in them

Taken out one at a time: bound on lengths and trailing bytes are found by refusesLengthsBeyondTheValue, side and ring size by refusesNumbersOutOfTheirRange; the property over changed bytes alone found none of the two.

--- a/packages/journal/format.cpp
+++ b/packages/journal/format.cpp
@@ -26,6 +26,7 @@
 constexpr std::uint32_t SnapshotRefFields = 5;
 constexpr std::uint32_t ChunkFields = 5;
 constexpr std::size_t HeaderBytes = 128; // room that spares the first reallocations
+constexpr std::size_t MaxDepth = 4;      // of arrays in arrays; a batch has 2
 
 using Packer = msgpack::packer<msgpack::sbuffer>;
 
@@ -53,6 +54,24 @@
     return {buf.data(), buf.size()};
 }
 
+/** Bounds on what a damaged length field may make the decoder allocate: a value has no more elements than bytes. */
+msgpack::unpack_limit limitFor(std::size_t bytes)
+{
+    return {bytes, 0, bytes, bytes, 0, MaxDepth};
+}
+
+msgpack::object_handle unpackWhole(std::string_view bytes)
+{
+    std::size_t end = 0;
+    bool referenced = false;
+    msgpack::object_handle handle
+        = msgpack::unpack(bytes.data(), bytes.size(), end, referenced, nullptr, nullptr, limitFor(bytes.size()));
+    if (end != bytes.size()) {
+        throw LogCorrupt("value has " + std::to_string(bytes.size() - end) + " bytes too many");
+    }
+    return handle;
+}
+
 /** The fields of a value, once its version has been found readable. */
 std::span<const msgpack::object> fieldsOf(const msgpack::object &object, std::size_t least)
 {
@@ -103,6 +122,9 @@
     snapshot.id = fields[2].as<std::uint64_t>();
     snapshot.bytes = fields[3].as<std::uint64_t>();
     snapshot.checksum = fields[4].as<std::uint64_t>();
+    if (snapshot.side > 1) {
+        throw LogCorrupt("snapshot on side " + std::to_string(snapshot.side));
+    }
     return snapshot;
 }
 
@@ -124,6 +146,9 @@
     batch.header.epoch = fields[4].as<std::uint64_t>();
     batch.header.writer = fields[5].as<std::string>();
     batch.header.id = fields[6].as<std::uint64_t>();
+    if (batch.header.slots < MinJournalSlots || batch.header.slots > MaxJournalSlots) {
+        throw LogCorrupt("ring of " + std::to_string(batch.header.slots) + " slots");
+    }
     if (batch.header.kind == BatchKind::Records) {
         batch.records = recordsOf(fields[HeaderFields]);
     } else if (batch.header.kind == BatchKind::Snapshot) {
@@ -172,7 +197,7 @@
 Batch decodeBatch(std::string_view bytes)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = unpackWhole(bytes);
         return batchOf(fieldsOf(handle.get(), BatchFields));
     } catch (const msgpack::unpack_error &) {
         throw LogCorrupt("batch cannot be decoded");
@@ -197,7 +222,7 @@
 SnapshotChunk decodeChunk(std::string_view bytes)
 {
     try {
-        const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+        const msgpack::object_handle handle = unpackWhole(bytes);
         const auto fields = fieldsOf(handle.get(), ChunkFields);
         SnapshotChunk chunk;
         chunk.epoch = fields[1].as<std::uint64_t>();
--- a/packages/journal/format.h
+++ b/packages/journal/format.h
@@ -23,6 +23,8 @@
 namespace QuetzalRock {
 
 constexpr std::uint32_t JournalFormat = 1; ///< written by this version, and the highest that it reads
+constexpr std::uint32_t MinJournalSlots = 8;
+constexpr std::uint32_t MaxJournalSlots = 9999; ///< four digits in the keys
 
 /** What the service holds is not a journal's complete state. Nothing was written; people have to look. */
 class LogCorrupt : public Error
@@ -49,11 +51,11 @@
 struct BatchHeader
 {
     BatchKind kind = BatchKind::Records;
-    std::uint32_t slots = 0;    ///< of the ring, so that a change of the setting cannot scramble it
-    std::uint64_t sequence = 0; ///< from 1, without gaps
-    std::uint64_t epoch = 0;    ///< of the owner; one higher with each takeover
-    std::string writer;         ///< the owner's name, for people and to tell rivals apart
-    std::uint64_t id = 0;       ///< counted by the writer; with the writer it tells whose write took effect
+    std::uint32_t slots = MinJournalSlots; ///< of the ring, so that a change of the setting cannot scramble it
+    std::uint64_t sequence = 0;            ///< from 1, without gaps
+    std::uint64_t epoch = 0;               ///< of the owner; one higher with each takeover
+    std::string writer;                    ///< the owner's name, for people and to tell rivals apart
+    std::uint64_t id = 0;                  ///< counted by the writer; with the writer it tells whose write took effect
 };
 
 struct SnapshotRef
--- a/packages/journal/journal.cpp
+++ b/packages/journal/journal.cpp
@@ -8,8 +8,6 @@
 
 namespace {
 
-constexpr std::uint32_t MinSlots = 8;
-constexpr std::uint32_t MaxSlots = 9999;   // four digits in the keys
 constexpr std::uint32_t ReservedShare = 8; // one slot in so many is kept for takeovers and the snapshot
 constexpr std::uint32_t MinReservedSlots = 3;
 constexpr std::uint32_t SnapshotSlots = 1;                      // the last free slot is the snapshot's alone
@@ -31,7 +29,7 @@
     if (settings.writer.empty()) {
         throw InvalidArgument("writer", "journal: writer is empty");
     }
-    if (settings.slots < MinSlots || settings.slots > MaxSlots) {
+    if (settings.slots < MinJournalSlots || settings.slots > MaxJournalSlots) {
         throw InvalidArgument("slots", "journal: slots must be 8 to 9999");
     }
     if (settings.maxBatchBytes == 0 || settings.maxBatchBytes > MaxPayloadBytes) {
--- a/packages/journal/snapshotstore.cpp
+++ b/packages/journal/snapshotstore.cpp
@@ -1,11 +1,14 @@
 #include <journal/journal.h>
 #include <journal/snapshotstore.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::detail {
 
 namespace {
 
-constexpr int ChunkTries = 4; // a lost answer, a late write of a fenced owner, and one more
+constexpr std::size_t MaxReserve = 64 * 1024 * 1024; // a damaged size must not ask for more
+constexpr int ChunkTries = 4;                        // a lost answer, a late write of a fenced owner, and one more
 
 } // namespace
 
@@ -38,7 +41,7 @@
 std::string SnapshotStore::read(const SnapshotRef &snapshot, std::uint64_t epoch)
 {
     std::string state;
-    state.reserve(snapshot.bytes);
+    state.reserve(std::min<std::size_t>(snapshot.bytes, MaxReserve));
     for (std::uint32_t i = 0; i < snapshot.chunks; ++i) {
         ++m_counters.reads;
         const auto found = m_service.get(chunkKey(snapshot.side, i));
--- a/packages/journal/tests/journaltest.cpp
+++ b/packages/journal/tests/journaltest.cpp
@@ -5,6 +5,8 @@
 #include <platform/faultykeyvalue.h>
 
 #include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <rapidcheck/gtest.h>
 
 using namespace QuetzalRock;
 using namespace std::chrono_literals;
@@ -296,6 +298,11 @@
 
 namespace {
 
+detail::BatchHeader headerOf(detail::BatchKind kind)
+{
+    return {kind, 16, 1, 1, "a", 1};
+}
+
 /** What the first version of the program wrote: a takeover and two records. These bytes must stay readable. */
 const std::string FirstFormatTakeover("\x98\x01\x01\x10\x01\x01\xa1z\x01\xc0", 10);
 const std::string FirstFormatRecords("\x98\x01\x00\x10\x02\x01\xa1z\x02\x92\xc4\x02hi\xc4\x00", 16);
@@ -339,6 +346,45 @@
     }
 }
 
+RC_GTEST_PROP(JournalFormatProperty, refusesDamageWithATypedError, ())
+{
+    std::string bytes
+        = *rc::gen::element(FirstFormatTakeover,
+                            FirstFormatRecords,
+                            detail::encodeSnapshotRef(headerOf(detail::BatchKind::Snapshot), {1, 2, 3, 4, 5}),
+                            detail::encodeChunk(1, 2, 0, "data"));
+    const auto changes = *rc::gen::container<std::vector<std::pair<std::uint8_t, char>>>(
+        rc::gen::arbitrary<std::pair<std::uint8_t, char>>());
+    for (const auto &[at, byte] : changes) {
+        bytes[at % bytes.size()] = byte;
+    }
+    const auto decoded = [&bytes](auto decode) {
+        try {
+            decode(bytes);
+        } catch (const LogCorrupt &) {
+        } catch (const FormatTooNew &) {
+        }
+    };
+    decoded(detail::decodeBatch);
+    decoded(detail::decodeChunk);
+}
+
+TEST(JournalFormat, refusesNumbersOutOfTheirRange)
+{
+    const detail::BatchHeader header = headerOf(detail::BatchKind::Snapshot);
+    EXPECT_NO_THROW(detail::decodeBatch(detail::encodeSnapshotRef(header, {1, 1, 1, 1, 1})));
+    EXPECT_THROW(detail::decodeBatch(detail::encodeSnapshotRef(header, {2, 1, 1, 1, 1})), LogCorrupt);
+    detail::BatchHeader huge = headerOf(detail::BatchKind::Takeover);
+    huge.slots = MaxJournalSlots + 1;
+    EXPECT_THROW(detail::decodeBatch(detail::encodeTakeover(huge)), LogCorrupt);
+}
+
+TEST(JournalFormat, refusesLengthsBeyondTheValue)
+{
+    EXPECT_THROW(detail::decodeBatch("\xdd\xff\xff\xff\xff"), LogCorrupt);
+    EXPECT_THROW(detail::decodeBatch(FirstFormatRecords + "x"), LogCorrupt);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // MemoryLog
 // ---------------------------------------------------------------------------------------------------------------------
