--- a/packages/settings/propagation.cpp
+++ b/packages/settings/propagation.cpp
@@ -427,32 +427,40 @@
         ++m_counters.pulls;
     }
     try {
-        const std::string request = Json{{"have", have}}.dump();
-        const std::string answer = m_transport.call(source.address, PullMethod, request, m_settings.callTimeout);
-        parseJson(answer, [&](const Json &json) {
-            const std::string digest = json.at("digest").get<std::string>();
-            if (json.contains("entries") && applyEntries(json["entries"].get<std::string>(), digest)) {
-                return 0;
-            }
-            if (json.contains("document")) {
-                adopt(decodeDocument(json["document"].get<std::string>()), true);
-            }
-            return 0;
-        });
-        // What came from another failure domain is relayed in this one.
-        std::lock_guard guard(m_mutex);
-        m_offerDue = m_offerDue || m_current->document.version > have;
+        // Changes that do not fit mean that our version is not the one that they were made on: then take the whole.
+        if (!takePulled(source, have, false)) {
+            takePulled(source, have, true);
+        }
     } catch (const Error &) {
         countFailure();
     }
+    // What came from another failure domain is relayed in this one.
+    std::lock_guard guard(m_mutex);
+    m_offerDue = m_offerDue || m_current->document.version > have;
+}
+
+/** Asks @p source for what came after @p have, or for the whole document; false where the answer did not fit. */
+bool SettingsPropagation::takePulled(const Offer &source, std::uint64_t have, bool whole)
+{
+    const std::string request = Json{{"have", have}, {"whole", whole}}.dump();
+    const std::string answer = m_transport.call(source.address, PullMethod, request, m_settings.callTimeout);
+    return parseJson(answer, [&](const Json &json) {
+        if (json.contains("document")) {
+            adopt(decodeDocument(json["document"].get<std::string>()), true);
+            return true;
+        }
+        return applyEntries(json.at("entries").get<std::string>(), json.at("digest").get<std::string>());
+    });
 }
 
 std::string SettingsPropagation::onPull(const PeerCall &call)
 {
     const auto have = parseJson(call.body, [](const Json &json) { return json.at("have").get<std::uint64_t>(); });
+    const bool whole = parseJson(call.body, [](const Json &json) { return json.at("whole").get<bool>(); });
     const std::shared_ptr<const SettingsVersion> now = current();
     Json json = {{"digest", now->digest}};
-    if (const auto entries = entriesAfter(now->document, have)) {
+    const auto entries = whole ? std::nullopt : entriesAfter(now->document, have);
+    if (entries) {
         json["entries"] = *entries;
         return json.dump();
     }
--- a/packages/settings/propagation.h
+++ b/packages/settings/propagation.h
@@ -129,6 +129,7 @@
     void sendOffer(const Offer &offer);
     std::vector<Offer> duePulls(TimePoint now);
     void pullFrom(const Offer &source);
+    bool takePulled(const Offer &source, std::uint64_t have, bool whole);
     DomainForce ownForce(std::uint64_t version);
     DomainForce askForce(const std::vector<MemberInfo> &members, std::uint64_t version);
     void refreshReady();
--- a/packages/settings/tests/propagationtest.cpp
+++ b/packages/settings/tests/propagationtest.cpp
@@ -351,12 +351,29 @@
     EXPECT_EQ(offer(digestOf(document.version, document.tree)), R"({"version":2})");
 }
 
+TEST_F(PropagationTest, aVersionOfAnotherPastIsReplacedByTheNext)
+{
+    startAll();
+    setPlatform({"y"}, true);
+    for (const char *it : {"a", "b", "x"}) {
+        world.cut("y", it);
+    }
+    const SettingsDocument other{1, {{Root, {{"tenant.cpu-millis", "77"}}}}, {}};
+    EXPECT_TRUE(settings["y"]->offer(other)); // as if the service had been given an older state and edited
+    write();
+    const std::uint64_t made = write();
+    world.peers.healAll();
+    run(seconds(15));
+    EXPECT_EQ(version("y"), made);
+    EXPECT_EQ(settings["y"]->current()->digest, settings["x"]->current()->digest);
+}
+
 TEST_F(PropagationTest, malformedMessagesAreRefused)
 {
     startAll();
     FakeTransport transport(world.peers, "stranger:1");
     for (const char *method : {"settings.offer", "settings.pull", "settings.status"}) {
-        for (const char *body : {"", "{}", "[]", R"({"version":"x","have":"y"})"}) {
+        for (const char *body : {"", "{}", "[]", R"({"version":"x","have":"y","whole":1})"}) {
             EXPECT_THROW(transport.call(World::addressOf("a"), method, body, seconds(1)), InvalidArgument)
                 << method << body;
         }
