Give shards to no member that the platform lists as leaving

Cause: the platform's list names leaving VMs before their process knows; such a member could still be handed a shard. And the registry's counters were read from other threads without care. Now: a Leaving VM is live but not eligible, a Gone one is not waited for though its lease stands; the counters are atomic.

--- a/packages/membership/memberregistry.cpp
+++ b/packages/membership/memberregistry.cpp
@@ -176,9 +176,9 @@
     m_lease = 0;
 }
 
-const RegistryCounters &MemberRegistry::counters() const
+RegistryCounters MemberRegistry::counters() const
 {
-    return m_counters;
+    return {m_counters.reads, m_counters.writes, m_counters.failures, m_counters.ignored};
 }
 
 std::string MemberRegistry::domainPrefix() const
--- a/packages/membership/membership.cpp
+++ b/packages/membership/membership.cpp
@@ -408,6 +408,7 @@
         const auto peer = m_peers.find(it.name);
         if (peer != m_peers.end()) {
             peer->second.vmGone = it.state == VmState::Gone;
+            peer->second.vmLeaving = it.state == VmState::Leaving;
         }
     }
 }
@@ -430,7 +431,7 @@
 
 bool Membership::isEligible(const Peer &peer, TimePoint now) const
 {
-    return peer.live && !peer.info.leaving && now - peer.liveSince >= peer.rejoin;
+    return peer.live && !peer.info.leaving && !peer.vmLeaving && now - peer.liveSince >= peer.rejoin;
 }
 
 std::vector<MemberView> Membership::members() const
--- a/packages/membership/membership.h
+++ b/packages/membership/membership.h
@@ -25,6 +25,7 @@
 #include <peer/peer.h>
 #include <platform/platform.h>
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -104,7 +105,7 @@
     // What others say
     void learn(const MemberInfo &member, bool registered);  ///< from a registration, own failure domain or another
     void setRegistered(const std::set<std::string> &names); ///< all registrations now, of every failure domain
-    void setVms(std::span<const Vm> vms); ///< the platform's lagging list: Gone members are not waited for
+    void setVms(std::span<const Vm> vms); ///< the platform's lagging list: Leaving ones get no shard, Gone ones no wait
 
     // The view
     MemberInfo self() const;
@@ -128,6 +129,7 @@
         bool everLive = false;
         bool registered = false;
         bool vmGone = false;
+        bool vmLeaving = false;
         Duration platformAway{};
         std::vector<ShardClaim> claims;
         std::string note;
@@ -217,8 +219,8 @@
      */
     void step(Duration wait);
 
-    void unregister(); ///< on graceful shutdown: removes the registration at once; best effort
-    const RegistryCounters &counters() const;
+    void unregister(); ///< on graceful shutdown, from the same thread: removes the registration; best effort
+    RegistryCounters counters() const; ///< from any thread
 
 private:
     void renew(TimePoint now);
@@ -245,7 +247,13 @@
     std::optional<TimePoint> m_awaySince;
     MemberInfo m_registered;
     std::map<std::string, MemberInfo> m_known; ///< key -> registration
-    RegistryCounters m_counters;
+    struct
+    {
+        std::atomic<std::uint64_t> reads = 0;
+        std::atomic<std::uint64_t> writes = 0;
+        std::atomic<std::uint64_t> failures = 0;
+        std::atomic<std::uint64_t> ignored = 0;
+    } m_counters;
 };
 
 } // namespace QuetzalRock
--- a/packages/membership/tests/membershiptest.cpp
+++ b/packages/membership/tests/membershiptest.cpp
@@ -164,6 +164,24 @@
     EXPECT_TRUE(a.membership.members().empty());
 }
 
+TEST(Membership, thePlatformsListIsAHint)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    world.start("b", "muuga");
+    world.run(seconds(15));
+    Vm vm;
+    vm.name = "b";
+    vm.state = VmState::Leaving;
+    a.membership.setVms({&vm, 1});
+    EXPECT_TRUE(a.membership.members().at(0).live);
+    EXPECT_FALSE(a.membership.members().at(0).eligible);
+    world.crash("b");
+    vm.state = VmState::Gone;
+    a.membership.setVms({&vm, 1});
+    EXPECT_FALSE(a.membership.members().at(0).registered); // not waited for, though its lease stands
+}
+
 TEST(Membership, neighboursAreForgottenButForOneOfEachDomain)
 {
     World world;
