--- a/packages/scheduler/tests/outagetest.cpp
+++ b/packages/scheduler/tests/outagetest.cpp
@@ -51,7 +51,7 @@
     EXPECT_THROW(submit(batchJob("a")), NotRun);
     runFor(10min);
     EXPECT_TRUE(status().platformAway);
-    EXPECT_EQ(taskOf(job).stage, TaskStage::Running);
+    EXPECT_EQ(taskOf(job).phase, TaskPhase::Running);
     owner->log.down = false;
     runFor(10s);
     EXPECT_EQ(taskOf(job).attempt, 1U);
@@ -75,7 +75,7 @@
     owner->log.down = true;
     runFor(20s);
     EXPECT_EQ(status().unwrittenEnds, 1U);
-    EXPECT_EQ(taskOf(job).stage, TaskStage::Ending);
+    EXPECT_EQ(taskOf(job).phase, TaskPhase::Ending);
     workers.setVmState("w1", VmState::Gone); // the worker can tell nobody any more
     runFor(2min);
     owner->log.down = false;
@@ -110,7 +110,7 @@
     owner->log.down = true;
     workers.setVmState("w1", VmState::Leaving);
     runFor(10s);
-    EXPECT_EQ(taskOf(job).stage, TaskStage::Ending);
+    EXPECT_EQ(taskOf(job).phase, TaskPhase::Ending);
     workers.setVmState("w1", VmState::Gone);
     runFor(1min);
     EXPECT_EQ(workers.startCount({{job, 0}, 2}), 0);
