Make no decision in the pause after a write; test over the shared log in memory

Cause: a decision that came due within appendEvery of a write was made, its starts could not be written and went back to the placement, and were not asked for again before the next one was due. After: none; in an outage throttles and stops are still decided. The test fails with the old branch put back.

--- a/packages/scheduler/scheduler.cpp
+++ b/packages/scheduler/scheduler.cpp
@@ -193,8 +193,8 @@
             decide(now, true);
             addStops();
             isWritten = commit(now);
-        } else {
-            decide(now, false);
+        } else if (m_isAway || m_doubt) {
+            decide(now, false); // throttles and stops go on; between two writes decisions can wait
         }
         m_fleet.sendStops(now);
         m_fleet.renewLeases(now);
@@ -343,6 +343,7 @@
     m_counters.abandonedStarts += decisions.starts.size();
     for (const StartDecision &it : decisions.starts) {
         m_engine.abandonStart(it.task);
+        m_isDirty = true;
     }
 }
 
--- a/packages/scheduler/tests/failuretest.cpp
+++ b/packages/scheduler/tests/failuretest.cpp
@@ -261,7 +261,7 @@
 
 TEST_F(FailureTest, aNewOwnerHasTheSameStateBySnapshotAndRecords)
 {
-    store.snapshotEvery = 7;
+    owner->log.memory.snapshotEvery = 7;
     for (int i = 0; i < 12; ++i) {
         submit(batchJob("j" + std::to_string(i), i % 3 == 0 ? "serve" : "run 2"));
         runFor(3s);
--- a/packages/scheduler/tests/fakes.h
+++ b/packages/scheduler/tests/fakes.h
@@ -2,13 +2,13 @@
  * Fakes for tests of the scheduler.
  *
  * Index of this file
- *   LogStore, ScriptedLog   a log in memory, with fencing and faults; one store, a ScriptedLog for each owner
+ *   ScriptedLog             a log in memory whose owner can die after an append
  *   FirstFitEngine          places pending tasks in order on the first worker with room; checks how it is called
  *   ShakyAgent              one owner's way to the workers: keeps starts, to deliver them again late; can cut the owner off
  */
 #pragma once
 
-#include <journal/log.h>
+#include <journal/memorylog.h>
 #include <placement/engine.h>
 #include <platform/platform.h>
 
@@ -19,30 +19,18 @@
 
 namespace QuetzalRock {
 
-struct LogStore
-{
-    std::uint64_t epoch = 0;
-    std::string snapshot;
-    std::vector<std::string> records;
-    std::size_t appends = 0;
-    std::size_t bytes = 0;
-    std::size_t snapshotEvery = 1000; ///< records
-};
-
+/** MemoryLog, and two faults more. */
 class ScriptedLog final : public Log
 {
 public:
-    explicit ScriptedLog(LogStore &store)
-        : m_store(store)
+    explicit ScriptedLog(MemoryLogStore &store)
+        : memory(store)
     {
     }
 
-    bool down = false;      ///< nothing is taken
-    int loseAnswers = 0;    ///< so many next writes take effect, and throw OutcomeUnknown
-    int loseWrites = 0;     ///< so many next writes have no effect, and throw OutcomeUnknown
-    int refuseResolves = 0; ///< so many next resolve() throw OutcomeUnknown
+    MemoryLog memory;
+    int refuseResolves = 0; ///< so many next resolve() leave the doubt
     bool dieAfter = false;  ///< the next append takes effect, and then the owner's process is gone: see Death
-    std::size_t batchBytes = 900'000;
 
     struct Death
     {
@@ -50,100 +38,45 @@
 
     Replay takeOver() override
     {
-        if (down) {
-            throw Unavailable("log is down");
-        }
-        m_epoch = ++m_store.epoch;
-        m_inDoubt = false;
-        return {m_epoch, m_store.snapshot, m_store.records};
+        return memory.takeOver();
     }
 
     void append(std::span<const std::string> records) override
     {
-        EXPECT_FALSE(m_inDoubt) << "nothing may be written before resolve()";
-        check();
-        if (loseWrites > 0) {
-            --loseWrites;
-            doubt(false);
-        }
-        m_store.records.insert(m_store.records.end(), records.begin(), records.end());
-        ++m_store.appends;
-        for (const std::string &it : records) {
-            m_store.bytes += it.size();
-        }
+        memory.append(records);
         if (dieAfter) {
             throw Death();
         }
-        if (loseAnswers > 0) {
-            --loseAnswers;
-            doubt(true);
-        }
     }
 
     bool resolve() override
     {
-        EXPECT_TRUE(m_inDoubt);
-        if (down || refuseResolves > 0) {
-            refuseResolves -= down ? 0 : 1;
-            throw OutcomeUnknown("log does not answer");
-        }
-        if (!m_isWritten) {
-            check(); // where it was written, that is the answer whoever owns the log now
+        if (refuseResolves > 0) {
+            --refuseResolves;
+            throw OutcomeUnknown("still in doubt");
         }
-        m_inDoubt = false;
-        return m_isWritten;
+        return memory.resolve();
     }
 
     void snapshot(std::string_view state) override
     {
-        EXPECT_FALSE(m_inDoubt);
-        check();
-        m_store.snapshot = state;
-        m_store.records.clear();
-        if (loseAnswers > 0) {
-            --loseAnswers;
-            doubt(true);
-        }
+        memory.snapshot(state);
     }
 
     bool snapshotDue() const override
     {
-        return m_store.records.size() >= m_store.snapshotEvery;
+        return memory.snapshotDue();
     }
 
     std::size_t maxBatchBytes() const override
     {
-        return batchBytes;
+        return memory.maxBatchBytes();
     }
 
     std::uint64_t epoch() const override
     {
-        return m_epoch;
+        return memory.epoch();
     }
-
-private:
-    void check()
-    {
-        if (down) {
-            throw Unavailable("log is down");
-        }
-        if (m_epoch != m_store.epoch) {
-            m_epoch = 0;
-            throw Fenced("another owner");
-        }
-    }
-
-    [[noreturn]] void doubt(bool isWritten)
-    {
-        m_inDoubt = true;
-        m_isWritten = isWritten;
-        throw OutcomeUnknown("answer lost");
-    }
-
-    LogStore &m_store;
-    std::uint64_t m_epoch = 0;
-    bool m_inDoubt = false;
-    bool m_isWritten = false;
 };
 
 class FirstFitEngine final : public DecisionEngine
--- a/packages/scheduler/tests/fixture.h
+++ b/packages/scheduler/tests/fixture.h
@@ -36,7 +36,7 @@
 /** One process: its own way to the log and to the workers, an engine and a scheduler. */
 struct Owner
 {
-    Owner(ManualClock &clock, LogStore &store, EmbeddedWorkers &workers, const SchedulerSettings &settings)
+    Owner(ManualClock &clock, MemoryLogStore &store, EmbeddedWorkers &workers, const SchedulerSettings &settings)
         : log(store)
         , agent(workers, workers)
         , scheduler(settings, log, engine, agent, agent, clock)
@@ -113,7 +113,7 @@
 
     ManualClock clock;
     EmbeddedWorkers workers{clock, std::chrono::seconds(5)};
-    LogStore store;
+    MemoryLogStore store;
     SchedulerSettings settings;
     std::unique_ptr<Owner> owner;
     std::unique_ptr<Owner> paused;
--- a/packages/scheduler/tests/historytest.cpp
+++ b/packages/scheduler/tests/historytest.cpp
@@ -15,6 +15,7 @@
 constexpr int HistoriesInCi = 2000;
 constexpr int WorkerCount = 3;
 constexpr std::size_t MaxJobs = 12;
+constexpr std::size_t AppendsBetweenSnapshots = 12;
 constexpr std::size_t SlotsPerWorker = 2; ///< a worker of the fixture holds two tasks of batchJob()
 
 enum class Event {
@@ -74,7 +75,6 @@
     {
         m_settings.shard = 7;
         m_settings.failureDomain = "muuga";
-        m_store.snapshotEvery = 20;
         for (int i = 0; i < WorkerCount; ++i) {
             join(i);
         }
@@ -99,16 +99,16 @@
         case Event::Pause:
             return m_clock.advance(m_settings.fleet.lease + std::chrono::seconds(argument % 20));
         case Event::LogDown:
-            now.log.down = true;
+            now.log.memory.down = true;
             return;
         case Event::LogUp:
-            now.log.down = false;
+            now.log.memory.down = false;
             return;
         case Event::LoseLogAnswer:
-            now.log.loseAnswers = 1;
+            (argument % 2 == 0 ? now.log.memory.loseWriteAnswers : now.log.memory.loseWrites) = 1;
             return;
         case Event::LoseLogWrite:
-            now.log.loseWrites = 1;
+            now.log.memory.dropWrites = 1;
             return;
         case Event::HideOutcome:
             now.log.refuseResolves = argument % 8;
@@ -177,7 +177,7 @@
     /** Mends everything; what was accepted must then be done, and what was refused must not exist. */
     void checkInTheEnd()
     {
-        m_owner->log.down = false;
+        m_owner->log.memory.down = false;
         m_owner->log.refuseResolves = 0;
         m_owner->agent.cutOff = false;
         m_owner->agent.losesCalls = false;
@@ -246,7 +246,9 @@
 
     std::unique_ptr<Owner> makeOwner()
     {
-        return std::make_unique<Owner>(m_clock, m_store, m_workers, m_settings);
+        auto made = std::make_unique<Owner>(m_clock, m_store, m_workers, m_settings);
+        made->log.memory.snapshotEvery = AppendsBetweenSnapshots;
+        return made;
     }
 
     void takeOver()
@@ -277,7 +279,7 @@
     void wakeAll()
     {
         for (const auto &it : m_paused) {
-            it->log.down = false;
+            it->log.memory.down = false;
             it->log.refuseResolves = 0;
             it->log.dieAfter = false;
             it->scheduler.step(m_clock.now());
@@ -398,7 +400,7 @@
     std::array<WorkerFaults, WorkerCount> m_faultsOf;
     std::array<TimePoint, WorkerCount> m_vanishedAt{};
     bool m_hasVanished = false;
-    LogStore m_store;
+    MemoryLogStore m_store;
     SchedulerSettings m_settings;
     std::unique_ptr<Owner> m_owner = makeOwner();
     std::vector<std::unique_ptr<Owner>> m_paused;
--- a/packages/scheduler/tests/outagetest.cpp
+++ b/packages/scheduler/tests/outagetest.cpp
@@ -23,7 +23,7 @@
 TEST_F(OutageTest, refusesSubmissionsAndCancellationsAsNotRun)
 {
     const JobId job = submit(serviceJob("booking"));
-    owner->log.down = true;
+    owner->log.memory.down = true;
     std::future<JobId> refused = owner->scheduler.submit(batchJob("a"));
     std::future<void> cancel = owner->scheduler.cancel(job);
     runFor(200ms);
@@ -35,7 +35,7 @@
     }
     EXPECT_THROW(cancel.get(), NotRun);
     EXPECT_THROW(submit(batchJob("b")), NotRun);
-    owner->log.down = false;
+    owner->log.memory.down = false;
     runFor(30s);
     EXPECT_THROW(ask(owner->scheduler.find("coop", "a")), NotFound);
     EXPECT_THROW(ask(owner->scheduler.find("coop", "b")), NotFound);
@@ -47,12 +47,12 @@
 {
     const JobId job = submit(serviceJob("booking"));
     runFor(2s);
-    owner->log.down = true;
+    owner->log.memory.down = true;
     EXPECT_THROW(submit(batchJob("a")), NotRun);
     runFor(10min);
     EXPECT_TRUE(status().platformAway);
     EXPECT_EQ(taskOf(job).phase, TaskPhase::Running);
-    owner->log.down = false;
+    owner->log.memory.down = false;
     runFor(10s);
     EXPECT_EQ(taskOf(job).attempt, 1U);
     EXPECT_EQ(workers.startCount({{job, 0}, 1}), 1);
@@ -62,7 +62,7 @@
 {
     const JobId job = submit(batchJob("a", "run 1000"));
     runFor(2s);
-    owner->log.down = true;
+    owner->log.memory.down = true;
     owner->engine.throttle = {{{job, 0}, 250}};
     EXPECT_THROW(submit(batchJob("b")), NotRun);
     runFor(1s);
@@ -72,13 +72,13 @@
 TEST_F(OutageTest, keepsEndsUntilTheyAreDurable)
 {
     const JobId job = submit(batchJob("a", "run 10"));
-    owner->log.down = true;
+    owner->log.memory.down = true;
     runFor(20s);
     EXPECT_EQ(status().unwrittenEnds, 1U);
     EXPECT_EQ(taskOf(job).phase, TaskPhase::Ending);
     workers.setVmState("w1", VmState::Gone); // the worker can tell nobody any more
     runFor(2min);
-    owner->log.down = false;
+    owner->log.memory.down = false;
     runFor(10s);
     EXPECT_EQ(phaseOf(job), JobPhase::Succeeded);
     EXPECT_EQ(workers.startCount({{job, 0}, 1}), 1);
@@ -94,7 +94,7 @@
     owner->agent.losesCalls = true;
     clock.advance(100ms);
     owner->scheduler.step(clock.now()); // assigned; the starts do not arrive
-    owner->log.down = true;
+    owner->log.memory.down = true;
     owner->agent.losesCalls = false;
     owner->engine.evict = {{job, 0}};
     runFor(8s);
@@ -107,14 +107,14 @@
 {
     const JobId job = submit(batchJob("a", "run 100"));
     runFor(10s);
-    owner->log.down = true;
+    owner->log.memory.down = true;
     workers.setVmState("w1", VmState::Leaving);
     runFor(10s);
     EXPECT_EQ(taskOf(job).phase, TaskPhase::Ending);
     workers.setVmState("w1", VmState::Gone);
     runFor(1min);
     EXPECT_EQ(workers.startCount({{job, 0}, 2}), 0);
-    owner->log.down = false;
+    owner->log.memory.down = false;
     runFor(10s);
     EXPECT_EQ(workers.startCount({{job, 0}, 2}), 1);
     EXPECT_EQ(owner->agent.sentStarts.back().second.checkpoint.substr(0, 3), "0.1");
@@ -122,9 +122,9 @@
 
 TEST_F(OutageTest, aLostAnswerIsLookedUpBeforeTheCallerIsTold)
 {
-    owner->log.loseAnswers = 1;
+    owner->log.memory.loseWriteAnswers = 1;
     EXPECT_GT(submit(batchJob("written")), 0U);
-    owner->log.loseWrites = 1;
+    owner->log.memory.dropWrites = 1;
     EXPECT_THROW(submit(batchJob("lost")), NotRun);
     runFor(1s);
     EXPECT_THROW(ask(owner->scheduler.find("coop", "lost")), NotFound);
@@ -132,7 +132,7 @@
 
 TEST_F(OutageTest, aCallerIsToldThatTheOutcomeIsUnknownAndMayAskAgain)
 {
-    owner->log.loseAnswers = 1;
+    owner->log.memory.loseWriteAnswers = 1;
     owner->log.refuseResolves = 1000;
     std::future<JobId> answer = owner->scheduler.submit(batchJob("a"));
     runFor(2s);
@@ -157,10 +157,10 @@
     owner->scheduler.takeOver();
     const JobId job = submit(batchJob("a", "run 30", 60));
     runFor(5s);
-    owner->log.down = true;
+    owner->log.memory.down = true;
     runFor(5min);
     EXPECT_EQ(status().unwrittenEnds, 60U);
-    owner->log.down = false;
+    owner->log.memory.down = false;
     const std::size_t before = store.appends;
     while (store.appends == before) {
         runFor(10ms, 10ms);
@@ -175,20 +175,20 @@
 
 TEST_F(OutageTest, shardsComeBackAtDifferentTimes)
 {
-    std::vector<std::unique_ptr<LogStore>> stores;
+    std::vector<std::unique_ptr<MemoryLogStore>> stores;
     std::vector<std::unique_ptr<Owner>> owners;
     std::map<std::size_t, TimePoint> firstWrites;
     for (settings.seed = 1; settings.seed <= 8; ++settings.seed) {
-        stores.push_back(std::make_unique<LogStore>());
+        stores.push_back(std::make_unique<MemoryLogStore>());
         owners.push_back(std::make_unique<Owner>(clock, *stores.back(), workers, settings));
         owners.back()->scheduler.takeOver();
-        owners.back()->log.down = true;
+        owners.back()->log.memory.down = true;
     }
     for (int i = 0; i < 2000; ++i) {
         for (std::size_t it = 0; it < owners.size(); ++it) {
             owners[it]->scheduler.setAllotment("coop", {1, 0, 0});
             owners[it]->scheduler.step(clock.now());
-            owners[it]->log.down = i < 1000;
+            owners[it]->log.memory.down = i < 1000;
             if (stores[it]->appends == 1) {
                 firstWrites.try_emplace(it, clock.now());
             }
@@ -229,7 +229,7 @@
 TEST_F(OutageTest, nobodyTakesOverWithoutThePlatform)
 {
     const std::unique_ptr<Owner> next = makeOwner();
-    next->log.down = true;
+    next->log.memory.down = true;
     EXPECT_THROW(next->scheduler.takeOver(), Unavailable);
     EXPECT_GT(submit(batchJob("a")), 0U) << "the owner before goes on";
 }
--- a/packages/scheduler/tests/schedulertest.cpp
+++ b/packages/scheduler/tests/schedulertest.cpp
@@ -89,3 +89,14 @@
     EXPECT_THROW(owner->scheduler.submit(batchJob("c")).get(), NotRun);
     EXPECT_TRUE(store.records.empty());
 }
+
+TEST_F(SchedulerTest, wastesNoDecisionBetweenTwoWrites)
+{
+    settings.decideEvery = settings.appendEvery + 10ms; // so that most come due within the pause after a write
+    replaceOwner();
+    submit(batchJob("a", "run 1", 40));
+    submit(batchJob("b", "run 2", 40));
+    runFor(2min, 7ms);
+    EXPECT_EQ(owner->scheduler.counters().abandonedStarts, 0U);
+    EXPECT_TRUE(owner->scheduler.state().jobs.empty());
+}
--- a/packages/scheduler/tests/transfertest.cpp
+++ b/packages/scheduler/tests/transfertest.cpp
@@ -64,7 +64,7 @@
     }
 
     EmbeddedWorkers otherWorkers{clock, 5s};
-    LogStore otherStore;
+    MemoryLogStore otherStore;
     SchedulerSettings otherSettings;
     std::unique_ptr<Owner> other;
     std::vector<TransferOffer> inFlight;
