--- a/packages/scheduler/scheduler.h
+++ b/packages/scheduler/scheduler.h
@@ -266,7 +266,7 @@
 };
 
 /** One append: records, and what follows once they are durable. */
-struct CommitBatch
+struct PlannedBatch
 {
     std::vector<std::string> bytes;
     std::vector<Record> records;
@@ -385,12 +385,12 @@
     bool tryAddStarts(std::span<const Record> records);
     bool canStart(const StartDecision &start, TimePoint now);
     bool commit(TimePoint now);
-    void applyBatch(const detail::CommitBatch &batch, TimePoint now);
+    void applyBatch(const detail::PlannedBatch &batch, TimePoint now);
     void applyRecord(const Record &record, TimePoint now);
     void applyEnd(const AttemptEnded &end, TimePoint now);
     void applyJobEnd(JobId job, const Record &record, StopMode mode);
     void sendStarts(const std::vector<detail::PlannedStart> &starts);
-    void failBatch(const detail::CommitBatch &batch, const std::exception_ptr &error);
+    void failBatch(const detail::PlannedBatch &batch, const std::exception_ptr &error);
     void settleDoubt(TimePoint now);
     void answerDoubtUnknown();
     void noteOutage(TimePoint now);
@@ -434,8 +434,8 @@
     std::deque<AttemptEnded> m_ends;       ///< not durable yet; at most one for each attempt that holds capacity
     std::deque<StopRequested> m_stops;     ///< sent or about to be, not durable yet; bounded as m_ends is
     std::map<JobId, std::string> m_unrunnable;
-    detail::CommitBatch m_batch;
-    std::optional<detail::CommitBatch> m_doubt; ///< written or not: resolve() will say
+    detail::PlannedBatch m_batch;
+    std::optional<detail::PlannedBatch> m_doubt; ///< written or not: resolve() will say
     TimePoint m_doubtSince;
     TimePoint m_nextResolve;
     bool m_isAway = false;
