--- a/packages/scheduler/scheduler.h
+++ b/packages/scheduler/scheduler.h
@@ -15,8 +15,10 @@
  *         try {
  *             scheduler.takeOver();                       // fences off the owner before, replays the log
  *         } catch (const Unavailable &) { waitAndRetry(); continue; }
- *         while (running && scheduler.step(clock.now()) != StepOutcome::StoodDown) {
- *             scheduler.waitForWork(clock.now() + settings.stepEvery);
+ *         StepOutcome outcome = StepOutcome::Idle;
+ *         while (running && (outcome = scheduler.step(clock.now())) != StepOutcome::StoodDown) {
+ *             const bool isBusy = outcome == StepOutcome::Progressed;   // what was submitted is to be placed now
+ *             scheduler.waitForWork(clock.now() + (isBusy ? settings.appendEvery : settings.stepEvery));
  *         }
  *     }
  *     scheduler.standDown();                              // answers whoever still waits
@@ -82,7 +84,7 @@
 // Status
 // ---------------------------------------------------------------------------------------------------------------------
 
-enum class TaskStage : std::uint8_t {
+enum class TaskPhase : std::uint8_t {
     Pending = 0,     ///< waits for a place; see the reason
     Starting = 1,    ///< assigned; the worker has not shown it yet
     Running = 2,     ///< in the worker's last report
@@ -92,13 +94,13 @@
     Done = 6,
 };
 
-std::string_view stageName(TaskStage stage);
+std::string_view phaseName(TaskPhase phase);
 
 struct TaskStatus
 {
     TaskId task;
     std::uint32_t attempt = 0; ///< 0: none yet
-    TaskStage stage = TaskStage::Pending;
+    TaskPhase phase = TaskPhase::Pending;
     WorkerId worker; ///< empty while pending
     double progress = 0;
     std::uint32_t failures = 0;
--- a/packages/scheduler/status.cpp
+++ b/packages/scheduler/status.cpp
@@ -4,22 +4,22 @@
 
 namespace QuetzalRock {
 
-std::string_view stageName(TaskStage stage)
+std::string_view phaseName(TaskPhase phase)
 {
-    switch (stage) {
-    case TaskStage::Pending:
+    switch (phase) {
+    case TaskPhase::Pending:
         return "pending";
-    case TaskStage::Starting:
+    case TaskPhase::Starting:
         return "starting";
-    case TaskStage::Running:
+    case TaskPhase::Running:
         return "running";
-    case TaskStage::Stopping:
+    case TaskPhase::Stopping:
         return "stopping";
-    case TaskStage::Unreachable:
+    case TaskPhase::Unreachable:
         return "unreachable";
-    case TaskStage::Ending:
+    case TaskPhase::Ending:
         return "ending";
-    case TaskStage::Done:
+    case TaskPhase::Done:
         return "done";
     }
     return "unknown";
@@ -105,7 +105,7 @@
     status.progress = task.progress;
     status.reason = task.reason;
     if (task.done) {
-        status.stage = TaskStage::Done;
+        status.phase = TaskPhase::Done;
         return status;
     }
     if (!task.active) {
@@ -121,18 +121,18 @@
     }
     status.progress = std::max(status.progress, view->progress);
     if (view->ended) {
-        status.stage = TaskStage::Ending;
+        status.phase = TaskPhase::Ending;
         status.reason = "ended; waits for the platform to take the write";
     } else if (!worker->second.reachable || worker->second.isGone()) {
-        status.stage = TaskStage::Unreachable;
+        status.phase = TaskPhase::Unreachable;
         status.reason = worker->second.isGone()
                             ? "the VM is gone; waits for the term of the attempt's lease"
                             : "the worker does not answer and the platform does not say that its VM is "
                               "gone: the task may be running, so it is not started elsewhere";
     } else if (view->stopWanted) {
-        status.stage = TaskStage::Stopping;
+        status.phase = TaskPhase::Stopping;
     } else {
-        status.stage = view->seen ? TaskStage::Running : TaskStage::Starting;
+        status.phase = view->seen ? TaskPhase::Running : TaskPhase::Starting;
     }
     return status;
 }
--- a/packages/scheduler/tests/failuretest.cpp
+++ b/packages/scheduler/tests/failuretest.cpp
@@ -117,7 +117,7 @@
     workers.setFaults("w1", {true, false, false});
     runFor(1h, 1s);
     const TaskStatus waiting = taskOf(job);
-    EXPECT_EQ(waiting.stage, TaskStage::Unreachable);
+    EXPECT_EQ(waiting.phase, TaskPhase::Unreachable);
     EXPECT_EQ(waiting.attempt, 1U);
     EXPECT_NE(waiting.reason.find("does not answer"), std::string::npos);
     EXPECT_EQ(owner->scheduler.fleet().workers().at("w1").reserved.cpuMillis, 8000);
@@ -134,7 +134,7 @@
     workers.setVmState("w1", VmState::Gone);
     runFor(20s);
     EXPECT_EQ(taskOf(job).attempt, 1U);
-    EXPECT_EQ(taskOf(job).stage, TaskStage::Unreachable);
+    EXPECT_EQ(taskOf(job).phase, TaskPhase::Unreachable);
     runFor(20s);
     EXPECT_EQ(taskOf(job).attempt, 2U);
     EXPECT_EQ(taskOf(job).worker, "w2");
@@ -261,7 +261,7 @@
 
 TEST_F(FailureTest, aNewOwnerHasTheSameStateBySnapshotAndRecords)
 {
-    store.snapshotEvery = 7;
+    owner->log.memory.snapshotEvery = 7;
     for (int i = 0; i < 12; ++i) {
         submit(batchJob("j" + std::to_string(i), i % 3 == 0 ? "serve" : "run 2"));
         runFor(3s);
--- a/packages/scheduler/tests/schedulertest.cpp
+++ b/packages/scheduler/tests/schedulertest.cpp
@@ -7,7 +7,7 @@
 {
     const JobId job = submit(batchJob("a"));
     runFor(2s);
-    EXPECT_EQ(taskOf(job).stage, TaskStage::Running);
+    EXPECT_EQ(taskOf(job).phase, TaskPhase::Running);
     runFor(30s);
     EXPECT_EQ(ask(owner->scheduler.describe(job)).phase, JobPhase::Succeeded);
     EXPECT_EQ(workers.startCount({{job, 0}, 1}), 1);
@@ -21,7 +21,7 @@
     watch.kind = WorkloadKind::Watch;
     const JobId watching = submit(watch);
     runFor(5min, 500ms);
-    EXPECT_EQ(taskOf(service).stage, TaskStage::Running);
+    EXPECT_EQ(taskOf(service).phase, TaskPhase::Running);
     EXPECT_EQ(taskOf(service).attempt, 1U);
     EXPECT_EQ(taskOf(watching).attempt, 1U);
 }
@@ -89,3 +89,14 @@
     EXPECT_THROW(owner->scheduler.submit(batchJob("c")).get(), NotRun);
     EXPECT_TRUE(store.records.empty());
 }
+
+TEST_F(SchedulerTest, wastesNoDecisionBetweenTwoWrites)
+{
+    settings.decideEvery = settings.appendEvery + 10ms; // so that most come due within the pause after a write
+    replaceOwner();
+    submit(batchJob("a", "run 1", 40));
+    submit(batchJob("b", "run 2", 40));
+    runFor(2min, 7ms);
+    EXPECT_EQ(owner->scheduler.counters().abandonedStarts, 0U);
+    EXPECT_TRUE(owner->scheduler.state().jobs.empty());
+}
