--- a/packages/placement/settings.h
+++ b/packages/placement/settings.h
@@ -47,7 +47,7 @@
     Duration priorityStep = std::chrono::minutes(5); ///< one step of priority counts as so much earlier submission
     int backfillDepth = 8;   ///< jobs of a team that are tried behind a blocked one; costs decision time when raised
     int passOverDepth = 256; ///< jobs of a team that are passed over in one round where a like one was just refused
-    int maxHolds = 4;        ///< blocked jobs that get workers held for them; each held worker takes nothing else
+    int maxHolds = 1; ///< blocked jobs that get workers held for them at a time; a held worker takes nothing else
     int holdsPerMille = 100; ///< of workers held at once at most; at least one worker can always be held
 
     // --- pacing and retries ------------------------------------------------------------------------------------------
--- a/packages/placement/tests/guardstest.cpp
+++ b/packages/placement/tests/guardstest.cpp
@@ -113,6 +113,48 @@
     EXPECT_GE(lifted, 9); // settle and five cool reports
 }
 
+TEST(Guards, EvictionsOfAnyMinuteStayWithinTheBudget)
+{
+    PlacementSettings settings = latencyFirst();
+    settings.evictionsPerMinute = 3;
+    settings.urgentEvictionsPerMinute = 1;
+    PlacementEngine engine(settings);
+    for (int it = 0; it < 10; ++it) {
+        engine.setWorker(makeWorker(it, 10));
+    }
+    engine.addJob(makeJob(2, 10, 4), at(0));
+    Where where;
+    follow(engine.decide(at(0)), where);
+    engine.addJob(makeJob(1, 10, 1, WorkloadKind::Service), at(0));
+    follow(engine.decide(at(0)), where);
+    engine.pinSlowdown("lookup", "build", 2.0);
+    std::set<TaskId> throttled;
+    std::size_t stops = 0;
+    for (int second = 1; second < 60; ++second) {
+        std::map<WorkerId, WorkerReport> reports;
+        for (const auto &[task, worker] : where) {
+            WorkerReport &report = reports.try_emplace(worker, makeReport(worker, second, second)).first->second;
+            const bool slow = throttled.contains(task);
+            report.attempts.push_back(makeEntry(task, task.job == 1 ? 800 : slow ? 1600 : 4000, 140));
+            report.attempts.back().state = slow ? AttemptState::Throttled : AttemptState::Running;
+        }
+        for (const auto &[worker, report] : reports) {
+            engine.observe(report, at(second));
+        }
+        const Decisions decisions = engine.decide(at(second));
+        for (const ThrottleDecision &it : decisions.throttles) {
+            throttled.insert(it.task);
+        }
+        stops += decisions.stops.size();
+    }
+    EXPECT_EQ(stops, 2U); // the third is kept for urgent work
+    JobSpec urgent = makeJob(3, 10, 9);
+    urgent.urgent = true;
+    engine.addJob(urgent, at(59));
+    stops += engine.decide(at(59.5)).stops.size();
+    EXPECT_EQ(stops, 3U);
+}
+
 TEST(Guards, BatchWorkWaitsRatherThanHarmAServiceNearItsTarget)
 {
     PlacementEngine engine(freeSettings());
