--- a/packages/placement/tests/admissiontest.cpp
+++ b/packages/placement/tests/admissiontest.cpp
@@ -220,6 +220,42 @@
     EXPECT_EQ(started.starts[0].task.job, 3U);
 }
 
+TEST(Admission, UrgentWorkStartsWithinItsTargetOnAFullShard)
+{
+    constexpr double Target = 3.7;  // seconds, of the users
+    constexpr double StopTakes = 2; // seconds for a checkpoint
+    PlacementSettings settings;     // with pacing, headroom and budget as they come
+    PlacementEngine engine = makeEngine(20, settings);
+    engine.addJob(makeJob(1, 1000, 2), at(0));
+    Where where;
+    for (double second = 0; second < 60; second += 1) {
+        follow(engine.decide(at(second)), where);
+    }
+    ASSERT_GE(where.size(), 78U); // but for the headroom the shard is full
+    JobSpec urgent = makeJob(2, 10, 4);
+    urgent.urgent = true;
+    engine.addJob(urgent, at(100));
+    std::map<TaskId, double> stops;
+    std::size_t started = 0;
+    for (double second = 100; second <= 100 + Target; second += 0.1) {
+        for (auto it = stops.begin(); it != stops.end();) {
+            if (it->second > second) {
+                ++it;
+                continue;
+            }
+            engine.endAttempt(it->first, AttemptState::Stopped, 0.1, at(second));
+            it = stops.erase(it);
+        }
+        const Decisions decisions = engine.decide(at(second));
+        for (const StopDecision &it : decisions.stops) {
+            stops[it.task] = second + StopTakes;
+        }
+        started += std::count_if(
+            decisions.starts.begin(), decisions.starts.end(), [](const StartDecision &it) { return it.task.job == 2; });
+    }
+    EXPECT_EQ(started, 10U);
+}
+
 TEST(Admission, StartsArePaced)
 {
     PlacementSettings settings = freeSettings();
