--- a/packages/admin/jobjson.cpp
+++ b/packages/admin/jobjson.cpp
@@ -128,7 +128,7 @@
 {
     return {{"task", toString(task.task)},
             {"attempt", task.attempt},
-            {"phase", stageName(task.stage)},
+            {"phase", phaseName(task.phase)},
             {"worker", task.worker},
             {"progress", task.progress},
             {"failures", task.failures},
@@ -144,7 +144,7 @@
               {"ended_at_ms", job.endedAt.count()}};
     Json counts = Json::object();
     for (const TaskStatus &it : job.tasks) {
-        const std::string phase(stageName(it.stage));
+        const std::string phase(phaseName(it.phase));
         counts[phase] = counts.value(phase, 0) + 1;
     }
     json["task_phases"] = counts;
--- a/packages/daemon/schedulershard.cpp
+++ b/packages/daemon/schedulershard.cpp
@@ -195,7 +195,11 @@
 {
     const Duration limit = m_settings.scheduler.answerWithin + AnswerMargin;
     if (future.wait_for(limit) == std::future_status::ready) {
-        return future.get();
+        try {
+            return future.get();
+        } catch (const std::future_error &) {
+            throw OutcomeUnknown("the scheduler ended before it could answer");
+        }
     }
     if (isWrite) {
         throw OutcomeUnknown("the scheduler did not answer in time");
--- a/packages/standin/platformserver.cpp
+++ b/packages/standin/platformserver.cpp
@@ -93,6 +93,10 @@
         answer = handleLease(request);
     } else if (request.path.starts_with("/workers/")) {
         answer = handleWorker(request);
+        const std::string body = answer.dump();
+        ++m_workerCalls;
+        m_workerBytes += request.path.size() + request.body.size() + body.size();
+        return {200, "application/json", body, {}};
     } else if (request.path == "/vms") {
         answer["vms"] = Json::array();
         for (const Vm &it : m_workers.vms()) {
@@ -214,6 +218,8 @@
             {"writes", n.writes},
             {"bytes_read", n.bytesRead},
             {"bytes_written", n.bytesWritten},
+            {"worker_calls", m_workerCalls.load()},
+            {"worker_bytes", m_workerBytes.load()},
             {"highest_concurrency", m_workers.highestConcurrency()},
             {"highest_start_count", m_workers.highestStartCount()}};
 }
--- a/packages/standin/platformserver.h
+++ b/packages/standin/platformserver.h
@@ -42,6 +42,8 @@
     EmbeddedKeyValue m_keyValue;
     FaultyKeyValue m_faulty;
     EmbeddedWorkers m_workers;
+    std::atomic<std::uint64_t> m_workerCalls = 0;
+    std::atomic<std::uint64_t> m_workerBytes = 0; ///< of paths and bodies, both ways; headers add about 250 a call
     WebServer m_server; ///< last: it serves from construction
 };
 
