--- a/bench/requests.cpp
+++ b/bench/requests.cpp
@@ -371,7 +371,7 @@
     } else if (mode == "connections") {
         measureConnections(count > 0 ? count : 4000);
     } else if (mode == "faults") {
-        return measureFaults(count > 0 ? count : 100'000);
+        return measureFaults(count > 0 ? count : 200'000);
     } else if (mode == "claims") {
         measureClaims(count > 0 ? count : 20'000);
     } else {
