Let batch work wait longer before it may harm services

Cause: with wrong sizes or broken workers, work that had waited ten minutes was let onto workers where it slowed services and its neighbours; that cost more throughput than its wait. What: patience 10 -> 40 minutes.

--- a/packages/placement/settings.h
+++ b/packages/placement/settings.h
@@ -92,7 +92,7 @@
     double overshoot = 0.3;     ///< damage of a service e times past its target, beside 1 for being late at all
     double evictionRisk = 0.1;  ///< chance that a service which a surge would make late costs an eviction
 
-    Duration patience = std::chrono::minutes(10); ///< after so long a wait batch work counts twice as much, and so on
+    Duration patience = std::chrono::minutes(40); ///< after so long a wait batch work counts twice as much, and so on
 
     // --- guards ------------------------------------------------------------------------------------------------------
     bool guards = true;
