Say in the header that the owner thread steps sooner after a write

Cause: a submission takes two writes, its own and that of its assignment; a loop that waits stepEvery between them adds 100 ms to each start. Before: the loop in the header waited stepEvery always. After: appendEvery where a batch was written. Conclusion: the daemon's loop should do the same.

--- a/packages/scheduler/scheduler.h
+++ b/packages/scheduler/scheduler.h
@@ -15,8 +15,10 @@
  *         try {
  *             scheduler.takeOver();                       // fences off the owner before, replays the log
  *         } catch (const Unavailable &) { waitAndRetry(); continue; }
- *         while (running && scheduler.step(clock.now()) != StepOutcome::StoodDown) {
- *             scheduler.waitForWork(clock.now() + settings.stepEvery);
+ *         StepOutcome outcome = StepOutcome::Idle;
+ *         while (running && (outcome = scheduler.step(clock.now())) != StepOutcome::StoodDown) {
+ *             const bool isBusy = outcome == StepOutcome::Progressed;   // what was submitted is to be placed now
+ *             scheduler.waitForWork(clock.now() + (isBusy ? settings.appendEvery : settings.stepEvery));
  *         }
  *     }
  *     scheduler.standDown();                              // answers whoever still waits
