--- a/packages/membership/tests/membershiptest.cpp
+++ b/packages/membership/tests/membershiptest.cpp
@@ -164,6 +164,42 @@
     EXPECT_TRUE(a.membership.members().empty());
 }
 
+TEST(Membership, thePlatformsListIsAHint)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    world.start("b", "muuga");
+    world.run(seconds(15));
+    Vm vm;
+    vm.name = "b";
+    vm.state = VmState::Leaving;
+    a.membership.setVms({&vm, 1});
+    EXPECT_TRUE(a.membership.members().at(0).live);
+    EXPECT_FALSE(a.membership.members().at(0).eligible);
+    world.crash("b");
+    vm.state = VmState::Gone;
+    a.membership.setVms({&vm, 1});
+    EXPECT_FALSE(a.membership.members().at(0).registered); // not waited for, though its lease stands
+}
+
+TEST(Membership, neighboursAreForgottenButForOneOfEachDomain)
+{
+    World world;
+    Node &a = world.start("a", "muuga");
+    for (const char *name : {"x", "y", "z"}) {
+        world.start(name, "paldiski");
+    }
+    world.run(seconds(3));
+    world.clock.advance(seconds(60));
+    world.run(seconds(3));
+    EXPECT_EQ(a.membership.neighbours().size(), 3u);
+    for (const char *name : {"x", "y", "z"}) {
+        world.crash(name);
+    }
+    world.run(minutes(15));
+    EXPECT_EQ(a.membership.neighbours().size(), 1u);
+}
+
 TEST(MemberRegistry, registersAgainWhenTheLeaseLapsedOrTheKeyWasRemoved)
 {
     World world;
--- a/packages/scheduler/commit.cpp
+++ b/packages/scheduler/commit.cpp
@@ -172,7 +172,7 @@
         m_batch = {};
         return false;
     }
-    detail::CommitBatch batch = std::exchange(m_batch, {});
+    detail::PlannedBatch batch = std::exchange(m_batch, {});
     try {
         m_log.append(batch.bytes);
     } catch (const Unavailable &) {
@@ -197,7 +197,7 @@
     return true;
 }
 
-void ShardScheduler::applyBatch(const detail::CommitBatch &batch, TimePoint now)
+void ShardScheduler::applyBatch(const detail::PlannedBatch &batch, TimePoint now)
 {
     m_isAway = false;
     m_outageRetry = Duration::zero();
@@ -294,7 +294,7 @@
 }
 
 /** Nothing of @p batch was written: its ends and stops wait on, the rest is undone. */
-void ShardScheduler::failBatch(const detail::CommitBatch &batch, const std::exception_ptr &error)
+void ShardScheduler::failBatch(const detail::PlannedBatch &batch, const std::exception_ptr &error)
 {
     m_counters.abandonedStarts += batch.starts.size();
     for (const detail::PlannedStart &it : batch.starts) {
@@ -317,7 +317,7 @@
     try {
         isWritten = m_log.resolve();
     } catch (const Fenced &) {
-        const detail::CommitBatch batch = std::move(*m_doubt);
+        const detail::PlannedBatch batch = std::move(*m_doubt);
         m_doubt.reset();
         const auto error
             = std::make_exception_ptr(NotRun("another process owns the shard now", m_settings.outageRetryMin));
@@ -334,7 +334,7 @@
         }
         return;
     }
-    detail::CommitBatch batch = std::move(*m_doubt);
+    detail::PlannedBatch batch = std::move(*m_doubt);
     m_doubt.reset();
     m_nextAppend = now + m_settings.appendEvery;
     if (batch.records.empty()) {
