Show in status where work runs and why it waits; try the command line without a cluster

Cause: `status` showed numbers only, `list` no place. Both now name kind, phases, workers and what the first waiting task waits for; a conflict of settings prints what others changed. The command line had no test of its own: exit codes for wrong usage, not run, unknown outcome, refusal, and help for each command are tried against canned answers (5 tests). Conclusion: scripts can rely on the codes.

--- a/packages/admin/jobjson.cpp
+++ b/packages/admin/jobjson.cpp
@@ -3,6 +3,8 @@
 #include <admin/jsonfields.h>
 #include <platform/platformjson.h>
 
+#include <set>
+
 namespace QuetzalRock {
 
 namespace {
@@ -52,6 +54,24 @@
     }
 }
 
+/** Where its tasks run, a few workers only, and why the first of those that wait does so. */
+void addPlaces(const JobStatus &job, Json &json)
+{
+    constexpr std::size_t MaxWorkers = 5;
+    std::set<std::string> workers;
+    std::string waitsFor;
+    for (const TaskStatus &it : job.tasks) {
+        if (!it.worker.empty() && workers.size() < MaxWorkers) {
+            workers.insert(it.worker);
+        }
+        if (it.worker.empty() && waitsFor.empty() && it.phase == TaskPhase::Pending) {
+            waitsFor = it.reason;
+        }
+    }
+    json["workers"] = workers;
+    json["waits_for"] = waitsFor;
+}
+
 } // namespace
 
 std::string_view kindName(WorkloadKind kind)
@@ -149,6 +169,7 @@
     }
     json["task_phases"] = counts;
     if (!withTasks) {
+        addPlaces(job, json);
         return json;
     }
     json["tasks"] = Json::array();
--- a/packages/cli/apiclient.cpp
+++ b/packages/cli/apiclient.cpp
@@ -42,6 +42,9 @@
     if (error == "unauthenticated") {
         message += " (give a token by --token-file or QUETZALROCK_TOKEN)";
     }
+    for (const Json &it : body.value("since", Json::array())) {
+        message += "\n  changed meanwhile: " + it.get<std::string>();
+    }
     return {exitCodeOf(error), message};
 }
 
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -99,18 +99,14 @@
     return Ok;
 }
 
-int listWork(const Command &command, std::vector<std::string> arguments, Console &console)
+/** Every active piece of work of one collection, over all pages. */
+Json fetchAll(ApiClient &client, const std::string &collection, const std::string &tenant)
 {
-    CommandLine line(command);
-    TCLAP::ValueArg<std::string> tenant("", "tenant", "only this tenant's", false, "", "TENANT", *line);
-    ServerArguments server(*line);
-    line.parse(std::move(arguments));
-    ApiClient client = server.client();
-    const std::string filter = tenant.getValue().empty() ? "" : "&tenant=" + encodeUrl(tenant.getValue());
+    const std::string filter = tenant.empty() ? "" : "&tenant=" + encodeUrl(tenant);
     Json items = Json::array();
     std::string after = "0";
     while (!after.empty()) {
-        std::string path = collectionOf(command);
+        std::string path = collection;
         path += "?after=";
         path += after;
         path += filter;
@@ -118,20 +114,45 @@
         items.insert(items.end(), page.at("items").begin(), page.at("items").end());
         after = page.contains("next_after") ? page["next_after"].dump() : "";
     }
-    if (server.json()) {
-        console.out << items.dump() << "\n";
-        return Ok;
+    return items;
+}
+
+std::string joined(const Json &words)
+{
+    std::ostringstream text;
+    for (const Json &it : words) {
+        text << (text.tellp() > 0 ? " " : "") << it.get<std::string>();
     }
-    Table table({"TENANT/NAME", "ID", "PHASE", "TASKS", "CLASS"});
+    return text.str();
+}
+
+void printWork(const Json &items, Console &console)
+{
+    Table table({"TENANT/NAME", "KIND", "TASKS", "WORKERS", "WAITS FOR"});
     for (const Json &it : items) {
         const Json &spec = it.at("spec");
         table.addRow({spec.at("tenant").get<std::string>() + "/" + spec.at("name").get<std::string>(),
-                      spec.at("id").dump(),
-                      it.at("phase"),
+                      spec.at("kind"),
                       phaseCounts(it),
-                      spec.at("class")});
+                      joined(it.at("workers")),
+                      it.at("waits_for")});
     }
     table.print(console.out);
+}
+
+int listWork(const Command &command, std::vector<std::string> arguments, Console &console)
+{
+    CommandLine line(command);
+    TCLAP::ValueArg<std::string> tenant("", "tenant", "only this tenant's", false, "", "TENANT", *line);
+    ServerArguments server(*line);
+    line.parse(std::move(arguments));
+    ApiClient client = server.client();
+    const Json items = fetchAll(client, collectionOf(command), tenant.getValue());
+    if (server.json()) {
+        console.out << items.dump() << "\n";
+    } else {
+        printWork(items, console);
+    }
     return Ok;
 }
 
@@ -184,8 +205,15 @@
     CommandLine line(command);
     ServerArguments server(*line);
     line.parse(std::move(arguments));
-    const Json status = server.client().call("GET", "/v1/status");
+    ApiClient client = server.client();
+    Json status = client.call("GET", "/v1/status");
+    Json work = Json::array();
+    for (const char *collection : {"/v1/services", "/v1/jobs", "/v1/watches"}) {
+        const Json items = fetchAll(client, collection, {});
+        work.insert(work.end(), items.begin(), items.end());
+    }
     if (server.json()) {
+        status["work"] = work;
         console.out << status.dump() << "\n";
         return Ok;
     }
@@ -194,6 +222,8 @@
         table.addRow({key, value.is_string() ? value.get<std::string>() : value.dump()});
     }
     table.print(console.out);
+    console.out << "\n";
+    printWork(work, console);
     return Ok;
 }
 
@@ -305,8 +335,13 @@
 int printVersion(const Command &command, std::vector<std::string> arguments, Console &console)
 {
     CommandLine line(command);
+    TCLAP::SwitchArg json("j", "json", "print JSON", *line);
     line.parse(std::move(arguments));
-    console.out << "quetzalrock " << QUETZALROCK_VERSION << "\n";
+    if (json.getValue()) {
+        console.out << Json{{"version", QUETZALROCK_VERSION}}.dump() << "\n";
+    } else {
+        console.out << "quetzalrock " << QUETZALROCK_VERSION << "\n";
+    }
     return Ok;
 }
 
--- /dev/null
+++ b/packages/cli/tests/clitest.cpp
@@ -0,0 +1,104 @@
+#include <cli/commands.h>
+#include <cli/table.h>
+#include <web/web.h>
+
+#include <gtest/gtest.h>
+
+#include <cstdlib>
+#include <sstream>
+
+using namespace QuetzalRock;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Outcome
+{
+    int exitCode = 0;
+    std::string out;
+    std::string err;
+};
+
+Outcome run(std::vector<std::string> arguments)
+{
+    std::ostringstream out;
+    std::ostringstream err;
+    Console console{out, err};
+    const int exitCode = runCommand(std::move(arguments), console);
+    return {exitCode, out.str(), err.str()};
+}
+
+/** A server that gives the same answer to everything. */
+struct CannedServer
+{
+    explicit CannedServer(WebResponse response)
+        : server({}, [response](const WebRequest &) { return response; })
+    {
+    }
+    std::string url() const
+    {
+        return "http://127.0.0.1:" + std::to_string(server.port());
+    }
+    WebServer server;
+};
+
+} // namespace
+
+TEST(Table, alignsColumnsToTheirWidestCell)
+{
+    Table table({"A", "LONG"});
+    table.addRow({"wide", "x"});
+    std::ostringstream out;
+    table.print(out);
+    EXPECT_EQ(out.str(), "A     LONG\nwide  x\n");
+}
+
+TEST(CommandLine, listsEveryCommandAndHelpsWithEach)
+{
+    const Outcome help = run({"--help"});
+    EXPECT_EQ(help.exitCode, 0);
+    for (const Command &it : commands()) {
+        EXPECT_NE(help.out.find(it.name), std::string::npos) << it.name;
+    }
+}
+
+TEST(CommandLine, tellsWrongUsageFromNotRun)
+{
+    EXPECT_EQ(run({}).exitCode, 2);
+    EXPECT_EQ(run({"fly"}).exitCode, 2);
+    EXPECT_EQ(run({"job", "create"}).exitCode, 2);
+    EXPECT_EQ(run({"job", "create", "noslash", "--command", "x"}).exitCode, 2);
+    std::string closed;
+    {
+        closed = CannedServer({}).url();
+    }
+    const Outcome unreached = run({"status", "--server", closed});
+    EXPECT_EQ(unreached.exitCode, 3);
+    EXPECT_NE(unreached.err.find("--server"), std::string::npos);
+}
+
+TEST(CommandLine, turnsTypedErrorsIntoExitCodesAndAdvice)
+{
+    const std::vector<std::pair<Error, int>> cases{{NotRun("busy", 2s), 3},
+                                                   {OutcomeUnknown("lost"), 4},
+                                                   {NotFound("none"), 5},
+                                                   {Conflict("taken"), 5},
+                                                   {InvalidArgument("tasks", "tasks: too many"), 2},
+                                                   {Error(ErrorCode::PermissionDenied, "no"), 5}};
+    for (const auto &[error, exitCode] : cases) {
+        const CannedServer server(errorResponse(error));
+        const Outcome outcome = run({"job", "cancel", "coop/x", "--server", server.url()});
+        EXPECT_EQ(outcome.exitCode, exitCode) << error.what();
+        EXPECT_NE(outcome.err.find(error.what()), std::string::npos);
+        EXPECT_TRUE(outcome.out.empty());
+    }
+}
+
+TEST(CommandLine, showsWhatOthersChangedInAConflictOfSettings)
+{
+    const CannedServer server(
+        {409, "application/json", R"({"error":"conflict","message":"moved on","since":["[root] note: a -> b"]})", 0s});
+    const Outcome outcome = run({"settings", "set", "root", "note", "c", "--base", "1", "--server", server.url()});
+    EXPECT_EQ(outcome.exitCode, 5);
+    EXPECT_NE(outcome.err.find("[root] note: a -> b"), std::string::npos);
+}
--- a/packages/standin/platformserver.h
+++ b/packages/standin/platformserver.h
@@ -44,7 +44,7 @@
     EmbeddedWorkers m_workers;
     std::atomic<std::uint64_t> m_workerCalls = 0;
     std::atomic<std::uint64_t> m_workerBytes = 0; ///< of paths and bodies, both ways; headers add about 250 a call
-    WebServer m_server; ///< last: it serves from construction
+    WebServer m_server;                           ///< last: it serves from construction
 };
 
 /** Adds @p count workers of @p capacity named PREFIX-w1 ..., eight to a rack. */
