Give the journals of claims a write budget

Cause: a shard of claims wrote as fast as its last write was answered; 96 shards at the target could take thousands of writes a second of the several hundred that the service allows. Now a shard writes at most once in claim_append_ms (50), at once when idle, and once more without delay when it stops. Scheduling's own default goes from 50 to 100 ms, which is what the 240 writes/s at the target were worked out for. Before: no bound. After: the new test counts one write for two claims that came within the interval; with the bound taken out it fails.

--- a/packages/daemon/daemonsettings.cpp
+++ b/packages/daemon/daemonsettings.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::int64_t HourMs = 3'600'000;
+constexpr Duration DefaultClaimAppendEvery = std::chrono::milliseconds(50);
 constexpr std::array<std::string_view, 2> PlatformKinds{"embedded", "http"};
 constexpr std::array<std::string_view, 3> RoleNames{"read", "submit", "operate"};
 constexpr std::string_view ClassPrefix = "class.";
@@ -176,6 +177,8 @@
     readIntAs(reader, "max_answer_bytes", settings.maxAnswerBytes, 1, 64 << 20);
     readIntAs(reader, "threads", settings.frontThreads, 1, 64);
     reader.readMillis("claim_window_ms", settings.claimWindow, 1000, 24 * HourMs);
+    settings.claimAppendEvery = DefaultClaimAppendEvery;
+    reader.readMillis("claim_append_ms", settings.claimAppendEvery, 0, 5000);
     reader.endSection();
     for (const std::string &it : reader.sectionsWith(ClassPrefix)) {
         settings.classes.emplace_back();
@@ -315,6 +318,7 @@
     out << "max_body_bytes = " << requests.maxBodyBytes << "\n";
     out << "max_answer_bytes = " << requests.maxAnswerBytes << "\n";
     out << "threads = " << requests.frontThreads << "\n";
+    out << "claim_append_ms = " << millis(requests.claimAppendEvery) << "\n";
     out << "claim_window_ms = " << millis(requests.claimWindow) << "\n";
     for (const RequestClass &it : requests.classes) {
         printClass(it, out);
--- a/packages/daemon/daemonsettings.h
+++ b/packages/daemon/daemonsettings.h
@@ -82,7 +82,7 @@
 {
     std::int64_t shard = 1; ///< number of this failure domain's shard, unique over all domains
     Duration stepEvery = std::chrono::milliseconds(100); ///< step_ms: the longest wait between two looks at the workers
-    Duration appendEvery = std::chrono::milliseconds(50); ///< append_ms: the shortest time between two writes
+    Duration appendEvery = std::chrono::milliseconds(100); ///< append_ms: the shortest time between two writes
     Duration answerWithin = std::chrono::seconds(5); ///< answer_ms: after that an operator's request is outcome_unknown
 };
 
--- a/packages/requests/claims.cpp
+++ b/packages/requests/claims.cpp
@@ -115,6 +115,7 @@
         m_counters.running = m_table.running();
         m_counters.kept = m_table.size();
     }
+    workOffBacklog(); // ends that the write budget held back
 }
 
 bool LocalClaims::hasBacklog() const
@@ -126,7 +127,8 @@
 {
     std::unique_lock lock(m_mutex);
     const TimePoint idle = m_clock.now() + IdleWait;
-    const TimePoint until = hasBacklog() ? std::min(m_retryAt, idle) : idle;
+    const TimePoint due = std::max(m_retryAt, m_nextCommit);
+    const TimePoint until = hasBacklog() ? std::min(due, idle) : idle;
     while (m_commands.empty() && !m_stopping && m_clock.now() < until) {
         m_clock.waitUntil(lock, m_wake, until);
     }
@@ -236,7 +238,7 @@
         if (m_doubt) {
             settleDoubt();
         }
-        while (m_isOwner && !(m_ends.empty() && m_granting.empty())) {
+        while (m_isOwner && !(m_ends.empty() && m_granting.empty()) && mayCommit()) {
             commit();
         }
         snapshotIfDue();
@@ -252,6 +254,13 @@
     }
 }
 
+/** False until claimAppendEvery has passed since the last write, but for the last ones of a process that stops. */
+bool LocalClaims::mayCommit()
+{
+    std::lock_guard guard(m_mutex);
+    return m_stopping || m_clock.now() >= m_nextCommit;
+}
+
 std::vector<std::string> LocalClaims::nextBatch(std::size_t &ends, std::size_t &claims) const
 {
     std::vector<std::string> batch;
@@ -278,6 +287,7 @@
     std::size_t claims = 0;
     const std::vector<std::string> batch = nextBatch(ends, claims);
     m_endsInDoubt = ends;
+    m_nextCommit = m_clock.now() + m_settings.claimAppendEvery;
     m_log.append(batch);
     ++m_counters.batches;
     m_counters.records += batch.size();
--- a/packages/requests/claims.h
+++ b/packages/requests/claims.h
@@ -208,6 +208,7 @@
     void handleEnd(const ClaimEnd &end);
     void workOffBacklog();
     void settleDoubt();
+    bool mayCommit();
     void commit();
     std::vector<std::string> nextBatch(std::size_t &ends, std::size_t &claims) const;
     void grant(std::size_t claims);
@@ -234,7 +235,8 @@
     bool m_doubt = false;                ///< the last append may have been written
     std::unordered_map<std::string, std::vector<Reply>> m_waiters; ///< repeats that wait for a first run, by key
     TimePoint m_retryAt;                                           ///< the log is left alone until then
-    std::thread m_thread;                                          ///< duty: the log of claims
+    TimePoint m_nextCommit; ///< of the write budget, see RequestSettings::claimAppendEvery
+    std::thread m_thread;   ///< duty: the log of claims
     std::atomic<bool> m_isOwner = false;
     std::atomic<bool> m_isFenced = false;
     std::atomic<std::uint64_t> m_epoch = 0;
--- a/packages/requests/settings.h
+++ b/packages/requests/settings.h
@@ -84,6 +84,7 @@
     Duration maxClaimWait
         = std::chrono::seconds(1); ///< for a claim to become durable; then not_run, well before the deadline
     Duration claimRetry = std::chrono::milliseconds(200); ///< between tries to reach the log again
+    Duration claimAppendEvery{}; ///< shortest time between two writes of one shard's claims; an idle one writes at once
 
     // ---- the HTTP front
     std::string listenAddress = "127.0.0.1"; ///< an IP number
--- a/packages/requests/tests/claimstest.cpp
+++ b/packages/requests/tests/claimstest.cpp
@@ -286,6 +286,31 @@
     EXPECT_LE(rig.store->appends, 3);
 }
 
+TEST(LocalClaims, WritesNoFasterThanItsBudget)
+{
+    RequestSettings settings;
+    settings.claimAppendEvery = 100ms;
+    ManualClock clock;
+    const auto store = std::make_shared<FakeLog::Store>();
+    FakeLog log(store);
+    LocalClaims claims(settings, clock, log);
+    claims.start();
+    ASSERT_TRUE(eventually([&] { return claims.isOwner(); }));
+    std::atomic<int> granted = 0;
+    const auto claim = [&](const std::string &key, std::uint64_t n) {
+        claims.claim({key, 1, n}, [&](const ClaimReply &) { ++granted; });
+        return eventually([&] { return claims.counters().claims == n; });
+    };
+    ASSERT_TRUE(claim("idle: at once", 1));
+    ASSERT_TRUE(eventually([&] { return granted == 1; }));
+    ASSERT_TRUE(claim("waits", 2));
+    ASSERT_TRUE(claim("waits too", 3));
+    EXPECT_EQ(claims.counters().batches, 1U);
+    clock.advance(100ms);
+    ASSERT_TRUE(eventually([&] { return granted == 3; }));
+    EXPECT_EQ(claims.counters().batches, 2U) << "both in one write";
+}
+
 TEST(ShardedClaims, KeyAloneDecidesTheOwner)
 {
     LocalRig first;
