Measure the wait of urgent work where every worker is full

Cause: urgent work is to start within 3.7 s. Before: not measured over scheduler and placement together.

--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -1,6 +1,6 @@
 /**
  * What the scheduler of a shard costs: takeover, steps, records of a start, renewals and reports, the backlog after an
- * outage. Time of the load is simulated by a clock that stands still; processor time is not.
+ * outage, the wait of urgent work. Time of the load is simulated by a clock that stands still; processor time is not.
  *
  * Usage: benchscheduler
  */
@@ -14,6 +14,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <ctime>
 #include <memory>
@@ -262,6 +263,36 @@
                 static_cast<unsigned long long>(owner.scheduler.counters().appends - before.appends));
 }
 
+/** From submission to the start on the worker, where batch work fills every worker. */
+void measureUrgent()
+{
+    Domain domain(DomainWorkers);
+    Owner owner(domain, "entry-1");
+    owner.scheduler.takeOver();
+    fill(owner, 32 * DomainWorkers);
+    const std::size_t held = countHeld(owner.scheduler.state());
+    Duration worst{};
+    int begun = 0;
+    for (int i = 0; i < 60; ++i) {
+        JobSpec spec = job(2'000'000 + i, "serve", 1);
+        spec.urgent = true;
+        const TimePoint submitted = domain.clock.now();
+        std::future<JobId> answer = owner.scheduler.submit(spec);
+        owner.run(Tick);
+        const TaskId task{answer.get(), 0};
+        while (domain.workers.maxConcurrentAttempts(task) == 0 && domain.clock.now() - submitted < 1min) {
+            owner.run(Tick);
+        }
+        begun += domain.workers.maxConcurrentAttempts(task);
+        worst = std::max(worst, domain.clock.now() - submitted);
+        owner.run(2s);
+    }
+    std::printf("urgent, %zu tasks held before: %d of 60 begun, the slowest after %.1f s\n",
+                held,
+                begun,
+                std::chrono::duration<double>(worst).count());
+}
+
 } // namespace
 
 int main()
@@ -271,5 +302,6 @@
         measureReplay(tasks);
     }
     measureOutage();
+    measureUrgent();
     return 0;
 }
