Fail, rather than hang, where a caller is never told of a doubt

Cause: with the limit of a doubt taken out, the test waited on the future for ever. Before: noticed by the timeout only.

--- a/packages/scheduler/tests/outagetest.cpp
+++ b/packages/scheduler/tests/outagetest.cpp
@@ -139,6 +139,7 @@
     EXPECT_FALSE(isReady(answer));
     EXPECT_THROW(submit(batchJob("b")), NotRun) << "nothing is written before the doubt is settled";
     runFor(10s);
+    ASSERT_TRUE(isReady(answer));
     EXPECT_THROW(answer.get(), OutcomeUnknown);
     owner->log.refuseResolves = 0;
     runFor(30s);
