Call tenants tenants everywhere; decode peer messages in one place

Cause: placement said team where the users' word, and every other package's, is tenant; two codecs of the daemon had the same decoder; the owner's loop waited a whole step after a write although the assignments of what was just submitted were due. Placement's TeamQuota is TenantAllotment, its TeamTable TenantLedger (requests has a TenantTable). After a write the loop waits append_ms at most. Before: two words, two decoders. After: one of each; 338 tests pass, lint clean on the change.

--- a/bench/placement.cpp
+++ b/bench/placement.cpp
@@ -114,7 +114,7 @@
         truth.spec.id = ++m_lastJob;
         truth.spec.name = serviceName(it);
         truth.spec.className = truth.spec.name;
-        truth.spec.team = "team" + std::to_string(it);
+        truth.spec.tenant = "tenant" + std::to_string(it);
         truth.spec.kind = WorkloadKind::Service;
         truth.spec.taskCount = std::max(1U, static_cast<std::uint32_t>(instances));
         truth.spec.resources = {Cores[it] * 1000, 4000, 0};
@@ -131,7 +131,7 @@
     truth.spec.id = ++m_lastJob;
     truth.spec.name = batchName(classIndex);
     truth.spec.className = truth.spec.name;
-    truth.spec.team = "team" + std::to_string(m_arrivals.next() % 10);
+    truth.spec.tenant = "tenant" + std::to_string(m_arrivals.next() % 10);
     truth.spec.taskCount = 1 + static_cast<std::uint32_t>(m_arrivals.next() % 16);
     truth.spec.resources.cpuMillis = 1000 + static_cast<std::int64_t>(m_arrivals.next() % 5000);
     truth.spec.resources.memoryMib = 1000 + static_cast<std::int64_t>(m_arrivals.next() % 8000);
--- a/bench/placementcost.cpp
+++ b/bench/placementcost.cpp
@@ -23,7 +23,7 @@
     spec.id = id;
     spec.name = "job";
     spec.className = (service ? "service" : "batch") + std::to_string(id % 6);
-    spec.team = "team" + std::to_string(id % 270);
+    spec.tenant = "tenant" + std::to_string(id % 270);
     spec.kind = service ? WorkloadKind::Service : WorkloadKind::Batch;
     spec.latencyTargetMs = service ? TargetMs : 0;
     spec.taskCount = 10;
--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -46,7 +46,7 @@
 JobSpec job(int number, const std::string &command, std::uint32_t tasks)
 {
     JobSpec spec;
-    spec.team = "team-" + std::to_string(number % 270);
+    spec.tenant = "tenant-" + std::to_string(number % 270);
     spec.name = "manifest-build-" + std::to_string(number);
     spec.className = "manifest";
     spec.taskCount = tasks;
--- a/bench/settings.cpp
+++ b/bench/settings.cpp
@@ -52,7 +52,7 @@
         }
     }
     for (int i = 0; i < Tenants; ++i) {
-        const std::string name = "team-" + std::to_string(i);
+        const std::string name = "tenant-" + std::to_string(i);
         fillNode(
             tree, {"", "", "", name}, {{"tenant.cpu-millis", 1000 * (i + 1)}, {"tenant.memory-mib", 4096 * (i + 1)}});
         for (int domain = i % 3; domain < Regions * DomainsPerRegion; domain += 3) {
@@ -78,7 +78,7 @@
 {
     SettingsDocument document{0, targetTree(), {}};
     for (std::size_t i = 0; i < MaxHistory; ++i) {
-        const SettingsPath tenant{"", "", "", "team-" + std::to_string(i % Tenants)};
+        const SettingsPath tenant{"", "", "", "tenant-" + std::to_string(i % Tenants)};
         const std::string weight = std::to_string(1 + i % 1000);
         advanceDocument(document,
                         {document.version + 1,
@@ -194,7 +194,7 @@
     const Totals before = totals(all, service);
     std::uint64_t version = document.version;
     for (int i = 0; i < changes; ++i) {
-        const SettingsPath tenant{"", "", "", "team-" + std::to_string(i % Tenants)};
+        const SettingsPath tenant{"", "", "", "tenant-" + std::to_string(i % Tenants)};
         const std::string pending = std::to_string(1 + i);
         const TimePoint asked = clock.now();
         version = store
--- a/packages/admin/adminapi.cpp
+++ b/packages/admin/adminapi.cpp
@@ -184,9 +184,9 @@
 WebResponse AdminApi::create(const WebRequest &request, const Account &account, WorkloadKind kind)
 {
     const JobSpec spec = parseJobSpec(parseJson(request.body), kind);
-    requireRole(account, Role::Submit, spec.team);
+    requireRole(account, Role::Submit, spec.tenant);
     const JobId id = m_backend.submit(spec);
-    return answer(201, {{"id", id}, {"tenant", spec.team}, {"name", spec.name}});
+    return answer(201, {{"id", id}, {"tenant", spec.tenant}, {"name", spec.name}});
 }
 
 WebResponse AdminApi::list(const WebRequest &request, const Account &account, WorkloadKind kind)
@@ -203,7 +203,7 @@
         more = page.size() == limit;
         for (const JobStatus &it : page) {
             after = it.spec.id;
-            const bool chosen = it.spec.kind == kind && (tenant.empty() || it.spec.team == tenant);
+            const bool chosen = it.spec.kind == kind && (tenant.empty() || it.spec.tenant == tenant);
             if (chosen) {
                 items.push_back(toJson(it, false));
             }
--- a/packages/admin/jobjson.cpp
+++ b/packages/admin/jobjson.cpp
@@ -96,7 +96,7 @@
     std::int64_t runTimeSeconds = 0;
     JsonFields fields(json);
     fields.readRequired("name", spec.name, MaxNameBytes);
-    fields.readRequired("tenant", spec.team, MaxNameBytes);
+    fields.readRequired("tenant", spec.tenant, MaxNameBytes);
     fields.read("class", spec.className, MaxNameBytes);
     fields.read("tasks", tasks, 1, MaxTasks);
     fields.read("cpu_millis", spec.resources.cpuMillis, 0, MaxCpuMillis);
@@ -113,7 +113,7 @@
     }
     fields.end();
     checkName("name", spec.name);
-    checkName("tenant", spec.team);
+    checkName("tenant", spec.tenant);
     checkName("class", spec.className);
     spec.taskCount = static_cast<std::uint32_t>(tasks);
     spec.priority = static_cast<int>(priority);
@@ -126,7 +126,7 @@
     Json json{{"id", spec.id},
               {"kind", kindName(spec.kind)},
               {"name", spec.name},
-              {"tenant", spec.team},
+              {"tenant", spec.tenant},
               {"class", spec.className},
               {"tasks", spec.taskCount},
               {"cpu_millis", spec.resources.cpuMillis},
--- a/packages/admin/settingsapi.cpp
+++ b/packages/admin/settingsapi.cpp
@@ -217,7 +217,7 @@
     for (const Json &it : body["changes"]) {
         edit.changes.push_back(parseChange(it));
     }
-    return write(std::move(edit));
+    return write(edit);
 }
 
 WebResponse SettingsApi::importTree(const WebRequest &request, const Account &account)
@@ -238,10 +238,10 @@
     edit.baseVersion = static_cast<std::uint64_t>(base);
     edit.who = account.name;
     edit.changes = difference(m_backend.settings().tree, parse.tree);
-    return write(std::move(edit));
+    return write(edit);
 }
 
-WebResponse SettingsApi::write(SettingsEdit edit)
+WebResponse SettingsApi::write(const SettingsEdit &edit)
 {
     try {
         const SettingsDocument document = m_backend.changeSettings(edit);
--- a/packages/admin/settingsapi.h
+++ b/packages/admin/settingsapi.h
@@ -51,7 +51,7 @@
 private:
     WebResponse change(const WebRequest &request, const Account &account);
     WebResponse importTree(const WebRequest &request, const Account &account);
-    WebResponse write(SettingsEdit edit);
+    WebResponse write(const SettingsEdit &edit);
     nlohmann::json forceJson(std::uint64_t version);
 
     SettingsBackend &m_backend;
--- a/packages/admin/tests/adminapitest.cpp
+++ b/packages/admin/tests/adminapitest.cpp
@@ -34,7 +34,7 @@
     JobStatus describe(std::string_view tenant, std::string_view name) override
     {
         for (const JobSpec &it : submitted) {
-            if (it.team == tenant && it.name == name) {
+            if (it.tenant == tenant && it.name == name) {
                 JobStatus status;
                 status.spec = it;
                 return status;
--- a/packages/base/types.h
+++ b/packages/base/types.h
@@ -69,12 +69,12 @@
 {
     JobId id = 0;
     std::string name;
-    std::string team; ///< the tenant whose quota and share it counts against
+    std::string tenant; ///< the tenant whose quota and share it counts against
     WorkloadKind kind = WorkloadKind::Batch;
     std::string className;       ///< class of the workload, for interference and learned sizes; empty: the job's name
     std::uint32_t taskCount = 1; ///< at least 1
     Resources resources;         ///< of each task, as declared
-    int priority = 0;            ///< within the team: each step counts as having come earlier, see PlacementSettings
+    int priority = 0;            ///< within the tenant: each step counts as having come earlier, see PlacementSettings
     bool urgent = false;         ///< starts before all that is not, by preemption where there is no room
     bool gang = false;           ///< all its tasks start together or none does
     Duration runTime{};          ///< batch: as declared; zero: unknown
--- a/packages/cli/tests/clitest.cpp
+++ b/packages/cli/tests/clitest.cpp
@@ -31,7 +31,7 @@
 /** A server that gives the same answer to everything. */
 struct CannedServer
 {
-    explicit CannedServer(WebResponse response)
+    explicit CannedServer(const WebResponse &response)
         : server({}, [response](const WebRequest &) { return response; })
     {
     }
--- a/packages/daemon/claimcodec.cpp
+++ b/packages/daemon/claimcodec.cpp
@@ -1,7 +1,6 @@
 #include <daemon/claimcodec.h>
 
-#include <base/errors.h>
-#include <platform/platformjson.h>
+#include <daemon/peermessage.h>
 
 namespace QuetzalRock {
 
@@ -33,16 +32,6 @@
     return response;
 }
 
-template<typename Parse>
-auto decode(std::string_view text, Parse parse)
-{
-    try {
-        return parse(parseJson(text));
-    } catch (const Json::exception &error) {
-        throw InvalidArgument("claim", error.what());
-    }
-}
-
 } // namespace
 
 std::string encodeClaim(const ClaimCall &call)
@@ -57,7 +46,7 @@
 
 ClaimCall decodeClaim(std::string_view json)
 {
-    return decode(json, [](const Json &it) {
+    return decodePeerMessage(json, "claim", [](const Json &it) {
         ClaimCall call;
         call.shard = it.at("shard").get<std::uint32_t>();
         call.request.key = decodeBase64(it.at("key").get<std::string>());
@@ -79,7 +68,7 @@
 
 ClaimEndCall decodeClaimEnd(std::string_view json)
 {
-    return decode(json, [](const Json &it) {
+    return decodePeerMessage(json, "claim", [](const Json &it) {
         ClaimEndCall call;
         call.shard = it.at("shard").get<std::uint32_t>();
         call.end.key = decodeBase64(it.at("key").get<std::string>());
@@ -97,7 +86,7 @@
 
 ClaimReply decodeClaimReply(std::string_view json)
 {
-    return decode(json, [](const Json &it) {
+    return decodePeerMessage(json, "claim", [](const Json &it) {
         ClaimReply reply;
         reply.verdict = static_cast<ClaimVerdict>(it.at("verdict").get<int>());
         reply.answer = parseResponse(it.at("answer"));
--- a/packages/daemon/placementpolicy.cpp
+++ b/packages/daemon/placementpolicy.cpp
@@ -22,7 +22,7 @@
     return settings;
 }
 
-std::vector<TeamQuota> teamQuotas(const SettingsTree &tree, const SettingsPath &domain)
+std::vector<TenantAllotment> tenantAllotments(const SettingsTree &tree, const SettingsPath &domain)
 {
     std::set<std::string> tenants;
     for (const auto &[path, node] : tree) {
@@ -30,7 +30,7 @@
             tenants.insert(path.tenant);
         }
     }
-    std::vector<TeamQuota> quotas;
+    std::vector<TenantAllotment> quotas;
     for (const std::string &it : tenants) {
         const TenantQuota quota = tenantQuota(tree, {domain.region, domain.failureDomain, {}, it});
         quotas.push_back({it, static_cast<double>(quota.weight), quota.quota});
--- a/packages/daemon/schedulershard.cpp
+++ b/packages/daemon/schedulershard.cpp
@@ -101,11 +101,16 @@
 {
     while (!tenure.isStopping && !tenure.isFenced) {
         applySettings(tenure);
-        if (tenure.scheduler.step(m_clock.now()) == StepOutcome::StoodDown) {
+        const StepOutcome outcome = tenure.scheduler.step(m_clock.now());
+        if (outcome == StepOutcome::StoodDown) {
             tenure.isFenced = true;
             break;
         }
-        tenure.scheduler.waitForWork(m_clock.now() + m_settings.scheduler.stepEvery);
+        // After a write there is mostly more to write, such as the assignments of what was submitted.
+        const bool isBusy = outcome == StepOutcome::Progressed;
+        const SchedulerSection &pace = m_settings.scheduler;
+        tenure.scheduler.waitForWork(m_clock.now()
+                                     + (isBusy ? std::min(pace.appendEvery, pace.stepEvery) : pace.stepEvery));
     }
     tenure.scheduler.standDown();
 }
@@ -119,7 +124,7 @@
     const SettingsPath domain{m_settings.process.region, m_settings.process.failureDomain, {}, {}};
     const SettingsTree &tree = settings->document.tree;
     tenure.engine.setSettings(placementSettings(domainPolicy(tree, domain)));
-    tenure.engine.setTeams(teamQuotas(tree, domain));
+    tenure.engine.setTenants(tenantAllotments(tree, domain));
     tenure.settings = settings;
 }
 
--- a/packages/daemon/tests/placementpolicytest.cpp
+++ b/packages/daemon/tests/placementpolicytest.cpp
@@ -25,8 +25,8 @@
     EXPECT_DOUBLE_EQ(settings.weights.tailLatency, 0.6);
     EXPECT_FALSE(settings.guards);
     EXPECT_TRUE(placementSettings(domainPolicy(parse.tree, b)).guards);
-    ASSERT_EQ(teamQuotas(parse.tree, a).size(), 1U);
-    EXPECT_EQ(teamQuotas(parse.tree, a).front().limit.cpuMillis, 4000);
-    EXPECT_EQ(teamQuotas(parse.tree, b).front().limit.cpuMillis, 9000);
-    EXPECT_DOUBLE_EQ(teamQuotas(parse.tree, b).front().weight, 30);
+    ASSERT_EQ(tenantAllotments(parse.tree, a).size(), 1U);
+    EXPECT_EQ(tenantAllotments(parse.tree, a).front().limit.cpuMillis, 4000);
+    EXPECT_EQ(tenantAllotments(parse.tree, b).front().limit.cpuMillis, 9000);
+    EXPECT_DOUBLE_EQ(tenantAllotments(parse.tree, b).front().weight, 30);
 }
--- a/packages/daemon/webcodec.cpp
+++ b/packages/daemon/webcodec.cpp
@@ -1,26 +1,11 @@
 #include <daemon/webcodec.h>
 
-#include <platform/platformjson.h>
+#include <daemon/peermessage.h>
 
 namespace QuetzalRock {
 
-namespace {
-
 using Json = nlohmann::json;
 
-/** What @p parse makes of @p text; whatever is missing or of the wrong type is an InvalidArgument. */
-template<typename Parse>
-auto decode(std::string_view text, Parse parse)
-{
-    try {
-        return parse(parseJson(text));
-    } catch (const Json::exception &error) {
-        throw InvalidArgument("request", error.what());
-    }
-}
-
-} // namespace
-
 std::string encodeWebRequest(const WebRequest &request)
 {
     return Json{{"method", request.method},
@@ -33,7 +18,7 @@
 
 WebRequest decodeWebRequest(std::string_view json)
 {
-    return decode(json, [](const Json &it) {
+    return decodePeerMessage(json, "request", [](const Json &it) {
         WebRequest request;
         request.method = it.at("method").get<std::string>();
         request.path = it.at("path").get<std::string>();
@@ -55,7 +40,7 @@
 
 WebResponse decodeWebResponse(std::string_view json)
 {
-    return decode(json, [](const Json &it) {
+    return decodePeerMessage(json, "request", [](const Json &it) {
         WebResponse response;
         response.status = it.at("status").get<int>();
         response.contentType = it.at("content_type").get<std::string>();
--- a/packages/placement/engineexplain.cpp
+++ b/packages/placement/engineexplain.cpp
@@ -57,7 +57,7 @@
     case WaitReason::Interference:
         return "wherever it fits it would slow services by more than it is worth now; its worth grows as it waits";
     case WaitReason::Quota:
-        return "team " + job.spec.team + " has used its allotment; it starts when other work of the team ends";
+        return "tenant " + job.spec.tenant + " has used its allotment; it starts when other work of the tenant ends";
     case WaitReason::Headroom:
         return "the rest of the shard's room is kept for urgent work";
     case WaitReason::Pacing:
--- a/packages/placement/enginestarts.cpp
+++ b/packages/placement/enginestarts.cpp
@@ -88,23 +88,23 @@
     struct Turn
     {
         double share;
-        TeamIndex team;
+        TenantSlot tenant;
         int tries;  ///< searches without a start
         int passed; ///< jobs passed over without a search
         QueueKey after;
-        Resources lacking; ///< what the team's allotment lacks for a job further ahead: none behind it may take that
+        Resources lacking; ///< what the tenant's allotment lacks for a job further ahead: none behind it may take that
 
         bool operator>(const Turn &other) const
         {
-            return std::tie(share, team) > std::tie(other.share, other.team);
+            return std::tie(share, tenant) > std::tie(other.share, other.tenant);
         }
     };
     const QueueKey first{std::numeric_limits<std::int64_t>::min(), 0, 0};
     const Resources total = m_ledger.openCapacity();
     std::priority_queue<Turn, std::vector<Turn>, std::greater<>> turns;
-    for (TeamIndex it = 0; it < m_teams.size(); ++it) {
-        if (!m_teams[it].queues[band].empty()) {
-            turns.push({m_teams.dominantShare(it, total), it, 0, 0, first, {}});
+    for (TenantSlot it = 0; it < m_tenants.size(); ++it) {
+        if (!m_tenants[it].queues[band].empty()) {
+            turns.push({m_tenants.dominantShare(it, total), it, 0, 0, first, {}});
         }
     }
     while (!turns.empty()) {
@@ -112,7 +112,7 @@
         turns.pop();
         QueueKey key = turn.after;
         JobSlot slot = 0;
-        if (!nextJob(turn.team, band, key, slot)) {
+        if (!nextJob(turn.tenant, band, key, slot)) {
             continue;
         }
         const bool overtakes = takesAny(m_jobs[slot].spec.resources, turn.lacking);
@@ -123,10 +123,10 @@
         if (outcome == Outcome::OverQuota && !overtakes) {
             const Job &job = m_jobs[slot];
             const std::int64_t n = job.spec.gang ? static_cast<std::int64_t>(job.ready.size()) : 1;
-            turn.lacking += m_teams.lacking(turn.team, times(needOf(job), n));
+            turn.lacking += m_tenants.lacking(turn.tenant, times(needOf(job), n));
         }
         if (outcome == Outcome::Started) {
-            turn.share = m_teams.dominantShare(turn.team, total);
+            turn.share = m_tenants.dominantShare(turn.tenant, total);
         } else {
             turn.after = key;
             ++(outcome == Outcome::Blocked ? turn.tries : turn.passed);
@@ -137,9 +137,9 @@
     }
 }
 
-bool PlacementEngine::nextJob(TeamIndex team, int band, QueueKey &after, JobSlot &out) const
+bool PlacementEngine::nextJob(TenantSlot tenant, int band, QueueKey &after, JobSlot &out) const
 {
-    const std::set<QueueKey> &queue = m_teams[team].queues[band];
+    const std::set<QueueKey> &queue = m_tenants[tenant].queues[band];
     const auto it = queue.upper_bound(after);
     if (it == queue.end()) {
         return false;
@@ -193,7 +193,7 @@
 {
     Job &job = m_jobs[slot];
     const Resources need = needOf(job);
-    if (!m_teams.allows(job.team, need)) {
+    if (!m_tenants.allows(job.tenant, need)) {
         return overQuota(slot);
     }
     if (!headroomAllows(job, need)) {
@@ -246,7 +246,7 @@
         return block(slot, WaitReason::Backoff);
     }
     const Resources need = needOf(job);
-    if (!m_teams.allows(job.team, times(need, n))) {
+    if (!m_tenants.allows(job.tenant, times(need, n))) {
         return overQuota(slot);
     }
     if (!headroomAllows(job, times(need, n))) {
@@ -329,7 +329,8 @@
         const double factor = job.memoryRatio * m_settings.overuseMargin;
         grown.memoryMib = static_cast<std::int64_t>(static_cast<double>(declared.memoryMib) * factor);
     }
-    const bool usable = grown == declared || (m_ledger.everFits(grown) && grown.fitsIn(m_teams[job.team].quota.limit));
+    const bool usable
+        = grown == declared || (m_ledger.everFits(grown) && grown.fitsIn(m_tenants[job.tenant].quota.limit));
     return usable ? grown : declared;
 }
 
@@ -703,7 +704,7 @@
 // Jobs that can never run
 // ---------------------------------------------------------------------------------------------------------------------
 
-/** Empty where the job fits an empty fleet and its team's allotment. */
+/** Empty where the job fits an empty fleet and its tenant's allotment. */
 std::string PlacementEngine::whyUnrunnable(const Job &job) const
 {
     const Resources &need = job.spec.resources;
@@ -716,9 +717,9 @@
         }
         return "a task needs " + describe(need) + "; no worker has that, the largest has " + describe(most);
     }
-    if (!times(need, together).fitsIn(m_teams[job.team].quota.limit)) {
-        return "needs " + describe(times(need, together)) + " at once; the allotment of team " + job.spec.team + " is "
-               + describe(m_teams[job.team].quota.limit);
+    if (!times(need, together).fitsIn(m_tenants[job.tenant].quota.limit)) {
+        return "needs " + describe(times(need, together)) + " at once; the allotment of tenant " + job.spec.tenant
+               + " is " + describe(m_tenants[job.tenant].quota.limit);
     }
     std::int64_t fit = 0;
     for (WorkerIndex it = 0; it < m_ledger.size() && fit < together; ++it) {
--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -85,9 +85,9 @@
     m_settings.seed = seed;
 }
 
-void PlacementEngine::setTeams(std::span<const TeamQuota> quotas)
+void PlacementEngine::setTenants(std::span<const TenantAllotment> quotas)
 {
-    m_teams.setQuotas(quotas);
+    m_tenants.setQuotas(quotas);
     unparkAll();
 }
 
@@ -119,7 +119,7 @@
     const JobSlot slot = m_jobs.add(spec);
     Job &job = m_jobs[slot];
     job.classIndex = m_model.classOf(spec.className.empty() ? spec.name : spec.className);
-    job.team = m_teams.indexOf(spec.team);
+    job.tenant = m_tenants.indexOf(spec.tenant);
     job.band = spec.urgent ? 0 : spec.kind == WorkloadKind::Batch ? 2 : 1;
     job.added = now;
     job.number = m_arrivals++;
@@ -230,7 +230,7 @@
     Task &task = job.tasks[ref.index];
     detail::WorkerView &view = m_views[worker];
     m_ledger.restore(worker, reserved);
-    m_teams[job.team].usage += reserved;
+    m_tenants[job.tenant].usage += reserved;
     task.phase = PlacementStage::Active;
     task.worker = worker;
     task.reserved = reserved;
@@ -270,7 +270,7 @@
     setShare(ref, 0, now);
     setOveruse(task, {});
     m_ledger.release(task.worker, task.reserved);
-    m_teams[job.team].usage -= task.reserved;
+    m_tenants[job.tenant].usage -= task.reserved;
     if (isEvictable(job)) {
         view.evictable -= task.reserved;
     }
@@ -348,7 +348,7 @@
         return;
     }
     job.queued = true;
-    m_teams[job.team].queues[job.band].insert({job.key, job.number, slot});
+    m_tenants[job.tenant].queues[job.band].insert({job.key, job.number, slot});
 }
 
 void PlacementEngine::dequeue(JobSlot slot)
@@ -356,7 +356,7 @@
     Job &job = m_jobs[slot];
     if (job.queued) {
         job.queued = false;
-        m_teams[job.team].queues[job.band].erase({job.key, job.number, slot});
+        m_tenants[job.tenant].queues[job.band].erase({job.key, job.number, slot});
     }
 }
 
--- a/packages/placement/jobs.cpp
+++ b/packages/placement/jobs.cpp
@@ -79,70 +79,70 @@
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
-// TeamTable
+// TenantLedger
 // ---------------------------------------------------------------------------------------------------------------------
 
-TeamIndex TeamTable::indexOf(const std::string &team)
+TenantSlot TenantLedger::indexOf(const std::string &tenant)
 {
-    const auto [it, added] = m_byName.try_emplace(team, size());
+    const auto [it, added] = m_byName.try_emplace(tenant, size());
     if (added) {
-        m_teams.emplace_back().quota.team = team;
+        m_tenants.emplace_back().quota.tenant = tenant;
     }
     return it->second;
 }
 
-Team &TeamTable::operator[](TeamIndex index)
+Tenant &TenantLedger::operator[](TenantSlot index)
 {
-    return m_teams[index];
+    return m_tenants[index];
 }
 
-const Team &TeamTable::operator[](TeamIndex index) const
+const Tenant &TenantLedger::operator[](TenantSlot index) const
 {
-    return m_teams[index];
+    return m_tenants[index];
 }
 
-std::uint32_t TeamTable::size() const
+std::uint32_t TenantLedger::size() const
 {
-    return static_cast<std::uint32_t>(m_teams.size());
+    return static_cast<std::uint32_t>(m_tenants.size());
 }
 
-void TeamTable::setQuotas(std::span<const TeamQuota> quotas)
+void TenantLedger::setQuotas(std::span<const TenantAllotment> quotas)
 {
-    for (Team &it : m_teams) {
-        it.quota = TeamQuota{it.quota.team};
+    for (Tenant &it : m_tenants) {
+        it.quota = TenantAllotment{it.quota.tenant};
     }
-    for (const TeamQuota &it : quotas) {
+    for (const TenantAllotment &it : quotas) {
         assert(it.weight > 0);
-        m_teams[indexOf(it.team)].quota = it;
+        m_tenants[indexOf(it.tenant)].quota = it;
     }
 }
 
-double TeamTable::dominantShare(TeamIndex index, const Resources &total) const
+double TenantLedger::dominantShare(TenantSlot index, const Resources &total) const
 {
-    const Team &team = m_teams[index];
+    const Tenant &tenant = m_tenants[index];
     const auto part = [](std::int64_t used, std::int64_t all) {
         return all > 0 ? static_cast<double>(used) / static_cast<double>(all) : 0.0;
     };
-    const double dominant = std::max({part(team.usage.cpuMillis, total.cpuMillis),
-                                      part(team.usage.memoryMib, total.memoryMib),
-                                      part(team.usage.accelerators, total.accelerators)});
-    return dominant / team.quota.weight;
+    const double dominant = std::max({part(tenant.usage.cpuMillis, total.cpuMillis),
+                                      part(tenant.usage.memoryMib, total.memoryMib),
+                                      part(tenant.usage.accelerators, total.accelerators)});
+    return dominant / tenant.quota.weight;
 }
 
-Resources TeamTable::lacking(TeamIndex index, const Resources &need) const
+Resources TenantLedger::lacking(TenantSlot index, const Resources &need) const
 {
-    const Team &team = m_teams[index];
-    const Resources after = team.usage + need;
-    const Resources &limit = team.quota.limit;
+    const Tenant &tenant = m_tenants[index];
+    const Resources after = tenant.usage + need;
+    const Resources &limit = tenant.quota.limit;
     return {after.cpuMillis > limit.cpuMillis ? need.cpuMillis : 0,
             after.memoryMib > limit.memoryMib ? need.memoryMib : 0,
             after.accelerators > limit.accelerators ? need.accelerators : 0};
 }
 
-bool TeamTable::allows(TeamIndex index, const Resources &need) const
+bool TenantLedger::allows(TenantSlot index, const Resources &need) const
 {
-    const Team &team = m_teams[index];
-    return (team.usage + need).fitsIn(team.quota.limit);
+    const Tenant &tenant = m_tenants[index];
+    return (tenant.usage + need).fitsIn(tenant.quota.limit);
 }
 
 } // namespace QuetzalRock
--- a/packages/placement/jobs.h
+++ b/packages/placement/jobs.h
@@ -1,11 +1,11 @@
 /**
- * The jobs of one shard, their tasks, and the order in which teams and jobs get their turn.
+ * The jobs of one shard, their tasks, and the order in which tenants and jobs get their turn.
  *
  * Index of this file
  *   TaskRef, Task, Job   what is wanted and where it runs
- *   Team                 usage, allotment, queues
+ *   Tenant                 usage, allotment, queues
  *   JobTable             jobs by id, slots reused
- *   TeamTable            teams, weighted dominant shares
+ *   TenantLedger            tenants, weighted dominant shares
  */
 #pragma once
 
@@ -21,7 +21,7 @@
 namespace QuetzalRock {
 
 using JobSlot = std::uint32_t;
-using TeamIndex = std::uint32_t;
+using TenantSlot = std::uint32_t;
 
 /** A task within the engine: cheap to copy and to follow. */
 struct TaskRef
@@ -82,9 +82,9 @@
 {
     JobSpec spec;
     ClassIndex classIndex = 0;
-    TeamIndex team = 0;
+    TenantSlot tenant = 0;
     int band = 0;             ///< 0 urgent, 1 services and watches, 2 batch
-    std::int64_t key = 0;     ///< order within the team's band
+    std::int64_t key = 0;     ///< order within the tenant's band
     std::uint64_t number = 0; ///< order of arrival; breaks ties
     bool queued = false;
     bool parked = false; ///< out of the queues: not yet checked, unrunnable, or at fault itself
@@ -106,9 +106,9 @@
 using QueueKey = std::tuple<std::int64_t, std::uint64_t, JobSlot>;
 constexpr int BandCount = 3;
 
-struct Team
+struct Tenant
 {
-    TeamQuota quota;
+    TenantAllotment quota;
     Resources usage; ///< of its Active tasks
     std::array<std::set<QueueKey>, BandCount> queues;
 };
@@ -135,28 +135,28 @@
     std::unordered_map<JobId, JobSlot> m_byId;
 };
 
-class TeamTable
+class TenantLedger
 {
 public:
-    TeamIndex indexOf(const std::string &team);
-    Team &operator[](TeamIndex index);
-    const Team &operator[](TeamIndex index) const;
+    TenantSlot indexOf(const std::string &tenant);
+    Tenant &operator[](TenantSlot index);
+    const Tenant &operator[](TenantSlot index) const;
     std::uint32_t size() const;
 
-    void setQuotas(std::span<const TeamQuota> quotas); ///< replaces all; teams not named fall back to no limit
+    void setQuotas(std::span<const TenantAllotment> quotas); ///< replaces all; tenants not named fall back to no limit
 
-    /** The largest part of @p total that the team holds of any resource, over its weight. */
-    double dominantShare(TeamIndex index, const Resources &total) const;
+    /** The largest part of @p total that the tenant holds of any resource, over its weight. */
+    double dominantShare(TenantSlot index, const Resources &total) const;
 
-    /** Which components of @p need the team's allotment lacks now; the others are 0. */
-    Resources lacking(TeamIndex index, const Resources &need) const;
+    /** Which components of @p need the tenant's allotment lacks now; the others are 0. */
+    Resources lacking(TenantSlot index, const Resources &need) const;
 
-    /** True where @p need more keeps the team within its allotment. */
-    bool allows(TeamIndex index, const Resources &need) const;
+    /** True where @p need more keeps the tenant within its allotment. */
+    bool allows(TenantSlot index, const Resources &need) const;
 
 private:
-    std::vector<Team> m_teams;
-    std::map<std::string, TeamIndex, std::less<>> m_byName;
+    std::vector<Tenant> m_tenants;
+    std::map<std::string, TenantSlot, std::less<>> m_byName;
 };
 
 } // namespace QuetzalRock
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -8,7 +8,7 @@
  *
  * Use (see engine.h for the order of calls)
  *   PlacementEngine engine(settings);
- *   engine.setTeams(quotas);                // again whenever they change
+ *   engine.setTenants(quotas);                // again whenever they change
  *   engine.pinSlowdown("lookup", "build", 0.7);   // only where operators know a pair better than reports do
  *
  * The files: enginevents.cpp (state and reports), enginestarts.cpp (order, admission, choice of worker),
@@ -135,7 +135,8 @@
 
     // --- inputs ------------------------------------------------------------------------------------------------------
     void setSettings(const PlacementSettings &settings); ///< takes effect with the next decide(); the seed stays
-    void setTeams(std::span<const TeamQuota> quotas); ///< replaces all; jobs that a quota had ruled out are tried again
+    void setTenants(
+        std::span<const TenantAllotment> quotas); ///< replaces all; jobs that a quota had ruled out are tried again
     void pinSlowdown(std::string_view service, std::string_view neighbour, double logSlowdown);
 
     void setWorker(const Vm &vm) override;
@@ -218,7 +219,7 @@
 
     // order, admission, choice of worker
     void dispatch(int band, TimePoint now, Decisions &out);
-    bool nextJob(TeamIndex team, int band, QueueKey &after, JobSlot &out) const;
+    bool nextJob(TenantSlot tenant, int band, QueueKey &after, JobSlot &out) const;
     Outcome tryStart(JobSlot slot, TimePoint now, Decisions &out);
     Outcome tryStartOne(JobSlot slot, TimePoint now, Decisions &out);
     Outcome tryStartGang(JobSlot slot, TimePoint now, Decisions &out);
@@ -281,7 +282,7 @@
     InterferenceModel m_model;
     HealthTracker m_health;
     JobTable m_jobs;
-    TeamTable m_teams;
+    TenantLedger m_tenants;
     std::vector<detail::WorkerView> m_views; ///< by WorkerIndex
     std::priority_queue<Delayed, std::vector<Delayed>, std::greater<>> m_delayed;
     std::vector<JobSlot> m_holders;          ///< jobs that hold workers
--- a/packages/placement/settings.h
+++ b/packages/placement/settings.h
@@ -2,7 +2,7 @@
  * What operators can set about placement. A plain aggregate: fill it from the settings tree and pass it to the engine.
  *
  * Index of this file
- *   TeamQuota            a tenant's weight and allotment in this shard
+ *   TenantAllotment            a tenant's weight and allotment in this shard
  *   PlacementWeights     what the users want most: tail latency, throughput, few evictions
  *   PlacementSettings    everything else, each with unit, default and pitfalls
  *
@@ -18,16 +18,16 @@
 
 namespace QuetzalRock {
 
-/** No limit in a component of TeamQuota::limit. */
+/** No limit in a component of TenantAllotment::limit. */
 constexpr std::int64_t Unlimited = std::numeric_limits<std::int64_t>::max();
 
-/** A tenant's place in this shard. A team that is not named has weight 1 and no limit. */
-struct TeamQuota
+/** A tenant's place in this shard. A tenant that is not named has weight 1 and no limit. */
+struct TenantAllotment
 {
-    std::string team;
-    double weight = 1; ///< a team with weight 2 gets twice the dominant share of one with weight 1; above 0
+    std::string tenant;
+    double weight = 1; ///< a tenant with weight 2 gets twice the dominant share of one with weight 1; above 0
     Resources limit{
-        Unlimited, Unlimited, Unlimited}; ///< never exceeded by the team's reservations; 0 forbids a resource
+        Unlimited, Unlimited, Unlimited}; ///< never exceeded by the tenant's reservations; 0 forbids a resource
 };
 
 /** What one more unit of each measure is worth. Only their proportions matter for placement. */
@@ -45,8 +45,8 @@
 
     // --- order -------------------------------------------------------------------------------------------------------
     Duration priorityStep = std::chrono::minutes(5); ///< one step of priority counts as so much earlier submission
-    int backfillDepth = 8;   ///< jobs of a team that are tried behind a blocked one; costs decision time when raised
-    int passOverDepth = 256; ///< jobs of a team that are passed over in one round where a like one was just refused
+    int backfillDepth = 8;   ///< jobs of a tenant that are tried behind a blocked one; costs decision time when raised
+    int passOverDepth = 256; ///< jobs of a tenant that are passed over in one round where a like one was just refused
     int maxHolds = 1; ///< blocked jobs that get workers held for them at a time; a held worker takes nothing else
     int holdsPerMille = 100; ///< of workers held at once at most; at least one worker can always be held
 
--- a/packages/placement/tests/admissiontest.cpp
+++ b/packages/placement/tests/admissiontest.cpp
@@ -96,13 +96,13 @@
     EXPECT_EQ(engine.decide(at(22)).starts.size(), 1U);
 }
 
-TEST(Admission, TeamsShareByWeight)
+TEST(Admission, TenantsShareByWeight)
 {
     PlacementEngine engine = makeEngine(15); // 120 processors
-    engine.setTeams(std::vector<TeamQuota>{{"a", 2}, {"b", 1}});
+    engine.setTenants(std::vector<TenantAllotment>{{"a", 2}, {"b", 1}});
     for (JobId id = 1; id <= 2; ++id) {
         JobSpec spec = makeJob(id, 200, 1);
-        spec.team = id == 1 ? "a" : "b";
+        spec.tenant = id == 1 ? "a" : "b";
         engine.addJob(spec, at(0));
     }
     std::map<JobId, int> started;
@@ -113,19 +113,19 @@
     EXPECT_EQ(started[2], 40);
 }
 
-TEST(Admission, ATeamNeverExceedsItsAllotment)
+TEST(Admission, ATenantNeverExceedsItsAllotment)
 {
     PlacementEngine engine = makeEngine(4);
-    engine.setTeams(std::vector<TeamQuota>{{"crew", 1, {5000, Unlimited, 0}}});
+    engine.setTenants(std::vector<TenantAllotment>{{"crew", 1, {5000, Unlimited, 0}}});
     engine.addJob(makeJob(1, 20, 2), at(0));
     EXPECT_EQ(engine.decide(at(0)).starts.size(), 2U);
     EXPECT_NE(engine.explain({1, 19}).find("allotment"), std::string::npos);
 }
 
-TEST(Admission, SmallWorkOfATeamDoesNotUseUpTheAllotmentThatALargeOneWaitsFor)
+TEST(Admission, SmallWorkOfATenantDoesNotUseUpTheAllotmentThatALargeOneWaitsFor)
 {
     PlacementEngine engine = makeEngine(2);
-    engine.setTeams(std::vector<TeamQuota>{{"crew", 1, {8000, Unlimited, 0}}});
+    engine.setTenants(std::vector<TenantAllotment>{{"crew", 1, {8000, Unlimited, 0}}});
     engine.addJob(makeJob(1, 4, 2), at(0));
     ASSERT_EQ(engine.decide(at(0)).starts.size(), 4U);
     engine.addJob(makeJob(2, 1, 6), at(1));
--- a/packages/placement/tests/fixture.h
+++ b/packages/placement/tests/fixture.h
@@ -27,7 +27,7 @@
     JobSpec spec;
     spec.id = id;
     spec.name = "job" + std::to_string(id);
-    spec.team = "crew";
+    spec.tenant = "crew";
     spec.kind = kind;
     spec.className = kind == WorkloadKind::Service ? "lookup" : "build";
     spec.taskCount = tasks;
--- a/packages/placement/tests/propertytest.cpp
+++ b/packages/placement/tests/propertytest.cpp
@@ -27,7 +27,7 @@
             m_vms.push_back(makeWorker(it, Cores));
             m_engine.setWorker(m_vms.back());
         }
-        m_engine.setTeams(std::vector<TeamQuota>{{"a", 2}, {"b", 1, {20000, Unlimited, 0}}});
+        m_engine.setTenants(std::vector<TenantAllotment>{{"a", 2}, {"b", 1, {20000, Unlimited, 0}}});
     }
 
     static PlacementSettings settings()
@@ -93,7 +93,7 @@
     {
         JobSpec spec
             = makeJob(++m_lastJob, 1 + m_random.next() % 6, 1 + static_cast<std::int64_t>(m_random.next() % 8));
-        spec.team = m_random.next() % 2 == 0 ? "a" : "b";
+        spec.tenant = m_random.next() % 2 == 0 ? "a" : "b";
         spec.kind = static_cast<WorkloadKind>(m_random.next() % 3);
         spec.latencyTargetMs = spec.kind == WorkloadKind::Service ? 100 : 0;
         spec.className = std::to_string(m_random.next() % 4);
@@ -200,16 +200,16 @@
     void checkLedger()
     {
         std::map<WorkerId, Resources> taken;
-        std::int64_t ofTeamB = 0;
+        std::int64_t ofTenantB = 0;
         for (const auto &[task, worker] : m_active) {
             const JobSpec &spec = m_specs.at(task.job);
             taken[worker] += spec.resources;
-            ofTeamB += spec.team == "b" ? spec.resources.cpuMillis : 0;
+            ofTenantB += spec.tenant == "b" ? spec.resources.cpuMillis : 0;
         }
         for (const auto &[worker, it] : taken) {
             require(it.fitsIn(makeWorker(0, Cores).capacity), "more reserved than the worker has");
         }
-        require(ofTeamB <= 20000, "a team beyond its allotment");
+        require(ofTenantB <= 20000, "a tenant beyond its allotment");
     }
 
     void require(bool holds, const char *promise)
--- a/packages/scheduler/codec.h
+++ b/packages/scheduler/codec.h
@@ -39,7 +39,7 @@
 template<typename F, Is<JobSpec> T>
 void visitFields(F &f, T &v)
 {
-    f(v.id, v.name, v.team, v.kind, v.className, v.taskCount, v.resources, v.priority, v.urgent, v.gang, v.runTime);
+    f(v.id, v.name, v.tenant, v.kind, v.className, v.taskCount, v.resources, v.priority, v.urgent, v.gang, v.runTime);
     f(v.latencyTargetMs, v.command);
 }
 
--- a/packages/scheduler/history.cpp
+++ b/packages/scheduler/history.cpp
@@ -51,7 +51,7 @@
     Json line;
     line["type"] = "job";
     line["job"] = spec.id;
-    line["tenant"] = spec.team;
+    line["tenant"] = spec.tenant;
     line["name"] = spec.name;
     line["class"] = spec.className;
     line["tasks"] = spec.taskCount;
--- a/packages/scheduler/requests.cpp
+++ b/packages/scheduler/requests.cpp
@@ -140,14 +140,14 @@
 void ShardScheduler::judge(const detail::SubmitRequest &it)
 {
     checkSpec(it.spec);
-    const auto key = std::make_pair(it.spec.team, it.spec.name);
+    const auto key = std::make_pair(it.spec.tenant, it.spec.name);
     const auto known = m_state.names.find(key);
     const auto inBatch = m_batch.names.find(key);
     const bool isKnown = known != m_state.names.end();
     if (isKnown || inBatch != m_batch.names.end()) {
         const JobSpec *earlier = isKnown ? m_state.findSpec(known->second) : &inBatch->second;
         if (earlier == nullptr || !isSameRequest(*earlier, it.spec)) {
-            throw Conflict("another job of " + it.spec.team + " is named " + it.spec.name);
+            throw Conflict("another job of " + it.spec.tenant + " is named " + it.spec.name);
         }
         if (isKnown) {
             it.answer->set_value(earlier->id);
@@ -287,8 +287,8 @@
 
 void ShardScheduler::checkSpec(const JobSpec &spec) const
 {
-    if (spec.team.empty()) {
-        throw InvalidArgument("team", "a job belongs to a tenant");
+    if (spec.tenant.empty()) {
+        throw InvalidArgument("tenant", "a job belongs to a tenant");
     }
     if (spec.name.empty()) {
         throw InvalidArgument("name", "a job needs a name, unique within its tenant");
--- a/packages/scheduler/shardstate.cpp
+++ b/packages/scheduler/shardstate.cpp
@@ -62,7 +62,7 @@
 
 std::pair<std::string, std::string> nameOf(const JobSpec &spec)
 {
-    return {spec.team, spec.name};
+    return {spec.tenant, spec.name};
 }
 
 /** One record's effect, by its type. */
--- a/packages/scheduler/tests/fakes.h
+++ b/packages/scheduler/tests/fakes.h
@@ -137,13 +137,13 @@
 
     Decisions decide(TimePoint) override
     {
-        Decisions todo;
+        Decisions decisions;
         for (const TaskId &it : evict) {
-            todo.stops.push_back({it, StopMode::Checkpoint, {}, "evicted by the test"});
+            decisions.stops.push_back({it, StopMode::Checkpoint, {}, "evicted by the test"});
         }
         evict.clear();
         for (const auto &[id, permille] : throttle) {
-            todo.throttles.push_back({id, permille, "throttled by the test"});
+            decisions.throttles.push_back({id, permille, "throttled by the test"});
         }
         throttle.clear();
         for (auto &[id, task] : m_tasks) {
@@ -154,12 +154,12 @@
                 const bool hasRoom = ignoresRoom || (worker.used + task.resources).fitsIn(worker.vm.capacity);
                 if ((ignoresState || worker.vm.state == VmState::Live) && hasRoom) {
                     hold(id, name);
-                    todo.starts.push_back({id, name, "first fit"});
+                    decisions.starts.push_back({id, name, "first fit"});
                     break;
                 }
             }
         }
-        return todo;
+        return decisions;
     }
 
     std::string explain(const TaskId &) const override
--- a/packages/scheduler/tests/fixture.h
+++ b/packages/scheduler/tests/fixture.h
@@ -17,7 +17,7 @@
 inline JobSpec batchJob(const std::string &name, const std::string &command = "run 20", std::uint32_t taskCount = 1)
 {
     JobSpec spec;
-    spec.team = "coop";
+    spec.tenant = "coop";
     spec.name = name;
     spec.className = "manifest";
     spec.taskCount = taskCount;
--- a/packages/scheduler/tests/recordstest.cpp
+++ b/packages/scheduler/tests/recordstest.cpp
@@ -11,7 +11,7 @@
 {
     JobSpec spec;
     spec.id = (JobId(7) << 48) | 3;
-    spec.team = "crew";
+    spec.tenant = "crew";
     spec.name = "verify";
     spec.taskCount = 2;
     spec.resources = {500, 200, 1};
