Stop an older process from fencing off a newer owner again and again; show the shard's numbers

Cause: an owner that finds records of a newer version has fenced off the newer owner by then; ownership would have had it try again, at most 16 s apart, so a rolling upgrade could have had two versions taking turns. It now looks once and stays away.

--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -5,6 +5,8 @@
 #include <glog/logging.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+
 namespace QuetzalRock {
 
 namespace {
@@ -252,9 +254,41 @@
     const double version = static_cast<double>(m_member.settings()->document.version);
     m_gauges.set("qr_settings_version", "Version of the operators' settings in force", version);
     m_gauges.set("qr_ready", "1 where the balancer may send callers here", isReady() ? 1 : 0);
+    if (m_scheduler.isOwner()) {
+        setShardGauges();
+    }
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
 }
 
+void Daemon::setShardGauges()
+{
+    ShardStatus shard;
+    try {
+        shard = m_scheduler.shard();
+    } catch (const Error &) {
+        return; // given up meanwhile: the gauges keep what was seen last, and qr_shard_owner says so
+    }
+    const SchedulerCounters &n = shard.counters;
+    const auto silent = std::count_if(
+        shard.workers.begin(), shard.workers.end(), [](const WorkerStatus &it) { return !it.reachable; });
+    const auto set = [this](const char *name, const char *help, auto value) {
+        m_gauges.set(name, help, static_cast<double>(value));
+    };
+    set("qr_shard_epoch", "Tenure of this owner", shard.epoch);
+    set("qr_shard_platform_away", "1 while writes to the key-value service are not taken", shard.platformAway ? 1 : 0);
+    set("qr_shard_pending_tasks", "Tasks that wait for a place", shard.pendingTasks);
+    set("qr_shard_held_tasks", "Tasks with an attempt that holds capacity", shard.heldTasks);
+    set("qr_shard_unwritten_ends", "Ends of attempts kept in memory until the platform is back", shard.unwrittenEnds);
+    set("qr_shard_silent_workers", "Workers that do not answer", silent);
+    set("qr_shard_appends", "Batches written to the journal", n.appends);
+    set("qr_shard_appends_not_taken", "Batches that the service did not take", n.appendsNotTaken);
+    set("qr_shard_appends_in_doubt", "Batches whose answer was lost", n.appendsInDoubt);
+    set("qr_shard_refused", "Operators' requests refused as not run", n.refused);
+    set("qr_shard_assigned", "Attempts assigned to workers", n.assigned);
+    set("qr_shard_evictions", "Batch work stopped to make room", n.evictions);
+    set("qr_shard_overcommits_refused", "Starts beyond a worker's room, refused: a fault", n.overcommitsRefused);
+}
+
 void Daemon::watchUpstreams()
 {
     std::unique_lock lock(m_mutex);
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -61,6 +61,7 @@
     std::string onForwarded(const PeerCall &call);
     CallerResponse answerHealth(bool isGood) const;
     std::string metricsText();
+    void setShardGauges();
     void watchUpstreams();
     bool waitForRequests();
 
--- a/packages/daemon/schedulershard.cpp
+++ b/packages/daemon/schedulershard.cpp
@@ -60,8 +60,18 @@
 std::uint64_t SchedulerShard::acquire()
 {
     release();
+    if (m_isTooOld) {
+        // Each further try would fence off the newer process that owns the shard by now.
+        throw Unavailable(m_name + " was written by a newer version than this process");
+    }
     const auto tenure = std::make_shared<Tenure>(m_settings, m_platform, m_clock, journalSettings());
-    tenure->scheduler.takeOver();
+    try {
+        tenure->scheduler.takeOver();
+    } catch (const IncompatibleRecord &error) {
+        m_isTooOld = true;
+        LOG(ERROR) << m_name << " needs a newer version: " << error.what();
+        throw;
+    }
     tenure->epoch = tenure->journal.epoch();
     LOG(INFO) << m_name << " taken over, epoch " << tenure->epoch;
     tenure->thread = std::thread([this, tenure = tenure.get()] { serve(*tenure); });
--- a/packages/daemon/schedulershard.h
+++ b/packages/daemon/schedulershard.h
@@ -82,6 +82,7 @@
     mutable std::mutex m_mutex; ///< guards m_current
     std::shared_ptr<Tenure> m_current;
     std::uint64_t m_tenures = 0; ///< of the thread that acquires
+    bool m_isTooOld = false;     ///< of the thread that acquires: a newer version has written the journal
 };
 
 } // namespace QuetzalRock
