Let a scheduler leave the workers of other failure domains alone

Cause: the platform lists the VMs of every failure domain, and the scheduler took all workers of the list for its own. Two failure domains on one platform would each have placed on all workers, counting only their own reservations, and each would have stopped the other's attempts as strays. Every test so far had one failure domain. Found by the new test of two with real processes; ruled out: the VM list (it names the failure domain), the stand-in (so does it). The fleet now takes workers of its own failure domain only. Before: the new unit test fails (its start is placed on the other's worker, the other's attempt is stopped). After: it passes, as do all 52 of the package and domains.sh. Conclusion: "no VM is committed beyond" needs each promise tried with more than one failure domain; the rest of the whole-process tests should follow.

--- a/packages/cli/settingscommands.cpp
+++ b/packages/cli/settingscommands.cpp
@@ -61,7 +61,7 @@
 {
     CommandLine line(command);
     TCLAP::UnlabeledValueArg<std::string> path(
-        "path", "root, \"region R\", \"domain R/D\", \"service R/D/S\", \"tenant T\"", false, "root", "PATH", *line);
+        "path", "root, \"region R\", \"domain R/D\", \"service R/D/S\", \"tenant T\"", true, "", "PATH", *line);
     ServerArguments server(*line);
     line.parse(std::move(arguments));
     const Json answer = server.client().call("GET", "/v1/settings/explain?path=" + encodeUrl(path.getValue()));
@@ -190,7 +190,7 @@
 int showSettingsInForce(const Command &command, std::vector<std::string> arguments, Console &console)
 {
     CommandLine line(command);
-    TCLAP::ValueArg<int> version("v", "version", "default: the one in force here", false, -1, "VERSION", *line);
+    TCLAP::ValueArg<int> version("n", "number", "version; default: the one in force here", false, -1, "VERSION", *line);
     ServerArguments server(*line);
     line.parse(std::move(arguments));
     ApiClient client = server.client();
--- a/packages/cli/tests/clitest.cpp
+++ b/packages/cli/tests/clitest.cpp
@@ -59,6 +59,14 @@
     EXPECT_EQ(help.exitCode, 0);
     for (const Command &it : commands()) {
         EXPECT_NE(help.out.find(it.name), std::string::npos) << it.name;
+        std::vector<std::string> arguments;
+        std::istringstream words{std::string(it.name)};
+        for (std::string word; words >> word;) {
+            arguments.push_back(word);
+        }
+        arguments.emplace_back("--help");
+        const Outcome own = run(arguments);
+        EXPECT_EQ(own.exitCode, 0) << it.name << ": " << own.err;
     }
 }
 
--- a/packages/daemon/tests/rig.sh
+++ b/packages/daemon/tests/rig.sh
@@ -65,7 +65,7 @@
     echo "$port"
 }
 
-write_settings() { # write_settings NAME DOMAIN: one entry VM's INI file
+write_settings() { # write_settings NAME DOMAIN [SHARD]: one entry VM's INI file
     cat >"$work/$1.ini" <<INI
 [process]
 name = $1
@@ -81,6 +81,8 @@
 [platform]
 kind = http
 address = $platform
+[scheduler]
+shard = ${3:-1}
 [account.operator]
 role = operate
 token_hashes = $token_hash
--- a/packages/placement/enginestarts.cpp
+++ b/packages/placement/enginestarts.cpp
@@ -310,7 +310,8 @@
             dropHolds(ref.job);
         }
     }
-    out.starts.push_back({m_jobs.idOf(ref), m_ledger.worker(choice.worker).id, "cost " + std::to_string(choice.cost)});
+    std::string reason = "lowest cost of the workers compared: " + std::to_string(choice.cost);
+    out.starts.push_back({m_jobs.idOf(ref), m_ledger.worker(choice.worker).id, std::move(reason)});
     if (job.ready.empty()) {
         dequeue(ref.job);
         dropHolds(ref.job);
--- a/packages/scheduler/fleet.cpp
+++ b/packages/scheduler/fleet.cpp
@@ -59,7 +59,8 @@
         worker.listed = false;
     }
     for (Vm &it : vms) {
-        if (it.role != VmRole::Worker) {
+        const bool isOurs = m_settings.failureDomain.empty() || it.failureDomain == m_settings.failureDomain;
+        if (it.role != VmRole::Worker || !isOurs) {
             continue;
         }
         WorkerView &worker = workerNamed(it.name);
--- a/packages/scheduler/fleet.h
+++ b/packages/scheduler/fleet.h
@@ -26,6 +26,7 @@
 
 struct FleetSettings
 {
+    std::string failureDomain; ///< workers of others are left alone; empty: every worker. ShardScheduler sets it
     Duration lease = std::chrono::seconds(30);      ///< of an attempt; a cut-off worker stops it after so long
     Duration renewEvery = std::chrono::seconds(10); ///< at most a third of the lease, so that two may be lost
     Duration reportEvery = std::chrono::seconds(5); ///< of a worker where nothing changes; starts and stops ask sooner
--- a/packages/scheduler/scheduler.cpp
+++ b/packages/scheduler/scheduler.cpp
@@ -8,6 +8,13 @@
 
 constexpr Duration RetryElsewhere = std::chrono::seconds(1); ///< while this process is not the owner
 
+FleetSettings fleetSettings(const SchedulerSettings &settings)
+{
+    FleetSettings fleet = settings.fleet;
+    fleet.failureDomain = settings.failureDomain;
+    return fleet;
+}
+
 } // namespace
 
 ShardScheduler::ShardScheduler(
@@ -17,7 +24,7 @@
     , m_engine(engine)
     , m_clock(clock)
     , m_requests(settings.queueCapacity)
-    , m_fleet(settings.fleet, agent, list, clock)
+    , m_fleet(fleetSettings(settings), agent, list, clock)
     , m_random(static_cast<std::minstd_rand::result_type>(settings.seed))
 {
 }
--- a/packages/scheduler/tests/schedulertest.cpp
+++ b/packages/scheduler/tests/schedulertest.cpp
@@ -100,3 +100,17 @@
     EXPECT_EQ(owner->scheduler.counters().abandonedStarts, 0U);
     EXPECT_TRUE(owner->scheduler.state().jobs.empty());
 }
+
+TEST_F(SchedulerTest, leavesTheWorkersOfOtherFailureDomainsAlone)
+{
+    workers.addVm({"p1", VmRole::Worker, VmState::Live, "baltic-north", "paldiski", "r1", "", {64000, 64000, 0}});
+    const WorkerTime now = workers.report("p1").workerClock;
+    const AttemptId theirs{{99, 0}, 1};
+    workers.start("p1", {theirs, 3, now + 1s, WorkloadKind::Service, "x", {1000, 10, 0}, "serve", "", 60s});
+    const JobId job = submit(batchJob("more than fits here", "run 20", 6));
+    runFor(5s);
+    EXPECT_EQ(workers.report("p1").attempts.size(), 1U) << "nothing of ours started there";
+    EXPECT_EQ(workers.report("p1").attempts.at(0).state, AttemptState::Running) << "theirs is no stray of ours";
+    EXPECT_EQ(taskOf(job, 5).phase, TaskPhase::Pending);
+    EXPECT_EQ(ask(owner->scheduler.status()).workers.size(), 2U);
+}
