Keep silent workers from holding up the scheduler

Cause: the owner's thread calls worker after worker and waits up to the platform's timeout of 2 s for each; eight silent ones took 16 s of every 8 s between retries, in which the leases of the other workers run towards their end (worked out from the code, not measured). A call to a worker now waits 500 ms at most, and one that fell silent is asked by a thread of its own until it answers; meanwhile calls to it are refused at once as not sent. Before: one timeout a worker and round. After: one a worker. Three tests: refused means not sent, answering lets it in again, nobody asking forgets it.

--- a/packages/daemon/daemonsettings.cpp
+++ b/packages/daemon/daemonsettings.cpp
@@ -62,6 +62,7 @@
     reader.readAddress("address", section.address);
     reader.readString("token", section.token);
     reader.readMillis("timeout_ms", section.timeout, 10, 60'000);
+    reader.readMillis("worker_timeout_ms", section.workerTimeout, 10, 60'000);
     reader.endSection();
 }
 
@@ -282,6 +283,7 @@
     out << "kind = " << settings.platform.kind << "\n";
     out << "address = " << settings.platform.address << "\n";
     out << "timeout_ms = " << millis(settings.platform.timeout) << "\n";
+    out << "worker_timeout_ms = " << millis(settings.platform.workerTimeout) << "\n";
     const PeersSection &peers = settings.peers;
     out << "\n[peers]\n";
     out << "listen = " << peers.listen << "\n";
--- a/packages/daemon/daemonsettings.h
+++ b/packages/daemon/daemonsettings.h
@@ -64,6 +64,7 @@
     std::string address = "127.0.0.1:9000";     ///< ip:port, with kind = http
     std::string token;                          ///< bearer token, with kind = http
     Duration timeout = std::chrono::seconds(2); ///< timeout_ms: of one call
+    Duration workerTimeout = std::chrono::milliseconds(500); ///< worker_timeout_ms: of one call to a worker
 };
 
 /** [embedded]: what the embedded platform consists of. */
--- a/packages/daemon/platformbundle.cpp
+++ b/packages/daemon/platformbundle.cpp
@@ -4,15 +4,34 @@
 
 namespace QuetzalRock {
 
+namespace {
+
+constexpr Duration ProbeEvery = std::chrono::seconds(1); ///< bounds how late a healed worker is noticed
+
+} // namespace
+
 PlatformBundle::PlatformBundle(const DaemonSettings &settings, Clock &clock)
+    : m_clock(clock)
 {
     if (settings.platform.kind == "http") {
         const PlatformSection &platform = settings.platform;
-        m_http
-            = std::make_unique<HttpPlatform>(HttpPlatformSettings{platform.address, platform.token, platform.timeout});
-        return;
+        m_http = std::make_unique<HttpPlatform>(
+            HttpPlatformSettings{platform.address, platform.token, platform.timeout, platform.workerTimeout});
+    } else {
+        makeEmbedded(settings, clock);
+    }
+    m_guarded = std::make_unique<GuardedWorkers>(agent());
+    m_probeThread = std::thread([this] { probeWorkers(); });
+}
+
+PlatformBundle::~PlatformBundle()
+{
+    {
+        std::lock_guard guard(m_mutex);
+        m_isStopping = true;
     }
-    makeEmbedded(settings, clock);
+    m_wake.notify_all();
+    m_probeThread.join();
 }
 
 KeyValueService &PlatformBundle::keyValue()
@@ -31,7 +50,12 @@
     return *m_workers;
 }
 
-WorkerAgent &PlatformBundle::workers()
+GuardedWorkers &PlatformBundle::workers()
+{
+    return *m_guarded;
+}
+
+WorkerAgent &PlatformBundle::agent()
 {
     if (m_http) {
         return *m_http;
@@ -39,6 +63,19 @@
     return *m_workers;
 }
 
+void PlatformBundle::probeWorkers()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_isStopping) {
+        lock.unlock();
+        m_guarded->probe();
+        lock.lock();
+        if (!m_isStopping) {
+            m_clock.waitUntil(lock, m_wake, m_clock.now() + ProbeEvery);
+        }
+    }
+}
+
 void PlatformBundle::makeEmbedded(const DaemonSettings &settings, Clock &clock)
 {
     const EmbeddedSection &embedded = settings.embedded;
--- a/packages/daemon/platformbundle.h
+++ b/packages/daemon/platformbundle.h
@@ -4,10 +4,13 @@
 #include <daemon/daemonsettings.h>
 #include <platform/embeddedkeyvalue.h>
 #include <platform/embeddedworkers.h>
+#include <platform/guardedworkers.h>
 #include <platform/httpplatform.h>
 #include <standin/upstream.h>
 
 #include <memory>
+#include <mutex>
+#include <thread>
 #include <vector>
 
 namespace QuetzalRock {
@@ -17,12 +20,15 @@
 {
 public:
     PlatformBundle(const DaemonSettings &settings, Clock &clock);
+    ~PlatformBundle();
 
     KeyValueService &keyValue();
     VmList &vmList();
-    WorkerAgent &workers();
+    GuardedWorkers &workers(); ///< silent ones are asked again by a thread of their own
 
 private:
+    WorkerAgent &agent();
+    void probeWorkers();
     void makeEmbedded(const DaemonSettings &settings, Clock &clock);
 
     std::unique_ptr<HttpPlatform> m_http; ///< with kind = http
@@ -32,6 +38,13 @@
     std::unique_ptr<EmbeddedWorkers> m_workers;
     ExecutionLedger m_ledger;
     std::vector<std::unique_ptr<StandInUpstream>> m_upstreams;
+
+    Clock &m_clock;
+    std::unique_ptr<GuardedWorkers> m_guarded;
+    std::mutex m_mutex; ///< guards m_isStopping
+    std::condition_variable m_wake;
+    bool m_isStopping = false;
+    std::thread m_probeThread;
 };
 
 } // namespace QuetzalRock
--- a/packages/platform/httpplatform.cpp
+++ b/packages/platform/httpplatform.cpp
@@ -68,33 +68,33 @@
 CasResult HttpPlatform::compareAndSwap(std::string_view key, Revision expected, std::string_view value, LeaseId lease)
 {
     const Json body{{"key", key}, {"expected", expected}, {"value", encodeBase64(value)}, {"lease", lease}};
-    return parseAnswer(write("/kv/cas", body.dump()), parseCasResult);
+    return parseAnswer(write("/kv/cas", body.dump(), m_settings.timeout), parseCasResult);
 }
 
 CasResult HttpPlatform::remove(std::string_view key, Revision expected)
 {
     const Json body{{"key", key}, {"expected", expected}};
-    return parseAnswer(write("/kv/remove", body.dump()), parseCasResult);
+    return parseAnswer(write("/kv/remove", body.dump(), m_settings.timeout), parseCasResult);
 }
 
 LeaseId HttpPlatform::grantLease(Duration ttl)
 {
     const Json body{{"ttl_us", ttl.count()}};
-    return parseAnswer(write("/lease/grant", body.dump()),
+    return parseAnswer(write("/lease/grant", body.dump(), m_settings.timeout),
                        [](const Json &json) { return json.at("lease").get<LeaseId>(); });
 }
 
 bool HttpPlatform::renewLease(LeaseId lease)
 {
     const Json body{{"lease", lease}};
-    return parseAnswer(write("/lease/renew", body.dump()),
+    return parseAnswer(write("/lease/renew", body.dump(), m_settings.timeout),
                        [](const Json &json) { return json.at("renewed").get<bool>(); });
 }
 
 void HttpPlatform::revokeLease(LeaseId lease)
 {
     const Json body{{"lease", lease}};
-    write("/lease/revoke", body.dump());
+    write("/lease/revoke", body.dump(), m_settings.timeout);
 }
 
 WatchResult HttpPlatform::watch(std::string_view prefix, Revision after, Duration timeout)
@@ -119,7 +119,7 @@
 
 void HttpPlatform::start(std::string_view worker, const StartCommand &command)
 {
-    write(workerPath(worker, "start"), QuetzalRock::toJson(command).dump());
+    write(workerPath(worker, "start"), QuetzalRock::toJson(command).dump(), m_settings.workerTimeout);
 }
 
 void HttpPlatform::renew(std::string_view worker,
@@ -128,32 +128,32 @@
                          Duration lease)
 {
     const Json body{{"epoch", epoch}, {"attempts", toJson(attempts)}, {"lease_us", lease.count()}};
-    write(workerPath(worker, "renew"), body.dump());
+    write(workerPath(worker, "renew"), body.dump(), m_settings.workerTimeout);
 }
 
 void HttpPlatform::stop(std::string_view worker, std::uint64_t epoch, const AttemptId &attempt, StopMode mode)
 {
     const Json body{
         {"epoch", epoch}, {"attempt", QuetzalRock::toJson(attempt)}, {"checkpoint", mode == StopMode::Checkpoint}};
-    write(workerPath(worker, "stop"), body.dump());
+    write(workerPath(worker, "stop"), body.dump(), m_settings.workerTimeout);
 }
 
 void HttpPlatform::throttle(std::string_view worker, std::uint64_t epoch, const AttemptId &attempt, int permille)
 {
     const Json body{{"epoch", epoch}, {"attempt", QuetzalRock::toJson(attempt)}, {"permille", permille}};
-    write(workerPath(worker, "throttle"), body.dump());
+    write(workerPath(worker, "throttle"), body.dump(), m_settings.workerTimeout);
 }
 
 WorkerReport HttpPlatform::report(std::string_view worker)
 {
-    const WebResponse response = read(workerPath(worker, "report"), m_settings.timeout);
+    const WebResponse response = read(workerPath(worker, "report"), m_settings.workerTimeout);
     return parseAnswer(response.body, parseWorkerReport);
 }
 
 void HttpPlatform::forget(std::string_view worker, std::span<const AttemptId> attempts)
 {
     const Json body{{"attempts", toJson(attempts)}};
-    write(workerPath(worker, "forget"), body.dump());
+    write(workerPath(worker, "forget"), body.dump(), m_settings.workerTimeout);
 }
 
 WebResponse HttpPlatform::send(std::string method, const std::string &path, std::string body, Duration timeout)
@@ -188,9 +188,9 @@
     }
 }
 
-std::string HttpPlatform::write(const std::string &path, std::string body)
+std::string HttpPlatform::write(const std::string &path, std::string body, Duration timeout)
 {
-    return send("POST", path, std::move(body), m_settings.timeout).body;
+    return send("POST", path, std::move(body), timeout).body;
 }
 
 } // namespace QuetzalRock
--- a/packages/platform/httpplatform.h
+++ b/packages/platform/httpplatform.h
@@ -13,9 +13,10 @@
 
 struct HttpPlatformSettings
 {
-    std::string address;                        ///< "ip:port" of the platform's service
-    std::string token;                          ///< sent as a bearer token; empty: none
-    Duration timeout = std::chrono::seconds(2); ///< of a call; a watch may take its own timeout longer
+    std::string address;                                     ///< "ip:port" of the platform's service
+    std::string token;                                       ///< sent as a bearer token; empty: none
+    Duration timeout = std::chrono::seconds(2);              ///< of a call; a watch may take its own timeout longer
+    Duration workerTimeout = std::chrono::milliseconds(500); ///< of a call to a worker: the scheduler waits for it
 };
 
 /** Thread-safe. Reads that are lost on the way throw Unavailable, writes OutcomeUnknown. */
@@ -45,8 +46,8 @@
 
 private:
     WebResponse send(std::string method, const std::string &path, std::string body, Duration timeout);
-    WebResponse read(const std::string &path, Duration timeout);  ///< a lost answer is Unavailable: nothing changed
-    std::string write(const std::string &path, std::string body); ///< the answer's body
+    WebResponse read(const std::string &path, Duration timeout); ///< a lost answer is Unavailable: nothing changed
+    std::string write(const std::string &path, std::string body, Duration timeout); ///< the answer's body
 
     HttpPlatformSettings m_settings;
     WebClient m_client;
--- a/packages/platform/tests/platformtest.cpp
+++ b/packages/platform/tests/platformtest.cpp
@@ -1,6 +1,7 @@
 #include <platform/embeddedkeyvalue.h>
 #include <platform/embeddedworkers.h>
 #include <platform/faultykeyvalue.h>
+#include <platform/guardedworkers.h>
 
 #include <gtest/gtest.h>
 
@@ -89,3 +90,48 @@
     workers.start("w1", late);
     EXPECT_EQ(workers.report("w1").attempts.size(), 1U);
 }
+
+TEST_F(Workers, holdNobodyUpWhileTheyAreSilent)
+{
+    GuardedWorkers guarded(workers);
+    guarded.start("w1", command(1, "serve"));
+    workers.setFaults("w1", {true, false, false});
+    EXPECT_THROW(guarded.report("w1"), Unavailable);
+    EXPECT_EQ(guarded.silentCount(), 1U);
+    guarded.probe();
+    EXPECT_EQ(guarded.silentCount(), 1U);
+
+    workers.setFaults("w1", {});
+    EXPECT_THROW(guarded.stop("w1", 1, {{1, 0}, 1}, StopMode::Kill), Unavailable);
+    EXPECT_EQ(workers.report("w1").attempts.at(0).state, AttemptState::Running) << "refused means not sent";
+    guarded.probe();
+    EXPECT_EQ(guarded.silentCount(), 0U);
+    guarded.stop("w1", 1, {{1, 0}, 1}, StopMode::Kill);
+    EXPECT_EQ(workers.report("w1").attempts.at(0).state, AttemptState::Stopped);
+}
+
+TEST_F(Workers, areForgottenWhereNobodyAsksForThem)
+{
+    GuardedWorkers guarded(workers);
+    workers.setFaults("w1", {true, false, false});
+    EXPECT_THROW(guarded.report("w1"), Unavailable);
+    for (int n = 0; n < MaxIdleRounds; ++n) {
+        guarded.probe();
+    }
+    EXPECT_THROW(guarded.report("w1"), Unavailable); // somebody still asks
+    for (int n = 0; n < MaxIdleRounds; ++n) {
+        guarded.probe();
+    }
+    EXPECT_EQ(guarded.silentCount(), 1U);
+    guarded.probe();
+    EXPECT_EQ(guarded.silentCount(), 0U);
+}
+
+TEST_F(Workers, areSilentAfterALostAnswerToo)
+{
+    GuardedWorkers guarded(workers);
+    workers.setFaults("w1", {false, true, false});
+    EXPECT_THROW(guarded.start("w1", command(1, "serve")), OutcomeUnknown);
+    EXPECT_THROW(guarded.start("w1", command(2, "serve")), Unavailable);
+    EXPECT_EQ(workers.startCount({{1, 0}, 2}), 0);
+}
