Say which settings act, and ship the defaults that were measured

Cause: the tree's own defaults (30 evictions a minute, throttle to 500 permille, 10 starts a worker, weights 5:5:5 and more) replaced the placement's as soon as the daemon handed them on, so what ran was not what docs/design/placement.md measured; and 19 of the 33 keys were kept, checked and relayed without changing anything, which an operator could not see. After: the tree's defaults are the measured ones, a test compares them field by field, and docs/SETTINGS.md, the API and `settings explain` say for each key whether it acts.

--- a/packages/admin/settingsapi.cpp
+++ b/packages/admin/settingsapi.cpp
@@ -119,7 +119,11 @@
     const SettingsPath path = parsePathOrThrow(pathText.empty() ? "root" : pathText);
     Json values = Json::array();
     for (const EffectiveValue &it : explain(document.tree, path)) {
-        values.push_back({{"key", it.key}, {"value", it.value}, {"from", it.from ? toString(*it.from) : "default"}});
+        const SettingKey *key = findSettingKey(it.key);
+        values.push_back({{"key", it.key},
+                          {"value", it.value},
+                          {"from", it.from ? toString(*it.from) : "default"},
+                          {"acts", key != nullptr && isActedOn(*key)}});
     }
     return answer(200, {{"path", toString(path)}, {"version", document.version}, {"values", values}});
 }
--- a/packages/cli/settingscommands.cpp
+++ b/packages/cli/settingscommands.cpp
@@ -70,9 +70,9 @@
         return Ok;
     }
     console.out << path.getValue() << ", version " << answer.at("version") << "\n";
-    Table table({"KEY", "VALUE", "FROM"});
+    Table table({"KEY", "VALUE", "FROM", "ACTS"});
     for (const Json &it : answer.at("values")) {
-        table.addRow({it.at("key"), it.at("value"), it.at("from")});
+        table.addRow({it.at("key"), it.at("value"), it.at("from"), it.at("acts").get<bool>() ? "yes" : "not yet"});
     }
     table.print(console.out);
     return Ok;
--- a/packages/daemon/tests/placementpolicytest.cpp
+++ b/packages/daemon/tests/placementpolicytest.cpp
@@ -30,3 +30,17 @@
     EXPECT_EQ(tenantAllotments(parse.tree, b).front().limit.cpuMillis, 9000);
     EXPECT_DOUBLE_EQ(tenantAllotments(parse.tree, b).front().weight, 30);
 }
+
+TEST(PlacementPolicy, keepsTheMeasuredDefaultsWhereNothingIsSet)
+{
+    const PlacementSettings settings = placementSettings(domainPolicy({}, {"r", "a", {}, {}}));
+    const PlacementSettings measured;
+    EXPECT_DOUBLE_EQ(settings.weights.tailLatency, measured.weights.tailLatency);
+    EXPECT_DOUBLE_EQ(settings.weights.throughput, measured.weights.throughput);
+    EXPECT_DOUBLE_EQ(settings.weights.evictions, measured.weights.evictions);
+    EXPECT_EQ(settings.evictionsPerMinute, measured.evictionsPerMinute);
+    EXPECT_EQ(settings.throttlePermille, measured.throttlePermille);
+    EXPECT_EQ(settings.quarantineFailures, measured.quarantineFailures);
+    EXPECT_DOUBLE_EQ(settings.workerStartsPerSecond, measured.workerStartsPerSecond);
+    EXPECT_EQ(settings.headroomPermille, measured.headroomPermille);
+}
--- a/packages/settings/settingkeys.cpp
+++ b/packages/settings/settingkeys.cpp
@@ -32,7 +32,7 @@
      0,
      10'000,
      "",
-     "30",
+     "20",
      "Most evictions a minute in a failure domain, so that a noisy signal causes no storm."},
     {"guard.hold",
      Duration,
@@ -50,7 +50,7 @@
      50,
      1000,
      "",
-     "500",
+     "400",
      "What a throttled batch task keeps of its processors."},
     {"journal.commit-interval",
      Duration,
@@ -98,7 +98,7 @@
      "3s",
      "Silence after which a member counts as failed; at least twice the heartbeat interval."},
     {"note", Text, Anywhere, "", 0, 0, "", "", "For people; no effect."},
-    {"scheduling.eviction-weight", Integer, ForDomain, "", 0, 100, "", "5", "What one eviction weighs in placement."},
+    {"scheduling.eviction-weight", Integer, ForDomain, "", 0, 100, "", "2", "What one eviction weighs in placement."},
     {"scheduling.quarantine-after",
      Integer,
      ForDomain,
@@ -106,7 +106,7 @@
      1,
      1000,
      "",
-     "5",
+     "4",
      "Failed starts in a row after which a worker is quarantined and probed."},
     {"scheduling.starts-per-worker",
      Integer,
@@ -115,7 +115,7 @@
      1,
      1000,
      "",
-     "10",
+     "4",
      "Pace of task starts on one worker."},
     {"scheduling.tail-weight",
      Integer,
@@ -133,7 +133,7 @@
      0,
      100,
      "",
-     "5",
+     "3",
      "What batch throughput weighs in placement."},
     {"scheduling.urgent-headroom-permille",
      Integer,
@@ -142,7 +142,7 @@
      0,
      500,
      "",
-     "50",
+     "20",
      "Capacity that only urgent work may take."},
     {"service.claim-retention",
      Duration,
@@ -305,17 +305,37 @@
     return it != Keys.end() && it->name == name ? &*it : nullptr;
 }
 
+bool isActedOn(const SettingKey &key)
+{
+    // What the daemon hands on, see daemon/placementpolicy.cpp. The rest is kept, checked and relayed, and changes nothing yet.
+    constexpr std::array<std::string_view, 14> Names{"guard.enabled",
+                                                     "guard.evictions-per-minute",
+                                                     "guard.throttle-permille",
+                                                     "note",
+                                                     "scheduling.eviction-weight",
+                                                     "scheduling.quarantine-after",
+                                                     "scheduling.starts-per-worker",
+                                                     "scheduling.tail-weight",
+                                                     "scheduling.throughput-weight",
+                                                     "scheduling.urgent-headroom-permille",
+                                                     "tenant.accelerators",
+                                                     "tenant.cpu-millis",
+                                                     "tenant.memory-mib",
+                                                     "tenant.weight"};
+    return std::find(Names.begin(), Names.end(), key.name) != Names.end();
+}
+
 std::string settingsPage()
 {
     std::string page = "# Settings of the operators' tree\n\n"
                        "Made by `build/packages/settings/settingsdoc > docs/SETTINGS.md`; a test compares it.\n"
                        "How to change them, and what inherits from what: docs/operating/settings.md.\n\n"
-                       "| key | allowed | default | may be set at | meaning |\n"
-                       "| --- | --- | --- | --- | --- |\n";
+                       "| key | allowed | default | may be set at | acts | meaning |\n"
+                       "| --- | --- | --- | --- | --- | --- |\n";
     for (const SettingKey &it : Keys) {
         page += "| `" + std::string(it.name) + "` | " + allowedValues(it) + " | "
                 + (it.fallback.empty() ? "none" : "`" + std::string(it.fallback) + "`") + " | " + levelNames(it.levels)
-                + " | " + std::string(it.help) + " |\n";
+                + " | " + (isActedOn(it) ? "yes" : "not yet") + " | " + std::string(it.help) + " |\n";
     }
     return page;
 }
--- a/packages/settings/settings.h
+++ b/packages/settings/settings.h
@@ -94,6 +94,9 @@
 /** @p text in the one spelling that is stored ("1000ms" becomes "1s"); nothing where it is not allowed. */
 std::optional<std::string> canonicalValue(const SettingKey &key, std::string_view text);
 
+/** Whether a change of @p key changes what the processes do; the others are kept and relayed, for what is to come. */
+bool isActedOn(const SettingKey &key);
+
 std::string settingsPage(); ///< docs/SETTINGS.md
 
 // ---------------------------------------------------------------------------------------------------------------------
