Let the fakes stall and let the list of VMs lag

Cause: of the faults that the in-process fakes were to show (lost answers, lag, stall, partition, lapsed leases), a service that hangs and a list that tells late were missing. Before: neither could be brought about in a test. Conclusion: schedulers and journals can be tried against a hanging service next.

--- a/packages/platform/embeddedworkers.cpp
+++ b/packages/platform/embeddedworkers.cpp
@@ -51,6 +51,7 @@
     std::lock_guard guard(m_mutex);
     for (Vm &it : m_otherVms) {
         if (it.name == name) {
+            noteListChange(it);
             it.state = state;
         }
     }
@@ -59,6 +60,7 @@
         return;
     }
     bringUpToDate(it->second);
+    noteListChange(it->second.vm);
     it->second.vm.state = state;
     if (state != VmState::Gone) {
         return;
@@ -81,6 +83,17 @@
     it->second.faults = faults;
 }
 
+void EmbeddedWorkers::setListLag(Duration lag)
+{
+    std::lock_guard guard(m_mutex);
+    m_listLag = lag;
+}
+
+void EmbeddedWorkers::noteListChange(const Vm &vm)
+{
+    m_listChanges.insert_or_assign(vm.name, ListChange{m_clock.now() + m_listLag, vm.state});
+}
+
 int EmbeddedWorkers::maxConcurrentAttempts(const TaskId &task) const
 {
     std::lock_guard guard(m_mutex);
@@ -248,6 +261,12 @@
     for (const auto &[name, worker] : m_workers) {
         all.push_back(worker.vm);
     }
+    for (Vm &it : all) {
+        const auto change = m_listChanges.find(it.name);
+        if (change != m_listChanges.end() && m_clock.now() < change->second.shownAt) {
+            it.state = change->second.before;
+        }
+    }
     return all;
 }
 
--- a/packages/platform/embeddedworkers.h
+++ b/packages/platform/embeddedworkers.h
@@ -27,6 +27,7 @@
     void addVm(const Vm &vm);
     void setVmState(std::string_view name, VmState state); ///< Gone also ends whatever runs there
     void setFaults(std::string_view worker, const WorkerFaults &faults);
+    void setListLag(Duration lag); ///< vms() tells of a change of state so much later; VMs themselves change at once
 
     /** The most attempts of @p task that were ever seen running at the same time, on all workers together. */
     int maxConcurrentAttempts(const TaskId &task) const;
@@ -74,9 +75,19 @@
     void countRunning(const AttemptId &id);
     void throwIfAnswerLost(const Worker &worker) const;
     WorkerTime workerNow() const;
+    void noteListChange(const Vm &vm);
+
+    /** A state that the list does not show yet. */
+    struct ListChange
+    {
+        TimePoint shownAt;
+        VmState before = VmState::Live;
+    };
 
     Clock &m_clock;
     Duration m_usageLag;
+    Duration m_listLag{};
+    std::map<std::string, ListChange, std::less<>> m_listChanges; ///< the last change of each VM
     mutable std::mutex m_mutex;
     std::map<std::string, Worker, std::less<>> m_workers;
     std::vector<Vm> m_otherVms;
--- a/packages/platform/faultykeyvalue.cpp
+++ b/packages/platform/faultykeyvalue.cpp
@@ -80,8 +80,32 @@
     return m_service.watch(prefix, after, timeout);
 }
 
-void FaultyKeyValue::throwIfDown() const
+void FaultyKeyValue::setStalled(bool isStalled)
 {
+    {
+        std::lock_guard guard(m_mutex);
+        m_isStalled = isStalled;
+    }
+    m_changed.notify_all();
+}
+
+int FaultyKeyValue::stalledCalls() const
+{
+    std::lock_guard guard(m_mutex);
+    return m_stalledCalls;
+}
+
+void FaultyKeyValue::waitWhileStalled()
+{
+    std::unique_lock lock(m_mutex);
+    ++m_stalledCalls;
+    m_changed.wait(lock, [this] { return !m_isStalled; });
+    --m_stalledCalls;
+}
+
+void FaultyKeyValue::throwIfDown()
+{
+    waitWhileStalled();
     if (down) {
         throw Unavailable("key-value service is down");
     }
--- a/packages/platform/faultykeyvalue.h
+++ b/packages/platform/faultykeyvalue.h
@@ -4,6 +4,8 @@
 #include <platform/platform.h>
 
 #include <atomic>
+#include <condition_variable>
+#include <mutex>
 
 namespace QuetzalRock {
 
@@ -17,6 +19,10 @@
     std::atomic<int> loseWrites = 0;       ///< so many next writes have no effect and throw OutcomeUnknown
     std::atomic<int> refuseWrites = 0;     ///< so many next writes have no effect and throw Unavailable
 
+    /** While stalled, every call waits, as in a service that hangs; then it goes on as usual. */
+    void setStalled(bool isStalled);
+    int stalledCalls() const; ///< calls that wait now
+
     std::optional<KeyValue> get(std::string_view key) override;
     std::vector<KeyValue> list(std::string_view prefix) override;
     CasResult compareAndSwap(std::string_view key, Revision expected, std::string_view value, LeaseId lease) override;
@@ -27,11 +33,17 @@
     WatchResult watch(std::string_view prefix, Revision after, Duration timeout) override;
 
 private:
-    void throwIfDown() const;
+    void waitWhileStalled();
+    void throwIfDown();
     void beforeWrite();
     void afterWrite();
 
     KeyValueService &m_service;
+
+    mutable std::mutex m_mutex; ///< guards the two below
+    std::condition_variable m_changed;
+    bool m_isStalled = false;
+    int m_stalledCalls = 0;
 };
 
 } // namespace QuetzalRock
--- a/packages/platform/tests/platformtest.cpp
+++ b/packages/platform/tests/platformtest.cpp
@@ -5,6 +5,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 using namespace QuetzalRock;
 using namespace std::chrono_literals;
 
@@ -44,6 +46,22 @@
     EXPECT_THROW(faulty.get("a"), Unavailable);
 }
 
+TEST(FaultyKeyValue, holdsCallsWhileStalled)
+{
+    ManualClock clock;
+    EmbeddedKeyValue store(clock);
+    FaultyKeyValue faulty(store);
+    faulty.setStalled(true);
+    std::thread caller([&] { faulty.compareAndSwap("a", 0, "1", 0); });
+    while (faulty.stalledCalls() == 0) {
+        std::this_thread::yield();
+    }
+    EXPECT_EQ(store.get("a"), std::nullopt);
+    faulty.setStalled(false);
+    caller.join();
+    EXPECT_EQ(store.get("a")->value, "1");
+}
+
 struct Workers : public testing::Test
 {
     void SetUp() override
@@ -135,3 +153,13 @@
     EXPECT_THROW(guarded.start("w1", command(2, "serve")), Unavailable);
     EXPECT_EQ(workers.startCount({{1, 0}, 2}), 0);
 }
+
+TEST_F(Workers, changeBeforeTheListSaysSo)
+{
+    workers.setListLag(10s);
+    workers.setVmState("w1", VmState::Gone);
+    EXPECT_THROW(workers.report("w1"), Unavailable);
+    EXPECT_EQ(workers.vms().at(0).state, VmState::Live);
+    clock.advance(10s);
+    EXPECT_EQ(workers.vms().at(0).state, VmState::Gone);
+}
