--- a/bench/journal.cpp
+++ b/bench/journal.cpp
@@ -4,12 +4,12 @@
  *
  * Usage: benchjournal [SECONDS]    of simulated load, default 600
  */
+#include "usage.h"
+
 #include <journal/groupcommit.h>
 #include <journal/journal.h>
 #include <platform/embeddedkeyvalue.h>
 
-#include <malloc.h>
-
 #include <cstdio>
 #include <cstdlib>
 #include <ctime>
@@ -30,20 +30,6 @@
 constexpr double TargetNodeBytes = 27'000; // a second, for control, of one node
 constexpr Duration Tick = 1ms;
 
-double cpuSeconds()
-{
-    timespec now{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
-}
-
-/** Bytes in use on the heap. */
-double heapBytes()
-{
-    const auto info = mallinfo2();
-    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
-}
-
 JournalSettings settings(std::uint32_t slots)
 {
     JournalSettings settings;
--- a/bench/scheduler.cpp
+++ b/bench/scheduler.cpp
@@ -4,6 +4,8 @@
  *
  * Usage: benchscheduler
  */
+#include "usage.h"
+
 #include <journal/journal.h>
 #include <placement/placementengine.h>
 #include <platform/embeddedkeyvalue.h>
@@ -12,8 +14,6 @@
 #include <scheduler/codec.h>
 #include <scheduler/scheduler.h>
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <cstdio>
 #include <ctime>
@@ -30,19 +30,6 @@
 constexpr std::uint32_t TasksPerJob = 20;
 constexpr Duration Tick = 100ms;
 
-double cpuSeconds()
-{
-    timespec now{};
-    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
-    return static_cast<double>(now.tv_sec) + static_cast<double>(now.tv_nsec) / 1e9;
-}
-
-double heapBytes()
-{
-    const auto info = mallinfo2();
-    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
-}
-
 JobSpec job(int number, const std::string &command, std::uint32_t tasks)
 {
     JobSpec spec;
--- a/packages/daemon/claimshards.cpp
+++ b/packages/daemon/claimshards.cpp
@@ -203,17 +203,16 @@
     } catch (const Error &) {
         reply.verdict = ClaimVerdict::Unavailable;
     }
-    call.reply(reply);
-    if (reply.verdict != ClaimVerdict::Waiting) {
+    const bool isWaiting = reply.verdict == ClaimVerdict::Waiting;
+    if (!isWaiting || !call.isRepeat) {
+        call.reply(reply); // the caller is told once that it waits
+    }
+    if (!isWaiting) {
         return;
     }
-    // Ask for the end of the first run again and again; only the first Waiting is passed on.
-    ClaimOwner::Reply answer = call.reply;
-    call.reply = [answer](ClaimReply again) {
-        if (again.verdict != ClaimVerdict::Waiting) {
-            answer(std::move(again));
-        }
-    };
+    // Ask for the end of the first run again and again.
+    call.isRepeat = true;
+    const ClaimOwner::Reply answer = call.reply;
     if (!repeatLater(std::move(call))) {
         answer({ClaimVerdict::Unknown, {}});
     }
--- a/packages/daemon/claimshards.h
+++ b/packages/daemon/claimshards.h
@@ -83,7 +83,8 @@
         ClaimRequest request;
         ClaimEnd end;
         ClaimOwner::Reply reply;
-        TimePoint giveUpAt; ///< of waiting for a first run, and of delivering an end
+        TimePoint giveUpAt;    ///< of waiting for a first run, and of delivering an end
+        bool isRepeat = false; ///< the caller has been told that it waits
     };
 
     void push(Call call);
