--- a/cmake/Packages.cmake
+++ b/cmake/Packages.cmake
@@ -10,6 +10,9 @@
 # qr_test(NAME clocktest SOURCES tests/clocktest.cpp LIBS qr_base ...): a GoogleTest program; RapidCheck's seed is fixed.
 function(qr_test)
     cmake_parse_arguments(ARG "" "NAME" "SOURCES;LIBS" ${ARGN})
+    if(NOT QUETZALROCK_TESTS)
+        return()
+    endif()
     add_executable(${ARG_NAME} ${ARG_SOURCES})
     target_link_libraries(${ARG_NAME} PRIVATE ${ARG_LIBS} rapidcheck GTest::gtest GTest::gtest_main Threads::Threads)
     gtest_discover_tests(${ARG_NAME} DISCOVERY_MODE PRE_TEST TEST_PREFIX ${ARG_NAME}.
--- a/packages/base/clock.cpp
+++ b/packages/base/clock.cpp
@@ -1,6 +1,7 @@
 #include <base/clock.h>
 
 #include <algorithm>
+#include <ctime>
 
 namespace QuetzalRock {
 
@@ -17,7 +18,10 @@
 
 TimePoint SystemClock::now() const
 {
-    return std::chrono::time_point_cast<Duration>(std::chrono::steady_clock::now());
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time); // the steady clock stands still while the VM is suspended, and leases do not
+    return TimePoint(std::chrono::duration_cast<Duration>(std::chrono::seconds(time.tv_sec)
+                                                          + std::chrono::nanoseconds(time.tv_nsec)));
 }
 
 WallTime SystemClock::wallNow() const
@@ -27,7 +31,7 @@
 
 void SystemClock::waitUntil(std::unique_lock<std::mutex> &lock, std::condition_variable &cv, TimePoint deadline)
 {
-    cv.wait_until(lock, deadline);
+    cv.wait_for(lock, deadline - now());
 }
 
 TimePoint ManualClock::now() const
--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -37,7 +37,7 @@
     void sleepFor(Duration duration);
 };
 
-/** The machine's monotonic and wall clocks. */
+/** The machine's monotonic clock, which counts time spent suspended, and its wall clock. */
 class SystemClock final : public Clock
 {
 public:
--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -1,8 +1,10 @@
 #include <daemon/daemon.h>
+#include <fleetnode.h>
 
 #include <glog/logging.h>
 #include <tclap/CmdLine.h>
 
+#include <algorithm>
 #include <csignal>
 #include <iostream>
 
@@ -36,13 +38,14 @@
     return {config.getValue(), check.getValue(), print.getValue()};
 }
 
-/** Signals are taken by sigwait() in main alone; every other thread inherits the mask. */
+/** Signals are taken where they are waited for; every thread inherits the mask. */
 sigset_t blockSignals()
 {
     sigset_t signals;
     sigemptyset(&signals);
     sigaddset(&signals, SIGTERM);
     sigaddset(&signals, SIGINT);
+    sigaddset(&signals, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
     return signals;
@@ -64,14 +67,47 @@
     return isClean ? ExitOk : ExitFailed;
 }
 
-int runWith(const Arguments &arguments)
+bool printFaults(const std::vector<SettingFault> &faults)
 {
-    std::vector<SettingFault> faults;
-    const DaemonSettings settings = parseDaemonSettings(arguments.config, readTextFile(arguments.config), faults);
     for (const SettingFault &it : faults) {
         std::cerr << it.toString() << "\n";
     }
-    if (!faults.empty()) {
+    return !faults.empty();
+}
+
+/** True for a node on the users' platform, whose settings have sections of their own. */
+bool isFleetNode(const Arguments &arguments)
+{
+    std::vector<SettingFault> faults;
+    const IniFile file = parseIni(arguments.config, readTextFile(arguments.config), faults);
+    return std::any_of(file.entries.begin(), file.entries.end(), [](const IniEntry &it) {
+        return it.section == "platform" && it.key == "kind" && it.value == "fleet";
+    });
+}
+
+int runFleet(const Arguments &arguments)
+{
+    std::vector<SettingFault> faults;
+    const auto settings = Adapter::parseFleetSettings(arguments.config, readTextFile(arguments.config), faults);
+    if (printFaults(faults)) {
+        return ExitUsage;
+    }
+    if (arguments.check) {
+        return ExitOk;
+    }
+    FLAGS_log_prefix = false; // lines of the event log carry their own time
+    blockSignals();
+    return Adapter::runFleetNode(arguments.config, settings);
+}
+
+int runWith(const Arguments &arguments)
+{
+    if (isFleetNode(arguments)) {
+        return runFleet(arguments);
+    }
+    std::vector<SettingFault> faults;
+    const DaemonSettings settings = parseDaemonSettings(arguments.config, readTextFile(arguments.config), faults);
+    if (printFaults(faults)) {
         return ExitUsage;
     }
     if (arguments.print) {
--- a/packages/requests/curltransport.cpp
+++ b/packages/requests/curltransport.cpp
@@ -188,9 +188,11 @@
         transfer.headers = curl_slist_append(transfer.headers, "Content-Type:"); // else libcurl invents one
     }
     const auto leftMs = std::chrono::duration_cast<std::chrono::milliseconds>(transfer.exchange.timeLeft).count();
-    line = DeadlineHeader;
-    line += ": " + std::to_string(std::max<std::int64_t>(1, leftMs));
-    transfer.headers = curl_slist_append(transfer.headers, line.c_str());
+    if (leftMs > 0) {
+        line = DeadlineHeader;
+        line += ": " + std::to_string(leftMs);
+        transfer.headers = curl_slist_append(transfer.headers, line.c_str());
+    }
     transfer.headers = curl_slist_append(transfer.headers, "Expect:");
     // Implied by HTTP/1.1, yet some servers close without it, Pistache among them.
     transfer.headers = curl_slist_append(transfer.headers, "Connection: keep-alive");
--- a/packages/requests/httpfront.cpp
+++ b/packages/requests/httpfront.cpp
@@ -69,6 +69,7 @@
 
     std::mutex mutex; ///< guards connections
     std::set<ConnectionPtr> connections;
+    std::atomic<bool> endsConnections = false;
     std::atomic<std::uint64_t> inWork = 0;
     std::atomic<std::uint64_t> refusedConnections = 0;
     std::atomic<std::uint64_t> slowReaders = 0;
@@ -112,7 +113,7 @@
 {
     ++state->inWork;
     const bool hasBody = arrival.request.method != "HEAD";
-    const bool keepAlive = arrival.keepAlive;
+    const bool keepAlive = arrival.keepAlive && !state->endsConnections;
     const std::string path = arrival.request.target.substr(0, arrival.request.target.find('?'));
     if (arrival.fault) {
         answer(state, peer, *arrival.fault, hasBody, keepAlive);
@@ -357,6 +358,11 @@
     return static_cast<std::uint16_t>(m_impl->endpoint->getPort());
 }
 
+void HttpFront::closeAfterAnswers()
+{
+    m_impl->state->endsConnections = true;
+}
+
 void HttpFront::stop()
 {
     if (!m_impl->endpoint) {
--- a/packages/requests/httpfront.h
+++ b/packages/requests/httpfront.h
@@ -60,6 +60,7 @@
     void addRoute(std::string_view method, std::string_view path, Route route);
     void start();
     std::uint16_t port() const; ///< after start()
+    void closeAfterAnswers();   ///< from now on each connection ends after its next answer; any thread
     void stop();                ///< closes every connection; drain first, see RequestPath::drained() and unanswered()
 
     /** Requests in work and answers not yet on the wire: stop() cuts nothing off once this is 0. */
--- a/packages/requests/transport.h
+++ b/packages/requests/transport.h
@@ -22,7 +22,7 @@
     ExchangeId id = 0;
     std::string_view address;                     ///< "ip:port" of the instance
     std::shared_ptr<const CallerRequest> request; ///< kept until the exchange is over
-    Duration timeLeft{};                          ///< passed on in the deadline header
+    Duration timeLeft{};                          ///< passed on in the deadline header; zero: no such header
     bool provenOnly = false; ///< only on a fresh connection or one that answered within the proven window
 };
 
--- /dev/null
+++ b/packages/workflow/dispatch.cpp
@@ -0,0 +1,406 @@
+/** WorkflowScheduler: what starts where, what is stopped, and what becomes of a task. */
+#include <workflow/scheduler.h>
+
+#include <algorithm>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr std::uint64_t AttemptsPerEpoch = 1000; ///< attempt numbers of one task in one epoch
+constexpr Duration PlaceAgain = 100ms;           ///< where tasks wait for room, for a time, or for a worker to be trusted
+constexpr Duration RejectedPause = 300ms;        ///< a worker that rejected a start gets none for so long
+constexpr Duration RetryDelay = 20ms;            ///< of a task whose start was rejected
+
+bool hasLabel(const WorkerState &worker, const std::string &label)
+{
+    const auto &labels = worker.record.labels;
+    return std::find(labels.begin(), labels.end(), label) != labels.end();
+}
+
+std::uint32_t runsOfStep(const WorkerState &worker, const TaskRef &ref)
+{
+    std::uint32_t n = 0;
+    for (const TaskRef &it : worker.runs) {
+        n += it.job == ref.job && it.occurrence == ref.occurrence && it.step == ref.step ? 1 : 0;
+    }
+    return n;
+}
+
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Order
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkflowScheduler::place(TimePoint now)
+{
+    m_placeAt = now + (m_mustPlace ? m_settings.placeEvery : PlaceAgain);
+    m_mustPlace = false;
+    for (const auto &[rank, job] : m_active) {
+        const bool isTooNew = m_authority != Authority::Firm && job->learnedAt > m_firmAt;
+        if (!job->isCancelled && !isTooNew && !mayBeRunningElsewhere(*job)) {
+            placeJob(*job, now);
+        }
+    }
+}
+
+void WorkflowScheduler::placeJob(JobState &job, TimePoint now)
+{
+    const WorkflowSpec &spec = job.accepted.spec;
+    const std::int64_t wallMs = m_clock.wallNow().count();
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        if (spec.repeatCount > 0 && wallMs < spec.firstStartMs + static_cast<std::int64_t>(k) * spec.intervalMs) {
+            return; // later occurrences are due later still
+        }
+        OccurrenceState &occurrence = job.occurrences[k];
+        for (std::uint32_t s = 0; s < occurrence.steps.size() && occurrence.doneSteps < occurrence.steps.size(); ++s) {
+            const bool isFinished = occurrence.steps[s].doneCount == occurrence.steps[s].tasks.size();
+            if (isFinished || !isOpen(job, k, s)) {
+                continue;
+            }
+            spec.steps[s].isGang ? placeGang(job, k, s, now) : placeStep(job, k, s, now);
+        }
+    }
+}
+
+bool WorkflowScheduler::isOpen(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const
+{
+    const auto &steps = job.occurrences[occurrence].steps;
+    for (const std::uint32_t it : job.accepted.spec.steps[step].after) {
+        if (steps[it].doneCount < steps[it].tasks.size()) {
+            return false;
+        }
+    }
+    return true;
+}
+
+void WorkflowScheduler::placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
+{
+    const auto n = static_cast<std::uint32_t>(job.occurrences[occurrence].steps[step].tasks.size());
+    std::uint32_t placed = 0;
+    for (std::uint32_t i = 0; i < n; ++i) {
+        const TaskRef ref{&job, occurrence, step, i};
+        TaskState &task = ref.task();
+        if (task.phase != TaskPhase::Waiting || now < task.retryAt) {
+            continue;
+        }
+        const WorkerIndex worker = choose(ref, now);
+        if (worker == NoWorker) {
+            break; // the other tasks of the step need as much
+        }
+        start(ref, worker, nextAttempt(task), now);
+        ++placed;
+    }
+    if (placed > 0) {
+        m_log.write("tasks_started", "job", job.key(), "step", step, "tasks", placed, "of", n, "queue",
+                    job.accepted.queue, "age_ms", m_clock.wallNow().count() - job.accepted.acceptedMs);
+    }
+}
+
+/** All members at once, or none: reserves as it goes, and takes it back where the last does not fit. */
+void WorkflowScheduler::placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
+{
+    auto &tasks = job.occurrences[occurrence].steps[step].tasks;
+    std::uint64_t attempt = 0;
+    std::string checkpoint;
+    for (TaskState &it : tasks) {
+        if (it.phase != TaskPhase::Waiting || now < it.retryAt) {
+            return;
+        }
+        attempt = std::max(attempt, nextAttempt(it));
+        checkpoint = it.checkpoint.empty() ? checkpoint : it.checkpoint;
+    }
+    std::vector<WorkerIndex> chosen;
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        const TaskRef ref{&job, occurrence, step, i};
+        const WorkerIndex worker = choose(ref, now);
+        if (worker == NoWorker) {
+            break;
+        }
+        reserve(ref, worker);
+        chosen.push_back(worker);
+    }
+    for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+        release({&job, occurrence, step, i});
+        tasks[i].phase = TaskPhase::Waiting;
+    }
+    if (chosen.size() < tasks.size()) {
+        return;
+    }
+    for (std::uint32_t i = 0; i < chosen.size(); ++i) {
+        tasks[i].checkpoint = checkpoint; // any member's is valid for the gang, and all must carry the same
+        start({&job, occurrence, step, i}, chosen[i], attempt, now);
+    }
+    m_log.write("gang_started", "job", job.key(), "step", step, "tasks", tasks.size(), "attempt", attempt);
+}
+
+WorkerIndex WorkflowScheduler::choose(const TaskRef &ref, TimePoint now)
+{
+    const StepSpec &step = ref.spec();
+    const TaskState &task = ref.task();
+    const std::int64_t waitedMs = m_clock.wallNow().count() - ref.job->accepted.acceptedMs;
+    WorkerIndex best = NoWorker;
+    double bestScore = 0;
+    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
+        const WorkerState &worker = *m_workers[i];
+        const bool isUsable = worker.isListed && worker.isRead && worker.record.condition == WorkerCondition::Ready
+            && worker.record.pool == ref.job->accepted.pool && worker.strays.empty() && worker.lostCalls == 0
+            && now >= worker.noStartsUntil && now < worker.answeredAt + m_settings.contactLost
+            && m_durableWorkers.contains(worker.record.id);
+        if (!isUsable || (worker.isSuspect(now) && !worker.runs.empty())) {
+            continue;
+        }
+        if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel)) {
+            continue;
+        }
+        if (step.maxPerWorker > 0 && runsOfStep(worker, ref) >= step.maxPerWorker) {
+            continue;
+        }
+        Candidate candidate;
+        candidate.free = worker.freeRoom();
+        candidate.capacityMillis = worker.record.capacity.cpuMillis;
+        candidate.reservedMillis = worker.reserved.cpuMillis;
+        candidate.servingMillis = worker.servingUse;
+        candidate.spareMillis = worker.spareUse;
+        candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
+        candidate.isDoubtful = task.avoid == i || worker.failuresInRow > 0;
+        candidate.mayShareSpare = waitedMs > std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.patience).count();
+        const auto score = scoreOf(m_settings.placement, step, candidate);
+        if (score && (best == NoWorker || *score > bestScore)) {
+            best = i;
+            bestScore = *score;
+        }
+    }
+    return best;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Starts
+// ---------------------------------------------------------------------------------------------------------------------
+
+std::uint64_t WorkflowScheduler::nextAttempt(const TaskState &task) const
+{
+    return std::max(task.attempt, (m_term.epoch - 1) * AttemptsPerEpoch) + 1;
+}
+
+void WorkflowScheduler::reserve(const TaskRef &ref, WorkerIndex index)
+{
+    WorkerState &worker = *m_workers[index];
+    TaskState &task = ref.task();
+    const StepSpec &step = ref.spec();
+    task.phase = TaskPhase::Starting;
+    task.worker = index;
+    worker.runs.push_back(ref);
+    Resources need = step.need;
+    if (step.usesSpareCpu) {
+        worker.spareUse += need.cpuMillis;
+        need.cpuMillis = 0;
+    }
+    worker.reserved += need;
+    worker.servingUse += step.isLasting ? need.cpuMillis : 0;
+    ++ref.job->heldTasks;
+}
+
+void WorkflowScheduler::release(const TaskRef &ref)
+{
+    TaskState &task = ref.task();
+    WorkerState &worker = *m_workers[task.worker];
+    const StepSpec &step = ref.spec();
+    Resources need = step.need;
+    if (step.usesSpareCpu) {
+        worker.spareUse -= need.cpuMillis;
+        need.cpuMillis = 0;
+    }
+    worker.reserved -= need;
+    worker.servingUse -= step.isLasting ? need.cpuMillis : 0;
+    std::erase(worker.runs, ref);
+    task.worker = NoWorker;
+    --ref.job->heldTasks;
+    m_mustPlace = true;
+}
+
+void WorkflowScheduler::takeBack(const TaskRef &ref)
+{
+    release(ref);
+    if (ref.task().phase != TaskPhase::Done) {
+        waitAgain(ref, Duration::zero());
+    }
+}
+
+void WorkflowScheduler::waitAgain(const TaskRef &ref, Duration delay)
+{
+    TaskState &task = ref.task();
+    task.phase = TaskPhase::Waiting;
+    task.retryAt = m_now + delay;
+    m_mustPlace = true;
+}
+
+void WorkflowScheduler::start(const TaskRef &ref, WorkerIndex index, std::uint64_t attempt, TimePoint now)
+{
+    reserve(ref, index);
+    WorkerState &worker = *m_workers[index];
+    TaskState &task = ref.task();
+    task.attempt = attempt;
+    task.isAnswered = false;
+    task.stopAnswered = false;
+    task.orderedAt = now;
+    task.startedAt = now;
+    task.idleSince = {};
+    task.percent = 100;
+    StartOrder order;
+    order.run = {ref.name(), attempt};
+    order.payload = ref.job->accepted.spec.payload;
+    order.checkpoint = task.checkpoint;
+    order.validUntilMs = worker.clock.timeIn(m_settings.orderValidity, now);
+    task.validUntilMs = order.validUntilMs;
+    worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.clock.reachedBy(m_settings.orderValidity, now));
+    if (ref.job->state == WorkflowState::Queued) {
+        ref.job->state = WorkflowState::Running;
+        touch(*ref.job);
+    }
+    ++m_counters.starts;
+    m_port.start(target(worker), order, guard([this, ref, key = ref.job->key(), index, attempt](const OrderReply &reply) {
+        onStarted(ref, key, index, attempt, reply);
+    }));
+}
+
+void WorkflowScheduler::onStarted(const TaskRef &ref,
+                                  const JobKey &key,
+                                  WorkerIndex index,
+                                  std::uint64_t attempt,
+                                  const OrderReply &reply)
+{
+    m_now = m_clock.now();
+    WorkerState &worker = *m_workers[index];
+    if (findJob(key) != ref.job) {
+        return;
+    }
+    TaskState &task = ref.task();
+    const bool isOpenOrder = task.worker == index && task.attempt == attempt
+        && (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Stopping);
+    if (!isOpenOrder) {
+        return; // a report was faster
+    }
+    if (reply.status == OrderStatus::Accepted) {
+        task.isAnswered = true;
+        task.answeredAt = m_now;
+        return;
+    }
+    if (reply.status == OrderStatus::Fenced) {
+        m_seemsDeposed = true;
+        return;
+    }
+    if (reply.status == OrderStatus::Unanswered) {
+        ++m_counters.startsUnanswered;
+        m_log.write("start_unanswered", "job", key, "step", ref.step, "task", ref.index, "worker", worker.record.id);
+        if (task.phase == TaskPhase::Starting) {
+            task.avoid = index;
+            stop(ref, "its start was not answered");
+        }
+        return;
+    }
+    ++m_counters.startsRejected;
+    m_log.write("start_rejected", "job", key, "step", ref.step, "task", ref.index, "worker", worker.record.id, "status",
+                static_cast<int>(reply.status), "free_cpu", worker.freeRoom().cpuMillis, "free_mib",
+                worker.freeRoom().memoryMib);
+    worker.noStartsUntil = m_now + RejectedPause;
+    release(ref);
+    waitAgain(ref, RetryDelay);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Stops and ends
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkflowScheduler::stop(const TaskRef &ref, std::string_view why)
+{
+    TaskState &task = ref.task();
+    if (task.phase != TaskPhase::Starting && task.phase != TaskPhase::Running) {
+        return;
+    }
+    ++m_counters.stops;
+    m_log.write("run_stop", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker",
+                m_workers[task.worker]->record.id, "why", why);
+    task.phase = TaskPhase::Stopping;
+    task.stopAnswered = false;
+    sendStop(ref);
+}
+
+void WorkflowScheduler::sendStop(const TaskRef &ref)
+{
+    TaskState &task = ref.task();
+    const WorkerState &worker = *m_workers[task.worker];
+    task.orderedAt = m_clock.now();
+    const RunName run{ref.name(), task.attempt};
+    m_port.stop(target(worker), run, guard([this, ref, key = ref.job->key(), attempt = task.attempt](const OrderReply &reply) {
+        if (findJob(key) != ref.job) {
+            return;
+        }
+        TaskState &it = ref.task();
+        if (it.phase != TaskPhase::Stopping || it.attempt != attempt) {
+            return;
+        }
+        if (reply.status == OrderStatus::Accepted || reply.status == OrderStatus::Superseded) {
+            it.stopAnswered = true;
+            it.answeredAt = m_clock.now();
+        } else if (reply.status == OrderStatus::Fenced) {
+            m_seemsDeposed = true;
+        }
+    }));
+}
+
+void WorkflowScheduler::finishTask(const TaskRef &ref)
+{
+    OccurrenceState &occurrence = ref.job->occurrences[ref.occurrence];
+    StepState &step = occurrence.steps[ref.step];
+    auto &tasks = step.tasks;
+    // One end of a gang's member stands for all of them. The others hold their room until their own ends are listed.
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        if (i == ref.index || ref.spec().isGang) {
+            step.doneCount += tasks[i].phase == TaskPhase::Done ? 0 : 1;
+            tasks[i].phase = TaskPhase::Done;
+        }
+    }
+    if (step.doneCount < tasks.size()) {
+        return;
+    }
+    if (++occurrence.doneSteps < occurrence.steps.size()) {
+        return;
+    }
+    const auto isDone = [](const OccurrenceState &it) { return it.doneSteps == it.steps.size(); };
+    if (std::all_of(ref.job->occurrences.begin(), ref.job->occurrences.end(), isDone)) {
+        setFinal(*ref.job, WorkflowState::Completed);
+    }
+}
+
+void WorkflowScheduler::failJob(JobState &job, std::string_view why)
+{
+    setFinal(job, WorkflowState::Failed);
+    stopAll(job, why);
+}
+
+void WorkflowScheduler::stopAll(JobState &job, std::string_view why)
+{
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < job.occurrences[k].steps[s].tasks.size(); ++i) {
+                stop({&job, k, s, i}, why);
+            }
+        }
+    }
+}
+
+void WorkflowScheduler::setFinal(JobState &job, WorkflowState state)
+{
+    m_log.write("job_final", "job", job.key(), "state", static_cast<int>(state), "queue", job.accepted.queue, "age_ms",
+                m_clock.wallNow().count() - job.accepted.acceptedMs);
+    job.state = state;
+    m_active.erase(Rank{job.accepted.priority, job.accepted.acceptedMs, job.key()});
+    m_final.emplace_back(m_clock.now(), job.key());
+    touch(job);
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/election.cpp
@@ -0,0 +1,286 @@
+#include <workflow/election.h>
+#include <workflow/progress.h>
+
+#include <charconv>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+constexpr Duration LookAgainAfter = std::chrono::milliseconds(250); ///< after a failed look at the key
+
+std::uint64_t parseEpoch(std::string_view text)
+{
+    std::uint64_t epoch = 0;
+    std::from_chars(text.data(), text.data() + text.size(), epoch);
+    return epoch;
+}
+
+} // namespace
+
+Election::Election(RecordStore &store,
+                   Clock &clock,
+                   EventLog &log,
+                   std::string node,
+                   const ElectionSettings &settings,
+                   std::uint64_t seed)
+    : m_store(store)
+    , m_clock(clock)
+    , m_log(log)
+    , m_node(std::move(node))
+    , m_settings(settings)
+    , m_random(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1))
+{
+}
+
+const Leadership &Election::leadership() const
+{
+    return m_term;
+}
+
+const std::string &Election::leaderName() const
+{
+    return m_leaderName;
+}
+
+Authority Election::authority(TimePoint now) const
+{
+    if (m_term.epoch == 0 || m_hasResigned) {
+        return Authority::None;
+    }
+    if (now < m_validUntil && !m_isDoubted) {
+        return Authority::Firm;
+    }
+    return now < m_validUntil + m_settings.grace ? Authority::Grace : Authority::None;
+}
+
+template<typename Handler>
+StoreDone Election::guard(Handler handler)
+{
+    return [alive = std::weak_ptr(m_alive), handler = std::move(handler)](const StoreReply &reply) {
+        if (!alive.expired()) {
+            handler(reply);
+        }
+    };
+}
+
+void Election::tick(TimePoint now)
+{
+    if (m_term.epoch != 0 && !m_hasResigned && !m_isRenewing && now >= m_renewAt) {
+        renew(now);
+    }
+    if (m_stage == Stage::Idle && now >= m_nextAt) {
+        look();
+    }
+}
+
+void Election::doubt()
+{
+    if (m_term.epoch != 0) {
+        m_isDoubted = true;
+        m_nextAt = std::min(m_nextAt, m_clock.now());
+        m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage; // the watch's answer is then ignored
+    }
+}
+
+void Election::resign()
+{
+    if (m_hasResigned) {
+        return;
+    }
+    m_hasResigned = true;
+    if (m_term.epoch != 0) {
+        m_log.write("leader_resigns", "epoch", m_term.epoch);
+        m_store.endLease(m_lease, [](const StoreReply &) {}); // where it fails, the lease lapses by itself
+        m_term = {};
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Following
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Election::retryLater()
+{
+    m_stage = Stage::Idle;
+    m_nextAt = m_clock.now() + LookAgainAfter;
+}
+
+void Election::look()
+{
+    m_stage = Stage::Looking;
+    m_store.get(LeaderKey, guard([this](const StoreReply &reply) { onLook(reply); }));
+}
+
+void Election::onLook(const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
+        takeKey(reply.items.front());
+        follow(std::max(reply.revision, reply.items.front().revision));
+        return;
+    }
+    if (reply.status != StoreStatus::Missing) {
+        retryLater();
+        return;
+    }
+    m_leaderName.clear();
+    loseTerm("the key is gone");
+    if (m_hasResigned) {
+        retryLater();
+        return;
+    }
+    campaign();
+}
+
+/** The leader's key as it is: ours, or another's. */
+void Election::takeKey(const StoreItem &item)
+{
+    const std::string name = item.value.substr(0, item.value.find(' '));
+    if (name != m_leaderName) {
+        m_log.write("leader_seen", "leader", name, "revision", item.revision);
+        m_leaderName = name;
+    }
+    if (item.value == m_ownValue && m_term.epoch == 0 && m_campaignEpoch != 0 && !m_hasResigned) {
+        m_term = {m_campaignEpoch, item.revision}; // the campaign's answer was lost, and it had succeeded
+        m_validUntil = m_leaseSentAt + m_settings.leaseTime;
+        m_log.write("leader_elected", "epoch", m_term.epoch, "revision", m_term.keyRevision);
+    } else if (m_term.epoch != 0 && item.revision != m_term.keyRevision) {
+        loseTerm("another leads");
+    }
+    m_isDoubted = false;
+}
+
+void Election::loseTerm(std::string_view why)
+{
+    if (m_term.epoch != 0) {
+        m_log.write("leader_deposed", "epoch", m_term.epoch, "why", why);
+        m_term = {};
+    }
+    m_isDoubted = false;
+}
+
+void Election::follow(std::uint64_t after)
+{
+    m_stage = Stage::Following;
+    m_store.watch(LeaderKey, after, m_settings.watchWait, guard([this, id = ++m_watchId](const StoreReply &reply) {
+        if (m_stage == Stage::Following && id == m_watchId) {
+            onFollow(reply);
+        }
+    }));
+}
+
+void Election::onFollow(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok) {
+        retryLater();
+        m_nextAt = reply.status == StoreStatus::Missing ? m_clock.now() : m_nextAt;
+        return;
+    }
+    for (const StoreItem &it : reply.items) {
+        if (it.key != LeaderKey) {
+            continue;
+        }
+        if (it.isDeleted) {
+            // Looks again, and campaigns then: the random delay keeps the others from doing so all at once.
+            m_log.write("leader_gone", "leader", m_leaderName, "revision", it.revision);
+            m_leaderName.clear();
+            loseTerm("the key was removed");
+            m_stage = Stage::Idle;
+            m_nextAt = m_clock.now() + Duration(m_random() % (m_settings.campaignSpread.count() + 1));
+            return;
+        }
+        takeKey(it);
+    }
+    follow(reply.revision);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Campaign
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Election::campaign()
+{
+    m_stage = Stage::Campaigning;
+    m_store.get(EpochKey, guard([this](const StoreReply &reply) { onEpoch(reply); }));
+}
+
+void Election::onEpoch(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Missing) {
+        retryLater();
+        return;
+    }
+    const bool isFirst = reply.status == StoreStatus::Missing || reply.items.empty();
+    m_campaignEpoch = isFirst ? 1 : parseEpoch(reply.items.front().value) + 1;
+    m_campaignEpochRevision = isFirst ? 0 : reply.items.front().revision;
+    m_leaseSentAt = m_clock.now();
+    m_store.grantLease(m_settings.leaseTime, guard([this](const StoreReply &it) { onGrant(it); }));
+}
+
+void Election::onGrant(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok) {
+        retryLater();
+        return;
+    }
+    m_lease = reply.lease;
+    m_settings.leaseTime = reply.lifetime.count() > 0 ? reply.lifetime : m_settings.leaseTime;
+    m_ownValue = m_node + " " + std::to_string(m_campaignEpoch) + " " + std::to_string(m_random());
+    StoreChange change;
+    change.conditions = {{std::string(LeaderKey), 0}, {std::string(EpochKey), m_campaignEpochRevision}};
+    change.puts = {{std::string(LeaderKey), m_ownValue, m_lease},
+                   {std::string(EpochKey), std::to_string(m_campaignEpoch), 0}};
+    m_store.change(std::move(change), guard([this](const StoreReply &it) { onWrite(it); }));
+}
+
+void Election::onWrite(const StoreReply &reply)
+{
+    m_stage = Stage::Idle;
+    m_nextAt = m_clock.now();
+    if (reply.status != StoreStatus::Ok) {
+        // Lost the race, or the answer was lost: the key tells which.
+        m_nextAt += reply.status == StoreStatus::Conflict ? Duration::zero() : LookAgainAfter;
+        return;
+    }
+    m_term = {m_campaignEpoch, reply.revision};
+    m_leaderName = m_node;
+    m_validUntil = m_leaseSentAt + m_settings.leaseTime;
+    m_renewAt = m_leaseSentAt + m_settings.renewEvery;
+    m_isDoubted = false;
+    m_log.write("leader_elected", "epoch", m_term.epoch, "revision", m_term.keyRevision);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Leading
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Election::renew(TimePoint now)
+{
+    m_isRenewing = true;
+    m_store.renewLease(m_lease, guard([this, now](const StoreReply &reply) { onRenewed(reply, now); }));
+}
+
+void Election::onRenewed(const StoreReply &reply, TimePoint sentAt)
+{
+    m_isRenewing = false;
+    if (m_term.epoch == 0) {
+        return;
+    }
+    if (reply.status == StoreStatus::Ok) {
+        if (m_clock.now() >= m_validUntil) {
+            doubt(); // it may have lapsed, or been taken away, in between
+        }
+        m_validUntil = sentAt + m_settings.leaseTime;
+        m_renewAt = sentAt + m_settings.renewEvery;
+        return;
+    }
+    if (reply.status == StoreStatus::Missing) {
+        loseTerm("the lease has lapsed");
+        m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage;
+        m_nextAt = m_clock.now();
+        return;
+    }
+    m_renewAt = m_clock.now() + m_settings.retryEvery;
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/intake.cpp
@@ -0,0 +1,217 @@
+#include <workflow/intake.h>
+
+#include <base/errors.h>
+
+#include <algorithm>
+
+namespace QuetzalRock::Workflow {
+
+Intake::Intake(RecordStore &store, Clock &clock, EventLog &log, const IntakeSettings &settings)
+    : m_store(store)
+    , m_clock(clock)
+    , m_log(log)
+    , m_settings(settings)
+{
+}
+
+const IntakeCounters &Intake::counters() const
+{
+    return m_counters;
+}
+
+std::size_t Intake::openWrites() const
+{
+    return m_writes.size();
+}
+
+IntakeReply Intake::notTaken() const
+{
+    return {IntakeOutcome::NotTaken, m_settings.retryAfter};
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Writes
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Intake::submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Done done)
+{
+    AcceptedJob job;
+    job.spec = std::move(spec);
+    job.queue = queue.name;
+    job.host = queue.host;
+    job.pathPrefix = queue.pathPrefix;
+    job.pool = queue.pool;
+    job.priority = queue.priority;
+    job.maxFailures = queue.maxFailures;
+    job.stretch = queue.stretch;
+    job.slackMs = queue.slackMs;
+    job.acceptedMs = m_clock.wallNow().count();
+    auto write = std::make_shared<Write>();
+    write->key = job.spec.key;
+    write->value = encodeAccepted(job);
+    write->deadline = deadline;
+    write->done = std::move(done);
+    m_writes.push_back(write);
+    send(write);
+}
+
+void Intake::cancel(const JobKey &key, TimePoint deadline, Done done)
+{
+    ++m_counters.cancels;
+    m_store.get(std::string(JobPrefix) + key, [this, key, deadline, done = std::move(done)](const StoreReply &reply) {
+        if (reply.status == StoreStatus::Missing) {
+            done({IntakeOutcome::NoSuchJob});
+            return;
+        }
+        if (reply.status != StoreStatus::Ok || reply.items.empty()) {
+            m_log.write("cancel_not_taken", "job", key);
+            done(notTaken());
+            return;
+        }
+        auto write = std::make_shared<Write>();
+        write->key = key;
+        write->isCancel = true;
+        write->jobRevision = reply.items.front().revision;
+        write->deadline = deadline;
+        write->done = done;
+        m_writes.push_back(write);
+        send(write);
+    });
+}
+
+void Intake::send(const WritePtr &write)
+{
+    StoreChange change;
+    const std::string job = std::string(JobPrefix) + write->key;
+    change.conditions = {{job, write->isCancel ? write->jobRevision : 0}};
+    change.puts = {{write->isCancel ? std::string(CancelPrefix) + write->key : job, write->value, 0}};
+    write->isSent = true;
+    m_store.change(std::move(change), [this, write](const StoreReply &reply) { onSent(write, reply); });
+}
+
+void Intake::onSent(const WritePtr &write, const StoreReply &reply)
+{
+    if (std::find(m_writes.begin(), m_writes.end(), write) == m_writes.end()) {
+        return; // its caller was told that the outcome is unknown
+    }
+    write->isSent = false;
+    switch (reply.status) {
+    case StoreStatus::Ok:
+        finish(write, IntakeOutcome::Ok);
+        return;
+    case StoreStatus::Conflict:
+        // A submission: the key exists, so it is this very job. A cancel: the job's record has gone, long after its end.
+        finish(write, write->isCancel ? IntakeOutcome::NoSuchJob : IntakeOutcome::Ok);
+        return;
+    case StoreStatus::NotTaken:
+    case StoreStatus::Missing:
+        if (!write->mayBeStored) {
+            finish(write, IntakeOutcome::NotTaken);
+            return;
+        }
+        break;
+    case StoreStatus::Unknown:
+        write->mayBeStored = true;
+        break;
+    }
+    write->retryAt = m_clock.now() + m_settings.retryEvery;
+}
+
+void Intake::finish(const WritePtr &write, IntakeOutcome outcome)
+{
+    std::erase(m_writes, write);
+    m_counters.accepted += outcome == IntakeOutcome::Ok && !write->isCancel ? 1 : 0;
+    m_counters.notTaken += outcome == IntakeOutcome::NotTaken ? 1 : 0;
+    m_counters.unknown += outcome == IntakeOutcome::Unknown ? 1 : 0;
+    m_log.write(write->isCancel ? "cancel_answered" : "job_answered", "job", write->key, "outcome", static_cast<int>(outcome),
+                "repeated", write->mayBeStored);
+    IntakeReply reply{outcome};
+    reply.retryAfter = outcome == IntakeOutcome::NotTaken ? m_settings.retryAfter : Duration{};
+    write->done(reply);
+}
+
+void Intake::tick(TimePoint now)
+{
+    const std::vector<WritePtr> writes = m_writes;
+    for (const WritePtr &it : writes) {
+        if (now + m_settings.answerMargin >= it->deadline) {
+            finish(it, IntakeOutcome::Unknown);
+        } else if (!it->isSent && now >= it->retryAt) {
+            send(it);
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Questions
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Intake::state(const JobKey &key, Done done)
+{
+    ++m_counters.questions;
+    m_store.get(std::string(ProgressPrefix) + key, [this, key, done = std::move(done)](const StoreReply &reply) {
+        if (reply.status == StoreStatus::Missing) {
+            askJob(key, done);
+            return;
+        }
+        if (reply.status != StoreStatus::Ok || reply.items.empty()) {
+            done(notTaken());
+            return;
+        }
+        IntakeReply answer;
+        try {
+            answer.state = decodeState(reply.items.front().value);
+        } catch (const Error &error) {
+            m_log.write("progress_unreadable", "job", key, "error", error.what());
+            answer = notTaken();
+        }
+        done(answer);
+    });
+}
+
+void Intake::askJob(const JobKey &key, const Done &done)
+{
+    m_store.get(std::string(JobPrefix) + key, [this, done](const StoreReply &reply) {
+        if (reply.status == StoreStatus::Missing) {
+            done({IntakeOutcome::NoSuchJob});
+        } else if (reply.status == StoreStatus::Ok) {
+            done({});
+        } else {
+            done(notTaken());
+        }
+    });
+}
+
+void Intake::count(const std::string &queue, Done done)
+{
+    ++m_counters.questions;
+    const auto answer = [this, queue] {
+        const auto it = m_counts.find(queue);
+        IntakeReply reply;
+        reply.pending = it == m_counts.end() ? 0 : it->second;
+        return reply;
+    };
+    if (m_hasCounts && m_clock.now() < m_countsAt + m_settings.countMaxAge) {
+        done(answer());
+        return;
+    }
+    m_store.get(PendingKey, [this, answer, done = std::move(done)](const StoreReply &reply) {
+        if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Missing) {
+            done(notTaken());
+            return;
+        }
+        try {
+            m_counts = reply.items.empty() ? std::map<std::string, std::uint32_t>()
+                                           : decodeCounts(reply.items.front().value);
+        } catch (const Error &error) {
+            m_log.write("counts_unreadable", "error", error.what());
+            done(notTaken());
+            return;
+        }
+        m_countsAt = m_clock.now();
+        m_hasCounts = true;
+        done(answer());
+    });
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/intake.h
@@ -0,0 +1,105 @@
+/**
+ * What any node does for callers: takes jobs and cancels into the store, and answers questions about jobs.
+ *
+ * Index of this file
+ *   IntakeOutcome, IntakeReply   what the caller may conclude
+ *   Intake                       one for each node; driven on the node's thread
+ *
+ * A job is accepted by one conditional write under its own key, so the same key is one job at whichever nodes it arrives.
+ * A write without an answer is repeated until its fate is known: the caller is never told "not accepted" of a job that the
+ * store may hold.
+ */
+#pragma once
+
+#include <workflow/ports.h>
+#include <workflow/progress.h>
+
+#include <base/eventlog.h>
+
+#include <memory>
+
+namespace QuetzalRock::Workflow {
+
+enum class IntakeOutcome : std::uint8_t {
+    Ok = 0,
+    NotTaken = 1,  ///< nothing was changed, and nothing will be; come back after IntakeReply::retryAfter
+    Unknown = 2,   ///< no answer from the store in time: send the same again
+    NoSuchJob = 3,
+};
+
+struct IntakeReply
+{
+    IntakeOutcome outcome = IntakeOutcome::Ok;
+    Duration retryAfter{};
+    WorkflowState state = WorkflowState::Queued; ///< of state questions
+    std::uint32_t pending = 0;                   ///< of counts
+};
+
+struct IntakeSettings
+{
+    Duration answerMargin = std::chrono::milliseconds(150); ///< the answer goes out so long before the caller's deadline
+    Duration retryEvery = std::chrono::milliseconds(100);   ///< of a write whose fate is unknown
+    Duration retryAfter = std::chrono::seconds(1);          ///< told to callers while the store does not take calls
+    Duration countMaxAge = std::chrono::milliseconds(500);  ///< of the counts kept for further questions
+};
+
+struct IntakeCounters
+{
+    std::uint64_t accepted = 0;
+    std::uint64_t notTaken = 0;
+    std::uint64_t unknown = 0;
+    std::uint64_t cancels = 0;
+    std::uint64_t questions = 0;
+};
+
+class Intake
+{
+public:
+    using Done = std::function<void(const IntakeReply &)>;
+
+    Intake(RecordStore &store, Clock &clock, EventLog &log, const IntakeSettings &settings = {});
+
+    void submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Done done);
+    void cancel(const JobKey &key, TimePoint deadline, Done done);
+    void state(const JobKey &key, Done done);
+    void count(const std::string &queue, Done done);
+
+    void tick(TimePoint now); ///< repeats writes whose fate is unknown
+
+    std::size_t openWrites() const;
+    const IntakeCounters &counters() const;
+
+private:
+    /** A write on its way for a caller. */
+    struct Write
+    {
+        JobKey key;
+        bool isCancel = false;
+        std::string value;
+        std::uint64_t jobRevision = 0; ///< cancels: of the job's record
+        TimePoint deadline;
+        TimePoint retryAt{};
+        bool isSent = false;
+        bool mayBeStored = false; ///< an earlier try had no answer
+        Done done;
+    };
+    using WritePtr = std::shared_ptr<Write>;
+
+    void send(const WritePtr &write);
+    void onSent(const WritePtr &write, const StoreReply &reply);
+    void finish(const WritePtr &write, IntakeOutcome outcome);
+    IntakeReply notTaken() const;
+    void askJob(const JobKey &key, const Done &done);
+
+    RecordStore &m_store;
+    Clock &m_clock;
+    EventLog &m_log;
+    IntakeSettings m_settings;
+    std::vector<WritePtr> m_writes;
+    std::map<std::string, std::uint32_t> m_counts;
+    TimePoint m_countsAt{};
+    bool m_hasCounts = false;
+    IntakeCounters m_counters;
+};
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/placement.cpp
@@ -0,0 +1,38 @@
+#include <workflow/placement.h>
+
+namespace QuetzalRock::Workflow {
+
+std::int64_t leftOver(const PlacementWeights &weights, const Candidate &worker)
+{
+    const double idleServing = (1 - weights.servingUse) * static_cast<double>(worker.servingMillis);
+    return worker.capacityMillis - worker.reservedMillis + static_cast<std::int64_t>(idleServing) - worker.spareMillis;
+}
+
+std::optional<double> scoreOf(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker)
+{
+    Resources need = step.need;
+    if (step.usesSpareCpu) {
+        need.cpuMillis = 0;
+    }
+    if (!need.fitsIn(worker.free)) {
+        return std::nullopt;
+    }
+    const std::int64_t left = leftOver(weights, worker);
+    const double wanted = static_cast<double>(step.need.cpuMillis) / weights.spareOvercommit;
+    if (step.usesSpareCpu && !worker.mayShareSpare && static_cast<double>(left) < wanted) {
+        return std::nullopt;
+    }
+    std::int64_t score = left;
+    if (step.isLasting) {
+        // Packed: beside other serving tasks, and where the least room is left after it.
+        score = worker.servingMillis > 0 ? 1'000'000 - worker.free.cpuMillis : left;
+        score -= worker.spareMillis;
+    } else if (worker.servingMillis > 0) {
+        score -= weights.servingPenaltyMillis;
+    }
+    score -= worker.isDoubtful ? weights.suspectPenaltyMillis : 0;
+    score -= worker.isOnPreferredRack ? 0 : weights.farPenaltyMillis;
+    return static_cast<double>(score);
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/progress.cpp
@@ -0,0 +1,242 @@
+#include <workflow/progress.h>
+
+#include <base/errors.h>
+
+#include <nlohmann/json.hpp>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+using nlohmann::json;
+
+constexpr int StoredVersion = 1; ///< of every stored form
+
+std::string pack(const json &value)
+{
+    std::string bytes;
+    json::to_msgpack(value, bytes);
+    return bytes;
+}
+
+json unpack(std::string_view bytes)
+{
+    json value = json::from_msgpack(bytes, true, false);
+    if (value.is_discarded() || !value.is_array() || value.empty() || value[0] != StoredVersion) {
+        throw InvalidArgument("record", "not a stored record of this version");
+    }
+    return value;
+}
+
+json stepToJson(const StepSpec &it)
+{
+    const unsigned flags = (it.isGang ? 1U : 0U) | (it.wantsOneRack ? 2U : 0U) | (it.isCheckpointed ? 4U : 0U)
+        | (it.mayRunCopies ? 8U : 0U) | (it.isLasting ? 16U : 0U) | (it.usesSpareCpu ? 32U : 0U);
+    return json::array({it.taskCount,
+                        it.need.cpuMillis,
+                        it.need.memoryMib,
+                        it.need.accelerators,
+                        it.estimateMs,
+                        it.after,
+                        it.requiredLabel,
+                        it.preferredRack,
+                        it.maxPerWorker,
+                        flags,
+                        it.image,
+                        it.latencyTargetMs,
+                        it.maxUnavailable});
+}
+
+StepSpec stepFromJson(const json &row)
+{
+    StepSpec it;
+    it.taskCount = row.at(0);
+    it.need = {row.at(1), row.at(2), row.at(3)};
+    it.estimateMs = row.at(4);
+    it.after = row.at(5).get<std::vector<std::uint32_t>>();
+    it.requiredLabel = row.at(6);
+    it.preferredRack = row.at(7);
+    it.maxPerWorker = row.at(8);
+    const unsigned flags = row.at(9);
+    it.isGang = (flags & 1U) != 0;
+    it.wantsOneRack = (flags & 2U) != 0;
+    it.isCheckpointed = (flags & 4U) != 0;
+    it.mayRunCopies = (flags & 8U) != 0;
+    it.isLasting = (flags & 16U) != 0;
+    it.usesSpareCpu = (flags & 32U) != 0;
+    it.image = row.at(10);
+    it.latencyTargetMs = row.at(11);
+    it.maxUnavailable = row.at(12);
+    return it;
+}
+
+bool hasStory(const TaskState &task)
+{
+    return task.phase == TaskPhase::Done || !task.failedAttempts.empty() || !task.checkpoint.empty();
+}
+
+void readTask(const json &row, JobState &job)
+{
+    auto &steps = job.occurrences.at(row.at(0).get<std::size_t>()).steps;
+    StepState &step = steps.at(row.at(1).get<std::size_t>());
+    TaskState &task = step.tasks.at(row.at(2).get<std::size_t>());
+    if (row.at(3).get<bool>()) {
+        task.phase = TaskPhase::Done;
+        ++step.doneCount;
+    }
+    task.failedAttempts = row.at(4).get<std::vector<std::uint64_t>>();
+    task.checkpoint = row.at(5);
+}
+
+} // namespace
+
+void resetTasks(JobState &job)
+{
+    const WorkflowSpec &spec = job.accepted.spec;
+    OccurrenceState occurrence;
+    for (const StepSpec &it : spec.steps) {
+        occurrence.steps.push_back({std::vector<TaskState>(it.taskCount), 0});
+    }
+    job.occurrences.assign(std::max<std::uint32_t>(1, spec.repeatCount), occurrence);
+}
+
+std::string encodeAccepted(const AcceptedJob &job)
+{
+    json steps = json::array();
+    for (const StepSpec &it : job.spec.steps) {
+        steps.push_back(stepToJson(it));
+    }
+    return pack(json::array({StoredVersion,
+                             job.spec.key,
+                             job.spec.payload,
+                             std::move(steps),
+                             job.spec.repeatCount,
+                             job.spec.firstStartMs,
+                             job.spec.intervalMs,
+                             job.queue,
+                             job.host,
+                             job.pathPrefix,
+                             job.pool,
+                             job.priority,
+                             job.maxFailures,
+                             job.stretch,
+                             job.slackMs,
+                             job.acceptedMs}));
+}
+
+AcceptedJob decodeAccepted(std::string_view bytes)
+{
+    const json value = unpack(bytes);
+    try {
+        AcceptedJob job;
+        job.spec.key = value.at(1);
+        job.spec.payload = value.at(2);
+        for (const json &it : value.at(3)) {
+            job.spec.steps.push_back(stepFromJson(it));
+        }
+        job.spec.repeatCount = value.at(4);
+        job.spec.firstStartMs = value.at(5);
+        job.spec.intervalMs = value.at(6);
+        job.queue = value.at(7);
+        job.host = value.at(8);
+        job.pathPrefix = value.at(9);
+        job.pool = value.at(10);
+        job.priority = value.at(11);
+        job.maxFailures = value.at(12);
+        job.stretch = value.at(13);
+        job.slackMs = value.at(14);
+        job.acceptedMs = value.at(15);
+        return job;
+    } catch (const json::exception &error) {
+        throw InvalidArgument("job", error.what());
+    }
+}
+
+std::string encodeProgress(const JobState &job)
+{
+    json rows = json::array();
+    const bool needsTasks = !isFinal(job.state);
+    for (std::size_t k = 0; needsTasks && k < job.occurrences.size(); ++k) {
+        const auto &steps = job.occurrences[k].steps;
+        for (std::size_t s = 0; s < steps.size(); ++s) {
+            for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
+                const TaskState &it = steps[s].tasks[i];
+                if (hasStory(it)) {
+                    const bool isDone = it.phase == TaskPhase::Done;
+                    rows.push_back(
+                        json::array({k, s, i, isDone, it.failedAttempts, isDone ? std::string() : it.checkpoint}));
+                }
+            }
+        }
+    }
+    return pack(json::array({StoredVersion, static_cast<int>(job.state), std::move(rows)}));
+}
+
+void decodeProgress(std::string_view bytes, JobState &job)
+{
+    const json value = unpack(bytes);
+    try {
+        job.state = static_cast<WorkflowState>(value.at(1).get<int>());
+        for (const json &it : value.at(2)) {
+            readTask(it, job);
+        }
+    } catch (const std::exception &error) {
+        throw InvalidArgument("progress", error.what());
+    }
+    for (OccurrenceState &occurrence : job.occurrences) {
+        for (const StepState &step : occurrence.steps) {
+            occurrence.doneSteps += step.doneCount == step.tasks.size() ? 1 : 0;
+        }
+    }
+}
+
+WorkflowState decodeState(std::string_view bytes)
+{
+    const json value = unpack(bytes);
+    try {
+        return static_cast<WorkflowState>(value.at(1).get<int>());
+    } catch (const json::exception &error) {
+        throw InvalidArgument("progress", error.what());
+    }
+}
+
+std::string encodeWorkers(const std::vector<KnownWorker> &workers)
+{
+    json rows = json::array({StoredVersion});
+    for (const KnownWorker &it : workers) {
+        rows.push_back(json::array({it.id, it.bornMs, it.address, it.pool}));
+    }
+    return pack(rows);
+}
+
+std::vector<KnownWorker> decodeWorkers(std::string_view bytes)
+{
+    const json value = unpack(bytes);
+    std::vector<KnownWorker> workers;
+    try {
+        for (std::size_t i = 1; i < value.size(); ++i) {
+            const json &row = value[i];
+            workers.push_back({row.at(0), row.at(1), row.at(2), row.at(3)});
+        }
+    } catch (const json::exception &error) {
+        throw InvalidArgument("workers", error.what());
+    }
+    return workers;
+}
+
+std::string encodeCounts(const std::map<std::string, std::uint32_t> &counts)
+{
+    return pack(json::array({StoredVersion, counts}));
+}
+
+std::map<std::string, std::uint32_t> decodeCounts(std::string_view bytes)
+{
+    const json value = unpack(bytes);
+    try {
+        return value.at(1).get<std::map<std::string, std::uint32_t>>();
+    } catch (const json::exception &error) {
+        throw InvalidArgument("pending", error.what());
+    }
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/progress.h
@@ -0,0 +1,151 @@
+/**
+ * What is stored of a workflow, and what the scheduler keeps of it in memory.
+ *
+ * Index of this file
+ *   AcceptedJob                 written once, by the node that accepts the job
+ *   TaskState, StepState ...    in memory; a part of it is stored as the job's progress
+ *   encode..., decode...        MessagePack; decode throws InvalidArgument for what it cannot read
+ *
+ * Stored keys
+ *   in/j/KEY      AcceptedJob; created once and never changed
+ *   in/c/KEY      exists: the caller has cancelled the job
+ *   out/KEY       progress: state, ends of tasks, failed attempts, checkpoints
+ *   ctl/leader    who decides, under a lease (election.h)
+ *   ctl/epoch     the last fencing epoch given out
+ *   ctl/workers   every worker that the present leader may have sent an order to
+ *   ctl/pending   jobs of each queue for which no task has started
+ */
+#pragma once
+
+#include <workflow/model.h>
+
+#include <map>
+#include <memory>
+
+namespace QuetzalRock::Workflow {
+
+constexpr std::string_view InboxPrefix = "in/";
+constexpr std::string_view JobPrefix = "in/j/";
+constexpr std::string_view CancelPrefix = "in/c/";
+constexpr std::string_view ProgressPrefix = "out/";
+constexpr std::string_view LeaderKey = "ctl/leader";
+constexpr std::string_view EpochKey = "ctl/epoch";
+constexpr std::string_view WorkersKey = "ctl/workers";
+constexpr std::string_view PendingKey = "ctl/pending";
+
+using WorkerIndex = std::uint32_t;
+constexpr WorkerIndex NoWorker = ~0U;
+
+/** A job as its caller handed it in, with the queue as it was then. */
+struct AcceptedJob
+{
+    WorkflowSpec spec;
+    std::string queue;      ///< name
+    std::string host;       ///< of the queue
+    std::string pathPrefix; ///< of the queue
+    std::string pool;
+    int priority = 0;
+    std::uint32_t maxFailures = 0;
+    double stretch = 1;
+    std::int64_t slackMs = 0;
+    std::int64_t acceptedMs = 0; ///< wall time
+};
+
+// ---------------------------------------------------------------------------------------------------------------------
+// In memory
+// ---------------------------------------------------------------------------------------------------------------------
+
+enum class TaskPhase : std::uint8_t {
+    Waiting = 0,  ///< not placed
+    Starting = 1, ///< ordered; not yet seen running
+    Running = 2,
+    Stopping = 3, ///< a stop was ordered; holds its room until the end is listed
+    Done = 4,
+};
+
+struct TaskState
+{
+    TaskPhase phase = TaskPhase::Waiting;
+    bool isAnswered = false;      ///< Starting: the worker has said yes
+    bool stopAnswered = false;    ///< Stopping: the worker has said yes; where it is not listed then, it never began
+    WorkerIndex worker = NoWorker;
+    WorkerIndex avoid = NoWorker; ///< where the last run failed or hung
+    std::uint64_t attempt = 0;    ///< of the present or last run
+    std::int64_t validUntilMs = 0; ///< Starting: worker's clock, after which the order is void
+    TimePoint orderedAt{};        ///< when the last order was sent
+    TimePoint answeredAt{};       ///< when it was answered
+    TimePoint startedAt{};        ///< when the run was ordered, or found
+    TimePoint retryAt{};          ///< Waiting: not before
+    std::int64_t gauge = 0;       ///< as RunningEntry::gauge
+    TimePoint idleSince{};        ///< has used no processor since; zero: it does, or is not known
+    std::uint64_t reportStamp = 0; ///< last report of its worker that listed it
+    std::uint8_t percent = 100;   ///< share last ordered
+    std::string checkpoint;
+    std::vector<std::uint64_t> failedAttempts;
+};
+
+struct StepState
+{
+    std::vector<TaskState> tasks;
+    std::uint32_t doneCount = 0;
+};
+
+struct OccurrenceState
+{
+    std::vector<StepState> steps;
+    std::uint32_t doneSteps = 0;
+};
+
+struct JobState
+{
+    AcceptedJob accepted;
+    std::uint64_t createdRevision = 0;
+    TimePoint learnedAt{};
+    WorkflowState state = WorkflowState::Queued;
+    bool isCancelled = false;       ///< no more starts; what runs is stopped
+    std::uint32_t heldTasks = 0;    ///< starting, running or stopping
+    std::uint64_t version = 0;      ///< grows with each change of what is stored
+    std::uint64_t storedVersion = 0;
+    std::vector<OccurrenceState> occurrences;
+
+    const JobKey &key() const
+    {
+        return accepted.spec.key;
+    }
+};
+
+/** Sizes the tables of @p job by its spec. */
+void resetTasks(JobState &job);
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Stored form
+// ---------------------------------------------------------------------------------------------------------------------
+
+std::string encodeAccepted(const AcceptedJob &job);
+AcceptedJob decodeAccepted(std::string_view bytes);
+
+std::string encodeProgress(const JobState &job);
+
+/** Fills state, ends, failures and checkpoints; resetTasks() comes first. */
+void decodeProgress(std::string_view bytes, JobState &job);
+
+/** Only the state: what a status question needs. */
+WorkflowState decodeState(std::string_view bytes);
+
+/** One line of ctl/workers. */
+struct KnownWorker
+{
+    WorkerId id;
+    std::int64_t bornMs = 0;
+    std::string address;
+    std::string pool;
+};
+
+std::string encodeWorkers(const std::vector<KnownWorker> &workers);
+std::vector<KnownWorker> decodeWorkers(std::string_view bytes);
+
+/** Pending jobs by queue. */
+std::string encodeCounts(const std::map<std::string, std::uint32_t> &counts);
+std::map<std::string, std::uint32_t> decodeCounts(std::string_view bytes);
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/scheduler.h
@@ -0,0 +1,239 @@
+/**
+ * The leader's work: takes over, places tasks, keeps leases alive, takes in ends, stores progress.
+ *
+ * Index of this file
+ *   WorkflowSettings     times and limits
+ *   WorkflowCounters     for metrics
+ *   WorkflowScheduler    one for each term of leadership; driven by tick() on one thread
+ *
+ * What is stored, and what is not
+ *   Stored: accepted jobs, cancels (both by whichever node takes them), ends, failed attempts, checkpoints, the list of
+ *   workers in use. Not stored: where a task runs. Workers remember that; a new leader reads it back from them.
+ *
+ * How a task never runs twice
+ *   - Each order carries a fencing token made of the epoch. A new leader renews on each worker first, with its own token:
+ *     from then on no order of a former leader has an effect there, and the lists that it gets are complete.
+ *   - A task whose job a former leader may have known is not placed before every worker has been read, or is known to run
+ *     nothing of the former leader any more (its lease has run out, or another life answers in its place).
+ *   - A worker that does not answer keeps its tasks until its lease has run out by its own, possibly slow, clock.
+ *   - An order without an answer holds its task until a stop has barred it, or its validity has passed there.
+ *   - Attempt numbers rise within an epoch, and start higher in each.
+ *   - An end is forgotten by the worker only after it is stored here.
+ */
+#pragma once
+
+#include <workflow/election.h>
+#include <workflow/mirror.h>
+#include <workflow/placement.h>
+#include <workflow/pool.h>
+
+#include <map>
+#include <unordered_map>
+
+namespace QuetzalRock::Workflow {
+
+struct WorkflowSettings
+{
+    Duration renewEvery = std::chrono::milliseconds(1000); ///< longest time between two renewals of one worker
+    Duration workerLease = std::chrono::seconds(5);        ///< outlives an election and a takeover
+    Duration maxWorkerLease = std::chrono::seconds(10);    ///< workers shorten any longer one to this
+    Duration orderValidity = std::chrono::milliseconds(2500); ///< a start that arrives later is rejected by the worker
+    Duration formerLeaderFirm = std::chrono::milliseconds(1700); ///< how long after our election a former leader may take on
+                                                                 ///< jobs: its lease and a margin
+    Duration formerLeaderLife = std::chrono::milliseconds(9700); ///< and how long it may send orders: its grace as well
+    Duration storeEvery = std::chrono::milliseconds(50);   ///< ends are gathered for so long before they are written
+    Duration pendingEvery = std::chrono::milliseconds(700); ///< between two writes of the counts of waiting jobs; callers
+                                                            ///< may be told counts of two seconds ago
+    Duration storeRetry = std::chrono::milliseconds(200);  ///< after a write that failed
+    Duration placeEvery = std::chrono::milliseconds(5);    ///< changes are gathered for so long before placing
+    Duration contactLost = std::chrono::milliseconds(2200); ///< a worker that has not answered for so long gets no starts
+    Duration askAgain = std::chrono::milliseconds(250);    ///< after a call to a worker without an answer; also for stops
+    Duration suspicion = std::chrono::seconds(2);          ///< a worker whose runs fail one after the other gets no work
+    Duration longestSuspicion = std::chrono::seconds(8);
+    std::uint32_t suspectAfter = 2;                        ///< failed runs in a row, over all jobs
+    Duration hungAfter = std::chrono::milliseconds(1500);  ///< a task that uses no processor for so long stands still
+    Duration patience = std::chrono::milliseconds(1500);   ///< a task that waits longer than this takes spare processors
+                                                           ///< that others want as well
+    Duration keepFinal = std::chrono::minutes(10);         ///< how long callers can ask for a job that has ended
+    Duration drainMargin = std::chrono::milliseconds(1500); ///< checkpointed work leaves a draining worker so long before
+                                                            ///< the worker does
+    PlacementWeights placement;
+};
+
+struct WorkflowCounters
+{
+    std::uint64_t starts = 0;
+    std::uint64_t startsRejected = 0;
+    std::uint64_t startsUnanswered = 0;
+    std::uint64_t done = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t lost = 0; ///< runs that ended with their worker's life or lease
+    std::uint64_t stops = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t throttles = 0;
+};
+
+class WorkflowScheduler
+{
+public:
+    WorkflowScheduler(const WorkflowSettings &settings,
+                      RecordStore &store,
+                      WorkerPort &workers,
+                      Clock &clock,
+                      EventLog &log,
+                      const Leadership &term);
+    WorkflowScheduler(const WorkflowScheduler &) = delete;
+    WorkflowScheduler &operator=(const WorkflowScheduler &) = delete;
+
+    /** Does all that is due. Sends orders only as far as @p authority goes. */
+    void tick(TimePoint now, Authority authority);
+
+    /** True once a worker or the store has shown that another leads. */
+    bool seemsDeposed() const;
+
+    /** A worker's entry in the registry has changed. @p record is empty where it was removed or cannot be read. */
+    void setWorker(const WorkerId &id, const std::optional<WorkerRecord> &record);
+
+    /** Jobs of @p queue for which no task has started yet. */
+    std::uint32_t pendingJobs(std::string_view queue) const;
+
+    bool isLoaded() const; ///< false: still reads what is stored
+    const WorkflowCounters &counters() const;
+    std::size_t activeJobs() const;
+
+private:
+    using JobPtr = std::unique_ptr<JobState>;
+    struct Rank
+    {
+        int priority = 0;
+        std::int64_t acceptedMs = 0;
+        JobKey key;
+
+        auto operator<=>(const Rank &) const = default;
+    };
+
+    // Takeover (takeover.cpp)
+    void loadWorkers();
+    void onWorkersLoaded(const StoreReply &reply);
+    void loadProgress(const std::string &afterKey);
+    void onProgressPage(const StoreReply &reply);
+    void retryLoad(std::string_view what);
+    void onInboxItem(const StoreItem &item);
+    void addJob(const StoreItem &item);
+    void onCancel(const JobKey &key);
+    bool mayBeRunningElsewhere(const JobState &job) const;
+    void resolveUnread(TimePoint now);
+
+    // Workers (contact.cpp)
+    WorkerState &addWorker(const WorkerId &id);
+    void renewWorkers(TimePoint now);
+    void renewWorker(WorkerIndex index, TimePoint now);
+    void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt);
+    void takeReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
+    void takeRunning(WorkerIndex index, const RunningEntry &entry);
+    void takeEnd(WorkerIndex index, const EndedEntry &entry);
+    void takeEndOfTask(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry);
+    void checkUnlisted(WorkerIndex index, std::int64_t clockMs, bool isWhole, TimePoint sentAt);
+    void loseRuns(WorkerIndex index, std::string_view why);
+    void beginLife(WorkerIndex index, const WorkerRecord &record);
+    void leaveDraining(WorkerIndex index, TimePoint now);
+    void noteHealth(WorkerState &worker, bool isGood, TimePoint now);
+    void forgetDurable(WorkerState &worker);
+    WorkerTarget target(const WorkerState &worker) const;
+    std::optional<TaskRef> find(const TaskName &name);
+
+    // Placing (dispatch.cpp)
+    void place(TimePoint now);
+    void placeJob(JobState &job, TimePoint now);
+    void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    bool isOpen(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
+    WorkerIndex choose(const TaskRef &ref, TimePoint now);
+    void start(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
+    void onStarted(const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
+    void stop(const TaskRef &ref, std::string_view why);
+    void sendStop(const TaskRef &ref);
+    void reserve(const TaskRef &ref, WorkerIndex worker);
+    void release(const TaskRef &ref); ///< takes the task off its worker
+    void waitAgain(const TaskRef &ref, Duration delay);
+    void takeBack(const TaskRef &ref); ///< release(), and back into the queue unless it is done
+    std::uint64_t nextAttempt(const TaskState &task) const;
+    void finishTask(const TaskRef &ref);
+    void failJob(JobState &job, std::string_view why);
+    void setFinal(JobState &job, WorkflowState state);
+    void stopAll(JobState &job, std::string_view why);
+
+    // Storing (storing.cpp)
+    void touch(JobState &job);
+    void storeProgress(TimePoint now);
+    void onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
+                  const std::vector<std::string> &values,
+                  const StoreReply &reply);
+    void storeWorkers();
+    void dropOldJobs(TimePoint now);
+    std::string encodePending() const;
+    JobState *findJob(const JobKey &key);
+    template<typename Handler>
+    auto guard(Handler handler); ///< drops answers that come after the term
+
+    WorkflowSettings m_settings;
+    RecordStore &m_store;
+    WorkerPort &m_port;
+    Clock &m_clock;
+    EventLog &m_log;
+    Leadership m_term;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< callbacks outlive the scheduler
+
+    // Takeover
+    enum class Load : std::uint8_t { Workers, Progress, Inbox, Done };
+    Load m_load = Load::Workers;
+    bool m_isLoading = false;
+    TimePoint m_loadRetryAt{};
+    TimePoint m_electedAt;
+    std::map<JobKey, std::string> m_loadedProgress; ///< until the jobs themselves are loaded
+    std::map<JobKey, std::uint64_t> m_storedRevisions; ///< of out/KEY
+    std::set<JobKey> m_cancelledEarly; ///< cancels that came before their job
+    PrefixMirror m_inbox;
+    std::uint64_t m_trustedRevision = 0; ///< jobs created after it are unknown to any former leader; 0: not known yet
+
+    // Workers
+    std::vector<std::unique_ptr<WorkerState>> m_workers; ///< by WorkerIndex; never shrinks in a term
+    std::unordered_map<WorkerId, WorkerIndex> m_workerIndex;
+    std::size_t m_unreadWorkers = 0; ///< may still run tasks that are not known here
+    bool m_workersDirty = false;
+    bool m_isStoringWorkers = false;
+    std::set<WorkerId> m_durableWorkers;
+    std::uint64_t m_workersRevision = 0;
+
+    // Jobs
+    std::unordered_map<JobKey, JobPtr> m_jobs;
+    std::map<Rank, JobState *> m_active; ///< not final
+    std::deque<std::pair<TimePoint, JobKey>> m_final;
+    TimePoint m_placeAt{};
+    bool m_mustPlace = false;
+    TimePoint m_now{};
+    TimePoint m_firmAt{}; ///< last tick with firm authority
+    Authority m_authority = Authority::None;
+    bool m_seemsDeposed = false;
+
+    // Storing
+    std::deque<JobKey> m_dirty;
+    std::set<JobKey> m_isDirty;
+    bool m_isStoring = false;
+    TimePoint m_storeAt{};
+    std::string m_storedPending; ///< ctl/pending as last written
+    TimePoint m_pendingAt{};     ///< not before
+    WorkflowCounters m_counters;
+};
+
+template<typename Handler>
+auto WorkflowScheduler::guard(Handler handler)
+{
+    return [alive = std::weak_ptr(m_alive), handler = std::move(handler)](const auto &reply) {
+        if (!alive.expired()) {
+            handler(reply);
+        }
+    };
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/takeover.cpp
@@ -0,0 +1,252 @@
+/** WorkflowScheduler: what a new leader reads before it decides anything. */
+#include <workflow/scheduler.h>
+
+#include <base/errors.h>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+constexpr Duration LoadRetry = std::chrono::milliseconds(200);
+
+} // namespace
+
+WorkflowScheduler::WorkflowScheduler(const WorkflowSettings &settings,
+                                     RecordStore &store,
+                                     WorkerPort &workers,
+                                     Clock &clock,
+                                     EventLog &log,
+                                     const Leadership &term)
+    : m_settings(settings)
+    , m_store(store)
+    , m_port(workers)
+    , m_clock(clock)
+    , m_log(log)
+    , m_term(term)
+    , m_electedAt(clock.now())
+    , m_inbox(store, clock, log, std::string(InboxPrefix), [this](const StoreItem &it) { onInboxItem(it); })
+{
+}
+
+bool WorkflowScheduler::seemsDeposed() const
+{
+    return m_seemsDeposed;
+}
+
+bool WorkflowScheduler::isLoaded() const
+{
+    return m_load == Load::Done;
+}
+
+const WorkflowCounters &WorkflowScheduler::counters() const
+{
+    return m_counters;
+}
+
+std::size_t WorkflowScheduler::activeJobs() const
+{
+    return m_active.size();
+}
+
+std::uint32_t WorkflowScheduler::pendingJobs(std::string_view queue) const
+{
+    std::uint32_t n = 0;
+    for (const auto &[rank, job] : m_active) {
+        const bool isWaiting = job->state == WorkflowState::Queued && job->heldTasks == 0;
+        n += isWaiting && job->accepted.queue == queue ? 1 : 0;
+    }
+    return n;
+}
+
+void WorkflowScheduler::tick(TimePoint now, Authority authority)
+{
+    m_now = now;
+    m_authority = authority;
+    m_firmAt = authority == Authority::Firm ? now : m_firmAt;
+    if (m_load == Load::Workers || m_load == Load::Progress) {
+        if (!m_isLoading && now >= m_loadRetryAt) {
+            m_isLoading = true;
+            m_load == Load::Workers ? loadWorkers() : loadProgress({});
+        }
+        return;
+    }
+    if (authority == Authority::Firm) {
+        m_inbox.tick(now);
+    }
+    if (m_load == Load::Inbox) {
+        if (!m_inbox.isLoaded()) {
+            return;
+        }
+        m_load = Load::Done;
+        m_loadedProgress.clear();
+        m_log.write("takeover_loaded", "epoch", m_term.epoch, "jobs", m_active.size(), "workers", m_workers.size());
+    }
+    if (authority == Authority::None) {
+        return;
+    }
+    resolveUnread(now);
+    renewWorkers(now);
+    if (now >= m_placeAt) {
+        place(now);
+    }
+    storeProgress(now);
+    dropOldJobs(now);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Loading
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkflowScheduler::retryLoad(std::string_view what)
+{
+    m_log.write("takeover_read_failed", "what", what, "epoch", m_term.epoch);
+    m_isLoading = false;
+    m_loadRetryAt = m_clock.now() + LoadRetry;
+}
+
+void WorkflowScheduler::loadWorkers()
+{
+    m_store.get(WorkersKey, guard([this](const StoreReply &reply) { onWorkersLoaded(reply); }));
+}
+
+void WorkflowScheduler::onWorkersLoaded(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Missing) {
+        retryLoad(WorkersKey);
+        return;
+    }
+    for (const StoreItem &it : reply.items) {
+        m_workersRevision = it.revision;
+        for (const KnownWorker &known : decodeWorkers(it.value)) {
+            WorkerState &worker = addWorker(known.id);
+            if (worker.record.address.empty()) {
+                worker.record.address = known.address;
+                worker.record.pool = known.pool;
+            }
+            worker.isUnresolved = !worker.isRead;
+            m_durableWorkers.insert(known.id);
+        }
+    }
+    m_load = Load::Progress;
+    loadProgress({});
+}
+
+void WorkflowScheduler::loadProgress(const std::string &afterKey)
+{
+    m_store.range(ProgressPrefix, afterKey, guard([this](const StoreReply &reply) { onProgressPage(reply); }));
+}
+
+void WorkflowScheduler::onProgressPage(const StoreReply &reply)
+{
+    if (reply.status != StoreStatus::Ok) {
+        retryLoad(ProgressPrefix);
+        return;
+    }
+    for (const StoreItem &it : reply.items) {
+        const JobKey key = it.key.substr(ProgressPrefix.size());
+        m_storedRevisions[key] = it.revision;
+        m_loadedProgress[key] = it.value;
+    }
+    if (reply.hasMore && !reply.items.empty()) {
+        loadProgress(reply.items.back().key);
+        return;
+    }
+    m_isLoading = false;
+    m_load = Load::Inbox;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Jobs and cancels
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkflowScheduler::onInboxItem(const StoreItem &item)
+{
+    if (item.isDeleted) {
+        return; // only leaders remove jobs, long after their end
+    }
+    try {
+        if (item.key.starts_with(JobPrefix)) {
+            addJob(item);
+        } else if (item.key.starts_with(CancelPrefix)) {
+            onCancel(item.key.substr(CancelPrefix.size()));
+        }
+    } catch (const Error &error) {
+        m_log.write("job_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
+    }
+}
+
+void WorkflowScheduler::addJob(const StoreItem &item)
+{
+    auto job = std::make_unique<JobState>();
+    job->accepted = decodeAccepted(item.value);
+    job->createdRevision = item.created;
+    job->learnedAt = m_clock.now();
+    resetTasks(*job);
+    const JobKey key = job->key();
+    if (m_jobs.contains(key)) {
+        return;
+    }
+    if (const auto progress = m_loadedProgress.find(key); progress != m_loadedProgress.end()) {
+        decodeProgress(progress->second, *job);
+    }
+    job->isCancelled = job->state == WorkflowState::Cancelled;
+    JobState &it = *m_jobs.emplace(key, std::move(job)).first->second;
+    if (isFinal(it.state)) {
+        m_final.emplace_back(m_clock.now(), key);
+        return;
+    }
+    m_active.emplace(Rank{it.accepted.priority, it.accepted.acceptedMs, key}, &it);
+    m_mustPlace = true;
+    if (m_cancelledEarly.erase(key) > 0) {
+        onCancel(key);
+    }
+}
+
+void WorkflowScheduler::onCancel(const JobKey &key)
+{
+    JobState *job = findJob(key);
+    if (job == nullptr) {
+        m_cancelledEarly.insert(key);
+        return;
+    }
+    if (isFinal(job->state)) {
+        return;
+    }
+    m_log.write("job_cancelled", "job", key, "held", job->heldTasks);
+    job->isCancelled = true;
+    setFinal(*job, WorkflowState::Cancelled);
+    stopAll(*job, "cancelled");
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// What a former leader may have left
+// ---------------------------------------------------------------------------------------------------------------------
+
+bool WorkflowScheduler::mayBeRunningElsewhere(const JobState &job) const
+{
+    return m_unreadWorkers > 0 && (m_trustedRevision == 0 || job.createdRevision <= m_trustedRevision);
+}
+
+/** Counts the workers that may still run what a former leader ordered, and notes from when on jobs are unknown to it. */
+void WorkflowScheduler::resolveUnread(TimePoint now)
+{
+    if (m_trustedRevision == 0 && now >= m_electedAt + m_settings.formerLeaderFirm
+        && m_inbox.freshAt() >= m_electedAt + m_settings.formerLeaderFirm) {
+        m_trustedRevision = m_inbox.revision();
+    }
+    const double longest = static_cast<double>(m_settings.workerLease.count()) / SlowestWorkerClock;
+    const TimePoint allLapsed
+        = m_electedAt + m_settings.formerLeaderLife + Duration(static_cast<Duration::rep>(longest));
+    std::size_t unread = 0;
+    for (const auto &it : m_workers) {
+        if (it->isUnresolved && (it->isRead || now >= allLapsed)) {
+            m_log.write("worker_resolved", "worker", it->record.id, "read", it->isRead);
+            it->isUnresolved = false;
+            m_mustPlace = true;
+        }
+        unread += it->isUnresolved ? 1 : 0;
+    }
+    m_unreadWorkers = unread;
+}
+
+} // namespace QuetzalRock::Workflow
