Keep filling tasks from slowing the serving tasks beside them

Sampled tails of all workers: of a pair of images a filling task either hardly disturbs a serving one or strongly (effects of about 1.3 and about 8.5 on its utilisation, times the share of the worker), and tail = base / (1 - utilisation) fits all samples.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -210,6 +210,7 @@
         }
     }
     checkUnlisted(index, report.clockMs, report.ended.size() < EndsPerReport, sentAt);
+    notePressure(index);
     if (hasNews) {
         worker.renewAt = std::max(worker.renewAt, m_now + m_settings.storeEvery + BatchEnds);
     } else if (!worker.keptEnds.empty()) {
@@ -265,7 +266,7 @@
         }
         return;
     }
-    const bool isIdle = entry.gauge == 0 && entry.percent > 0 && !ref->spec().isLasting;
+    const bool isIdle = entry.gauge == 0 && task.percent > 0 && !ref->spec().isLasting;
     if (!isIdle) {
         task.idleSince = {};
     } else if (task.idleSince == TimePoint{}) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::uint64_t AttemptsPerEpoch = 1000; ///< attempt numbers of one task in one epoch
 constexpr Duration PlaceAgain = 100ms;           ///< where tasks wait for room, for a time, or for a worker to be trusted
+constexpr Duration SortEvery = 100ms;            ///< turns of jobs change with time; a new job is sorted in at once
 constexpr Duration RejectedPause = 300ms;        ///< a worker that rejected a start gets none for so long
 constexpr Duration RetryDelay = 20ms;            ///< of a task whose start was rejected
 
@@ -29,6 +30,20 @@
     return n;
 }
 
+/** A serving task of the same image is there: what disturbs one disturbs the other, and nothing else does. */
+bool servesImage(const WorkerState &worker, const TaskRef &ref)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&ref](const TaskRef &it) {
+        return it.spec().isLasting && it.spec().image == ref.spec().image;
+    });
+}
+
+/** A task of the same job is there: their loads go up and down together. */
+bool servesJob(const WorkerState &worker, const TaskRef &ref)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&ref](const TaskRef &it) { return it.job == ref.job; });
+}
+
 } // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -39,7 +54,8 @@
 {
     m_placeAt = now + (m_mustPlace ? m_settings.placeEvery : PlaceAgain);
     m_mustPlace = false;
-    for (const auto &[rank, job] : m_active) {
+    sortJobs(now);
+    for (JobState *job : m_order) {
         const bool isTooNew = m_authority != Authority::Firm && job->learnedAt > m_firmAt;
         if (!job->isCancelled && !isTooNew && !mayBeRunningElsewhere(*job)) {
             placeJob(*job, now);
@@ -47,6 +63,25 @@
     }
 }
 
+void WorkflowScheduler::sortJobs(TimePoint now)
+{
+    if (now < m_orderAt && m_order.size() == m_active.size()) {
+        return;
+    }
+    m_orderAt = now + SortEvery;
+    const std::int64_t wallMs = m_clock.wallNow().count();
+    std::vector<std::pair<JobTurn, JobState *>> turns;
+    turns.reserve(m_active.size());
+    for (const auto &[key, job] : m_active) {
+        turns.emplace_back(turnOf(*job, wallMs), job);
+    }
+    std::sort(turns.begin(), turns.end());
+    m_order.clear();
+    for (const auto &[turn, job] : turns) {
+        m_order.push_back(job);
+    }
+}
+
 void WorkflowScheduler::placeJob(JobState &job, TimePoint now)
 {
     const WorkflowSpec &spec = job.accepted.spec;
@@ -156,6 +191,10 @@
         if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel)) {
             continue;
         }
+        const std::optional<double> push = pushOf(worker, ref);
+        if (!push) {
+            continue;
+        }
         if (step.maxPerWorker > 0 && runsOfStep(worker, ref) >= step.maxPerWorker) {
             continue;
         }
@@ -165,6 +204,9 @@
         candidate.reservedMillis = worker.reserved.cpuMillis;
         candidate.servingMillis = worker.servingUse;
         candidate.spareMillis = worker.spareUse;
+        candidate.hasSameImage = step.isLasting && servesImage(worker, ref);
+        candidate.hasSameJob = step.isLasting && servesJob(worker, ref);
+        candidate.push = *push;
         candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
         candidate.isDoubtful = task.avoid == i || worker.failuresInRow > 0;
         candidate.mayShareSpare = waitedMs > std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.patience).count();
@@ -250,6 +292,9 @@
     task.startedAt = now;
     task.idleSince = {};
     task.percent = 100;
+    task.gauge = 0;
+    task.serving = {};
+    task.stillSince = {};
     StartOrder order;
     order.run = {ref.name(), attempt};
     order.payload = ref.job->accepted.spec.payload;
@@ -398,7 +443,8 @@
     m_log.write("job_final", "job", job.key(), "state", static_cast<int>(state), "queue", job.accepted.queue, "age_ms",
                 m_clock.wallNow().count() - job.accepted.acceptedMs);
     job.state = state;
-    m_active.erase(Rank{job.accepted.priority, job.accepted.acceptedMs, job.key()});
+    m_active.erase(job.key());
+    std::erase(m_order, &job);
     m_final.emplace_back(m_clock.now(), job.key());
     touch(job);
 }
--- a/packages/workflow/model.h
+++ b/packages/workflow/model.h
@@ -151,7 +151,7 @@
 {
     RunName run;
     std::string checkpoint;
-    std::int64_t percent = 0; ///< share at which it works
+    std::int64_t percent = 0; ///< share of its work that is done; 100 for a lasting task that is at work
     std::int64_t gauge = 0;   ///< serving: tail latency in ms; else processors in use, in millis. Half a second old
 };
 
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -2,6 +2,12 @@
 
 namespace QuetzalRock::Workflow {
 
+namespace {
+
+constexpr std::int64_t ImageRank = 1'000'000; ///< above any worker's processors, in millis
+
+} // namespace
+
 std::int64_t leftOver(const PlacementWeights &weights, const Candidate &worker)
 {
     const double idleServing = (1 - weights.servingUse) * static_cast<double>(worker.servingMillis);
@@ -24,11 +30,14 @@
     }
     std::int64_t score = left;
     if (step.isLasting) {
-        // Packed: beside other serving tasks, and where the least room is left after it.
-        score = worker.servingMillis > 0 ? 1'000'000 - worker.free.cpuMillis : left;
+        // Beside its like, where the least room is left; then on a worker without serving tasks; then beside others.
+        score = worker.hasSameImage     ? (worker.hasSameJob ? 3 : 2) * ImageRank - worker.free.cpuMillis
+            : worker.servingMillis == 0 ? ImageRank + left
+                                        : left;
         score -= worker.spareMillis;
     } else if (worker.servingMillis > 0) {
         score -= weights.servingPenaltyMillis;
+        score -= static_cast<std::int64_t>(worker.push * static_cast<double>(weights.pushPenaltyMillis));
     }
     score -= worker.isDoubtful ? weights.suspectPenaltyMillis : 0;
     score -= worker.isOnPreferredRack ? 0 : weights.farPenaltyMillis;
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -103,6 +103,7 @@
     std::vector<TaskRef> runs;
     std::set<RunName> strays;     ///< runs that we did not order and whose size is unknown
     std::uint64_t reportCount = 0;
+    TimePoint sampledAt{};        ///< last report that the pressure model took in
 
     // Health
     std::uint32_t failuresInRow = 0; ///< of runs, over all jobs
--- /dev/null
+++ b/packages/workflow/pressure.h
@@ -0,0 +1,104 @@
+/**
+ * How much tasks on spare processors disturb serving tasks beside them, and what is done about it. Answers this load: a
+ * handful of images that fill, a handful that serve; of each pair either a small effect or a strong one, declared nowhere,
+ * which shows only in the serving tasks' tail latency, half a second late. The serving tasks' own load goes up and down
+ * within seconds, and those of one job do so together.
+ *
+ * A serving task is taken for a queue: tail = base / (1 - utilisation), where utilisation = own load x (1 + sum of effects),
+ * and a neighbour's effect is proportional to its share of the worker's processors. So a tail tells the utilisation, and
+ * from it the own load, and the target is a bound on the utilisation.
+ *
+ * Index of this file
+ *   PressureSettings   thresholds
+ *   ServingLoad        what is known of one serving task
+ *   FillingTask        a neighbour, as the choice of what to throttle sees it
+ *   PressureModel      the learned effects, by image; wraps the placement package's InterferenceModel
+ *   planThrottle()     how far neighbours are throttled to keep a serving task within a utilisation
+ */
+#pragma once
+
+#include <placement/interference.h>
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+namespace QuetzalRock::Workflow {
+
+struct PressureSettings
+{
+    double placeMargin = 0.10; ///< of utilisation, below that of the target: a new neighbour may bring a task up to there
+    double actMargin = 0.05;   ///< above this, neighbours are throttled ...
+    double aimMargin = 0.10;   ///< ... down to this, and throttles are lifted up to it
+    Duration lookAhead = std::chrono::milliseconds(900); ///< loads are extrapolated so far: the age of a report, the time to
+                                                         ///< the next, and that of a throttle
+    Duration startUp = std::chrono::milliseconds(1500); ///< of a serving task: its first tails say nothing
+    Duration sampleEvery = std::chrono::milliseconds(400); ///< reports cover the last half second
+    Duration moveAfter = std::chrono::milliseconds(1200);  ///< a neighbour held nearly still for so long is moved, if it can
+    int stillPercent = 15;     ///< throttled to this or less counts as held still
+    int coarseness = 20;       ///< throttles are multiples of this many percent points: fewer orders
+
+};
+
+/** Lives with a serving task's run. */
+struct ServingLoad
+{
+    double load = 0;   ///< own load, from the last report
+    double slope = 0;  ///< its change a second
+    TimePoint at{};    ///< of that report; zero: none yet
+};
+
+struct FillingTask
+{
+    ClassIndex image = 0;
+    double share = 0; ///< of the worker's processors, unthrottled
+    int percent = 100;
+};
+
+class PressureModel
+{
+public:
+    PressureModel();
+
+    ClassIndex classOf(std::string_view image);
+
+    /** Takes in a serving task's tail, beside @p shares of each image as used at the time. */
+    void observe(ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, ServingLoad &load);
+    void refresh(TimePoint now);
+
+    /** Added to 1, and multiplied with a task's own load, by a neighbour that fills the worker. */
+    double effect(ClassIndex service, ClassIndex neighbour) const;
+    double effectOf(ClassIndex service, std::span<const FillingTask> neighbours) const;
+
+    /** Own load expected at @p at; the class's usual one where the task has not been seen. */
+    double loadAt(ClassIndex service, const ServingLoad &load, TimePoint at) const;
+
+    /** Utilisation at which the tail is at @p targetMs. */
+    double utilisationAt(ClassIndex service, std::int64_t targetMs) const;
+
+private:
+    /** What is known of one serving image. */
+    struct Service
+    {
+        double leastTailMs = 0; ///< 0: not seen yet
+        double usualLoad = 0.45;
+        double peakLoad = 0.6;
+    };
+    Service &serviceOf(ClassIndex index);
+    double baseMs(ClassIndex service) const;
+
+    InterferenceModel m_model;
+    std::vector<Service> m_services; ///< by ClassIndex
+};
+
+/**
+ * New percentages for @p neighbours so that their effects on @p service add up to at most @p allowed: unthrottled, and from
+ * there the strongest first. @p percents holds what other serving tasks leave them, and is lowered in place.
+ */
+void planThrottle(const PressureModel &model,
+                  ClassIndex service,
+                  double allowed,
+                  std::span<const FillingTask> neighbours,
+                  std::span<int> percents);
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/pressureguard.cpp
@@ -0,0 +1,164 @@
+/** WorkflowScheduler: keeps tasks on spare processors from slowing the serving tasks beside them. */
+#include <workflow/scheduler.h>
+
+#include <algorithm>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+bool isServing(const TaskRef &ref)
+{
+    return ref.spec().isLasting && ref.spec().latencyTargetMs > 0;
+}
+
+double shareOf(const TaskRef &ref, const WorkerState &worker)
+{
+    return static_cast<double>(ref.spec().need.cpuMillis)
+        / static_cast<double>(std::max<std::int64_t>(1, worker.record.capacity.cpuMillis));
+}
+
+ClassIndex imageOf(const TaskRef &ref)
+{
+    return ref.job->occurrences[ref.occurrence].steps[ref.step].image;
+}
+
+} // namespace
+
+std::vector<TaskRef> WorkflowScheduler::fillingRuns(const WorkerState &worker) const
+{
+    std::vector<TaskRef> runs;
+    for (const TaskRef &it : worker.runs) {
+        if (it.spec().usesSpareCpu && it.task().phase != TaskPhase::Stopping) {
+            runs.push_back(it);
+        }
+    }
+    return runs;
+}
+
+std::vector<FillingTask> WorkflowScheduler::describeFilling(const WorkerState &worker, std::span<const TaskRef> runs) const
+{
+    std::vector<FillingTask> filling;
+    for (const TaskRef &it : runs) {
+        filling.push_back({imageOf(it), shareOf(it, worker), it.task().percent});
+    }
+    return filling;
+}
+
+/** How much the effects of all neighbours may add up to while @p serving stays @p margin below its target. */
+double WorkflowScheduler::allowedEffect(const TaskRef &serving, double margin) const
+{
+    const ClassIndex image = imageOf(serving);
+    const double load = m_pressure.loadAt(image, serving.task().serving, m_now + m_settings.pressure.lookAhead);
+    return (m_pressure.utilisationAt(image, serving.spec().latencyTargetMs) - margin) / load - 1;
+}
+
+/**
+ * What a task on spare processors would do to the serving tasks of a worker, or they to a new serving task: none where it
+ * would bring one near its target, else the strongest effect of the new task on any of them.
+ */
+std::optional<double> WorkflowScheduler::pushOf(const WorkerState &worker, const TaskRef &ref) const
+{
+    const bool isFilling = ref.spec().usesSpareCpu;
+    if ((isFilling && worker.servingUse == 0) || (!isFilling && !(isServing(ref) && worker.spareUse > 0))) {
+        return 0;
+    }
+    const std::vector<FillingTask> filling = describeFilling(worker, fillingRuns(worker));
+    const double margin = m_settings.pressure.placeMargin;
+    if (isServing(ref)) {
+        const bool fits = m_pressure.effectOf(imageOf(ref), filling) <= allowedEffect(ref, margin);
+        return fits ? std::optional<double>(0) : std::nullopt;
+    }
+    double strongest = 0;
+    for (const TaskRef &it : worker.runs) {
+        if (!isServing(it)) {
+            continue;
+        }
+        const double own = m_pressure.effect(imageOf(it), imageOf(ref)) * shareOf(ref, worker);
+        if (m_pressure.effectOf(imageOf(it), filling) + own > allowedEffect(it, margin)) {
+            return std::nullopt;
+        }
+        strongest = std::max(strongest, own);
+    }
+    return strongest;
+}
+
+/** Takes in the tails of a report, and throttles neighbours, or lifts their throttles, by what the tasks can bear. */
+void WorkflowScheduler::notePressure(WorkerIndex index)
+{
+    WorkerState &worker = *m_workers[index];
+    if (worker.servingUse == 0 || m_now < worker.sampledAt + m_settings.pressure.sampleEvery) {
+        return;
+    }
+    worker.sampledAt = m_now;
+    Shares shares{};
+    for (const TaskRef &it : worker.runs) {
+        if (it.spec().usesSpareCpu) { // as used in the half second that the tails are from
+            shares[imageOf(it)]
+                += static_cast<float>(it.task().gauge) / static_cast<float>(worker.record.capacity.cpuMillis);
+        }
+    }
+    for (const TaskRef &it : worker.runs) {
+        TaskState &task = it.task();
+        const bool hasStarted = m_now >= task.startedAt + m_settings.pressure.startUp;
+        if (isServing(it) && task.phase == TaskPhase::Running && task.gauge > 0 && hasStarted) {
+            m_pressure.observe(imageOf(it), task.gauge, shares, m_now, task.serving);
+        }
+    }
+    m_pressure.refresh(m_now);
+    setThrottles(index);
+}
+
+void WorkflowScheduler::setThrottles(WorkerIndex index)
+{
+    const WorkerState &worker = *m_workers[index];
+    const std::vector<TaskRef> runs = fillingRuns(worker);
+    if (runs.empty()) {
+        return;
+    }
+    const std::vector<FillingTask> filling = describeFilling(worker, runs);
+    std::vector<int> percents(runs.size(), 100);
+    bool mustLower = false;
+    for (const TaskRef &it : worker.runs) {
+        if (!isServing(it)) {
+            continue;
+        }
+        planThrottle(m_pressure, imageOf(it), allowedEffect(it, m_settings.pressure.aimMargin), filling, percents);
+        const double effects = m_pressure.effectOf(imageOf(it), filling);
+        mustLower = mustLower || effects > allowedEffect(it, m_settings.pressure.actMargin);
+    }
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const TaskState &task = runs[i].task();
+        const int wanted = percents[i] - percents[i] % m_settings.pressure.coarseness;
+        if (wanted > task.percent || (wanted < task.percent && mustLower)) {
+            throttle(runs[i], wanted);
+        }
+        const bool isStill = task.stillSince != TimePoint{} && m_now - task.stillSince >= m_settings.pressure.moveAfter;
+        if (isStill && runs[i].spec().isCheckpointed && choose(runs[i], m_now) != NoWorker) {
+            runs[i].task().avoid = index;
+            stop(runs[i], "it would slow a serving task beside it");
+        }
+    }
+}
+
+void WorkflowScheduler::throttle(const TaskRef &ref, int percent)
+{
+    TaskState &task = ref.task();
+    if (task.phase != TaskPhase::Running) {
+        return;
+    }
+    ++m_counters.throttles;
+    task.percent = static_cast<std::uint8_t>(percent);
+    const bool isStill = percent <= m_settings.pressure.stillPercent;
+    task.stillSince = !isStill ? TimePoint{} : task.stillSince == TimePoint{} ? m_now : task.stillSince;
+    const RunName run{ref.name(), task.attempt};
+    m_port.throttle(target(*m_workers[task.worker]), run, percent, guard([this, ref, key = ref.job->key(), percent, run](const OrderReply &reply) {
+        if (findJob(key) != ref.job || ref.task().attempt != run.attempt || reply.status == OrderStatus::Accepted) {
+            return;
+        }
+        // Not known to be in force: as if it had not been ordered, so that the next report orders it again.
+        ref.task().percent = static_cast<std::uint8_t>(percent == 100 ? 80 : 100);
+    }));
+}
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -18,6 +18,7 @@
 #pragma once
 
 #include <workflow/model.h>
+#include <workflow/pressure.h>
 
 #include <map>
 #include <memory>
@@ -77,6 +78,8 @@
     TimePoint startedAt{};        ///< when the run was ordered, or found
     TimePoint retryAt{};          ///< Waiting: not before
     std::int64_t gauge = 0;       ///< as RunningEntry::gauge
+    ServingLoad serving;          ///< of a serving task
+    TimePoint stillSince{};       ///< throttled to nearly nothing since; zero: it is not
     TimePoint idleSince{};        ///< has used no processor since; zero: it does, or is not known
     std::uint64_t reportStamp = 0; ///< last report of its worker that listed it
     std::uint8_t percent = 100;   ///< share last ordered
@@ -88,6 +91,7 @@
 {
     std::vector<TaskState> tasks;
     std::uint32_t doneCount = 0;
+    std::uint16_t image = 0; ///< class of the step's image in the pressure model
 };
 
 struct OccurrenceState
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -25,7 +25,9 @@
 #include <workflow/election.h>
 #include <workflow/mirror.h>
 #include <workflow/placement.h>
+#include <workflow/turns.h>
 #include <workflow/pool.h>
+#include <workflow/pressure.h>
 
 #include <map>
 #include <unordered_map>
@@ -58,6 +60,7 @@
     Duration drainMargin = std::chrono::milliseconds(1500); ///< checkpointed work leaves a draining worker so long before
                                                             ///< the worker does
     PlacementWeights placement;
+    PressureSettings pressure;
 };
 
 struct WorkflowCounters
@@ -103,14 +106,6 @@
 
 private:
     using JobPtr = std::unique_ptr<JobState>;
-    struct Rank
-    {
-        int priority = 0;
-        std::int64_t acceptedMs = 0;
-        JobKey key;
-
-        auto operator<=>(const Rank &) const = default;
-    };
 
     // Takeover (takeover.cpp)
     void loadWorkers();
@@ -144,6 +139,7 @@
 
     // Placing (dispatch.cpp)
     void place(TimePoint now);
+    void sortJobs(TimePoint now);
     void placeJob(JobState &job, TimePoint now);
     void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
@@ -163,6 +159,15 @@
     void setFinal(JobState &job, WorkflowState state);
     void stopAll(JobState &job, std::string_view why);
 
+    // Serving tasks and their neighbours (pressureguard.cpp)
+    void notePressure(WorkerIndex index);
+    void setThrottles(WorkerIndex index);
+    void throttle(const TaskRef &ref, int percent);
+    std::vector<TaskRef> fillingRuns(const WorkerState &worker) const;
+    std::vector<FillingTask> describeFilling(const WorkerState &worker, std::span<const TaskRef> runs) const;
+    double allowedEffect(const TaskRef &serving, double margin) const;
+    std::optional<double> pushOf(const WorkerState &worker, const TaskRef &ref) const;
+
     // Storing (storing.cpp)
     void touch(JobState &job);
     void storeProgress(TimePoint now);
@@ -205,9 +210,13 @@
     std::set<WorkerId> m_durableWorkers;
     std::uint64_t m_workersRevision = 0;
 
+    PressureModel m_pressure;
+
     // Jobs
     std::unordered_map<JobKey, JobPtr> m_jobs;
-    std::map<Rank, JobState *> m_active; ///< not final
+    std::unordered_map<JobKey, JobState *> m_active; ///< not final
+    std::vector<JobState *> m_order;                 ///< of m_active, as they get their turn; see JobTurn
+    TimePoint m_orderAt{};
     std::deque<std::pair<TimePoint, JobKey>> m_final;
     TimePoint m_placeAt{};
     bool m_mustPlace = false;
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -118,7 +118,7 @@
 std::string WorkflowScheduler::encodePending() const
 {
     std::map<std::string, std::uint32_t> counts;
-    for (const auto &[rank, job] : m_active) {
+    for (const auto &[key, job] : m_active) {
         if (job->state == WorkflowState::Queued && job->heldTasks == 0) {
             ++counts[job->accepted.queue];
         }
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -51,7 +51,7 @@
 std::uint32_t WorkflowScheduler::pendingJobs(std::string_view queue) const
 {
     std::uint32_t n = 0;
-    for (const auto &[rank, job] : m_active) {
+    for (const auto &[key, job] : m_active) {
         const bool isWaiting = job->state == WorkflowState::Queued && job->heldTasks == 0;
         n += isWaiting && job->accepted.queue == queue ? 1 : 0;
     }
@@ -182,6 +182,11 @@
     job->createdRevision = item.created;
     job->learnedAt = m_clock.now();
     resetTasks(*job);
+    for (OccurrenceState &occurrence : job->occurrences) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            occurrence.steps[s].image = m_pressure.classOf(job->accepted.spec.steps[s].image);
+        }
+    }
     const JobKey key = job->key();
     if (m_jobs.contains(key)) {
         return;
@@ -195,7 +200,7 @@
         m_final.emplace_back(m_clock.now(), key);
         return;
     }
-    m_active.emplace(Rank{it.accepted.priority, it.accepted.acceptedMs, key}, &it);
+    m_active.emplace(key, &it);
     m_mustPlace = true;
     if (m_cancelledEarly.erase(key) > 0) {
         onCancel(key);
--- /dev/null
+++ b/packages/workflow/turns.cpp
@@ -0,0 +1,63 @@
+#include <workflow/turns.h>
+
+#include <algorithm>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+/** The longest chain through the steps for which @p counts says true. */
+template<typename Counts>
+std::int64_t chain(const WorkflowSpec &spec, Counts counts)
+{
+    std::vector<std::int64_t> endMs(spec.steps.size(), 0);
+    std::int64_t longest = 0;
+    for (std::size_t s = 0; s < spec.steps.size(); ++s) {
+        std::int64_t begin = 0;
+        for (const std::uint32_t it : spec.steps[s].after) {
+            begin = std::max(begin, endMs[it]);
+        }
+        endMs[s] = begin + (counts(s) ? spec.steps[s].estimateMs : 0);
+        longest = std::max(longest, endMs[s]);
+    }
+    return longest;
+}
+
+} // namespace
+
+std::int64_t longestChainMs(const WorkflowSpec &spec)
+{
+    return chain(spec, [](std::size_t) { return true; });
+}
+
+std::int64_t remainingChainMs(const JobState &job, const OccurrenceState &occurrence)
+{
+    return chain(job.accepted.spec, [&occurrence](std::size_t s) {
+        return occurrence.steps[s].doneCount < occurrence.steps[s].tasks.size();
+    });
+}
+
+JobTurn turnOf(const JobState &job, std::int64_t wallMs)
+{
+    const AcceptedJob &accepted = job.accepted;
+    JobTurn turn;
+    turn.priority = accepted.priority;
+    turn.acceptedMs = accepted.acceptedMs;
+    turn.key = job.key();
+    turn.isNew = job.state == WorkflowState::Queued;
+    const auto &steps = accepted.spec.steps;
+    const bool isTimed = accepted.spec.repeatCount > 0;
+    const bool isLasting = std::any_of(steps.begin(), steps.end(), [](const StepSpec &it) { return it.isLasting; });
+    if (isLasting || isTimed) {
+        return turn; // each occurrence counts from its own due time, and a lasting task as long as it is at work
+    }
+    const double objective
+        = accepted.stretch * static_cast<double>(longestChainMs(accepted.spec)) + static_cast<double>(accepted.slackMs);
+    const auto endsAfter = static_cast<double>(wallMs - accepted.acceptedMs + remainingChainMs(job, job.occurrences.front()));
+    turn.hope = endsAfter <= objective ? JobHope::InTime
+        : endsAfter <= LateFactor * objective ? JobHope::Late
+                                              : JobHope::TooLate;
+    return turn;
+}
+
+} // namespace QuetzalRock::Workflow
