Count a former leader's lease as the longest; place serving tasks beside anything

LOST: a lasting task found no worker whose neighbours it could bear. Tests: aNewLeaderKeepsWhatItReadsBack fails without the change; 20 more with lost answers, freezes, unreadable workers, outages.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -167,6 +167,10 @@
         return; // asks again, with the new life's token
     }
     worker.clock.note(reply.report.clockMs, now);
+    if (!worker.isRead && !reply.report.running.empty()) {
+        // Whoever led before may have given it the longest lease just now.
+        worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.clock.reachedBy(m_settings.maxWorkerLease, now));
+    }
     worker.isRead = true;
     if (isFirst) {
         worker.renewAt = {}; // prolongs the lease now that the clock is known
@@ -198,9 +202,14 @@
     WorkerState &worker = *m_workers[index];
     ++worker.reportCount;
     worker.strays.clear();
+    worker.adoptedRuns = 0;
     for (const RunningEntry &it : report.running) {
         takeRunning(index, it);
     }
+    if (worker.adoptedRuns > 0) {
+        m_log.write("runs_adopted", "worker", worker.record.id, "runs", worker.adoptedRuns, "listed", report.running.size(),
+                    "clock_ms", report.clockMs);
+    }
     bool hasNews = false;
     for (const EndedEntry &it : report.ended) {
         if (it.sequence > worker.seenSequence) {
@@ -242,8 +251,7 @@
         task.attempt = entry.run.attempt;
         task.startedAt = m_now;
         reserve(*ref, index);
-        m_log.write("run_adopted", "job", ref->job->key(), "step", ref->step, "task", ref->index, "attempt",
-                    entry.run.attempt, "worker", worker.record.id);
+        ++worker.adoptedRuns;
     }
     if (!ref || ref->task().worker != index || ref->task().attempt != entry.run.attempt
         || ref->task().phase == TaskPhase::Waiting || ref->task().phase == TaskPhase::Done) {
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -34,7 +34,7 @@
         score = worker.hasSameImage     ? (worker.hasSameJob ? 3 : 2) * ImageRank - worker.free.cpuMillis
             : worker.servingMillis == 0 ? ImageRank + left
                                         : left;
-        score -= worker.spareMillis;
+        score -= worker.spareMillis + static_cast<std::int64_t>(worker.push * static_cast<double>(weights.pushPenaltyMillis));
     } else if (worker.servingMillis > 0) {
         score -= weights.servingPenaltyMillis;
         score -= static_cast<std::int64_t>(worker.push * static_cast<double>(weights.pushPenaltyMillis));
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -103,6 +103,7 @@
     std::vector<TaskRef> runs;
     std::set<RunName> strays;     ///< runs that we did not order and whose size is unknown
     std::uint64_t reportCount = 0;
+    std::uint32_t adoptedRuns = 0; ///< by the last report: runs of a former leader
     TimePoint sampledAt{};        ///< last report that the pressure model took in
 
     // Health
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -54,8 +54,8 @@
 }
 
 /**
- * What a task on spare processors would do to the serving tasks of a worker, or they to a new serving task: none where it
- * would bring one near its target, else the strongest effect of the new task on any of them.
+ * For a task on spare processors, its strongest effect on a serving task there; none where it would bring one near its
+ * target. For a serving task, by how much the neighbours' effects exceed what it can bear.
  */
 std::optional<double> WorkflowScheduler::pushOf(const WorkerState &worker, const TaskRef &ref) const
 {
@@ -65,9 +65,8 @@
     }
     const std::vector<FillingTask> filling = describeFilling(worker, fillingRuns(worker));
     const double margin = m_settings.pressure.placeMargin;
-    if (isServing(ref)) {
-        const bool fits = m_pressure.effectOf(imageOf(ref), filling) <= allowedEffect(ref, margin);
-        return fits ? std::optional<double>(0) : std::nullopt;
+    if (isServing(ref)) { // never refused: its neighbours are throttled
+        return std::max(0.0, m_pressure.effectOf(imageOf(ref), filling) - allowedEffect(ref, margin));
     }
     double strongest = 0;
     for (const TaskRef &it : worker.runs) {
--- /dev/null
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -0,0 +1,333 @@
+/** The whole path in one process: jobs in, tasks on workers, ends stored; with the faults that it is built for. */
+#include "rig.h"
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+constexpr auto Done = WorkflowState::Completed;
+
+} // namespace
+
+TEST(Workflow, runsStepsInOrderAndStoresTheEnd)
+{
+    Rig rig;
+    rig.run(1s);
+    rig.submit(1, Rig::makeJob("a", 3, 2));
+    rig.run(400ms);
+    EXPECT_EQ(rig.fleet.runningTasks(), 3U) << "the second step waits for the first";
+    rig.run(2s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_EQ(rig.fleet.starts, 6U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, theSameKeyAtTwoNodesIsOneJob)
+{
+    Rig rig;
+    rig.run(1s);
+    std::optional<IntakeOutcome> first;
+    std::optional<IntakeOutcome> second;
+    rig.submit(0, Rig::makeJob("a", 2), &first);
+    rig.submit(1, Rig::makeJob("a", 2), &second);
+    rig.run(2s);
+    EXPECT_EQ(first, IntakeOutcome::Ok);
+    EXPECT_EQ(second, IntakeOutcome::Ok);
+    EXPECT_EQ(rig.fleet.starts, 2U);
+}
+
+TEST(Workflow, aLostAnswerIsNeverTakenForARefusal)
+{
+    Rig rig;
+    rig.run(1s);
+    std::optional<IntakeOutcome> outcome;
+    rig.nodes[1]->store.loseAnswers = 1;
+    rig.submit(1, Rig::makeJob("a", 1), &outcome);
+    rig.run(100ms);
+    rig.nodes[1]->store.isRefusing = true; // the repeat is refused, and that says nothing of the first try
+    rig.run(3s);
+    EXPECT_EQ(outcome, IntakeOutcome::Unknown);
+    EXPECT_EQ(rig.state("a"), Done);
+}
+
+TEST(Workflow, aRefusedJobNeverRuns)
+{
+    Rig rig;
+    rig.run(1s);
+    std::optional<IntakeOutcome> outcome;
+    rig.nodes[1]->store.isRefusing = true;
+    rig.submit(1, Rig::makeJob("a", 1), &outcome);
+    rig.run(3s);
+    EXPECT_EQ(outcome, IntakeOutcome::NotTaken);
+    EXPECT_EQ(rig.fleet.starts, 0U);
+}
+
+// A new leader has prolonged no lease yet: what it reads back must not count as lapsed.
+TEST(Workflow, aNewLeaderKeepsWhatItReadsBack)
+{
+    Rig rig;
+    rig.fleet.workTime = 8s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 6));
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 6U);
+    rig.kill(rig.leader());
+    rig.run(10s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_EQ(rig.fleet.starts, 6U) << "nothing was started again";
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, aLeaderThatWakesFromAFreezeHasNoEffect)
+{
+    Rig rig(3);
+    rig.fleet.workTime = 700ms;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 6, 3));
+    rig.run(300ms);
+    RigNode &frozen = *rig.nodes[static_cast<std::size_t>(rig.leader())];
+    frozen.isFrozen = true;
+    rig.run(4s);
+    frozen.isFrozen = false;
+    rig.run(5s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+    EXPECT_EQ(frozen.node->scheduler(), nullptr) << "it has stood down";
+}
+
+// While a worker cannot be read, it may run any task of the former leader.
+TEST(Workflow, aNewLeaderWaitsForAWorkerThatItCannotRead)
+{
+    Rig rig(2, 2);
+    rig.fleet.workTime = 60s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(1s);
+    const int former = rig.leader();
+    rig.nodes[static_cast<std::size_t>(1 - former)]->port.cutFrom = {"w0"};
+    const std::size_t before = rig.fleet.runningTasks();
+    rig.kill(former);
+    rig.run(4s);
+    EXPECT_EQ(rig.fleet.starts, before) << "w0's tasks are not started a second time";
+    rig.run(20s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 4U) << "its lease has run out, so they run elsewhere";
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, anUnreachableWorkerKeepsItsTasksUntilItsLeaseHasRunOut)
+{
+    Rig rig(1, 2);
+    rig.fleet.workTime = 60s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(1s);
+    rig.nodes[0]->port.cutFrom = {"w0"};
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.starts, 4U);
+    rig.run(4s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 4U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, aStartWithoutAnAnswerIsBarredBeforeItIsTriedElsewhere)
+{
+    for (const Duration late : {Duration(-1s), Duration(100ms), Duration(700ms), Duration(2s), Duration(5s)}) {
+        Rig rig(1, 3);
+        rig.run(1s);
+        rig.nodes[0]->port.loseStarts = 2;
+        rig.nodes[0]->port.applyLostAfter = late;
+        rig.submit(0, Rig::makeJob("a", 4));
+        rig.run(8s);
+        EXPECT_EQ(rig.state("a"), Done);
+        EXPECT_TRUE(rig.fleet.faults.empty()) << late.count() << ": " << rig.fleet.faults.front();
+    }
+}
+
+// An end is forgotten by the worker only once it is stored: a leader that dies in an outage takes nothing with it.
+TEST(Workflow, endsOutliveAnOutageAndTheLeader)
+{
+    Rig rig(2);
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(200ms);
+    for (const auto &it : rig.nodes) {
+        it->store.isRefusing = true;
+    }
+    rig.run(2s);
+    EXPECT_NE(rig.state("a"), Done);
+    rig.kill(0);
+    rig.nodes[1]->store.isRefusing = false;
+    rig.run(4s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_EQ(rig.fleet.starts, 4U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+// The store is away from everybody: known jobs go on, step after step.
+TEST(Workflow, knownJobsGoOnWhileTheStoreIsAway)
+{
+    Rig rig(2);
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 2, 4));
+    rig.run(200ms);
+    for (const auto &it : rig.nodes) {
+        it->store.isRefusing = true;
+    }
+    rig.run(4s);
+    EXPECT_EQ(rig.fleet.starts, 8U) << "four steps of two tasks";
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, aLostAnswerOfAWriteDoesNotUndoALaterOne)
+{
+    Rig rig(1);
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 1));
+    rig.run(50ms);
+    rig.nodes[0]->store.loseAnswers = 1;
+    rig.nodes[0]->store.applyLostLate = 2s;
+    rig.run(5s);
+    EXPECT_EQ(rig.state("a"), Done);
+}
+
+TEST(Workflow, aCancelledJobIsStoppedAndStartsNoMore)
+{
+    Rig rig;
+    rig.fleet.lasting = {"a"};
+    rig.run(1s);
+    WorkflowSpec spec = Rig::makeJob("a", 3);
+    spec.steps[0].isLasting = true;
+    rig.submit(0, spec);
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 3U);
+    rig.cancel(1, "a");
+    rig.run(1s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Cancelled);
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.starts, 3U);
+}
+
+TEST(Workflow, aTaskThatFailsTooOftenEndsItsJob)
+{
+    Rig rig;
+    rig.fleet.poisoned = {"a"};
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 1));
+    rig.submit(0, Rig::makeJob("b", 2));
+    rig.run(6s);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Failed);
+    EXPECT_EQ(rig.state("b"), Done);
+}
+
+TEST(Workflow, failuresAreCountedAcrossLeaders)
+{
+    Rig rig(2, 3);
+    rig.fleet.poisoned = {"a"};
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 1));
+    rig.run(150ms);
+    rig.kill(rig.leader());
+    rig.run(8s);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Failed);
+    EXPECT_LE(rig.fleet.starts, 3U);
+}
+
+TEST(Workflow, aWorkerThatFailsEverythingLosesItsWork)
+{
+    Rig rig(1, 4);
+    rig.fleet.workers["w2"].failsAll = true;
+    rig.run(1s);
+    for (int i = 0; i < 10; ++i) {
+        rig.submit(0, Rig::makeJob("job" + std::to_string(i), 4));
+        rig.run(200ms);
+    }
+    rig.run(4s);
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(rig.state("job" + std::to_string(i)), Done) << i;
+    }
+}
+
+TEST(Workflow, aDrainingWorkerGetsNoWorkAndLastingTasksLeaveIt)
+{
+    Rig rig(1, 2);
+    rig.fleet.lasting = {"a"};
+    rig.run(1s);
+    WorkflowSpec spec = Rig::makeJob("a", 4);
+    spec.steps[0].isLasting = true;
+    rig.submit(0, spec);
+    rig.run(1s);
+    rig.fleet.workers["w0"].condition = WorkerCondition::Draining;
+    rig.backend.write("servers/w0", "2");
+    rig.run(2s);
+    EXPECT_EQ(rig.fleet.workers["w0"].running.size(), 0U);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 4U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, aRebornWorkerIsReadAnew)
+{
+    Rig rig(1, 2);
+    rig.fleet.workTime = 5s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(1s);
+    rig.fleet.rebirth("w0");
+    rig.run(12s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, lostHistoryOfTheStoreHidesNoJob)
+{
+    Rig rig;
+    rig.run(1s);
+    for (const auto &it : rig.nodes) {
+        it->store.isSilent = true;
+    }
+    rig.run(200ms);
+    rig.backend.write(std::string(JobPrefix) + "x", "not a record"); // from another writer: named in the log, and left
+    rig.backend.dropHistory();
+    for (const auto &it : rig.nodes) {
+        it->store.isSilent = false;
+    }
+    rig.run(2s);
+    rig.submit(1, Rig::makeJob("a", 2));
+    rig.run(3s);
+    EXPECT_EQ(rig.state("a"), Done);
+}
+
+TEST(Workflow, aGangStartsTogetherOrNotAtAll)
+{
+    Rig rig(1, 2);
+    rig.run(1s);
+    WorkflowSpec spec = Rig::makeJob("a", 40);
+    spec.steps[0].isGang = true;
+    rig.submit(0, spec); // 40 processors are wanted, and 32 are there
+    WorkflowSpec small = Rig::makeJob("b", 20);
+    small.steps[0].isGang = true;
+    rig.submit(0, small);
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.starts, 20U);
+    EXPECT_EQ(rig.state("b"), Done);
+}
+
+TEST(Workflow, occurrencesStartWhenTheyAreDue)
+{
+    Rig rig(1, 2);
+    rig.run(1s);
+    WorkflowSpec spec = Rig::makeJob("a", 1);
+    spec.repeatCount = 3;
+    spec.intervalMs = 1000;
+    spec.firstStartMs = rig.clock.wallNow().count() + 1000;
+    rig.submit(0, spec);
+    rig.run(900ms);
+    EXPECT_EQ(rig.fleet.starts, 0U);
+    rig.run(1100ms);
+    EXPECT_EQ(rig.fleet.starts, 1U);
+    rig.run(4s);
+    EXPECT_EQ(rig.fleet.starts, 3U);
+    EXPECT_EQ(rig.state("a"), Done);
+}
+
+} // namespace QuetzalRock::Workflow
