Take no lease for run out while another may lead

Ruled out: late orders (none in the log), the successor's reading (it had adopted all runs). Test: aLeaderInDoubtTakesNoLeaseForRunOut, failed before. Conclusion: only a leader with firm authority draws conclusions from time alone.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -87,7 +87,9 @@
 {
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         WorkerState &worker = *m_workers[i];
-        if (!worker.runs.empty() && worker.clock.isKnown() && now >= worker.leaseEndsBy) {
+        // Only a leader that is sure to be the only one knows that nobody else has prolonged the lease.
+        const bool hasRunOut = worker.clock.isKnown() && now >= worker.leaseEndsBy;
+        if (!worker.runs.empty() && hasRunOut && m_authority == Authority::Firm) {
             loseRuns(i, "its lease has run out");
         }
         const bool isWanted = worker.isListed || worker.isUnresolved || !worker.runs.empty();
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -114,6 +114,23 @@
     EXPECT_TRUE(rig.fleet.faults.empty());
 }
 
+// A leader cut off from the store does not reach w0, and its successor does: what the one takes for run out, the other renews.
+TEST(Workflow, aLeaderInDoubtTakesNoLeaseForRunOut)
+{
+    Rig rig(2, 2);
+    rig.fleet.workTime = 60s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(1s);
+    const int former = rig.leader();
+    RigNode &cutOff = *rig.nodes[static_cast<std::size_t>(former)];
+    cutOff.store.isSilent = true;
+    cutOff.port.cutFrom = {"w0"};
+    rig.nodes[static_cast<std::size_t>(1 - former)]->port.cutFrom = {"w1"};
+    rig.run(9s);
+    EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
+}
+
 TEST(Workflow, anUnreachableWorkerKeepsItsTasksUntilItsLeaseHasRunOut)
 {
     Rig rig(1, 2);
