End a term on the first proof of another; read a reborn worker before judging its runs

Conclusion: a fenced order is proof, and ends the term at once; what runs on a new life is told by its first report only.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -2,6 +2,7 @@
 #include <workflow/scheduler.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace QuetzalRock::Workflow {
 
@@ -59,17 +60,21 @@
     }
 }
 
-/** The same id, started anew: it runs nothing, and has forgotten every fencing token. */
+/**
+ * The same id, started anew: what it ran is gone, and it has forgotten every fencing token. Orders sent just before this was
+ * known may have reached the new life; its first report, with a higher token, shows which did.
+ */
 void WorkflowScheduler::beginLife(WorkerIndex index, const WorkerRecord &record)
 {
     WorkerState &worker = *m_workers[index];
-    m_log.write("worker_reborn", "worker", worker.record.id, "born", record.bornMs, "before", worker.record.bornMs);
-    loseRuns(index, "the worker has started anew");
+    m_log.write("worker_reborn", "worker", worker.record.id, "born", record.bornMs, "before", worker.record.bornMs, "runs",
+                worker.runs.size());
     worker.record.bornMs = record.bornMs;
     ++worker.lives;
     worker.fence = (m_term.epoch << FenceLifeBits) + worker.lives;
     worker.isRead = false;
-    worker.isUnresolved = false;
+    worker.isReadFirmly = false;
+    worker.isNewLife = true;
     worker.clock.forget();
     worker.seenSequence = 0;
     worker.forgetUpTo = 0;
@@ -136,7 +141,7 @@
         break;
     case OrderStatus::Fenced:
         m_log.write("fenced_by_worker", "worker", worker.record.id, "epoch", m_term.epoch);
-        m_seemsDeposed = true;
+        m_isDeposed = true;
         worker.renewAt = now + m_settings.askAgain;
         return;
     case OrderStatus::OtherLife:
@@ -174,6 +179,7 @@
         worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.clock.reachedBy(m_settings.maxWorkerLease, now));
     }
     worker.isRead = true;
+    worker.isReadFirmly = worker.isReadFirmly || m_authority == Authority::Firm;
     if (isFirst) {
         worker.renewAt = {}; // prolongs the lease now that the clock is known
         m_mustPlace = true;
@@ -366,12 +372,20 @@
 void WorkflowScheduler::checkUnlisted(WorkerIndex index, std::int64_t clockMs, bool isWhole, TimePoint sentAt)
 {
     WorkerState &worker = *m_workers[index];
+    const bool isNewLife = std::exchange(worker.isNewLife, false);
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
         TaskState &task = ref.task();
         if (task.worker != index || task.reportStamp == worker.reportCount || task.orderedAt >= sentAt) {
             continue;
         }
+        if (isNewLife) {
+            ++m_counters.lost;
+            m_log.write("run_lost", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id,
+                        "why", "the worker has started anew");
+            takeBack(ref);
+            continue;
+        }
         const bool isAnswered = task.phase == TaskPhase::Stopping ? task.stopAnswered : task.isAnswered;
         if (!isAnswered && task.phase != TaskPhase::Running) {
             if (task.phase == TaskPhase::Starting && clockMs > task.validUntilMs + ClockMarginMs) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -181,7 +181,7 @@
     double bestScore = 0;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         const WorkerState &worker = *m_workers[i];
-        const bool isUsable = worker.isListed && worker.isRead && worker.record.condition == WorkerCondition::Ready
+        const bool isUsable = worker.isListed && worker.isReadFirmly && worker.record.condition == WorkerCondition::Ready
             && worker.record.pool == ref.job->accepted.pool && worker.strays.empty() && worker.lostCalls == 0
             && now >= worker.noStartsUntil && now < worker.answeredAt + m_settings.contactLost
             && m_durableWorkers.contains(worker.record.id);
@@ -307,9 +307,13 @@
         touch(*ref.job);
     }
     ++m_counters.starts;
-    m_port.start(target(worker), order, guard([this, ref, key = ref.job->key(), index, attempt](const OrderReply &reply) {
-        onStarted(ref, key, index, attempt, reply);
-    }));
+    const auto onReply = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence](const OrderReply &reply) {
+        // Fenced off by our own token for the worker's next life: its first report decides.
+        if (reply.status != OrderStatus::Fenced || m_workers[index]->fence == fence) {
+            onStarted(ref, key, index, attempt, reply);
+        }
+    };
+    m_port.start(target(worker), order, guard(onReply));
 }
 
 void WorkflowScheduler::onStarted(const TaskRef &ref,
@@ -335,7 +339,7 @@
         return;
     }
     if (reply.status == OrderStatus::Fenced) {
-        m_seemsDeposed = true;
+        m_isDeposed = true;
         return;
     }
     if (reply.status == OrderStatus::Unanswered) {
@@ -380,7 +384,7 @@
     const WorkerState &worker = *m_workers[task.worker];
     task.orderedAt = m_clock.now();
     const RunName run{ref.name(), task.attempt};
-    m_port.stop(target(worker), run, guard([this, ref, key = ref.job->key(), attempt = task.attempt](const OrderReply &reply) {
+    m_port.stop(target(worker), run, guard([this, ref, key = ref.job->key(), attempt = task.attempt, fence = worker.fence](const OrderReply &reply) {
         if (findJob(key) != ref.job) {
             return;
         }
@@ -391,8 +395,8 @@
         if (reply.status == OrderStatus::Accepted || reply.status == OrderStatus::Superseded) {
             it.stopAnswered = true;
             it.answeredAt = m_clock.now();
-        } else if (reply.status == OrderStatus::Fenced) {
-            m_seemsDeposed = true;
+        } else if (reply.status == OrderStatus::Fenced && it.worker != NoWorker && m_workers[it.worker]->fence == fence) {
+            m_isDeposed = true;
         }
     }));
 }
--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -74,13 +74,22 @@
     }
 }
 
+void Election::lookAtOnce()
+{
+    m_nextAt = std::min(m_nextAt, m_clock.now());
+    m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage; // the watch's answer is then ignored
+}
+
 void Election::doubt()
 {
-    if (m_term.epoch != 0) {
-        m_isDoubted = true;
-        m_nextAt = std::min(m_nextAt, m_clock.now());
-        m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage; // the watch's answer is then ignored
-    }
+    m_isDoubted = true;
+    lookAtOnce();
+}
+
+void Election::depose()
+{
+    loseTerm("a higher epoch has been seen");
+    lookAtOnce();
 }
 
 void Election::resign()
@@ -276,8 +285,7 @@
     }
     if (reply.status == StoreStatus::Missing) {
         loseTerm("the lease has lapsed");
-        m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage;
-        m_nextAt = m_clock.now();
+        lookAtOnce();
         return;
     }
     m_renewAt = m_clock.now() + m_settings.retryEvery;
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -56,8 +56,8 @@
     const Leadership &leadership() const;
     Authority authority(TimePoint now) const;
 
-    /** Something says that another leads: looks at the key before anything else. */
-    void doubt();
+    /** A worker or the store has shown that another leads, or has led since: the term is over. */
+    void depose();
 
     /** Ends the term and takes part in no other. */
     void resign();
@@ -86,6 +86,8 @@
     void onRenewed(const StoreReply &reply, TimePoint sentAt);
     void takeKey(const StoreItem &item);
     void loseTerm(std::string_view why);
+    void doubt(); ///< looks at the key before anything else
+    void lookAtOnce();
     void retryLater();
 
     RecordStore &m_store;
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -83,8 +83,8 @@
     if (m_scheduler) {
         m_registry->tick(now);
         m_scheduler->tick(now, m_election.authority(now));
-        if (m_scheduler->seemsDeposed()) {
-            m_election.doubt();
+        if (m_scheduler->isDeposed()) {
+            m_election.depose();
         }
     }
     m_intake.tick(now);
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -77,8 +77,11 @@
     WorkerRecord record;
     bool isListed = false;     ///< in the registry now
     bool isRead = false;       ///< has seen our fencing token, and given its lists after that
+    bool isReadFirmly = false; ///< and at that time nobody else led: in doubt, only such workers get starts, since one that
+                               ///< has started anew remembers no token, and a successor may have read its former life
     bool isUnresolved = false; ///< a former leader used it, and it may still run what that leader ordered
     std::uint64_t fence = 0;
+    bool isNewLife = false;    ///< has started anew, and its first report since is still to come
     std::uint32_t lives = 0;   ///< times that it came back under its id; part of the fencing token
     TimePoint drainSeenAt{};
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -91,8 +91,8 @@
     /** Does all that is due. Sends orders only as far as @p authority goes. */
     void tick(TimePoint now, Authority authority);
 
-    /** True once a worker or the store has shown that another leads. */
-    bool seemsDeposed() const;
+    /** True once a worker or the store has shown that another leads, or has led since. */
+    bool isDeposed() const;
 
     /** A worker's entry in the registry has changed. @p record is empty where it was removed or cannot be read. */
     void setWorker(const WorkerId &id, const std::optional<WorkerRecord> &record);
@@ -223,7 +223,7 @@
     TimePoint m_now{};
     TimePoint m_firmAt{}; ///< last tick with firm authority
     Authority m_authority = Authority::None;
-    bool m_seemsDeposed = false;
+    bool m_isDeposed = false;
 
     // Storing
     std::deque<JobKey> m_dirty;
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -95,7 +95,7 @@
             return it.key == LeaderKey;
         });
         if (leader == reply.items.end() || leader->revision != m_term.keyRevision) {
-            m_seemsDeposed = true;
+            m_isDeposed = true;
         }
     }
     for (std::size_t i = 0; i < batch.size(); ++i) {
@@ -156,7 +156,7 @@
             if (it.key == WorkersKey) {
                 m_workersRevision = it.revision;
             } else if (it.key == LeaderKey && it.revision != m_term.keyRevision) {
-                m_seemsDeposed = true;
+                m_isDeposed = true;
             }
         }
     }));
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -28,9 +28,9 @@
 {
 }
 
-bool WorkflowScheduler::seemsDeposed() const
+bool WorkflowScheduler::isDeposed() const
 {
-    return m_seemsDeposed;
+    return m_isDeposed;
 }
 
 bool WorkflowScheduler::isLoaded() const
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -17,6 +17,7 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdlib>
 #include <deque>
 #include <map>
 #include <random>
@@ -157,8 +158,13 @@
                 reply.items.push_back(found->second);
             }
         }
+        for (const StorePut &it : change.puts) {
+            if (it.lease != 0 && !leases.contains(it.lease)) {
+                reply.status = reply.status == StoreStatus::Ok ? StoreStatus::Missing : reply.status;
+            }
+        }
         EXPECT_LE(change.conditions.size() + change.puts.size() + change.removals.size(), MaxChangeEntries);
-        if (reply.status == StoreStatus::Conflict) {
+        if (reply.status != StoreStatus::Ok) {
             return reply;
         }
         reply.items.clear();
@@ -688,13 +694,13 @@
     RigNode(StoreBackend &backend, FakeFleet &fleet, ManualClock &clock)
         : store(backend, clock)
         , port(fleet, clock)
-        , log(clock, 0, 0)
+        , log(clock, 0, std::getenv("WORKFLOW_LOG") != nullptr ? 1e9 : 0)
     {
     }
 
     FakeStore store;
     FakePort port;
-    EventLog log; ///< passes nothing
+    EventLog log; ///< passes nothing, unless WORKFLOW_LOG is set
     std::unique_ptr<Node> node;
     bool isFrozen = false;
 };
