Learn what neighbours do from changes, not from levels

Cause: serving tasks over target although few neighbours ran: effects of strong pairs were learned at a third of their size (3 for 8.5). Neighbours are placed where the own load is low, so a regression over levels took them for harmless. Now a report is compared with the one before it. A tail over its target for a second has all neighbours held, whatever the model says.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -294,6 +294,7 @@
     task.percent = 100;
     task.gauge = 0;
     task.serving = {};
+    task.overSince = {};
     task.stillSince = {};
     StartOrder order;
     order.run = {ref.name(), attempt};
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -1,6 +1,7 @@
 #include <workflow/pressure.h>
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 
 namespace QuetzalRock::Workflow {
@@ -11,15 +12,16 @@
 constexpr double LeastTailForgetting = 1.0005; ///< a report: a least tail that was a glitch does not stay for ever
 constexpr double MostUtilisation = 0.97;    ///< tails beyond say "saturated", not how far
 constexpr double QuietEffect = 0.25;        ///< neighbours that add up to less tell a service's own load well
-constexpr double LoadSmoothing = 0.01;      ///< of a class's usual load, a report
 constexpr double PeakForgetting = 0.9995;   ///< of a class's peak load, a report
-constexpr double SteepestSlope = 0.25;      ///< of a load, a second; anything beyond is noise
+constexpr double SteepestSlope = 0.15;      ///< of a load, a second; anything beyond is noise
 constexpr double LeastLoad = 0.05;
+constexpr double LeastMove = 0.02;          ///< of shares in sum, between two reports
+constexpr Duration LongestStep = std::chrono::milliseconds(1500); ///< between two reports that are compared
 
 PlacementSettings modelSettings()
 {
     PlacementSettings it;
-    it.priorLevel = 1;       // the log of it, 0: without neighbours the utilisation is the own load
+    it.priorLevel = 1;       // the log of it, 0: where no neighbour changes, nothing does
     it.priorSlowdown = 3;    // a pair that has not been seen counts as between the mild and the strong ones
     it.priorStrength = 0.02; // a few reports outweigh it
     it.modelRefresh = std::chrono::milliseconds(500);
@@ -53,33 +55,72 @@
     return m_services[service].leastTailMs * BaseOverLeastTail;
 }
 
-void PressureModel::observe(ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, ServingLoad &load)
+double PressureModel::effectOf(ClassIndex service, const Shares &shares) const
 {
-    Service &it = serviceOf(service);
-    const auto tail = static_cast<double>(std::max<std::int64_t>(1, tailMs));
-    it.leastTailMs = it.leastTailMs == 0 ? tail : std::min(it.leastTailMs * LeastTailForgetting, tail);
-    const double utilisation = std::clamp(1 - baseMs(service) / tail, LeastLoad, MostUtilisation);
     double effects = 0;
     for (std::size_t i = 0; i < shares.size(); ++i) {
         effects += shares[i] > 0 ? effect(service, static_cast<ClassIndex>(i)) * shares[i] : 0;
     }
+    return effects;
+}
+
+/**
+ * Learns from what a change of neighbours does to the utilisation. Its level says little: neighbours are placed where the
+ * own load is low, and a model of levels would take them for harmless. Between two reports the own load changes little.
+ */
+void PressureModel::learn(ClassIndex service,
+                          double utilisation,
+                          const Shares &shares,
+                          const Shares &before,
+                          TimePoint now,
+                          const ServingLoad &load)
+{
+    if (load.at == TimePoint{} || now - load.at > LongestStep || load.utilisation >= MostUtilisation) {
+        return;
+    }
+    ServiceSample sample;
+    sample.service = service;
+    sample.measured = now;
+    double moved = 0;
+    for (std::size_t i = 0; i < shares.size(); ++i) {
+        sample.neighbours[i] = shares[i] - before[i];
+        moved += std::abs(sample.neighbours[i]);
+    }
+    const double effectsBefore = effectOf(service, before);
+    const double change = (utilisation / load.utilisation - 1) * (1 + effectsBefore);
+    const double expected = effectOf(service, shares) - effectsBefore;
+    const bool isSaturated = utilisation >= MostUtilisation;
+    if (moved < LeastMove || (isSaturated && change < expected)) {
+        return; // says nothing of neighbours, or not how far it would have gone
+    }
+    sample.logRatio = change;
+    m_model.observe(sample);
+}
+
+void PressureModel::observe(ClassIndex service,
+                            std::int64_t tailMs,
+                            const Shares &shares,
+                            const Shares &before,
+                            TimePoint now,
+                            ServingLoad &load)
+{
+    Service &it = serviceOf(service);
+    const auto tail = static_cast<double>(std::max<std::int64_t>(1, tailMs));
+    it.leastTailMs = it.leastTailMs == 0 ? tail : std::min(it.leastTailMs * LeastTailForgetting, tail);
+    const double utilisation = std::clamp(1 - baseMs(service) / tail, LeastLoad, MostUtilisation);
+    learn(service, utilisation, shares, before, now, load);
+    const double effects = effectOf(service, shares);
     const double own = std::clamp(utilisation / (1 + effects), LeastLoad, 1.0);
     if (load.at != TimePoint{} && now > load.at) {
         const double seconds = std::chrono::duration<double>(now - load.at).count();
         load.slope = std::clamp((own - load.load) / seconds, -SteepestSlope, SteepestSlope);
     }
     load.load = own;
+    load.utilisation = utilisation;
     load.at = now;
     if (effects < QuietEffect) {
-        it.usualLoad += LoadSmoothing * (own - it.usualLoad);
         it.peakLoad = std::max(it.peakLoad * PeakForgetting, own);
     }
-    ServiceSample sample;
-    sample.service = service;
-    sample.logRatio = utilisation / it.usualLoad - 1; // linear in the shares; the load's ups and downs are its noise
-    sample.neighbours = shares;
-    sample.measured = now;
-    m_model.observe(sample);
 }
 
 void PressureModel::refresh(TimePoint now)
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -27,13 +27,15 @@
 
 struct PressureSettings
 {
-    double placeMargin = 0.10; ///< of utilisation, below that of the target: a new neighbour may bring a task up to there
-    double actMargin = 0.05;   ///< above this, neighbours are throttled ...
-    double aimMargin = 0.10;   ///< ... down to this, and throttles are lifted up to it
-    Duration lookAhead = std::chrono::milliseconds(900); ///< loads are extrapolated so far: the age of a report, the time to
+    double placeMargin = 0.04; ///< of utilisation, below that of the target: a new neighbour may bring a task up to there
+    double actMargin = 0.0;    ///< above this, neighbours are throttled ...
+    double aimMargin = 0.04;   ///< ... down to this, and throttles are lifted up to it
+    Duration lookAhead = std::chrono::milliseconds(600); ///< loads are extrapolated so far: the age of a report, the time to
                                                          ///< the next, and that of a throttle
     Duration startUp = std::chrono::milliseconds(1500); ///< of a serving task: its first tails say nothing
     Duration sampleEvery = std::chrono::milliseconds(400); ///< reports cover the last half second
+    Duration overFor = std::chrono::milliseconds(1000); ///< a tail above its target for so long: whatever the model says, all
+                                                        ///< neighbours are held
     Duration moveAfter = std::chrono::milliseconds(1200);  ///< a neighbour held nearly still for so long is moved, if it can
     int stillPercent = 15;     ///< throttled to this or less counts as held still
     int coarseness = 20;       ///< throttles are multiples of this many percent points: fewer orders
@@ -43,9 +45,10 @@
 /** Lives with a serving task's run. */
 struct ServingLoad
 {
-    double load = 0;   ///< own load, from the last report
-    double slope = 0;  ///< its change a second
-    TimePoint at{};    ///< of that report; zero: none yet
+    double load = 0;        ///< own load, from the last report
+    double slope = 0;       ///< its change a second
+    double utilisation = 0; ///< in the last report
+    TimePoint at{};         ///< of that report; zero: none yet
 };
 
 struct FillingTask
@@ -62,8 +65,13 @@
 
     ClassIndex classOf(std::string_view image);
 
-    /** Takes in a serving task's tail, beside @p shares of each image as used at the time. */
-    void observe(ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, ServingLoad &load);
+    /** Takes in a serving task's tail, beside @p shares of each image as used at the time, and at the report @p before. */
+    void observe(ClassIndex service,
+                 std::int64_t tailMs,
+                 const Shares &shares,
+                 const Shares &before,
+                 TimePoint now,
+                 ServingLoad &load);
     void refresh(TimePoint now);
 
     /** Added to 1, and multiplied with a task's own load, by a neighbour that fills the worker. */
@@ -81,10 +89,11 @@
     struct Service
     {
         double leastTailMs = 0; ///< 0: not seen yet
-        double usualLoad = 0.45;
         double peakLoad = 0.6;
     };
     Service &serviceOf(ClassIndex index);
+    double effectOf(ClassIndex service, const Shares &shares) const;
+    void learn(ClassIndex service, double utilisation, const Shares &shares, const Shares &before, TimePoint now, const ServingLoad &load);
     double baseMs(ClassIndex service) const;
 
     InterferenceModel m_model;
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -101,9 +101,12 @@
         TaskState &task = it.task();
         const bool hasStarted = m_now >= task.startedAt + m_settings.pressure.startUp;
         if (isServing(it) && task.phase == TaskPhase::Running && task.gauge > 0 && hasStarted) {
-            m_pressure.observe(imageOf(it), task.gauge, shares, m_now, task.serving);
+            m_pressure.observe(imageOf(it), task.gauge, shares, worker.sampledShares, m_now, task.serving);
+            const bool isOver = task.gauge > it.spec().latencyTargetMs;
+            task.overSince = !isOver ? TimePoint{} : task.overSince == TimePoint{} ? m_now : task.overSince;
         }
     }
+    worker.sampledShares = shares;
     m_pressure.refresh(m_now);
     setThrottles(index);
 }
@@ -125,6 +128,11 @@
         planThrottle(m_pressure, imageOf(it), allowedEffect(it, m_settings.pressure.aimMargin), filling, percents);
         const double effects = m_pressure.effectOf(imageOf(it), filling);
         mustLower = mustLower || effects > allowedEffect(it, m_settings.pressure.actMargin);
+        const TimePoint overSince = it.task().overSince;
+        if (overSince != TimePoint{} && m_now - overSince >= m_settings.pressure.overFor) {
+            std::fill(percents.begin(), percents.end(), 0);
+            mustLower = true;
+        }
     }
     for (std::size_t i = 0; i < runs.size(); ++i) {
         const TaskState &task = runs[i].task();
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -79,6 +79,7 @@
     TimePoint retryAt{};          ///< Waiting: not before
     std::int64_t gauge = 0;       ///< as RunningEntry::gauge
     ServingLoad serving;          ///< of a serving task
+    TimePoint overSince{};        ///< serving: its tail has been above the target since; zero: it is not
     TimePoint stillSince{};       ///< throttled to nearly nothing since; zero: it is not
     TimePoint idleSince{};        ///< has used no processor since; zero: it does, or is not known
     std::uint64_t reportStamp = 0; ///< last report of its worker that listed it
