Do not wait for a former leader that has started anew or resigned

Now each node stores its life, a leader that resigns says so, and the list of workers in use loses those that are gone.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -97,6 +97,10 @@
         if (!worker.runs.empty() && hasRunOut && m_authority == Authority::Firm) {
             loseRuns(i, "its lease has run out");
         }
+        const bool isForgotten = !worker.isListed && !worker.isUnresolved && worker.runs.empty() && now >= worker.leaseEndsBy;
+        if (isForgotten && m_authority == Authority::Firm && m_durableWorkers.erase(worker.record.id) > 0) {
+            m_workersDirty = true; // a successor need not ask for it
+        }
         const bool isWanted = worker.isListed || worker.isUnresolved || !worker.runs.empty();
         if (isWanted && !worker.isRenewing && now >= worker.renewAt && !worker.record.address.empty()) {
             renewWorker(i, now);
--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -1,7 +1,8 @@
 #include <workflow/election.h>
-#include <workflow/progress.h>
 
-#include <charconv>
+#include <base/errors.h>
+
+#include <functional>
 
 namespace QuetzalRock::Workflow {
 
@@ -9,27 +10,21 @@
 
 constexpr Duration LookAgainAfter = std::chrono::milliseconds(250); ///< after a failed look at the key
 
-std::uint64_t parseEpoch(std::string_view text)
-{
-    std::uint64_t epoch = 0;
-    std::from_chars(text.data(), text.data() + text.size(), epoch);
-    return epoch;
-}
-
 } // namespace
 
 Election::Election(RecordStore &store,
                    Clock &clock,
                    EventLog &log,
                    std::string node,
-                   const ElectionSettings &settings,
-                   std::uint64_t seed)
+                   std::string boot,
+                   const ElectionSettings &settings)
     : m_store(store)
     , m_clock(clock)
     , m_log(log)
     , m_node(std::move(node))
+    , m_boot(std::move(boot))
     , m_settings(settings)
-    , m_random(static_cast<std::minstd_rand::result_type>(seed % 2147483646 + 1))
+    , m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(m_node + m_boot) % 2147483646 + 1))
 {
 }
 
@@ -43,6 +38,12 @@
     return m_leaderName;
 }
 
+TimePoint Election::nextAt() const
+{
+    const TimePoint renewAt = m_term.epoch != 0 && !m_isRenewing ? m_renewAt : TimePoint::max();
+    return std::min(renewAt, m_stage == Stage::Idle ? m_nextAt : TimePoint::max());
+}
+
 Authority Election::authority(TimePoint now) const
 {
     if (m_term.epoch == 0 || m_hasResigned) {
@@ -69,11 +70,25 @@
     if (m_term.epoch != 0 && !m_hasResigned && !m_isRenewing && now >= m_renewAt) {
         renew(now);
     }
+    if (!m_hasStoredBoot) {
+        storeBoot();
+    }
     if (m_stage == Stage::Idle && now >= m_nextAt) {
         look();
     }
 }
 
+/** Tells later leaders that no earlier life of this node leads any more. Repeated where it fails: it hurries takeovers. */
+void Election::storeBoot()
+{
+    m_hasStoredBoot = true;
+    StoreChange change;
+    change.puts = {{std::string(BootPrefix) + m_node, m_boot, 0}};
+    m_store.change(std::move(change), guard([this](const StoreReply &reply) {
+        m_hasStoredBoot = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
+    }));
+}
+
 void Election::lookAtOnce()
 {
     m_nextAt = std::min(m_nextAt, m_clock.now());
@@ -100,7 +115,11 @@
     m_hasResigned = true;
     if (m_term.epoch != 0) {
         m_log.write("leader_resigns", "epoch", m_term.epoch);
-        m_store.endLease(m_lease, [](const StoreReply &) {}); // where it fails, the lease lapses by itself
+        StoreChange change;
+        change.conditions = {{std::string(LeaderKey), m_term.keyRevision}};
+        change.puts = {{std::string(EpochKey), encodeEpoch({m_term.epoch, m_node, m_boot, true}), 0}};
+        change.removals = {std::string(LeaderKey)};
+        m_store.change(std::move(change), [](const StoreReply &) {}); // where it fails, the lease lapses by itself
         m_term = {};
     }
 }
@@ -150,7 +169,7 @@
         m_leaderName = name;
     }
     if (item.value == m_ownValue && m_term.epoch == 0 && m_campaignEpoch != 0 && !m_hasResigned) {
-        m_term = {m_campaignEpoch, item.revision}; // the campaign's answer was lost, and it had succeeded
+        m_term = {m_campaignEpoch, item.revision, m_former}; // the campaign's answer was lost, and it had succeeded
         m_validUntil = m_leaseSentAt + m_settings.leaseTime;
         m_log.write("leader_elected", "epoch", m_term.epoch, "revision", m_term.keyRevision);
     } else if (m_term.epoch != 0 && item.revision != m_term.keyRevision) {
@@ -220,7 +239,14 @@
         return;
     }
     const bool isFirst = reply.status == StoreStatus::Missing || reply.items.empty();
-    m_campaignEpoch = isFirst ? 1 : parseEpoch(reply.items.front().value) + 1;
+    try {
+        m_former = isFirst ? EpochRecord{} : decodeEpoch(reply.items.front().value);
+    } catch (const Error &error) {
+        m_log.write("epoch_unreadable", "error", error.what()); // never led by guesswork: an operator has to mend it
+        retryLater();
+        return;
+    }
+    m_campaignEpoch = m_former.epoch + 1;
     m_campaignEpochRevision = isFirst ? 0 : reply.items.front().revision;
     m_leaseSentAt = m_clock.now();
     m_store.grantLease(m_settings.leaseTime, guard([this](const StoreReply &it) { onGrant(it); }));
@@ -238,7 +264,7 @@
     StoreChange change;
     change.conditions = {{std::string(LeaderKey), 0}, {std::string(EpochKey), m_campaignEpochRevision}};
     change.puts = {{std::string(LeaderKey), m_ownValue, m_lease},
-                   {std::string(EpochKey), std::to_string(m_campaignEpoch), 0}};
+                   {std::string(EpochKey), encodeEpoch({m_campaignEpoch, m_node, m_boot, false}), 0}};
     m_store.change(std::move(change), guard([this](const StoreReply &it) { onWrite(it); }));
 }
 
@@ -251,7 +277,7 @@
         m_nextAt += reply.status == StoreStatus::Conflict ? Duration::zero() : LookAgainAfter;
         return;
     }
-    m_term = {m_campaignEpoch, reply.revision};
+    m_term = {m_campaignEpoch, reply.revision, m_former};
     m_leaderName = m_node;
     m_validUntil = m_leaseSentAt + m_settings.leaseTime;
     m_renewAt = m_leaseSentAt + m_settings.renewEvery;
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -16,6 +16,8 @@
 
 #include <workflow/ports.h>
 
+#include <workflow/progress.h>
+
 #include <base/eventlog.h>
 
 #include <memory>
@@ -33,6 +35,7 @@
 {
     std::uint64_t epoch = 0;       ///< from 1; never shared
     std::uint64_t keyRevision = 0; ///< of the leader's key: the condition of every write
+    EpochRecord former;            ///< who led before; epoch 0: nobody
 };
 
 struct ElectionSettings
@@ -48,7 +51,13 @@
 class Election
 {
 public:
-    Election(RecordStore &store, Clock &clock, EventLog &log, std::string node, const ElectionSettings &settings, std::uint64_t seed);
+    /** @p boot tells this life of the node from others; it is unique. */
+    Election(RecordStore &store,
+             Clock &clock,
+             EventLog &log,
+             std::string node,
+             std::string boot,
+             const ElectionSettings &settings);
 
     void tick(TimePoint now);
 
@@ -62,6 +71,8 @@
     /** Ends the term and takes part in no other. */
     void resign();
 
+    TimePoint nextAt() const; ///< when tick() has something to do next, answers aside
+
     const std::string &leaderName() const; ///< as last heard; empty where there is none
 
 private:
@@ -88,12 +99,14 @@
     void loseTerm(std::string_view why);
     void doubt(); ///< looks at the key before anything else
     void lookAtOnce();
+    void storeBoot();
     void retryLater();
 
     RecordStore &m_store;
     Clock &m_clock;
     EventLog &m_log;
     std::string m_node;
+    std::string m_boot;
     ElectionSettings m_settings;
     std::minstd_rand m_random;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
@@ -104,8 +117,10 @@
     bool m_hasResigned = false;
     std::string m_leaderName;
     std::string m_ownValue;   ///< written by the last campaign; unique to it
-    std::uint64_t m_campaignEpoch = 0;
-    std::uint64_t m_campaignEpochRevision = 0;
+    EpochRecord m_former;                       ///< as read by the last campaign
+    std::uint64_t m_campaignEpoch = 0;          ///< 0: no campaign yet
+    std::uint64_t m_campaignEpochRevision = 0;  ///< of ctl/epoch as read by it
+    bool m_hasStoredBoot = false;
     std::uint64_t m_lease = 0;
     TimePoint m_leaseSentAt{};
 
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -2,6 +2,7 @@
 
 #include <base/errors.h>
 
+#include <algorithm>
 #include <functional>
 
 namespace QuetzalRock::Workflow {
@@ -32,7 +33,7 @@
                       log,
                       std::string(decoder.operatorPrefix()),
                       [this](const StoreItem &it) { onOperatorItem(it); })
-    , m_election(store, clock, log, settings.name, settings.election, std::hash<std::string>()(settings.name))
+    , m_election(store, clock, log, settings.name, settings.boot, settings.election)
     , m_intake(store, clock, log, settings.intake)
 {
 }
@@ -59,7 +60,8 @@
 
 Duration Node::idleTime() const
 {
-    return m_scheduler ? LeaderIdle : FollowerIdle;
+    const Duration untilElection = std::max<Duration>(1ms, m_election.nextAt() - m_clock.now());
+    return std::min(untilElection, m_scheduler ? LeaderIdle : FollowerIdle);
 }
 
 bool Node::isReady(TimePoint now) const
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -19,6 +19,7 @@
 struct NodeSettings
 {
     std::string name; ///< unique among the nodes
+    std::string boot; ///< unique among the lives of this node
     ElectionSettings election;
     WorkflowSettings scheduler;
     IntakeSettings intake;
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -200,6 +200,21 @@
     }
 }
 
+std::string encodeEpoch(const EpochRecord &record)
+{
+    return pack(json::array({StoredVersion, record.epoch, record.node, record.boot, record.hasResigned}));
+}
+
+EpochRecord decodeEpoch(std::string_view bytes)
+{
+    const json value = unpack(bytes);
+    try {
+        return {value.at(1), value.at(2), value.at(3), value.at(4)};
+    } catch (const json::exception &error) {
+        throw InvalidArgument("epoch", error.what());
+    }
+}
+
 std::string encodeWorkers(const std::vector<KnownWorker> &workers)
 {
     json rows = json::array({StoredVersion});
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -11,7 +11,8 @@
  *   in/c/KEY      exists: the caller has cancelled the job
  *   out/KEY       progress: state, ends of tasks, failed attempts, checkpoints
  *   ctl/leader    who decides, under a lease (election.h)
- *   ctl/epoch     the last fencing epoch given out
+ *   ctl/epoch     the last fencing epoch given out, who has it, and whether that leader has resigned
+ *   ctl/boot/NODE the node's present life: whoever led in an earlier one leads no more
  *   ctl/workers   every worker that the present leader may have sent an order to
  *   ctl/pending   jobs of each queue for which no task has started
  */
@@ -31,6 +32,7 @@
 constexpr std::string_view ProgressPrefix = "out/";
 constexpr std::string_view LeaderKey = "ctl/leader";
 constexpr std::string_view EpochKey = "ctl/epoch";
+constexpr std::string_view BootPrefix = "ctl/boot/";
 constexpr std::string_view WorkersKey = "ctl/workers";
 constexpr std::string_view PendingKey = "ctl/pending";
 
@@ -137,6 +139,18 @@
 /** Only the state: what a status question needs. */
 WorkflowState decodeState(std::string_view bytes);
 
+/** The content of ctl/epoch. */
+struct EpochRecord
+{
+    std::uint64_t epoch = 0;
+    std::string node;
+    std::string boot;         ///< life of that node
+    bool hasResigned = false; ///< sends no more orders
+};
+
+std::string encodeEpoch(const EpochRecord &record);
+EpochRecord decodeEpoch(std::string_view bytes);
+
 /** One line of ctl/workers. */
 struct KnownWorker
 {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -118,6 +118,8 @@
     void onCancel(const JobKey &key);
     bool mayBeRunningElsewhere(const JobState &job) const;
     void resolveUnread(TimePoint now);
+    void askFormerLeader(TimePoint now);
+    TimePoint formerLeasesEndBy() const;
 
     // Workers (contact.cpp)
     WorkerState &addWorker(const WorkerId &id);
@@ -199,6 +201,9 @@
     std::map<JobKey, std::uint64_t> m_storedRevisions; ///< of out/KEY
     std::set<JobKey> m_cancelledEarly; ///< cancels that came before their job
     PrefixMirror m_inbox;
+    bool m_isFormerGone = false;  ///< the former leader sends no more orders, for certain ...
+    TimePoint m_formerGoneAt{};   ///< ... since then at the latest
+    TimePoint m_askFormerAt{};
     std::uint64_t m_trustedRevision = 0; ///< jobs created after it are unknown to any former leader; 0: not known yet
 
     // Workers
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr Duration LoadRetry = std::chrono::milliseconds(200);
+constexpr Duration LeaseMargin = std::chrono::milliseconds(100); ///< for orders under way
+constexpr Duration AskFormerEvery = std::chrono::milliseconds(700); ///< while a worker cannot be read
 
 } // namespace
 
@@ -25,6 +27,8 @@
     , m_term(term)
     , m_electedAt(clock.now())
     , m_inbox(store, clock, log, std::string(InboxPrefix), [this](const StoreItem &it) { onInboxItem(it); })
+    , m_isFormerGone(term.former.hasResigned || term.former.epoch == 0)
+    , m_formerGoneAt(clock.now())
 {
 }
 
@@ -239,9 +243,7 @@
         && m_inbox.freshAt() >= m_electedAt + m_settings.formerLeaderFirm) {
         m_trustedRevision = m_inbox.revision();
     }
-    const double longest = static_cast<double>(m_settings.workerLease.count()) / SlowestWorkerClock;
-    const TimePoint allLapsed
-        = m_electedAt + m_settings.formerLeaderLife + Duration(static_cast<Duration::rep>(longest));
+    const TimePoint allLapsed = formerLeasesEndBy();
     std::size_t unread = 0;
     for (const auto &it : m_workers) {
         if (it->isUnresolved && (it->isRead || now >= allLapsed)) {
@@ -252,6 +254,30 @@
         unread += it->isUnresolved ? 1 : 0;
     }
     m_unreadWorkers = unread;
+    if (unread > 0 && !m_isFormerGone && now >= m_askFormerAt) {
+        askFormerLeader(now);
+    }
+}
+
+TimePoint WorkflowScheduler::formerLeasesEndBy() const
+{
+    const double lease = static_cast<double>(m_settings.workerLease.count()) / SlowestWorkerClock;
+    const TimePoint lastOrder = m_isFormerGone ? m_formerGoneAt : m_electedAt + m_settings.formerLeaderLife;
+    return lastOrder + Duration(static_cast<Duration::rep>(lease)) + LeaseMargin;
+}
+
+/** Where the former leader's node has started anew, that leader is gone, and need not be waited for. */
+void WorkflowScheduler::askFormerLeader(TimePoint now)
+{
+    m_askFormerAt = now + AskFormerEvery;
+    m_store.get(std::string(BootPrefix) + m_term.former.node, guard([this](const StoreReply &reply) {
+        const bool isOtherLife = !reply.items.empty() && reply.items.front().value != m_term.former.boot;
+        if (reply.status == StoreStatus::Ok && isOtherLife && !m_isFormerGone) {
+            m_isFormerGone = true;
+            m_formerGoneAt = m_clock.now();
+            m_log.write("former_leader_gone", "node", m_term.former.node, "epoch", m_term.former.epoch);
+        }
+    }));
 }
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -743,6 +743,7 @@
         RigNode &it = *nodes[static_cast<std::size_t>(i)];
         NodeSettings settings;
         settings.name = "n" + std::to_string(i);
+        settings.boot = std::to_string(++m_boots);
         it.node = std::make_unique<Node>(settings, it.store, it.port, decoder, clock, it.log);
     }
 
@@ -830,6 +831,9 @@
     FakeFleet fleet;
     FakeDecoder decoder;
     std::vector<std::unique_ptr<RigNode>> nodes;
+
+private:
+    int m_boots = 0;
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -131,6 +131,39 @@
     EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
 }
 
+// The former leader's node has started anew, so only the lease that it may have given is waited for, not its grace.
+TEST(Workflow, aFormerLeaderThatStartedAnewIsNotWaitedFor)
+{
+    Rig rig(2, 2);
+    rig.fleet.workTime = 60s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(1s);
+    const int former = rig.leader();
+    rig.fleet.workers["w0"].isReachable = false;
+    rig.kill(former);
+    rig.boot(former);
+    rig.run(9s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 4U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(Workflow, aLeaderThatResignsHandsOverAtOnce)
+{
+    Rig rig(2, 2);
+    rig.fleet.workTime = 3s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(500ms);
+    const int former = rig.leader();
+    rig.nodes[static_cast<std::size_t>(former)]->node->beginDrain();
+    rig.run(300ms);
+    EXPECT_EQ(rig.leader(), 1 - former);
+    rig.run(5s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_EQ(rig.fleet.starts, 4U);
+}
+
 TEST(Workflow, anUnreachableWorkerKeepsItsTasksUntilItsLeaseHasRunOut)
 {
     Rig rig(1, 2);
--- a/packages/workflow/turns.cpp
+++ b/packages/workflow/turns.cpp
@@ -48,6 +48,7 @@
     const auto &steps = accepted.spec.steps;
     const bool isTimed = accepted.spec.repeatCount > 0;
     const bool isLasting = std::any_of(steps.begin(), steps.end(), [](const StepSpec &it) { return it.isLasting; });
+    turn.isLasting = isLasting;
     if (isLasting || isTimed) {
         return turn; // each occurrence counts from its own due time, and a lasting task as long as it is at work
     }
