Tell a serving task's own load by the other tasks of its step

The tasks of one step share their users, so their own load is one curve; a task without bad neighbours shows it, and what the others show beyond it is their neighbours' doing.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -293,7 +293,6 @@
     task.idleSince = {};
     task.percent = 100;
     task.gauge = 0;
-    task.serving = {};
     task.overSince = {};
     task.stillSince = {};
     StartOrder order;
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -108,7 +108,6 @@
     std::uint64_t reportCount = 0;
     std::uint32_t adoptedRuns = 0; ///< by the last report: runs of a former leader
     TimePoint sampledAt{};        ///< last report that the pressure model took in
-    Shares sampledShares{};       ///< of that report: processors used by images that fill
 
     // Health
     std::uint32_t failuresInRow = 0; ///< of runs, over all jobs
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -13,23 +13,87 @@
 constexpr double MostUtilisation = 0.97;    ///< tails beyond say "saturated", not how far
 constexpr double QuietEffect = 0.25;        ///< neighbours that add up to less tell a service's own load well
 constexpr double PeakForgetting = 0.9995;   ///< of a class's peak load, a report
-constexpr double SteepestSlope = 0.15;      ///< of a load, a second; anything beyond is noise
 constexpr double LeastLoad = 0.05;
-constexpr double LeastMove = 0.02;          ///< of shares in sum, between two reports
-constexpr Duration LongestStep = std::chrono::milliseconds(1500); ///< between two reports that are compared
+constexpr double StrongestEffect = 10;      ///< more is saturation or noise: a tenth of the worker doubles the utilisation
+constexpr double ReportError = 0.12;        ///< of one report's utilisation, as a part of it
+constexpr double SaturatedError = 0.5;
+constexpr double KnownLoadError = 0.08;     ///< a load less certain than this teaches nothing about neighbours
+constexpr double FadeSeconds = 0.8;         ///< a report's weight in a shared load falls to 1/e; loads swing within ten
+constexpr double LineStiffness = 0.15;      ///< pulls the line of a shared load towards level, in seconds squared
+constexpr double SteepestSlope = 0.15;      ///< of a load, a second; anything beyond is noise
+constexpr Duration LoadForgotten = std::chrono::seconds(3);
 
 PlacementSettings modelSettings()
 {
     PlacementSettings it;
     it.priorLevel = 1;       // the log of it, 0: where no neighbour changes, nothing does
     it.priorSlowdown = 3;    // a pair that has not been seen counts as between the mild and the strong ones
-    it.priorStrength = 0.02; // a few reports outweigh it
+    it.priorStrength = 0.02; // a handful of changes outweigh it
     it.modelRefresh = std::chrono::milliseconds(500);
     return it;
 }
 
 } // namespace
 
+// ---------------------------------------------------------------------------------------------------------------------
+// SharedLoad
+// ---------------------------------------------------------------------------------------------------------------------
+
+void SharedLoad::fade(TimePoint at)
+{
+    const double age = std::chrono::duration<double>(at - m_at).count();
+    const double keep = std::exp(-age / FadeSeconds);
+    // Times count back from m_at: move them by age.
+    m_squares += 2 * age * m_times + age * age * m_weight;
+    m_times += age * m_weight;
+    m_products += age * m_loads;
+    m_weight *= keep;
+    m_times *= keep;
+    m_squares *= keep;
+    m_loads *= keep;
+    m_products *= keep;
+    m_at = at;
+}
+
+void SharedLoad::note(double load, double error, TimePoint at)
+{
+    if (at < m_at) {
+        return;
+    }
+    if (m_weight > 0) {
+        fade(at);
+    }
+    m_at = at;
+    const double weight = 1 / (error * error);
+    m_weight += weight;
+    m_loads += weight * load;
+}
+
+bool SharedLoad::isKnown(TimePoint at) const
+{
+    return m_weight > 0 && at < m_at + LoadForgotten;
+}
+
+double SharedLoad::at(TimePoint when) const
+{
+    const double meanTime = m_times / m_weight;
+    const double meanLoad = m_loads / m_weight;
+    const double spread = m_squares / m_weight - meanTime * meanTime + LineStiffness;
+    const double backwards = (m_products / m_weight - meanTime * meanLoad) / spread;
+    const double slope = std::clamp(-backwards, -SteepestSlope, SteepestSlope);
+    const double ahead = std::chrono::duration<double>(when - m_at).count();
+    return meanLoad + slope * (meanTime + ahead);
+}
+
+double SharedLoad::error() const
+{
+    return 1 / std::sqrt(m_weight);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// PressureModel
+// ---------------------------------------------------------------------------------------------------------------------
+
 PressureModel::PressureModel()
     : m_model(modelSettings())
 {
@@ -64,62 +128,44 @@
     return effects;
 }
 
-/**
- * Learns from what a change of neighbours does to the utilisation. Its level says little: neighbours are placed where the
- * own load is low, and a model of levels would take them for harmless. Between two reports the own load changes little.
- */
-void PressureModel::learn(ClassIndex service,
-                          double utilisation,
-                          const Shares &shares,
-                          const Shares &before,
-                          TimePoint now,
-                          const ServingLoad &load)
+double PressureModel::errorOf(ClassIndex service, const Shares &shares) const
 {
-    if (load.at == TimePoint{} || now - load.at > LongestStep || load.utilisation >= MostUtilisation) {
-        return;
-    }
-    ServiceSample sample;
-    sample.service = service;
-    sample.measured = now;
-    double moved = 0;
+    double sum = 0;
     for (std::size_t i = 0; i < shares.size(); ++i) {
-        sample.neighbours[i] = shares[i] - before[i];
-        moved += std::abs(sample.neighbours[i]);
+        const double error = shares[i] > 0 ? m_model.uncertainty(service, static_cast<ClassIndex>(i)) * shares[i] : 0;
+        sum += error * error;
     }
-    const double effectsBefore = effectOf(service, before);
-    const double change = (utilisation / load.utilisation - 1) * (1 + effectsBefore);
-    const double expected = effectOf(service, shares) - effectsBefore;
-    const bool isSaturated = utilisation >= MostUtilisation;
-    if (moved < LeastMove || (isSaturated && change < expected)) {
-        return; // says nothing of neighbours, or not how far it would have gone
-    }
-    sample.logRatio = change;
-    m_model.observe(sample);
+    return std::sqrt(sum);
 }
 
-void PressureModel::observe(ClassIndex service,
-                            std::int64_t tailMs,
-                            const Shares &shares,
-                            const Shares &before,
-                            TimePoint now,
-                            ServingLoad &load)
+void PressureModel::observe(ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, SharedLoad &load)
 {
     Service &it = serviceOf(service);
     const auto tail = static_cast<double>(std::max<std::int64_t>(1, tailMs));
     it.leastTailMs = it.leastTailMs == 0 ? tail : std::min(it.leastTailMs * LeastTailForgetting, tail);
     const double utilisation = std::clamp(1 - baseMs(service) / tail, LeastLoad, MostUtilisation);
-    learn(service, utilisation, shares, before, now, load);
+    const bool isSaturated = utilisation >= MostUtilisation;
     const double effects = effectOf(service, shares);
-    const double own = std::clamp(utilisation / (1 + effects), LeastLoad, 1.0);
-    if (load.at != TimePoint{} && now > load.at) {
-        const double seconds = std::chrono::duration<double>(now - load.at).count();
-        load.slope = std::clamp((own - load.load) / seconds, -SteepestSlope, SteepestSlope);
+    const double error = errorOf(service, shares);
+    if (load.isKnown(now) && load.error() < KnownLoadError) {
+        // Against the load that the other tasks of the step show. A level alone would say little: neighbours are placed
+        // where the own load is low, and a model of levels would take them for harmless.
+        ServiceSample sample;
+        sample.service = service;
+        sample.logRatio = utilisation / std::max(LeastLoad, load.at(now)) - 1;
+        sample.neighbours = shares;
+        sample.measured = now;
+        if (!isSaturated || sample.logRatio > effects) { // else it says only that there is an effect
+            m_model.observe(sample);
+        }
+    }
+    if (isSaturated && effects < QuietEffect) {
+        return; // by something that is not known yet
     }
-    load.load = own;
-    load.utilisation = utilisation;
-    load.at = now;
+    const double own = std::clamp(utilisation / (1 + effects), LeastLoad, 1.0);
+    load.note(own, own * (ReportError + error / (1 + effects)) + (isSaturated ? SaturatedError : 0), now);
     if (effects < QuietEffect) {
-        it.peakLoad = std::max(it.peakLoad * PeakForgetting, own);
+        it.peakLoad = std::max(it.peakLoad * PeakForgetting, load.at(now));
     }
 }
 
@@ -130,7 +176,7 @@
 
 double PressureModel::effect(ClassIndex service, ClassIndex neighbour) const
 {
-    return m_model.slowdown(service, neighbour);
+    return std::min<double>(StrongestEffect, m_model.slowdown(service, neighbour));
 }
 
 double PressureModel::effectOf(ClassIndex service, std::span<const FillingTask> neighbours) const
@@ -142,14 +188,9 @@
     return sum;
 }
 
-double PressureModel::loadAt(ClassIndex service, const ServingLoad &load, TimePoint at) const
+double PressureModel::loadAt(ClassIndex service, const SharedLoad &load, TimePoint at) const
 {
-    const Service &it = m_services[service];
-    if (load.at == TimePoint{}) {
-        return it.peakLoad;
-    }
-    const double seconds = std::chrono::duration<double>(at - load.at).count();
-    return std::clamp(load.load + std::max(0.0, load.slope) * seconds, LeastLoad, std::max(it.peakLoad, load.load));
+    return load.isKnown(at) ? std::clamp(load.at(at), LeastLoad, 1.0) : m_services[service].peakLoad;
 }
 
 double PressureModel::utilisationAt(ClassIndex service, std::int64_t targetMs) const
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -10,7 +10,7 @@
  *
  * Index of this file
  *   PressureSettings   thresholds
- *   ServingLoad        what is known of one serving task
+ *   SharedLoad         own load of the serving tasks of one step
  *   FillingTask        a neighbour, as the choice of what to throttle sees it
  *   PressureModel      the learned effects, by image; wraps the placement package's InterferenceModel
  *   planThrottle()     how far neighbours are throttled to keep a serving task within a utilisation
@@ -28,8 +28,8 @@
 struct PressureSettings
 {
     double placeMargin = 0.04; ///< of utilisation, below that of the target: a new neighbour may bring a task up to there
-    double actMargin = 0.0;    ///< above this, neighbours are throttled ...
-    double aimMargin = 0.04;   ///< ... down to this, and throttles are lifted up to it
+    double actMargin = 0.0; ///< above this, neighbours are throttled ...
+    double aimMargin = 0.04; ///< ... down to this, and throttles are lifted up to it
     Duration lookAhead = std::chrono::milliseconds(600); ///< loads are extrapolated so far: the age of a report, the time to
                                                          ///< the next, and that of a throttle
     Duration startUp = std::chrono::milliseconds(1500); ///< of a serving task: its first tails say nothing
@@ -42,13 +42,30 @@
 
 };
 
-/** Lives with a serving task's run. */
-struct ServingLoad
+/**
+ * The own load of a step's serving tasks: they share their users, so it is one figure for all of them. A line through the
+ * latest reports of all tasks; those whose neighbours have little effect count most. Lives with the step.
+ */
+class SharedLoad
 {
-    double load = 0;        ///< own load, from the last report
-    double slope = 0;       ///< its change a second
-    double utilisation = 0; ///< in the last report
-    TimePoint at{};         ///< of that report; zero: none yet
+public:
+    /** One task's own load at @p at, with the standard error of it. */
+    void note(double load, double error, TimePoint at);
+
+    bool isKnown(TimePoint at) const; ///< false: no report for too long
+    double at(TimePoint when) const;  ///< expected then; call only where known
+    double error() const;             ///< standard error, about
+
+private:
+    void fade(TimePoint at);
+
+    // Weighted sums over past reports, faded with age; times in seconds before m_at.
+    double m_weight = 0;
+    double m_times = 0;
+    double m_squares = 0;
+    double m_loads = 0;
+    double m_products = 0;
+    TimePoint m_at{};
 };
 
 struct FillingTask
@@ -65,13 +82,8 @@
 
     ClassIndex classOf(std::string_view image);
 
-    /** Takes in a serving task's tail, beside @p shares of each image as used at the time, and at the report @p before. */
-    void observe(ClassIndex service,
-                 std::int64_t tailMs,
-                 const Shares &shares,
-                 const Shares &before,
-                 TimePoint now,
-                 ServingLoad &load);
+    /** Takes in a serving task's tail, beside @p shares of each image as used at the time. */
+    void observe(ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, SharedLoad &load);
     void refresh(TimePoint now);
 
     /** Added to 1, and multiplied with a task's own load, by a neighbour that fills the worker. */
@@ -79,7 +91,7 @@
     double effectOf(ClassIndex service, std::span<const FillingTask> neighbours) const;
 
     /** Own load expected at @p at; the class's usual one where the task has not been seen. */
-    double loadAt(ClassIndex service, const ServingLoad &load, TimePoint at) const;
+    double loadAt(ClassIndex service, const SharedLoad &load, TimePoint at) const;
 
     /** Utilisation at which the tail is at @p targetMs. */
     double utilisationAt(ClassIndex service, std::int64_t targetMs) const;
@@ -93,7 +105,7 @@
     };
     Service &serviceOf(ClassIndex index);
     double effectOf(ClassIndex service, const Shares &shares) const;
-    void learn(ClassIndex service, double utilisation, const Shares &shares, const Shares &before, TimePoint now, const ServingLoad &load);
+    double errorOf(ClassIndex service, const Shares &shares) const;
     double baseMs(ClassIndex service) const;
 
     InterferenceModel m_model;
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -23,6 +23,11 @@
     return ref.job->occurrences[ref.occurrence].steps[ref.step].image;
 }
 
+SharedLoad &loadOf(const TaskRef &ref)
+{
+    return ref.job->occurrences[ref.occurrence].steps[ref.step].load;
+}
+
 } // namespace
 
 std::vector<TaskRef> WorkflowScheduler::fillingRuns(const WorkerState &worker) const
@@ -49,7 +54,7 @@
 double WorkflowScheduler::allowedEffect(const TaskRef &serving, double margin) const
 {
     const ClassIndex image = imageOf(serving);
-    const double load = m_pressure.loadAt(image, serving.task().serving, m_now + m_settings.pressure.lookAhead);
+    const double load = m_pressure.loadAt(image, loadOf(serving), m_now + m_settings.pressure.lookAhead);
     return (m_pressure.utilisationAt(image, serving.spec().latencyTargetMs) - margin) / load - 1;
 }
 
@@ -101,12 +106,11 @@
         TaskState &task = it.task();
         const bool hasStarted = m_now >= task.startedAt + m_settings.pressure.startUp;
         if (isServing(it) && task.phase == TaskPhase::Running && task.gauge > 0 && hasStarted) {
-            m_pressure.observe(imageOf(it), task.gauge, shares, worker.sampledShares, m_now, task.serving);
+            m_pressure.observe(imageOf(it), task.gauge, shares, m_now, loadOf(it));
             const bool isOver = task.gauge > it.spec().latencyTargetMs;
             task.overSince = !isOver ? TimePoint{} : task.overSince == TimePoint{} ? m_now : task.overSince;
         }
     }
-    worker.sampledShares = shares;
     m_pressure.refresh(m_now);
     setThrottles(index);
 }
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -95,7 +95,7 @@
     const WorkflowSpec &spec = job.accepted.spec;
     OccurrenceState occurrence;
     for (const StepSpec &it : spec.steps) {
-        occurrence.steps.push_back({std::vector<TaskState>(it.taskCount), 0, 0});
+        occurrence.steps.push_back({std::vector<TaskState>(it.taskCount), 0, 0, {}});
     }
     job.occurrences.assign(std::max<std::uint32_t>(1, spec.repeatCount), occurrence);
 }
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -80,7 +80,6 @@
     TimePoint startedAt{};        ///< when the run was ordered, or found
     TimePoint retryAt{};          ///< Waiting: not before
     std::int64_t gauge = 0;       ///< as RunningEntry::gauge
-    ServingLoad serving;          ///< of a serving task
     TimePoint overSince{};        ///< serving: its tail has been above the target since; zero: it is not
     TimePoint stillSince{};       ///< throttled to nearly nothing since; zero: it is not
     TimePoint idleSince{};        ///< has used no processor since; zero: it does, or is not known
@@ -95,6 +94,7 @@
     std::vector<TaskState> tasks;
     std::uint32_t doneCount = 0;
     std::uint16_t image = 0; ///< class of the step's image in the pressure model
+    SharedLoad load;         ///< of serving tasks
 };
 
 struct OccurrenceState
