Hand on what was learned of neighbours to the next leader

Cause: each change of leader lost the learned effects, and ten to twenty seconds went by until serving tasks were safe again; a rolling restart changes leaders seven times. The model is stored every 4 s with the progress of jobs (one more put, no more calls), and loaded as a prior. Ruled out: waiting for it at the takeover, since without it all still works.

--- a/packages/placement/interference.cpp
+++ b/packages/placement/interference.cpp
@@ -147,6 +147,45 @@
     target.errors[FirstNeighbour + column] = 0;
 }
 
+void InterferenceModel::assume(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength)
+{
+    Target &target = targetOf(service);
+    target.assumed[neighbour] = logSlowdown;
+    target.assumedStrength[neighbour] = strength;
+    target.coefficients[FirstNeighbour + neighbour] = logSlowdown;
+    target.errors[FirstNeighbour + neighbour] = std::sqrt(target.noise / std::max(strength, WeakPrior));
+}
+
+double InterferenceModel::evidence(ClassIndex service, ClassIndex neighbour) const
+{
+    if (service >= m_targets.size()) {
+        return 0;
+    }
+    const Target &target = m_targets[service];
+    const std::size_t it = FirstNeighbour + neighbour;
+    return target.products[it][it] + target.assumedStrength[neighbour];
+}
+
+std::size_t InterferenceModel::classCount() const
+{
+    return m_names.size();
+}
+
+double InterferenceModel::priorMean(const Target &target, std::size_t feature) const
+{
+    const bool isAssumed = feature >= FirstNeighbour && target.assumedStrength[feature - FirstNeighbour] > 0;
+    return isAssumed ? target.assumed[feature - FirstNeighbour] : priorMean(feature);
+}
+
+double InterferenceModel::priorStrength(const Target &target, std::size_t feature) const
+{
+    if (feature < FirstNeighbour) {
+        return WeakPrior;
+    }
+    const std::size_t neighbour = feature - FirstNeighbour;
+    return target.pinned[neighbour] ? PinnedStrength : m_settings.priorStrength + target.assumedStrength[neighbour];
+}
+
 float InterferenceModel::slowdown(ClassIndex service, ClassIndex neighbour) const
 {
     if (service >= m_targets.size()) {
@@ -185,8 +224,8 @@
     for (std::size_t i = 0; i < n; ++i) {
         const bool neighbour = i >= FirstNeighbour;
         const bool pinned = neighbour && target.pinned[i - FirstNeighbour];
-        const double strength = pinned ? PinnedStrength : neighbour ? m_settings.priorStrength : WeakPrior;
-        const double mean = pinned ? target.coefficients[i] : priorMean(i);
+        const double strength = priorStrength(target, i);
+        const double mean = pinned ? target.coefficients[i] : priorMean(target, i);
         for (std::size_t j = 0; j <= i; ++j) {
             double sum = target.products[i][j] + (i == j ? strength : 0);
             for (std::size_t k = 0; k < j; ++k) {
@@ -213,8 +252,7 @@
         if (!pinned) {
             target.coefficients[i] = solution[i];
             // The conditional error: cheap, and enough to tell a pair seldom seen from one that is known.
-            const double strength = i >= FirstNeighbour ? m_settings.priorStrength : WeakPrior;
-            target.errors[i] = std::sqrt(target.noise / (target.products[i][i] + strength));
+            target.errors[i] = std::sqrt(target.noise / (target.products[i][i] + priorStrength(target, i)));
         }
     }
     if (target.meanAt != TimePoint{}) {
--- a/packages/placement/interference.h
+++ b/packages/placement/interference.h
@@ -59,6 +59,13 @@
     /** A slowdown that is known and not to be learned, as log of the slowdown by a neighbour that fills the worker. */
     void pin(std::string_view service, std::string_view neighbour, double logSlowdown);
 
+    /** What another model has learned of a pair, as a prior that is worth @p strength reports of a full neighbour. */
+    void assume(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength);
+
+    /** How much has been seen of a pair, in the unit of assume(). */
+    double evidence(ClassIndex service, ClassIndex neighbour) const;
+    std::size_t classCount() const;
+
     float slowdown(ClassIndex service, ClassIndex neighbour) const;    ///< never negative
     float uncertainty(ClassIndex service, ClassIndex neighbour) const; ///< standard error in the same unit
     float predict(const ServiceSample &sample) const;                  ///< what observe() would expect as logRatio
@@ -78,6 +85,8 @@
         Row coefficients{};
         Row errors{};
         std::array<bool, MaxClasses> pinned{};
+        std::array<double, MaxClasses> assumed{};         ///< prior means of neighbours, where assumedStrength is not 0
+        std::array<double, MaxClasses> assumedStrength{};
         double noise = 0.04; ///< variance of what the neighbours do not explain
         bool dirty = false;
     };
@@ -88,6 +97,8 @@
     void solve(Target &target) const;
     void setPrior(Target &target) const;
     double priorMean(std::size_t feature) const;
+    double priorMean(const Target &target, std::size_t feature) const;
+    double priorStrength(const Target &target, std::size_t feature) const;
 
     PlacementSettings m_settings;
     std::map<std::string, ClassIndex, std::less<>> m_classes;
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -1,5 +1,9 @@
 #include <workflow/pressure.h>
 
+#include <base/errors.h>
+
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <numeric>
@@ -14,6 +18,8 @@
 constexpr double QuietEffect = 0.25;        ///< neighbours that add up to less tell a service's own load well
 constexpr double PeakForgetting = 0.9995;   ///< of a class's peak load, a report
 constexpr double LeastLoad = 0.05;
+constexpr int SavedVersion = 1;
+constexpr double MostEvidence = 1;          ///< of a stored pair, in changes of a full neighbour: newer ones can outweigh it
 constexpr double StrongestEffect = 10;      ///< more is saturation or noise: a tenth of the worker doubles the utilisation
 constexpr double ReportError = 0.12;        ///< of one report's utilisation, as a part of it
 constexpr double SaturatedError = 0.5;
@@ -169,6 +175,49 @@
     }
 }
 
+std::string PressureModel::save() const
+{
+    nlohmann::json rows = nlohmann::json::array({SavedVersion});
+    for (std::size_t s = 0; s < m_services.size() && s < m_model.classCount(); ++s) {
+        const auto service = static_cast<ClassIndex>(s);
+        if (m_services[s].leastTailMs == 0) {
+            continue; // fills, or has not been seen
+        }
+        nlohmann::json pairs = nlohmann::json::array();
+        for (std::size_t n = 0; n < m_model.classCount(); ++n) {
+            const auto neighbour = static_cast<ClassIndex>(n);
+            if (const double evidence = m_model.evidence(service, neighbour); evidence > 0) {
+                pairs.push_back({m_model.nameOf(neighbour), effect(service, neighbour), evidence});
+            }
+        }
+        rows.push_back({m_model.nameOf(service), m_services[s].leastTailMs, m_services[s].peakLoad, std::move(pairs)});
+    }
+    std::string bytes;
+    nlohmann::json::to_msgpack(rows, bytes);
+    return bytes;
+}
+
+void PressureModel::load(std::string_view bytes)
+{
+    const nlohmann::json rows = nlohmann::json::from_msgpack(bytes, true, false);
+    if (!rows.is_array() || rows.empty() || rows[0] != SavedVersion) {
+        throw InvalidArgument("pressure", "not a stored model of this version");
+    }
+    try {
+        for (std::size_t i = 1; i < rows.size(); ++i) {
+            const ClassIndex service = classOf(rows[i].at(0).get<std::string>());
+            m_services[service].leastTailMs = rows[i].at(1);
+            m_services[service].peakLoad = rows[i].at(2);
+            for (const nlohmann::json &it : rows[i].at(3)) {
+                const ClassIndex neighbour = classOf(it.at(0).get<std::string>());
+                m_model.assume(service, neighbour, it.at(1), std::min(MostEvidence, it.at(2).get<double>()));
+            }
+        }
+    } catch (const nlohmann::json::exception &error) {
+        throw InvalidArgument("pressure", error.what());
+    }
+}
+
 void PressureModel::refresh(TimePoint now)
 {
     m_model.refresh(now);
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -21,6 +21,8 @@
 
 #include <cstdint>
 #include <span>
+#include <string>
+#include <string_view>
 #include <vector>
 
 namespace QuetzalRock::Workflow {
@@ -96,6 +98,10 @@
     /** Utilisation at which the tail is at @p targetMs. */
     double utilisationAt(ClassIndex service, std::int64_t targetMs) const;
 
+    /** All that was learned, for a successor; load() takes it as a prior. Throws InvalidArgument where it cannot be read. */
+    std::string save() const;
+    void load(std::string_view bytes);
+
 private:
     /** What is known of one serving image. */
     struct Service
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -15,6 +15,7 @@
  *   ctl/boot/NODE the node's present life: whoever led in an earlier one leads no more
  *   ctl/workers   every worker that the present leader may have sent an order to
  *   ctl/pending   jobs of each queue for which no task has started
+ *   ctl/pressure  what has been learned of neighbours (pressure.h)
  */
 #pragma once
 
@@ -35,6 +36,7 @@
 constexpr std::string_view BootPrefix = "ctl/boot/";
 constexpr std::string_view WorkersKey = "ctl/workers";
 constexpr std::string_view PendingKey = "ctl/pending";
+constexpr std::string_view PressureKey = "ctl/pressure";
 
 using WorkerIndex = std::uint32_t;
 constexpr WorkerIndex NoWorker = ~0U;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -46,6 +46,7 @@
     Duration storeEvery = std::chrono::milliseconds(50);   ///< ends are gathered for so long before they are written
     Duration pendingEvery = std::chrono::milliseconds(700); ///< between two writes of the counts of waiting jobs; callers
                                                             ///< may be told counts of two seconds ago
+    Duration pressureEvery = std::chrono::seconds(4);      ///< between two writes of what was learned of neighbours
     Duration storeRetry = std::chrono::milliseconds(200);  ///< after a write that failed
     Duration placeEvery = std::chrono::milliseconds(5);    ///< changes are gathered for so long before placing
     Duration contactLost = std::chrono::milliseconds(2200); ///< a worker that has not answered for so long gets no starts
@@ -110,6 +111,7 @@
     // Takeover (takeover.cpp)
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
+    void loadPressure();
     void loadProgress(const std::string &afterKey);
     void onProgressPage(const StoreReply &reply);
     void retryLoad(std::string_view what);
@@ -237,6 +239,7 @@
     TimePoint m_storeAt{};
     std::string m_storedPending; ///< ctl/pending as last written
     TimePoint m_pendingAt{};     ///< not before
+    TimePoint m_pressureAt{};    ///< not before
     WorkflowCounters m_counters;
 };
 
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr std::size_t JobsPerChange = (MaxChangeEntries - 2) / 2; ///< each takes a condition and a put
+constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2; ///< each takes a condition and a put
 constexpr std::size_t DropsPerChange = 10;                        ///< each takes three removals
 
 } // namespace
@@ -36,11 +36,16 @@
         return;
     }
     const std::string pending = now >= m_pendingAt ? encodePending() : m_storedPending;
-    if (m_dirty.empty() && pending == m_storedPending) {
+    const bool isPressureDue = now >= m_pressureAt && m_counters.throttles > 0;
+    if (m_dirty.empty() && pending == m_storedPending && !isPressureDue) {
         return;
     }
     StoreChange change;
     change.conditions.push_back({std::string(LeaderKey), m_term.keyRevision});
+    if (isPressureDue) {
+        change.puts.push_back({std::string(PressureKey), m_pressure.save(), 0});
+        m_pressureAt = now + m_settings.pressureEvery;
+    }
     if (pending != m_storedPending) {
         change.puts.push_back({std::string(PendingKey), pending, 0});
         m_pendingAt = now + m_settings.pendingEvery;
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -132,9 +132,24 @@
         }
     }
     m_load = Load::Progress;
+    loadPressure();
     loadProgress({});
 }
 
+/** Helps, but nothing waits for it: without it the effects of neighbours are learned anew. */
+void WorkflowScheduler::loadPressure()
+{
+    m_store.get(PressureKey, guard([this](const StoreReply &reply) {
+        try {
+            if (!reply.items.empty()) {
+                m_pressure.load(reply.items.front().value);
+            }
+        } catch (const Error &error) {
+            m_log.write("pressure_unreadable", "error", error.what());
+        }
+    }));
+}
+
 void WorkflowScheduler::loadProgress(const std::string &afterKey)
 {
     m_store.range(ProgressPrefix, afterKey, guard([this](const StoreReply &reply) { onProgressPage(reply); }));
