--- a/packages/placement/interference.h
+++ b/packages/placement/interference.h
@@ -85,7 +85,7 @@
         Row coefficients{};
         Row errors{};
         std::array<bool, MaxClasses> pinned{};
-        std::array<double, MaxClasses> assumed{};         ///< prior means of neighbours, where assumedStrength is not 0
+        std::array<double, MaxClasses> assumed{}; ///< prior means of neighbours, where assumedStrength is not 0
         std::array<double, MaxClasses> assumedStrength{};
         double noise = 0.04; ///< variance of what the neighbours do not explain
         bool dirty = false;
--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -10,12 +10,13 @@
 
 using namespace std::chrono_literals;
 
-constexpr unsigned FenceLifeBits = 16; ///< of a fencing token count lives of one worker; the epoch stands above
+constexpr unsigned FenceLifeBits = 16;     ///< of a fencing token count lives of one worker; the epoch stands above
 constexpr std::size_t EndsPerReport = 500; ///< a report with so many ends may not be whole
 constexpr std::uint32_t LostCallsBeforeLooking = 1; ///< from then on renewals only look: they prolong nothing
 constexpr Duration BatchEnds = 25ms; ///< after a report with ends, so that they are stored before the next
-constexpr Duration AskWhileStoring = 150ms; ///< while ends wait for the store, a report would come at once, again and again
-constexpr std::int64_t ClockMarginMs = 50;  ///< beyond an order's validity, before it counts as void
+constexpr Duration AskWhileStoring
+    = 150ms; ///< while ends wait for the store, a report would come at once, again and again
+constexpr std::int64_t ClockMarginMs = 50; ///< beyond an order's validity, before it counts as void
 
 } // namespace
 
@@ -67,7 +68,14 @@
 void WorkflowScheduler::beginLife(WorkerIndex index, const WorkerRecord &record)
 {
     WorkerState &worker = *m_workers[index];
-    m_log.write("worker_reborn", "worker", worker.record.id, "born", record.bornMs, "before", worker.record.bornMs, "runs",
+    m_log.write("worker_reborn",
+                "worker",
+                worker.record.id,
+                "born",
+                record.bornMs,
+                "before",
+                worker.record.bornMs,
+                "runs",
                 worker.runs.size());
     worker.record.bornMs = record.bornMs;
     ++worker.lives;
@@ -97,7 +105,8 @@
         if (!worker.runs.empty() && hasRunOut && m_authority == Authority::Firm) {
             loseRuns(i, "its lease has run out");
         }
-        const bool isForgotten = !worker.isListed && !worker.isUnresolved && worker.runs.empty() && now >= worker.leaseEndsBy;
+        const bool isForgotten
+            = !worker.isListed && !worker.isUnresolved && worker.runs.empty() && now >= worker.leaseEndsBy;
         if (isForgotten && m_authority == Authority::Firm && m_durableWorkers.erase(worker.record.id) > 0) {
             m_workersDirty = true; // a successor need not ask for it
         }
@@ -127,8 +136,8 @@
     }
     worker.isRenewing = true;
     m_port.renew(target(worker), order, guard([this, index, fence = worker.fence, now](const RenewReply &reply) {
-        onRenewed(index, fence, reply, now);
-    }));
+                     onRenewed(index, fence, reply, now);
+                 }));
 }
 
 void WorkflowScheduler::onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt)
@@ -159,7 +168,12 @@
         worker.lostCalls += reply.order.status == OrderStatus::Unhealthy ? 0 : 1;
         worker.renewAt = now + m_settings.askAgain;
         if (worker.lostCalls == 1) {
-            m_log.write("worker_contact_lost", "worker", worker.record.id, "runs", worker.runs.size(), "status",
+            m_log.write("worker_contact_lost",
+                        "worker",
+                        worker.record.id,
+                        "runs",
+                        worker.runs.size(),
+                        "status",
                         static_cast<int>(reply.order.status));
         }
         return;
@@ -170,7 +184,8 @@
     const bool isFirst = !worker.isRead || worker.lostCalls > 0;
     worker.lostCalls = 0;
     worker.answeredAt = now;
-    const bool isOtherLife = worker.record.bornMs != 0 && reply.report.bornMs != 0 && worker.record.bornMs != reply.report.bornMs;
+    const bool isOtherLife
+        = worker.record.bornMs != 0 && reply.report.bornMs != 0 && worker.record.bornMs != reply.report.bornMs;
     if (isOtherLife) {
         WorkerRecord record = worker.record;
         record.bornMs = reply.report.bornMs;
@@ -219,8 +234,15 @@
         takeRunning(index, it);
     }
     if (worker.adoptedRuns > 0) {
-        m_log.write("runs_adopted", "worker", worker.record.id, "runs", worker.adoptedRuns, "listed", report.running.size(),
-                    "clock_ms", report.clockMs);
+        m_log.write("runs_adopted",
+                    "worker",
+                    worker.record.id,
+                    "runs",
+                    worker.adoptedRuns,
+                    "listed",
+                    report.running.size(),
+                    "clock_ms",
+                    report.clockMs);
     }
     bool hasNews = false;
     for (const EndedEntry &it : report.ended) {
@@ -268,8 +290,17 @@
     if (!ref || ref->task().worker != index || ref->task().attempt != entry.run.attempt
         || ref->task().phase == TaskPhase::Waiting || ref->task().phase == TaskPhase::Done) {
         worker.strays.insert(entry.run);
-        m_log.write("stray_run_stopped", "job", entry.run.task.job, "step", entry.run.task.step, "task",
-                    entry.run.task.index, "attempt", entry.run.attempt, "worker", worker.record.id);
+        m_log.write("stray_run_stopped",
+                    "job",
+                    entry.run.task.job,
+                    "step",
+                    entry.run.task.step,
+                    "task",
+                    entry.run.task.index,
+                    "attempt",
+                    entry.run.attempt,
+                    "worker",
+                    worker.record.id);
         m_port.stop(target(worker), entry.run, [](const OrderReply &) {}); // the next report shows whether it worked
         return;
     }
@@ -346,8 +377,21 @@
             failed.push_back(entry.run.attempt);
         }
         const std::uint32_t most = ref.job->accepted.maxFailures;
-        m_log.write("run_failed", "job", ref.job->key(), "step", ref.step, "task", ref.index, "attempt",
-                    entry.run.attempt, "worker", worker.record.id, "failures", failed.size(), "most", most);
+        m_log.write("run_failed",
+                    "job",
+                    ref.job->key(),
+                    "step",
+                    ref.step,
+                    "task",
+                    ref.index,
+                    "attempt",
+                    entry.run.attempt,
+                    "worker",
+                    worker.record.id,
+                    "failures",
+                    failed.size(),
+                    "most",
+                    most);
         if (ref.spec().isLasting) {
             failed.clear();
         } else if (most > 0 && failed.size() >= most) {
@@ -357,14 +401,24 @@
     }
     case RunEnd::LeaseLapsed:
         ++m_counters.lost;
-        m_log.write("run_lapsed", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id);
+        m_log.write(
+            "run_lapsed", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id);
         break;
     case RunEnd::Stopped:
     case RunEnd::GangBroken:
     case RunEnd::GangAlone:
         if (!wasStopping) {
-            m_log.write("run_ended", "job", ref.job->key(), "step", ref.step, "task", ref.index, "how",
-                        static_cast<int>(entry.how), "worker", worker.record.id);
+            m_log.write("run_ended",
+                        "job",
+                        ref.job->key(),
+                        "step",
+                        ref.step,
+                        "task",
+                        ref.index,
+                        "how",
+                        static_cast<int>(entry.how),
+                        "worker",
+                        worker.record.id);
         }
         break;
     }
@@ -385,15 +439,31 @@
         }
         if (isNewLife) {
             ++m_counters.lost;
-            m_log.write("run_lost", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id,
-                        "why", "the worker has started anew");
+            m_log.write("run_lost",
+                        "job",
+                        ref.job->key(),
+                        "step",
+                        ref.step,
+                        "task",
+                        ref.index,
+                        "worker",
+                        worker.record.id,
+                        "why",
+                        "the worker has started anew");
             takeBack(ref);
             continue;
         }
         const bool isAnswered = task.phase == TaskPhase::Stopping ? task.stopAnswered : task.isAnswered;
         if (!isAnswered && task.phase != TaskPhase::Running) {
             if (task.phase == TaskPhase::Starting && clockMs > task.validUntilMs + ClockMarginMs) {
-                m_log.write("start_void", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker",
+                m_log.write("start_void",
+                            "job",
+                            ref.job->key(),
+                            "step",
+                            ref.step,
+                            "task",
+                            ref.index,
+                            "worker",
                             worker.record.id);
                 takeBack(ref);
             } else if (task.phase == TaskPhase::Stopping && m_now >= task.orderedAt + m_settings.askAgain) {
@@ -406,8 +476,8 @@
         }
         if (task.phase != TaskPhase::Stopping) {
             ++m_counters.lost;
-            m_log.write("run_vanished", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker",
-                        worker.record.id);
+            m_log.write(
+                "run_vanished", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id);
         }
         takeBack(ref);
     }
@@ -435,7 +505,8 @@
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
         const bool isRunning = ref.task().phase == TaskPhase::Running;
-        const bool mustMove = ref.spec().isLasting || (ref.spec().isCheckpointed && now + m_settings.drainMargin >= leavesAt);
+        const bool mustMove
+            = ref.spec().isLasting || (ref.spec().isCheckpointed && now + m_settings.drainMargin >= leavesAt);
         if (isRunning && mustMove) {
             stop(ref, "its worker drains");
         }
@@ -456,7 +527,10 @@
                                                      : std::min(m_settings.longestSuspicion, worker.suspicion * 2);
     worker.suspectUntil = now + worker.suspicion;
     worker.failuresInRow = m_settings.suspectAfter - 1; // the next failure alone is enough
-    m_log.write("worker_suspect", "worker", worker.record.id, "for_ms",
+    m_log.write("worker_suspect",
+                "worker",
+                worker.record.id,
+                "for_ms",
                 std::chrono::duration_cast<std::chrono::milliseconds>(worker.suspicion).count());
 }
 
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -10,10 +10,10 @@
 using namespace std::chrono_literals;
 
 constexpr std::uint64_t AttemptsPerEpoch = 1000; ///< attempt numbers of one task in one epoch
-constexpr Duration PlaceAgain = 100ms;           ///< where tasks wait for room, for a time, or for a worker to be trusted
-constexpr Duration SortEvery = 100ms;            ///< turns of jobs change with time; a new job is sorted in at once
-constexpr Duration RejectedPause = 300ms;        ///< a worker that rejected a start gets none for so long
-constexpr Duration RetryDelay = 20ms;            ///< of a task whose start was rejected
+constexpr Duration PlaceAgain = 100ms;    ///< where tasks wait for room, for a time, or for a worker to be trusted
+constexpr Duration SortEvery = 100ms;     ///< turns of jobs change with time; a new job is sorted in at once
+constexpr Duration RejectedPause = 300ms; ///< a worker that rejected a start gets none for so long
+constexpr Duration RetryDelay = 20ms;     ///< of a task whose start was rejected
 
 bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -130,8 +130,19 @@
         ++placed;
     }
     if (placed > 0) {
-        m_log.write("tasks_started", "job", job.key(), "step", step, "tasks", placed, "of", n, "queue",
-                    job.accepted.queue, "age_ms", m_clock.wallNow().count() - job.accepted.acceptedMs);
+        m_log.write("tasks_started",
+                    "job",
+                    job.key(),
+                    "step",
+                    step,
+                    "tasks",
+                    placed,
+                    "of",
+                    n,
+                    "queue",
+                    job.accepted.queue,
+                    "age_ms",
+                    m_clock.wallNow().count() - job.accepted.acceptedMs);
     }
 }
 
@@ -181,10 +192,11 @@
     double bestScore = 0;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         const WorkerState &worker = *m_workers[i];
-        const bool isUsable = worker.isListed && worker.isReadFirmly && worker.record.condition == WorkerCondition::Ready
-            && worker.record.pool == ref.job->accepted.pool && worker.strays.empty() && worker.lostCalls == 0
-            && now >= worker.noStartsUntil && now < worker.answeredAt + m_settings.contactLost
-            && m_durableWorkers.contains(worker.record.id);
+        const bool isUsable
+            = worker.isListed && worker.isReadFirmly && worker.record.condition == WorkerCondition::Ready
+              && worker.record.pool == ref.job->accepted.pool && worker.strays.empty() && worker.lostCalls == 0
+              && now >= worker.noStartsUntil && now < worker.answeredAt + m_settings.contactLost
+              && m_durableWorkers.contains(worker.record.id);
         if (!isUsable || (worker.isSuspect(now) && !worker.runs.empty())) {
             continue;
         }
@@ -209,7 +221,8 @@
         candidate.push = *push;
         candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
         candidate.isDoubtful = task.avoid == i || worker.failuresInRow > 0;
-        candidate.mayShareSpare = waitedMs > std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.patience).count();
+        candidate.mayShareSpare
+            = waitedMs > std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.patience).count();
         const auto score = scoreOf(m_settings.placement, step, candidate);
         if (score && (best == NoWorker || *score > bestScore)) {
             best = i;
@@ -307,20 +320,18 @@
         touch(*ref.job);
     }
     ++m_counters.starts;
-    const auto onReply = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence](const OrderReply &reply) {
-        // Fenced off by our own token for the worker's next life: its first report decides.
-        if (reply.status != OrderStatus::Fenced || m_workers[index]->fence == fence) {
-            onStarted(ref, key, index, attempt, reply);
-        }
-    };
+    const auto onReply
+        = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence](const OrderReply &reply) {
+              // Fenced off by our own token for the worker's next life: its first report decides.
+              if (reply.status != OrderStatus::Fenced || m_workers[index]->fence == fence) {
+                  onStarted(ref, key, index, attempt, reply);
+              }
+          };
     m_port.start(target(worker), order, guard(onReply));
 }
 
-void WorkflowScheduler::onStarted(const TaskRef &ref,
-                                  const JobKey &key,
-                                  WorkerIndex index,
-                                  std::uint64_t attempt,
-                                  const OrderReply &reply)
+void WorkflowScheduler::onStarted(
+    const TaskRef &ref, const JobKey &key, WorkerIndex index, std::uint64_t attempt, const OrderReply &reply)
 {
     m_now = m_clock.now();
     WorkerState &worker = *m_workers[index];
@@ -329,7 +340,7 @@
     }
     TaskState &task = ref.task();
     const bool isOpenOrder = task.worker == index && task.attempt == attempt
-        && (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Stopping);
+                             && (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Stopping);
     if (!isOpenOrder) {
         return; // a report was faster
     }
@@ -352,8 +363,20 @@
         return;
     }
     ++m_counters.startsRejected;
-    m_log.write("start_rejected", "job", key, "step", ref.step, "task", ref.index, "worker", worker.record.id, "status",
-                static_cast<int>(reply.status), "free_cpu", worker.freeRoom().cpuMillis, "free_mib",
+    m_log.write("start_rejected",
+                "job",
+                key,
+                "step",
+                ref.step,
+                "task",
+                ref.index,
+                "worker",
+                worker.record.id,
+                "status",
+                static_cast<int>(reply.status),
+                "free_cpu",
+                worker.freeRoom().cpuMillis,
+                "free_mib",
                 worker.freeRoom().memoryMib);
     worker.noStartsUntil = m_now + RejectedPause;
     release(ref);
@@ -371,8 +394,17 @@
         return;
     }
     ++m_counters.stops;
-    m_log.write("run_stop", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker",
-                m_workers[task.worker]->record.id, "why", why);
+    m_log.write("run_stop",
+                "job",
+                ref.job->key(),
+                "step",
+                ref.step,
+                "task",
+                ref.index,
+                "worker",
+                m_workers[task.worker]->record.id,
+                "why",
+                why);
     task.phase = TaskPhase::Stopping;
     task.stopAnswered = false;
     sendStop(ref);
@@ -384,21 +416,25 @@
     const WorkerState &worker = *m_workers[task.worker];
     task.orderedAt = m_clock.now();
     const RunName run{ref.name(), task.attempt};
-    m_port.stop(target(worker), run, guard([this, ref, key = ref.job->key(), attempt = task.attempt, fence = worker.fence](const OrderReply &reply) {
-        if (findJob(key) != ref.job) {
-            return;
-        }
-        TaskState &it = ref.task();
-        if (it.phase != TaskPhase::Stopping || it.attempt != attempt) {
-            return;
-        }
-        if (reply.status == OrderStatus::Accepted || reply.status == OrderStatus::Superseded) {
-            it.stopAnswered = true;
-            it.answeredAt = m_clock.now();
-        } else if (reply.status == OrderStatus::Fenced && it.worker != NoWorker && m_workers[it.worker]->fence == fence) {
-            m_isDeposed = true;
-        }
-    }));
+    m_port.stop(
+        target(worker),
+        run,
+        guard([this, ref, key = ref.job->key(), attempt = task.attempt, fence = worker.fence](const OrderReply &reply) {
+            if (findJob(key) != ref.job) {
+                return;
+            }
+            TaskState &it = ref.task();
+            if (it.phase != TaskPhase::Stopping || it.attempt != attempt) {
+                return;
+            }
+            if (reply.status == OrderStatus::Accepted || reply.status == OrderStatus::Superseded) {
+                it.stopAnswered = true;
+                it.answeredAt = m_clock.now();
+            } else if (reply.status == OrderStatus::Fenced && it.worker != NoWorker
+                       && m_workers[it.worker]->fence == fence) {
+                m_isDeposed = true;
+            }
+        }));
 }
 
 void WorkflowScheduler::finishTask(const TaskRef &ref)
@@ -444,7 +480,14 @@
 
 void WorkflowScheduler::setFinal(JobState &job, WorkflowState state)
 {
-    m_log.write("job_final", "job", job.key(), "state", static_cast<int>(state), "queue", job.accepted.queue, "age_ms",
+    m_log.write("job_final",
+                "job",
+                job.key(),
+                "state",
+                static_cast<int>(state),
+                "queue",
+                job.accepted.queue,
+                "age_ms",
                 m_clock.wallNow().count() - job.accepted.acceptedMs);
     job.state = state;
     m_active.erase(job.key());
--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -85,8 +85,8 @@
     StoreChange change;
     change.puts = {{std::string(BootPrefix) + m_node, m_boot, 0}};
     m_store.change(std::move(change), guard([this](const StoreReply &reply) {
-        m_hasStoredBoot = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
-    }));
+                       m_hasStoredBoot = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
+                   }));
 }
 
 void Election::lookAtOnce()
@@ -191,10 +191,10 @@
 {
     m_stage = Stage::Following;
     m_store.watch(LeaderKey, after, m_settings.watchWait, guard([this, id = ++m_watchId](const StoreReply &reply) {
-        if (m_stage == Stage::Following && id == m_watchId) {
-            onFollow(reply);
-        }
-    }));
+                      if (m_stage == Stage::Following && id == m_watchId) {
+                          onFollow(reply);
+                      }
+                  }));
 }
 
 void Election::onFollow(const StoreReply &reply)
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -40,11 +40,11 @@
 
 struct ElectionSettings
 {
-    Duration leaseTime = std::chrono::milliseconds(1500); ///< how long the others wait for a leader that has died
-    Duration renewEvery = std::chrono::milliseconds(400); ///< three tries within a lease
-    Duration retryEvery = std::chrono::milliseconds(150); ///< of a renewal that failed
-    Duration grace = std::chrono::seconds(8);             ///< about as long as the store is usually away
-    Duration watchWait = std::chrono::milliseconds(1500); ///< as MirrorSettings::watchWait
+    Duration leaseTime = std::chrono::milliseconds(1500);    ///< how long the others wait for a leader that has died
+    Duration renewEvery = std::chrono::milliseconds(400);    ///< three tries within a lease
+    Duration retryEvery = std::chrono::milliseconds(150);    ///< of a renewal that failed
+    Duration grace = std::chrono::seconds(8);                ///< about as long as the store is usually away
+    Duration watchWait = std::chrono::milliseconds(1500);    ///< as MirrorSettings::watchWait
     Duration campaignSpread = std::chrono::milliseconds(60); ///< random delay, so that not all campaign at once
 };
 
@@ -112,14 +112,14 @@
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 
     Stage m_stage = Stage::Idle;
-    TimePoint m_nextAt{};     ///< of the next step while Idle
+    TimePoint m_nextAt{};        ///< of the next step while Idle
     std::uint64_t m_watchId = 0; ///< of the watch under way; answers of earlier ones are ignored
     bool m_hasResigned = false;
     std::string m_leaderName;
-    std::string m_ownValue;   ///< written by the last campaign; unique to it
-    EpochRecord m_former;                       ///< as read by the last campaign
-    std::uint64_t m_campaignEpoch = 0;          ///< 0: no campaign yet
-    std::uint64_t m_campaignEpochRevision = 0;  ///< of ctl/epoch as read by it
+    std::string m_ownValue;                    ///< written by the last campaign; unique to it
+    EpochRecord m_former;                      ///< as read by the last campaign
+    std::uint64_t m_campaignEpoch = 0;         ///< 0: no campaign yet
+    std::uint64_t m_campaignEpochRevision = 0; ///< of ctl/epoch as read by it
     bool m_hasStoredBoot = false;
     std::uint64_t m_lease = 0;
     TimePoint m_leaseSentAt{};
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -123,8 +123,13 @@
     m_counters.accepted += outcome == IntakeOutcome::Ok && !write->isCancel ? 1 : 0;
     m_counters.notTaken += outcome == IntakeOutcome::NotTaken ? 1 : 0;
     m_counters.unknown += outcome == IntakeOutcome::Unknown ? 1 : 0;
-    m_log.write(write->isCancel ? "cancel_answered" : "job_answered", "job", write->key, "outcome", static_cast<int>(outcome),
-                "repeated", write->mayBeStored);
+    m_log.write(write->isCancel ? "cancel_answered" : "job_answered",
+                "job",
+                write->key,
+                "outcome",
+                static_cast<int>(outcome),
+                "repeated",
+                write->mayBeStored);
     IntakeReply reply{outcome};
     reply.retryAfter = outcome == IntakeOutcome::NotTaken ? m_settings.retryAfter : Duration{};
     write->done(reply);
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -22,8 +22,8 @@
 
 enum class IntakeOutcome : std::uint8_t {
     Ok = 0,
-    NotTaken = 1,  ///< nothing was changed, and nothing will be; come back after IntakeReply::retryAfter
-    Unknown = 2,   ///< no answer from the store in time: send the same again
+    NotTaken = 1, ///< nothing was changed, and nothing will be; come back after IntakeReply::retryAfter
+    Unknown = 2,  ///< no answer from the store in time: send the same again
     NoSuchJob = 3,
 };
 
@@ -37,10 +37,11 @@
 
 struct IntakeSettings
 {
-    Duration answerMargin = std::chrono::milliseconds(150); ///< the answer goes out so long before the caller's deadline
-    Duration retryEvery = std::chrono::milliseconds(100);   ///< of a write whose fate is unknown
-    Duration retryAfter = std::chrono::seconds(1);          ///< told to callers while the store does not take calls
-    Duration countMaxAge = std::chrono::milliseconds(500);  ///< of the counts kept for further questions
+    Duration answerMargin
+        = std::chrono::milliseconds(150);                  ///< the answer goes out so long before the caller's deadline
+    Duration retryEvery = std::chrono::milliseconds(100);  ///< of a write whose fate is unknown
+    Duration retryAfter = std::chrono::seconds(1);         ///< told to callers while the store does not take calls
+    Duration countMaxAge = std::chrono::milliseconds(500); ///< of the counts kept for further questions
 };
 
 struct IntakeCounters
--- a/packages/workflow/mirror.cpp
+++ b/packages/workflow/mirror.cpp
@@ -44,7 +44,7 @@
     }
 }
 
-void PrefixMirror::load(std::string afterKey)
+void PrefixMirror::load(const std::string &afterKey)
 {
     m_store.range(m_prefix, afterKey, [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
         if (!alive.expired()) {
@@ -91,11 +91,12 @@
 
 void PrefixMirror::watch()
 {
-    m_store.watch(m_prefix, m_revision, m_settings.watchWait, [this, alive = std::weak_ptr(m_alive)](const StoreReply &it) {
-        if (!alive.expired()) {
-            onEvents(it);
-        }
-    });
+    m_store.watch(
+        m_prefix, m_revision, m_settings.watchWait, [this, alive = std::weak_ptr(m_alive)](const StoreReply &it) {
+            if (!alive.expired()) {
+                onEvents(it);
+            }
+        });
 }
 
 void PrefixMirror::onEvents(const StoreReply &reply)
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -20,9 +20,10 @@
 
 struct MirrorSettings
 {
-    Duration watchWait = std::chrono::milliseconds(1500); ///< bounds, with the client's margin, how late a connection that
-                                                          ///< has gone silent is noticed; below the time in which
-                                                          ///< a configuration has to be in force
+    Duration watchWait
+        = std::chrono::milliseconds(1500); ///< bounds, with the client's margin, how late a connection that
+                                           ///< has gone silent is noticed; below the time in which
+                                           ///< a configuration has to be in force
     Duration retryAfter = std::chrono::milliseconds(200); ///< after a failed call; doubles up to retryMost
     Duration retryMost = std::chrono::milliseconds(800);
 };
@@ -41,7 +42,7 @@
     TimePoint freshAt() const;      ///< when the store last answered
 
 private:
-    void load(std::string afterKey);
+    void load(const std::string &afterKey);
     void onPage(const StoreReply &reply);
     void watch();
     void onEvents(const StoreReply &reply);
@@ -60,8 +61,8 @@
     bool m_mustLoad = true;
     bool m_isBusy = false;
     std::uint64_t m_revision = 0;
-    std::uint64_t m_loadRevision = 0;       ///< of the first page
-    std::set<std::string> m_loadedKeys;     ///< of the load under way
+    std::uint64_t m_loadRevision = 0;             ///< of the first page
+    std::set<std::string> m_loadedKeys;           ///< of the load under way
     std::map<std::string, std::uint64_t> m_known; ///< revision of each key
     TimePoint m_retryAt{};
     TimePoint m_freshAt{};
--- a/packages/workflow/model.h
+++ b/packages/workflow/model.h
@@ -32,22 +32,22 @@
 
 struct StepSpec
 {
-    std::uint32_t taskCount = 1;       ///< equal tasks
-    Resources need;                    ///< of each task, as declared
-    std::int64_t estimateMs = 0;       ///< rough run time of a task; 0: unknown
-    std::vector<std::uint32_t> after;  ///< earlier steps, all of whose tasks must be done first
-    std::string requiredLabel;         ///< the worker must carry it; empty: any worker
-    std::string preferredRack;         ///< tasks are slower elsewhere; empty: no preference
-    std::uint32_t maxPerWorker = 0;    ///< tasks of this step (and occurrence) on one worker; 0: no limit
-    bool isGang = false;               ///< the tasks only make progress when all of them are present
-    bool wantsOneRack = false;         ///< the tasks are slower when spread over racks
-    bool isCheckpointed = false;       ///< a stopped task can be resumed
-    bool mayRunCopies = false;         ///< idempotent: copies may run in parallel
-    bool isLasting = false;            ///< runs until the job is cancelled, and is restarted however it ends
-    bool usesSpareCpu = false;         ///< its processors are not reserved: it gets what other tasks leave
-    std::string image;                 ///< tasks of one image behave alike
-    std::int64_t latencyTargetMs = 0;  ///< lasting tasks: wanted tail of their own users' response times; 0: none
-    std::uint32_t maxUnavailable = 0;  ///< lasting tasks: so many may be down at once by our doing; 0: no such limit
+    std::uint32_t taskCount = 1;      ///< equal tasks
+    Resources need;                   ///< of each task, as declared
+    std::int64_t estimateMs = 0;      ///< rough run time of a task; 0: unknown
+    std::vector<std::uint32_t> after; ///< earlier steps, all of whose tasks must be done first
+    std::string requiredLabel;        ///< the worker must carry it; empty: any worker
+    std::string preferredRack;        ///< tasks are slower elsewhere; empty: no preference
+    std::uint32_t maxPerWorker = 0;   ///< tasks of this step (and occurrence) on one worker; 0: no limit
+    bool isGang = false;              ///< the tasks only make progress when all of them are present
+    bool wantsOneRack = false;        ///< the tasks are slower when spread over racks
+    bool isCheckpointed = false;      ///< a stopped task can be resumed
+    bool mayRunCopies = false;        ///< idempotent: copies may run in parallel
+    bool isLasting = false;           ///< runs until the job is cancelled, and is restarted however it ends
+    bool usesSpareCpu = false;        ///< its processors are not reserved: it gets what other tasks leave
+    std::string image;                ///< tasks of one image behave alike
+    std::int64_t latencyTargetMs = 0; ///< lasting tasks: wanted tail of their own users' response times; 0: none
+    std::uint32_t maxUnavailable = 0; ///< lasting tasks: so many may be down at once by our doing; 0: no such limit
 };
 
 struct WorkflowSpec
@@ -55,9 +55,9 @@
     JobKey key;
     std::string payload; ///< opaque; handed to each task
     std::vector<StepSpec> steps;
-    std::uint32_t repeatCount = 0;   ///< occurrences; 0: one, at once
-    std::int64_t firstStartMs = 0;   ///< wall time (Unix ms) of the first occurrence
-    std::int64_t intervalMs = 0;     ///< between the due times of occurrences
+    std::uint32_t repeatCount = 0; ///< occurrences; 0: one, at once
+    std::int64_t firstStartMs = 0; ///< wall time (Unix ms) of the first occurrence
+    std::int64_t intervalMs = 0;   ///< between the due times of occurrences
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -76,10 +76,10 @@
 struct Queue
 {
     std::string name;
-    std::string host;       ///< value of the Host header
-    std::string pathPrefix; ///< the longest match wins
-    std::string pool;       ///< whose workers run its tasks
-    int priority = 0;       ///< 0 goes first
+    std::string host;              ///< value of the Host header
+    std::string pathPrefix;        ///< the longest match wins
+    std::string pool;              ///< whose workers run its tasks
+    int priority = 0;              ///< 0 goes first
     std::uint32_t maxFailures = 0; ///< failed runs of a task that end the job; 0: no limit
     double stretch = 1;            ///< latency objective: this times the longest chain of work ...
     std::int64_t slackMs = 0;      ///< ... plus this
@@ -143,8 +143,8 @@
     std::string failureDomain;
     WorkerCondition condition = WorkerCondition::Ready;
     Resources capacity;
-    std::vector<std::string> labels;  ///< kind and rack
-    std::int64_t leavesInMs = 0;      ///< draining: it stays at least so long
+    std::vector<std::string> labels; ///< kind and rack
+    std::int64_t leavesInMs = 0;     ///< draining: it stays at least so long
 };
 
 struct RunningEntry
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -28,11 +28,8 @@
     , m_decoder(decoder)
     , m_clock(clock)
     , m_log(log)
-    , m_operatorItems(store,
-                      clock,
-                      log,
-                      std::string(decoder.operatorPrefix()),
-                      [this](const StoreItem &it) { onOperatorItem(it); })
+    , m_operatorItems(
+          store, clock, log, std::string(decoder.operatorPrefix()), [this](const StoreItem &it) { onOperatorItem(it); })
     , m_election(store, clock, log, settings.name, settings.boot, settings.election)
     , m_intake(store, clock, log, settings.intake)
 {
@@ -106,11 +103,10 @@
         return;
     }
     m_scheduler = std::make_unique<WorkflowScheduler>(m_settings.scheduler, m_store, m_workers, m_clock, m_log, term);
-    m_registry = std::make_unique<PrefixMirror>(m_store,
-                                                m_clock,
-                                                m_log,
-                                                std::string(m_decoder.registryPrefix()),
-                                                [this](const StoreItem &it) { onRegistryItem(it); });
+    m_registry = std::make_unique<PrefixMirror>(
+        m_store, m_clock, m_log, std::string(m_decoder.registryPrefix()), [this](const StoreItem &it) {
+            onRegistryItem(it);
+        });
 }
 
 void Node::onOperatorItem(const StoreItem &item)
@@ -125,7 +121,12 @@
             return;
         }
         m_catalog = std::move(catalog);
-        m_log.write("catalog_in_force", "version", m_catalog.version, "revision", item.revision, "queues",
+        m_log.write("catalog_in_force",
+                    "version",
+                    m_catalog.version,
+                    "revision",
+                    item.revision,
+                    "queues",
                     m_catalog.queues.size());
     } catch (const std::exception &error) {
         m_log.write("catalog_unreadable", "revision", item.revision, "error", error.what());
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -23,9 +23,10 @@
     ElectionSettings election;
     WorkflowSettings scheduler;
     IntakeSettings intake;
-    Duration storeSilence = std::chrono::milliseconds(3500); ///< a node that has not heard from the store for so long says
-                                                             ///< that it is not ready: it could accept nothing. Longer than
-                                                             ///< a watch's wait and its margin
+    Duration storeSilence
+        = std::chrono::milliseconds(3500); ///< a node that has not heard from the store for so long says
+                                           ///< that it is not ready: it could accept nothing. Longer than
+                                           ///< a watch's wait and its margin
 };
 
 class Node
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -31,10 +31,11 @@
     std::int64_t score = left;
     if (step.isLasting) {
         // Beside its like, where the least room is left; then on a worker without serving tasks; then beside others.
-        score = worker.hasSameImage     ? (worker.hasSameJob ? 3 : 2) * ImageRank - worker.free.cpuMillis
-            : worker.servingMillis == 0 ? ImageRank + left
-                                        : left;
-        score -= worker.spareMillis + static_cast<std::int64_t>(worker.push * static_cast<double>(weights.pushPenaltyMillis));
+        score = worker.hasSameImage         ? (worker.hasSameJob ? 3 : 2) * ImageRank - worker.free.cpuMillis
+                : worker.servingMillis == 0 ? ImageRank + left
+                                            : left;
+        score -= worker.spareMillis
+                 + static_cast<std::int64_t>(worker.push * static_cast<double>(weights.pushPenaltyMillis));
     } else if (worker.servingMillis > 0) {
         score -= weights.servingPenaltyMillis;
         score -= static_cast<std::int64_t>(worker.push * static_cast<double>(weights.pushPenaltyMillis));
--- a/packages/workflow/placement.h
+++ b/packages/workflow/placement.h
@@ -23,15 +23,16 @@
 {
     double servingUse = 0.6;      ///< processors that a serving task uses of those it reserves; they idle between peaks
     double spareOvercommit = 1.0; ///< tasks on spare processors may want so much of what is left; more only slows all
-    std::int64_t servingPenaltyMillis = 8'000;  ///< beside a serving task, a worker counts as having so much less left ...
-    std::int64_t pushPenaltyMillis = 40'000;    ///< ... and so much less for a push of 1, which doubles its utilisation
+    std::int64_t servingPenaltyMillis
+        = 8'000;                             ///< beside a serving task, a worker counts as having so much less left ...
+    std::int64_t pushPenaltyMillis = 40'000; ///< ... and so much less for a push of 1, which doubles its utilisation
     std::int64_t suspectPenaltyMillis = 64'000; ///< a worker whose last run failed
     std::int64_t farPenaltyMillis = 40'000;     ///< off the rack that holds the task's data
 };
 
 struct Candidate
 {
-    Resources free;               ///< not reserved
+    Resources free; ///< not reserved
     std::int64_t capacityMillis = 0;
     std::int64_t reservedMillis = 0;
     std::int64_t servingMillis = 0; ///< a part of reservedMillis
@@ -40,8 +41,8 @@
     bool hasSameJob = false;        ///< serving: tasks of its job are there already
     double push = 0;                ///< strongest effect of the task on a serving one there, see pressure.h
     bool isOnPreferredRack = true;
-    bool isDoubtful = false;        ///< its last run failed, or it failed this very task
-    bool mayShareSpare = false;     ///< the task has waited long enough to take spare processors that others want too
+    bool isDoubtful = false;    ///< its last run failed, or it failed this very task
+    bool mayShareSpare = false; ///< the task has waited long enough to take spare processors that others want too
 };
 
 /** Processors that nobody is expected to use, in millis; negative where tasks get in each other's way. */
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -75,22 +75,23 @@
 {
     // Life of the worker
     WorkerRecord record;
-    bool isListed = false;     ///< in the registry now
-    bool isRead = false;       ///< has seen our fencing token, and given its lists after that
-    bool isReadFirmly = false; ///< and at that time nobody else led: in doubt, only such workers get starts, since one that
-                               ///< has started anew remembers no token, and a successor may have read its former life
+    bool isListed = false; ///< in the registry now
+    bool isRead = false;   ///< has seen our fencing token, and given its lists after that
+    bool isReadFirmly
+        = false; ///< and at that time nobody else led: in doubt, only such workers get starts, since one that
+                 ///< has started anew remembers no token, and a successor may have read its former life
     bool isUnresolved = false; ///< a former leader used it, and it may still run what that leader ordered
     std::uint64_t fence = 0;
-    bool isNewLife = false;    ///< has started anew, and its first report since is still to come
-    std::uint32_t lives = 0;   ///< times that it came back under its id; part of the fencing token
+    bool isNewLife = false;  ///< has started anew, and its first report since is still to come
+    std::uint32_t lives = 0; ///< times that it came back under its id; part of the fencing token
     TimePoint drainSeenAt{};
 
     // Contact
     WorkerClock clock;
     bool isRenewing = false;
-    TimePoint renewAt{};       ///< not before
+    TimePoint renewAt{}; ///< not before
     TimePoint answeredAt{};
-    TimePoint leaseEndsBy{};   ///< whatever runs there has ended by then, unless we prolong it
+    TimePoint leaseEndsBy{};     ///< whatever runs there has ended by then, unless we prolong it
     std::uint32_t lostCalls = 0; ///< renewals in a row without an answer
     TimePoint noStartsUntil{};
 
@@ -100,14 +101,14 @@
     std::deque<KeptEnd> keptEnds;
 
     // Room
-    Resources reserved;           ///< of everything that starts, runs or stops there
-    std::int64_t spareUse = 0;    ///< cpu millis of tasks that take what is left
-    std::int64_t servingUse = 0;  ///< cpu millis of lasting tasks, a part of reserved
+    Resources reserved;          ///< of everything that starts, runs or stops there
+    std::int64_t spareUse = 0;   ///< cpu millis of tasks that take what is left
+    std::int64_t servingUse = 0; ///< cpu millis of lasting tasks, a part of reserved
     std::vector<TaskRef> runs;
-    std::set<RunName> strays;     ///< runs that we did not order and whose size is unknown
+    std::set<RunName> strays; ///< runs that we did not order and whose size is unknown
     std::uint64_t reportCount = 0;
     std::uint32_t adoptedRuns = 0; ///< by the last report: runs of a former leader
-    TimePoint sampledAt{};        ///< last report that the pressure model took in
+    TimePoint sampledAt{};         ///< last report that the pressure model took in
 
     // Health
     std::uint32_t failuresInRow = 0; ///< of runs, over all jobs
--- a/packages/workflow/ports.h
+++ b/packages/workflow/ports.h
@@ -99,16 +99,16 @@
 
 enum class OrderStatus : std::uint8_t {
     Accepted = 0,
-    Fenced = 1,        ///< a higher fencing token has been seen there
-    Superseded = 2,    ///< this attempt, or a later one, has ended or was barred there
-    TooLate = 3,       ///< its validity had passed by the worker's clock
+    Fenced = 1,     ///< a higher fencing token has been seen there
+    Superseded = 2, ///< this attempt, or a later one, has ended or was barred there
+    TooLate = 3,    ///< its validity had passed by the worker's clock
     NoRoom = 4,
-    NoTicket = 5,      ///< the advice ticket is missing or has lapsed
-    OtherLife = 6,     ///< another life of the worker answers at this address
-    Unhealthy = 7,     ///< refused by an unhealthy worker: nothing was done
+    NoTicket = 5,  ///< the advice ticket is missing or has lapsed
+    OtherLife = 6, ///< another life of the worker answers at this address
+    Unhealthy = 7, ///< refused by an unhealthy worker: nothing was done
     Malformed = 8,
-    NotSent = 9,       ///< no connection came about: the worker has certainly not seen it
-    Unanswered = 10,   ///< may be executed, now or later
+    NotSent = 9,     ///< no connection came about: the worker has certainly not seen it
+    Unanswered = 10, ///< may be executed, now or later
 };
 
 struct OrderReply
@@ -151,11 +151,16 @@
 public:
     virtual ~WorkerPort() = default;
 
-    virtual void start(const WorkerTarget &worker, const StartOrder &order, std::function<void(const OrderReply &)> done) = 0;
+    virtual void
+    start(const WorkerTarget &worker, const StartOrder &order, std::function<void(const OrderReply &)> done)
+        = 0;
     virtual void stop(const WorkerTarget &worker, const RunName &run, std::function<void(const OrderReply &)> done) = 0;
     virtual void
-    throttle(const WorkerTarget &worker, const RunName &run, int percent, std::function<void(const OrderReply &)> done) = 0;
-    virtual void renew(const WorkerTarget &worker, const RenewOrder &order, std::function<void(const RenewReply &)> done) = 0;
+    throttle(const WorkerTarget &worker, const RunName &run, int percent, std::function<void(const OrderReply &)> done)
+        = 0;
+    virtual void
+    renew(const WorkerTarget &worker, const RenewOrder &order, std::function<void(const RenewReply &)> done)
+        = 0;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -168,7 +173,8 @@
     virtual ~RecordDecoder() = default;
 
     virtual std::string_view operatorPrefix() const = 0; ///< of keys that operators write
-    virtual std::string_view registryPrefix() const = 0; ///< of workers' entries; the rest of the key is the worker's id
+    virtual std::string_view
+    registryPrefix() const = 0; ///< of workers' entries; the rest of the key is the worker's id
     virtual bool isCatalog(std::string_view key) const = 0;
 
     /** Both throw InvalidArgument for what cannot be used. */
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -12,21 +12,21 @@
 
 namespace {
 
-constexpr double BaseOverLeastTail = 0.78;  ///< a service is never quite idle: its least tail is a little above its base
+constexpr double BaseOverLeastTail = 0.78; ///< a service is never quite idle: its least tail is a little above its base
 constexpr double LeastTailForgetting = 1.0005; ///< a report: a least tail that was a glitch does not stay for ever
-constexpr double MostUtilisation = 0.97;    ///< tails beyond say "saturated", not how far
-constexpr double QuietEffect = 0.25;        ///< neighbours that add up to less tell a service's own load well
-constexpr double PeakForgetting = 0.9995;   ///< of a class's peak load, a report
+constexpr double MostUtilisation = 0.97;       ///< tails beyond say "saturated", not how far
+constexpr double QuietEffect = 0.25;           ///< neighbours that add up to less tell a service's own load well
+constexpr double PeakForgetting = 0.9995;      ///< of a class's peak load, a report
 constexpr double LeastLoad = 0.05;
 constexpr int SavedVersion = 1;
-constexpr double MostEvidence = 1;          ///< of a stored pair, in changes of a full neighbour: newer ones can outweigh it
-constexpr double StrongestEffect = 10;      ///< more is saturation or noise: a tenth of the worker doubles the utilisation
-constexpr double ReportError = 0.12;        ///< of one report's utilisation, as a part of it
+constexpr double MostEvidence = 1;     ///< of a stored pair, in changes of a full neighbour: newer ones can outweigh it
+constexpr double StrongestEffect = 10; ///< more is saturation or noise: a tenth of the worker doubles the utilisation
+constexpr double ReportError = 0.12;   ///< of one report's utilisation, as a part of it
 constexpr double SaturatedError = 0.5;
-constexpr double KnownLoadError = 0.08;     ///< a load less certain than this teaches nothing about neighbours
-constexpr double FadeSeconds = 0.8;         ///< a report's weight in a shared load falls to 1/e; loads swing within ten
-constexpr double LineStiffness = 0.15;      ///< pulls the line of a shared load towards level, in seconds squared
-constexpr double SteepestSlope = 0.15;      ///< of a load, a second; anything beyond is noise
+constexpr double KnownLoadError = 0.08; ///< a load less certain than this teaches nothing about neighbours
+constexpr double FadeSeconds = 0.8;     ///< a report's weight in a shared load falls to 1/e; loads swing within ten
+constexpr double LineStiffness = 0.15;  ///< pulls the line of a shared load towards level, in seconds squared
+constexpr double SteepestSlope = 0.15;  ///< of a load, a second; anything beyond is noise
 constexpr Duration LoadForgotten = std::chrono::seconds(3);
 
 PlacementSettings modelSettings()
@@ -144,7 +144,8 @@
     return std::sqrt(sum);
 }
 
-void PressureModel::observe(ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, SharedLoad &load)
+void PressureModel::observe(
+    ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, SharedLoad &load)
 {
     Service &it = serviceOf(service);
     const auto tail = static_cast<double>(std::max<std::int64_t>(1, tailMs));
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -29,19 +29,22 @@
 
 struct PressureSettings
 {
-    double placeMargin = 0.04; ///< of utilisation, below that of the target: a new neighbour may bring a task up to there
-    double actMargin = 0.0; ///< above this, neighbours are throttled ...
+    double placeMargin
+        = 0.04;              ///< of utilisation, below that of the target: a new neighbour may bring a task up to there
+    double actMargin = 0.0;  ///< above this, neighbours are throttled ...
     double aimMargin = 0.04; ///< ... down to this, and throttles are lifted up to it
-    Duration lookAhead = std::chrono::milliseconds(600); ///< loads are extrapolated so far: the age of a report, the time to
-                                                         ///< the next, and that of a throttle
-    Duration startUp = std::chrono::milliseconds(1500); ///< of a serving task: its first tails say nothing
+    Duration lookAhead
+        = std::chrono::milliseconds(600); ///< loads are extrapolated so far: the age of a report, the time to
+                                          ///< the next, and that of a throttle
+    Duration startUp = std::chrono::milliseconds(1500);    ///< of a serving task: its first tails say nothing
     Duration sampleEvery = std::chrono::milliseconds(400); ///< reports cover the last half second
-    Duration overFor = std::chrono::milliseconds(1000); ///< a tail above its target for so long: whatever the model says, all
-                                                        ///< neighbours are held
-    Duration moveAfter = std::chrono::milliseconds(1200);  ///< a neighbour held nearly still for so long is moved, if it can
-    int stillPercent = 15;     ///< throttled to this or less counts as held still
-    int coarseness = 20;       ///< throttles are multiples of this many percent points: fewer orders
-
+    Duration overFor
+        = std::chrono::milliseconds(1000); ///< a tail above its target for so long: whatever the model says, all
+                                           ///< neighbours are held
+    Duration moveAfter
+        = std::chrono::milliseconds(1200); ///< a neighbour held nearly still for so long is moved, if it can
+    int stillPercent = 15;                 ///< throttled to this or less counts as held still
+    int coarseness = 20;                   ///< throttles are multiples of this many percent points: fewer orders
 };
 
 /**
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -15,7 +15,7 @@
 double shareOf(const TaskRef &ref, const WorkerState &worker)
 {
     return static_cast<double>(ref.spec().need.cpuMillis)
-        / static_cast<double>(std::max<std::int64_t>(1, worker.record.capacity.cpuMillis));
+           / static_cast<double>(std::max<std::int64_t>(1, worker.record.capacity.cpuMillis));
 }
 
 ClassIndex imageOf(const TaskRef &ref)
@@ -41,7 +41,8 @@
     return runs;
 }
 
-std::vector<FillingTask> WorkflowScheduler::describeFilling(const WorkerState &worker, std::span<const TaskRef> runs) const
+std::vector<FillingTask> WorkflowScheduler::describeFilling(const WorkerState &worker,
+                                                            std::span<const TaskRef> runs) const
 {
     std::vector<FillingTask> filling;
     for (const TaskRef &it : runs) {
@@ -163,13 +164,17 @@
     const bool isStill = percent <= m_settings.pressure.stillPercent;
     task.stillSince = !isStill ? TimePoint{} : task.stillSince == TimePoint{} ? m_now : task.stillSince;
     const RunName run{ref.name(), task.attempt};
-    m_port.throttle(target(*m_workers[task.worker]), run, percent, guard([this, ref, key = ref.job->key(), percent, run](const OrderReply &reply) {
-        if (findJob(key) != ref.job || ref.task().attempt != run.attempt || reply.status == OrderStatus::Accepted) {
-            return;
-        }
-        // Not known to be in force: as if it had not been ordered, so that the next report orders it again.
-        ref.task().percent = static_cast<std::uint8_t>(percent == 100 ? 80 : 100);
-    }));
+    m_port.throttle(target(*m_workers[task.worker]),
+                    run,
+                    percent,
+                    guard([this, ref, key = ref.job->key(), percent, run](const OrderReply &reply) {
+                        if (findJob(key) != ref.job || ref.task().attempt != run.attempt
+                            || reply.status == OrderStatus::Accepted) {
+                            return;
+                        }
+                        // Not known to be in force: as if it had not been ordered, so that the next report orders it again.
+                        ref.task().percent = static_cast<std::uint8_t>(percent == 100 ? 80 : 100);
+                    }));
 }
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -31,7 +31,7 @@
 json stepToJson(const StepSpec &it)
 {
     const unsigned flags = (it.isGang ? 1U : 0U) | (it.wantsOneRack ? 2U : 0U) | (it.isCheckpointed ? 4U : 0U)
-        | (it.mayRunCopies ? 8U : 0U) | (it.isLasting ? 16U : 0U) | (it.usesSpareCpu ? 32U : 0U);
+                           | (it.mayRunCopies ? 8U : 0U) | (it.isLasting ? 16U : 0U) | (it.usesSpareCpu ? 32U : 0U);
     return json::array({it.taskCount,
                         it.need.cpuMillis,
                         it.need.memoryMib,
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -71,22 +71,22 @@
 struct TaskState
 {
     TaskPhase phase = TaskPhase::Waiting;
-    bool isAnswered = false;      ///< Starting: the worker has said yes
-    bool stopAnswered = false;    ///< Stopping: the worker has said yes; where it is not listed then, it never began
+    bool isAnswered = false;   ///< Starting: the worker has said yes
+    bool stopAnswered = false; ///< Stopping: the worker has said yes; where it is not listed then, it never began
     WorkerIndex worker = NoWorker;
-    WorkerIndex avoid = NoWorker; ///< where the last run failed or hung
-    std::uint64_t attempt = 0;    ///< of the present or last run
+    WorkerIndex avoid = NoWorker;  ///< where the last run failed or hung
+    std::uint64_t attempt = 0;     ///< of the present or last run
     std::int64_t validUntilMs = 0; ///< Starting: worker's clock, after which the order is void
-    TimePoint orderedAt{};        ///< when the last order was sent
-    TimePoint answeredAt{};       ///< when it was answered
-    TimePoint startedAt{};        ///< when the run was ordered, or found
-    TimePoint retryAt{};          ///< Waiting: not before
-    std::int64_t gauge = 0;       ///< as RunningEntry::gauge
-    TimePoint overSince{};        ///< serving: its tail has been above the target since; zero: it is not
-    TimePoint stillSince{};       ///< throttled to nearly nothing since; zero: it is not
-    TimePoint idleSince{};        ///< has used no processor since; zero: it does, or is not known
+    TimePoint orderedAt{};         ///< when the last order was sent
+    TimePoint answeredAt{};        ///< when it was answered
+    TimePoint startedAt{};         ///< when the run was ordered, or found
+    TimePoint retryAt{};           ///< Waiting: not before
+    std::int64_t gauge = 0;        ///< as RunningEntry::gauge
+    TimePoint overSince{};         ///< serving: its tail has been above the target since; zero: it is not
+    TimePoint stillSince{};        ///< throttled to nearly nothing since; zero: it is not
+    TimePoint idleSince{};         ///< has used no processor since; zero: it does, or is not known
     std::uint64_t reportStamp = 0; ///< last report of its worker that listed it
-    std::uint8_t percent = 100;   ///< share last ordered
+    std::uint8_t percent = 100;    ///< share last ordered
     std::string checkpoint;
     std::vector<std::uint64_t> failedAttempts;
 };
@@ -111,9 +111,9 @@
     std::uint64_t createdRevision = 0;
     TimePoint learnedAt{};
     WorkflowState state = WorkflowState::Queued;
-    bool isCancelled = false;       ///< no more starts; what runs is stopped
-    std::uint32_t heldTasks = 0;    ///< starting, running or stopping
-    std::uint64_t version = 0;      ///< grows with each change of what is stored
+    bool isCancelled = false;    ///< no more starts; what runs is stopped
+    std::uint32_t heldTasks = 0; ///< starting, running or stopping
+    std::uint64_t version = 0;   ///< grows with each change of what is stored
     std::uint64_t storedVersion = 0;
     std::vector<OccurrenceState> occurrences;
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -25,9 +25,9 @@
 #include <workflow/election.h>
 #include <workflow/mirror.h>
 #include <workflow/placement.h>
-#include <workflow/turns.h>
 #include <workflow/pool.h>
 #include <workflow/pressure.h>
+#include <workflow/turns.h>
 
 #include <map>
 #include <unordered_map>
@@ -36,30 +36,34 @@
 
 struct WorkflowSettings
 {
-    Duration renewEvery = std::chrono::milliseconds(1000); ///< longest time between two renewals of one worker
-    Duration workerLease = std::chrono::seconds(5);        ///< outlives an election and a takeover
-    Duration maxWorkerLease = std::chrono::seconds(10);    ///< workers shorten any longer one to this
+    Duration renewEvery = std::chrono::milliseconds(1000);    ///< longest time between two renewals of one worker
+    Duration workerLease = std::chrono::seconds(5);           ///< outlives an election and a takeover
+    Duration maxWorkerLease = std::chrono::seconds(10);       ///< workers shorten any longer one to this
     Duration orderValidity = std::chrono::milliseconds(2500); ///< a start that arrives later is rejected by the worker
-    Duration formerLeaderFirm = std::chrono::milliseconds(1700); ///< how long after our election a former leader may take on
-                                                                 ///< jobs: its lease and a margin
+    Duration formerLeaderFirm
+        = std::chrono::milliseconds(1700); ///< how long after our election a former leader may take on
+                                           ///< jobs: its lease and a margin
     Duration formerLeaderLife = std::chrono::milliseconds(9700); ///< and how long it may send orders: its grace as well
-    Duration storeEvery = std::chrono::milliseconds(50);   ///< ends are gathered for so long before they are written
-    Duration pendingEvery = std::chrono::milliseconds(700); ///< between two writes of the counts of waiting jobs; callers
-                                                            ///< may be told counts of two seconds ago
-    Duration pressureEvery = std::chrono::seconds(4);      ///< between two writes of what was learned of neighbours
-    Duration storeRetry = std::chrono::milliseconds(200);  ///< after a write that failed
-    Duration placeEvery = std::chrono::milliseconds(5);    ///< changes are gathered for so long before placing
-    Duration contactLost = std::chrono::milliseconds(2200); ///< a worker that has not answered for so long gets no starts
-    Duration askAgain = std::chrono::milliseconds(250);    ///< after a call to a worker without an answer; also for stops
-    Duration suspicion = std::chrono::seconds(2);          ///< a worker whose runs fail one after the other gets no work
+    Duration storeEvery = std::chrono::milliseconds(50); ///< ends are gathered for so long before they are written
+    Duration pendingEvery
+        = std::chrono::milliseconds(700);                 ///< between two writes of the counts of waiting jobs; callers
+                                                          ///< may be told counts of two seconds ago
+    Duration pressureEvery = std::chrono::seconds(4);     ///< between two writes of what was learned of neighbours
+    Duration storeRetry = std::chrono::milliseconds(200); ///< after a write that failed
+    Duration placeEvery = std::chrono::milliseconds(5);   ///< changes are gathered for so long before placing
+    Duration contactLost
+        = std::chrono::milliseconds(2200);              ///< a worker that has not answered for so long gets no starts
+    Duration askAgain = std::chrono::milliseconds(250); ///< after a call to a worker without an answer; also for stops
+    Duration suspicion = std::chrono::seconds(2);       ///< a worker whose runs fail one after the other gets no work
     Duration longestSuspicion = std::chrono::seconds(8);
-    std::uint32_t suspectAfter = 2;                        ///< failed runs in a row, over all jobs
-    Duration hungAfter = std::chrono::milliseconds(1500);  ///< a task that uses no processor for so long stands still
-    Duration patience = std::chrono::milliseconds(1500);   ///< a task that waits longer than this takes spare processors
-                                                           ///< that others want as well
-    Duration keepFinal = std::chrono::minutes(10);         ///< how long callers can ask for a job that has ended
-    Duration drainMargin = std::chrono::milliseconds(1500); ///< checkpointed work leaves a draining worker so long before
-                                                            ///< the worker does
+    std::uint32_t suspectAfter = 2;                       ///< failed runs in a row, over all jobs
+    Duration hungAfter = std::chrono::milliseconds(1500); ///< a task that uses no processor for so long stands still
+    Duration patience = std::chrono::milliseconds(1500);  ///< a task that waits longer than this takes spare processors
+                                                          ///< that others want as well
+    Duration keepFinal = std::chrono::minutes(10);        ///< how long callers can ask for a job that has ended
+    Duration drainMargin
+        = std::chrono::milliseconds(1500); ///< checkpointed work leaves a draining worker so long before
+                                           ///< the worker does
     PlacementWeights placement;
     PressureSettings pressure;
 };
@@ -150,7 +154,8 @@
     bool isOpen(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     WorkerIndex choose(const TaskRef &ref, TimePoint now);
     void start(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
-    void onStarted(const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
+    void onStarted(
+        const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
     void stop(const TaskRef &ref, std::string_view why);
     void sendStop(const TaskRef &ref);
     void reserve(const TaskRef &ref, WorkerIndex worker);
@@ -194,17 +199,22 @@
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< callbacks outlive the scheduler
 
     // Takeover
-    enum class Load : std::uint8_t { Workers, Progress, Inbox, Done };
+    enum class Load : std::uint8_t {
+        Workers,
+        Progress,
+        Inbox,
+        Done
+    };
     Load m_load = Load::Workers;
     bool m_isLoading = false;
     TimePoint m_loadRetryAt{};
     TimePoint m_electedAt;
-    std::map<JobKey, std::string> m_loadedProgress; ///< until the jobs themselves are loaded
+    std::map<JobKey, std::string> m_loadedProgress;    ///< until the jobs themselves are loaded
     std::map<JobKey, std::uint64_t> m_storedRevisions; ///< of out/KEY
-    std::set<JobKey> m_cancelledEarly; ///< cancels that came before their job
+    std::set<JobKey> m_cancelledEarly;                 ///< cancels that came before their job
     PrefixMirror m_inbox;
-    bool m_isFormerGone = false;  ///< the former leader sends no more orders, for certain ...
-    TimePoint m_formerGoneAt{};   ///< ... since then at the latest
+    bool m_isFormerGone = false; ///< the former leader sends no more orders, for certain ...
+    TimePoint m_formerGoneAt{};  ///< ... since then at the latest
     TimePoint m_askFormerAt{};
     std::uint64_t m_trustedRevision = 0; ///< jobs created after it are unknown to any former leader; 0: not known yet
 
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -73,9 +73,10 @@
     m_isStoring = true;
     m_storeAt = now + m_settings.storeEvery;
     ++m_counters.writes;
-    m_store.change(std::move(change), guard([this, batch = std::move(batch), values = std::move(values)](const StoreReply &it) {
-        onStored(batch, values, it);
-    }));
+    m_store.change(std::move(change),
+                   guard([this, batch = std::move(batch), values = std::move(values)](const StoreReply &it) {
+                       onStored(batch, values, it);
+                   }));
 }
 
 void WorkflowScheduler::onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
@@ -96,9 +97,8 @@
     m_storeAt = m_clock.now() + (reply.status == StoreStatus::Conflict ? Duration::zero() : m_settings.storeRetry);
     if (reply.status == StoreStatus::Conflict) {
         // Either another leads, or an earlier write whose answer was lost had taken effect.
-        const auto leader = std::find_if(reply.items.begin(), reply.items.end(), [](const StoreItem &it) {
-            return it.key == LeaderKey;
-        });
+        const auto leader = std::find_if(
+            reply.items.begin(), reply.items.end(), [](const StoreItem &it) { return it.key == LeaderKey; });
         if (leader == reply.items.end() || leader->revision != m_term.keyRevision) {
             m_isDeposed = true;
         }
@@ -148,23 +148,23 @@
     m_isStoring = true;
     m_workersDirty = false;
     m_store.change(std::move(change), guard([this, ids = std::move(ids)](const StoreReply &reply) {
-        m_isStoring = false;
-        if (reply.status == StoreStatus::Ok) {
-            m_workersRevision = reply.revision;
-            m_durableWorkers.insert(ids.begin(), ids.end());
-            m_mustPlace = true;
-            return;
-        }
-        m_workersDirty = true;
-        m_storeAt = m_clock.now() + m_settings.storeRetry;
-        for (const StoreItem &it : reply.items) {
-            if (it.key == WorkersKey) {
-                m_workersRevision = it.revision;
-            } else if (it.key == LeaderKey && it.revision != m_term.keyRevision) {
-                m_isDeposed = true;
-            }
-        }
-    }));
+                       m_isStoring = false;
+                       if (reply.status == StoreStatus::Ok) {
+                           m_workersRevision = reply.revision;
+                           m_durableWorkers.insert(ids.begin(), ids.end());
+                           m_mustPlace = true;
+                           return;
+                       }
+                       m_workersDirty = true;
+                       m_storeAt = m_clock.now() + m_settings.storeRetry;
+                       for (const StoreItem &it : reply.items) {
+                           if (it.key == WorkersKey) {
+                               m_workersRevision = it.revision;
+                           } else if (it.key == LeaderKey && it.revision != m_term.keyRevision) {
+                               m_isDeposed = true;
+                           }
+                       }
+                   }));
 }
 
 /** Removes jobs that ended long ago; one change at a time, where nothing else waits to be written. */
@@ -193,17 +193,17 @@
     }
     m_isStoring = true;
     m_store.change(std::move(change), guard([this, keys](const StoreReply &reply) {
-        m_isStoring = false;
-        m_log.write("old_jobs_dropped", "jobs", keys.size(), "ok", reply.status == StoreStatus::Ok);
-        for (const JobKey &key : keys) {
-            if (reply.status == StoreStatus::Ok) {
-                m_jobs.erase(key);
-                m_storedRevisions.erase(key);
-            } else {
-                m_final.emplace_back(m_clock.now(), key);
-            }
-        }
-    }));
+                       m_isStoring = false;
+                       m_log.write("old_jobs_dropped", "jobs", keys.size(), "ok", reply.status == StoreStatus::Ok);
+                       for (const JobKey &key : keys) {
+                           if (reply.status == StoreStatus::Ok) {
+                               m_jobs.erase(key);
+                               m_storedRevisions.erase(key);
+                           } else {
+                               m_final.emplace_back(m_clock.now(), key);
+                           }
+                       }
+                   }));
 }
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr Duration LoadRetry = std::chrono::milliseconds(200);
-constexpr Duration LeaseMargin = std::chrono::milliseconds(100); ///< for orders under way
+constexpr Duration LeaseMargin = std::chrono::milliseconds(100);    ///< for orders under way
 constexpr Duration AskFormerEvery = std::chrono::milliseconds(700); ///< while a worker cannot be read
 
 } // namespace
@@ -140,14 +140,14 @@
 void WorkflowScheduler::loadPressure()
 {
     m_store.get(PressureKey, guard([this](const StoreReply &reply) {
-        try {
-            if (!reply.items.empty()) {
-                m_pressure.load(reply.items.front().value);
-            }
-        } catch (const Error &error) {
-            m_log.write("pressure_unreadable", "error", error.what());
-        }
-    }));
+                    try {
+                        if (!reply.items.empty()) {
+                            m_pressure.load(reply.items.front().value);
+                        }
+                    } catch (const Error &error) {
+                        m_log.write("pressure_unreadable", "error", error.what());
+                    }
+                }));
 }
 
 void WorkflowScheduler::loadProgress(const std::string &afterKey)
@@ -286,13 +286,13 @@
 {
     m_askFormerAt = now + AskFormerEvery;
     m_store.get(std::string(BootPrefix) + m_term.former.node, guard([this](const StoreReply &reply) {
-        const bool isOtherLife = !reply.items.empty() && reply.items.front().value != m_term.former.boot;
-        if (reply.status == StoreStatus::Ok && isOtherLife && !m_isFormerGone) {
-            m_isFormerGone = true;
-            m_formerGoneAt = m_clock.now();
-            m_log.write("former_leader_gone", "node", m_term.former.node, "epoch", m_term.former.epoch);
-        }
-    }));
+                    const bool isOtherLife = !reply.items.empty() && reply.items.front().value != m_term.former.boot;
+                    if (reply.status == StoreStatus::Ok && isOtherLife && !m_isFormerGone) {
+                        m_isFormerGone = true;
+                        m_formerGoneAt = m_clock.now();
+                        m_log.write("former_leader_gone", "node", m_term.former.node, "epoch", m_term.former.epoch);
+                    }
+                }));
 }
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -189,15 +189,15 @@
     {
     }
 
-    bool isRefusing = false;     ///< every call: not taken
-    bool isSilent = false;       ///< nothing is executed, nothing answered
-    int loseAnswers = 0;         ///< so many next changes are executed without an answer
-    Duration applyLostLate{};    ///< and executed so much later
+    bool isRefusing = false;                           ///< every call: not taken
+    bool isSilent = false;                             ///< nothing is executed, nothing answered
+    int loseAnswers = 0;                               ///< so many next changes are executed without an answer
+    Duration applyLostLate{};                          ///< and executed so much later
     std::function<void(const StoreChange &)> onChange; ///< sees each change that was executed
 
     void get(std::string_view key, StoreDone done) override
     {
-        reply(std::move(done), [this, key = std::string(key)] {
+        reply(done, [this, key = std::string(key)] {
             StoreReply it;
             const auto found = m_backend.items.find(key);
             it.status = found == m_backend.items.end() ? StoreStatus::Missing : StoreStatus::Ok;
@@ -211,7 +211,7 @@
 
     void range(std::string_view prefix, std::string_view afterKey, StoreDone done) override
     {
-        reply(std::move(done), [this, prefix = std::string(prefix), after = std::string(afterKey)] {
+        reply(done, [this, prefix = std::string(prefix), after = std::string(afterKey)] {
             StoreReply it;
             it.status = StoreStatus::Ok;
             it.revision = m_backend.revision;
@@ -241,12 +241,12 @@
             m_postbox.post(CallTimeout, [done] { done({}); });
             return;
         }
-        reply(std::move(done), [this, change = std::move(change)] { return execute(change); });
+        reply(done, [this, change = std::move(change)] { return execute(change); });
     }
 
     void grantLease(Duration lifetime, StoreDone done) override
     {
-        reply(std::move(done), [this, lifetime] {
+        reply(done, [this, lifetime] {
             StoreReply it;
             it.status = StoreStatus::Ok;
             it.lease = ++m_backend.lastLease;
@@ -258,7 +258,7 @@
 
     void renewLease(std::uint64_t lease, StoreDone done) override
     {
-        reply(std::move(done), [this, lease] {
+        reply(done, [this, lease] {
             StoreReply it;
             const auto found = m_backend.leases.find(lease);
             it.status = found == m_backend.leases.end() ? StoreStatus::Missing : StoreStatus::Ok;
@@ -271,7 +271,7 @@
 
     void endLease(std::uint64_t lease, StoreDone done) override
     {
-        reply(std::move(done), [this, lease] {
+        reply(done, [this, lease] {
             m_backend.endLease(lease);
             StoreReply it;
             it.status = StoreStatus::Ok;
@@ -307,7 +307,7 @@
     };
 
     template<typename Answer>
-    void reply(StoreDone done, Answer answer)
+    void reply(const StoreDone &done, Answer answer)
     {
         if (isSilent) {
             m_postbox.post(CallTimeout, [done] { done({}); });
@@ -403,17 +403,17 @@
     }
 
     std::map<WorkerId, FakeWorker> workers;
-    Duration workTime = 300ms;  ///< of every task that ends
-    std::set<JobKey> lasting;   ///< jobs whose tasks do not end
-    std::set<JobKey> poisoned;  ///< jobs whose tasks fail
-    std::set<TaskName> done;    ///< ended as done, and seen by a leader
+    Duration workTime = 300ms; ///< of every task that ends
+    std::set<JobKey> lasting;  ///< jobs whose tasks do not end
+    std::set<JobKey> poisoned; ///< jobs whose tasks fail
+    std::set<TaskName> done;   ///< ended as done, and seen by a leader
     std::uint64_t starts = 0;
     std::vector<std::string> faults; ///< what must never be
 
     std::int64_t clockMs(const FakeWorker &worker) const
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count()
-            + worker.clockOffsetMs;
+               + worker.clockOffsetMs;
     }
 
     /** Ends what is due, and checks that no task runs twice. */
@@ -494,9 +494,8 @@
         if (const auto rejection = rejectFence(worker, target)) {
             return *rejection;
         }
-        const bool isRunning = std::any_of(worker.running.begin(), worker.running.end(), [&run](const FakeRun &it) {
-            return it.run == run;
-        });
+        const bool isRunning = std::any_of(
+            worker.running.begin(), worker.running.end(), [&run](const FakeRun &it) { return it.run == run; });
         if (isRunning) {
             end(worker, run, RunEnd::Stopped);
         }
@@ -544,7 +543,7 @@
     static std::string text(const RunName &run)
     {
         return run.task.job + "." + std::to_string(run.task.step) + "." + std::to_string(run.task.index) + "/"
-            + std::to_string(run.attempt);
+               + std::to_string(run.attempt);
     }
 
 private:
@@ -575,12 +574,13 @@
     {
     }
 
-    bool isCutOff = false;       ///< this node reaches no worker
-    std::set<WorkerId> cutFrom;  ///< this node does not reach these
-    int loseStarts = 0;          ///< so many next starts get no answer
-    Duration applyLostAfter{};   ///< and are executed so much later; negative: never
+    bool isCutOff = false;      ///< this node reaches no worker
+    std::set<WorkerId> cutFrom; ///< this node does not reach these
+    int loseStarts = 0;         ///< so many next starts get no answer
+    Duration applyLostAfter{};  ///< and are executed so much later; negative: never
 
-    void start(const WorkerTarget &worker, const StartOrder &order, std::function<void(const OrderReply &)> done) override
+    void
+    start(const WorkerTarget &worker, const StartOrder &order, std::function<void(const OrderReply &)> done) override
     {
         if (loseStarts > 0) {
             --loseStarts;
@@ -590,12 +590,14 @@
             m_postbox.post(CallTimeout, [done] { done({}); });
             return;
         }
-        send(worker, [this, worker, order] { return m_fleet.start(worker, order); }, std::move(done));
+        send(
+            worker, [this, worker, order] { return m_fleet.start(worker, order); }, std::move(done));
     }
 
     void stop(const WorkerTarget &worker, const RunName &run, std::function<void(const OrderReply &)> done) override
     {
-        send(worker, [this, worker, run] { return m_fleet.stop(worker, run); }, std::move(done));
+        send(
+            worker, [this, worker, run] { return m_fleet.stop(worker, run); }, std::move(done));
     }
 
     void
@@ -605,9 +607,11 @@
         m_postbox.post(StepTime, [done] { done({OrderStatus::Accepted, 0}); });
     }
 
-    void renew(const WorkerTarget &worker, const RenewOrder &order, std::function<void(const RenewReply &)> done) override
+    void
+    renew(const WorkerTarget &worker, const RenewOrder &order, std::function<void(const RenewReply &)> done) override
     {
-        send(worker, [this, worker, order] { return m_fleet.renew(worker, order); }, std::move(done));
+        send(
+            worker, [this, worker, order] { return m_fleet.renew(worker, order); }, std::move(done));
     }
 
     void deliver()
--- a/packages/workflow/turns.cpp
+++ b/packages/workflow/turns.cpp
@@ -54,10 +54,11 @@
     }
     const double objective
         = accepted.stretch * static_cast<double>(longestChainMs(accepted.spec)) + static_cast<double>(accepted.slackMs);
-    const auto endsAfter = static_cast<double>(wallMs - accepted.acceptedMs + remainingChainMs(job, job.occurrences.front()));
-    turn.hope = endsAfter <= objective ? JobHope::InTime
-        : endsAfter <= LateFactor * objective ? JobHope::Late
-                                              : JobHope::TooLate;
+    const auto endsAfter
+        = static_cast<double>(wallMs - accepted.acceptedMs + remainingChainMs(job, job.occurrences.front()));
+    turn.hope = endsAfter <= objective                ? JobHope::InTime
+                : endsAfter <= LateFactor * objective ? JobHope::Late
+                                                      : JobHope::TooLate;
     return turn;
 }
 
--- a/packages/workflow/turns.h
+++ b/packages/workflow/turns.h
@@ -25,9 +25,9 @@
 struct JobTurn
 {
     int priority = 0;
-    bool isLasting = false;       ///< holds its room for long: short work of the same priority goes first
+    bool isLasting = false; ///< holds its room for long: short work of the same priority goes first
     JobHope hope = JobHope::InTime;
-    bool isNew = true;            ///< nothing of it is done: work already spent on others is saved first
+    bool isNew = true; ///< nothing of it is done: work already spent on others is saved first
     std::int64_t acceptedMs = 0;
     JobKey key;
 
