--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -317,6 +317,9 @@
     worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.clock.reachedBy(m_settings.orderValidity, now));
     if (ref.job->state == WorkflowState::Queued) {
         ref.job->state = WorkflowState::Running;
+        if (m_observer != nullptr) {
+            m_observer->onFirstStart(ref.job->accepted.queue, ageOf(*ref.job));
+        }
         touch(*ref.job);
     }
     ++m_counters.starts;
@@ -478,8 +481,16 @@
     }
 }
 
+Duration WorkflowScheduler::ageOf(const JobState &job) const
+{
+    return m_clock.wallNow() - std::chrono::milliseconds(job.accepted.acceptedMs);
+}
+
 void WorkflowScheduler::setFinal(JobState &job, WorkflowState state)
 {
+    if (m_observer != nullptr) {
+        m_observer->onFinal(job.accepted.queue, state, ageOf(job));
+    }
     m_log.write("job_final",
                 "job",
                 job.key(),
--- /dev/null
+++ b/packages/workflow/metrics.h
@@ -0,0 +1,58 @@
+/**
+ * Metrics of a node in the Prometheus text format.
+ *
+ * Index of this file
+ *   WorkflowObserver   told of what histograms need
+ *   NodeMetrics        registry, histograms, and counters taken over from the node
+ *
+ * Metrics (all start with quetzalrock_)
+ *   first_start_seconds{queue}        from acceptance to the first start of a task
+ *   job_seconds{queue,state}          from acceptance to the end of the job
+ *   starts_total, starts_rejected_total, starts_unanswered_total, runs_total{end}, stops_total, throttles_total, writes_total
+ *   intake_total{outcome}, questions_total
+ *   leader, ready, active_jobs, catalog_version, log_lines_left_out_total
+ */
+#pragma once
+
+#include <workflow/model.h>
+
+#include <base/clock.h>
+
+#include <memory>
+#include <string>
+
+namespace QuetzalRock::Workflow {
+
+class Node;
+
+class WorkflowObserver
+{
+public:
+    virtual ~WorkflowObserver() = default;
+
+    virtual void onFirstStart(std::string_view queue, Duration age) = 0;
+    virtual void onFinal(std::string_view queue, WorkflowState state, Duration age) = 0;
+};
+
+class NodeMetrics final : public WorkflowObserver
+{
+public:
+    NodeMetrics();
+    ~NodeMetrics() override;
+    NodeMetrics(const NodeMetrics &) = delete;
+    NodeMetrics &operator=(const NodeMetrics &) = delete;
+
+    void onFirstStart(std::string_view queue, Duration age) override;
+    void onFinal(std::string_view queue, WorkflowState state, Duration age) override;
+
+    /** Takes over the node's counters; on the node's thread, about once a second. */
+    void update(const Node &node, TimePoint now, std::uint64_t logLinesLeftOut);
+
+    std::string text() const; ///< from any thread
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -45,6 +45,16 @@
     return m_intake;
 }
 
+const IntakeCounters &Node::intakeCounters() const
+{
+    return m_intake.counters();
+}
+
+void Node::setObserver(WorkflowObserver *observer)
+{
+    m_observer = observer;
+}
+
 const Election &Node::election() const
 {
     return m_election;
@@ -103,6 +113,7 @@
         return;
     }
     m_scheduler = std::make_unique<WorkflowScheduler>(m_settings.scheduler, m_store, m_workers, m_clock, m_log, term);
+    m_scheduler->setObserver(m_observer);
     m_registry = std::make_unique<PrefixMirror>(
         m_store, m_clock, m_log, std::string(m_decoder.registryPrefix()), [this](const StoreItem &it) {
             onRegistryItem(it);
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -9,6 +9,7 @@
 
 #include <workflow/election.h>
 #include <workflow/intake.h>
+#include <workflow/metrics.h>
 #include <workflow/mirror.h>
 #include <workflow/scheduler.h>
 
@@ -39,6 +40,8 @@
          Clock &clock,
          EventLog &log);
 
+    void setObserver(WorkflowObserver *observer); ///< before the first tick(); it outlives the node
+
     void tick(TimePoint now);
     Duration idleTime() const; ///< how long the thread may wait before the next tick
 
@@ -47,6 +50,7 @@
 
     const Catalog &catalog() const; ///< version 0: none yet
     Intake &intake();
+    const IntakeCounters &intakeCounters() const;
     const Election &election() const;
     const WorkflowScheduler *scheduler() const; ///< null where this node does not lead
 
@@ -71,6 +75,7 @@
     Intake m_intake;
     std::unique_ptr<WorkflowScheduler> m_scheduler;
     std::uint64_t m_epoch = 0; ///< of m_scheduler
+    WorkflowObserver *m_observer = nullptr;
     bool m_isDraining = false;
 };
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -23,6 +23,7 @@
 #pragma once
 
 #include <workflow/election.h>
+#include <workflow/metrics.h>
 #include <workflow/mirror.h>
 #include <workflow/placement.h>
 #include <workflow/pool.h>
@@ -93,6 +94,8 @@
     WorkflowScheduler(const WorkflowScheduler &) = delete;
     WorkflowScheduler &operator=(const WorkflowScheduler &) = delete;
 
+    void setObserver(WorkflowObserver *observer); ///< null: none; it outlives the scheduler
+
     /** Does all that is due. Sends orders only as far as @p authority goes. */
     void tick(TimePoint now, Authority authority);
 
@@ -166,6 +169,7 @@
     void finishTask(const TaskRef &ref);
     void failJob(JobState &job, std::string_view why);
     void setFinal(JobState &job, WorkflowState state);
+    Duration ageOf(const JobState &job) const; ///< by the wall clocks of the node that accepted it and of this one
     void stopAll(JobState &job, std::string_view why);
 
     // Serving tasks and their neighbours (pressureguard.cpp)
@@ -251,6 +255,7 @@
     TimePoint m_pendingAt{};     ///< not before
     TimePoint m_pressureAt{};    ///< not before
     WorkflowCounters m_counters;
+    WorkflowObserver *m_observer = nullptr;
 };
 
 template<typename Handler>
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -32,6 +32,11 @@
 {
 }
 
+void WorkflowScheduler::setObserver(WorkflowObserver *observer)
+{
+    m_observer = observer;
+}
+
 bool WorkflowScheduler::isDeposed() const
 {
     return m_isDeposed;
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -347,6 +347,25 @@
     EXPECT_EQ(rig.state("a"), Done);
 }
 
+// An older configuration, by whatever way it comes, changes nothing; a newer one is in force within a second.
+TEST(Workflow, catalogNeverGoesBack)
+{
+    Rig rig(1, 1);
+    rig.run(1s);
+    rig.decoder.catalog.version = 5;
+    rig.decoder.catalog.queues[0].name = "renamed";
+    rig.backend.write("op/config", "5");
+    rig.run(1s);
+    EXPECT_EQ(rig.nodes[0]->node->catalog().version, 5);
+    rig.decoder.catalog.version = 4;
+    rig.decoder.catalog.queues.clear();
+    rig.backend.write("op/config", "4");
+    rig.run(1s);
+    EXPECT_EQ(rig.nodes[0]->node->catalog().version, 5);
+    EXPECT_NE(rig.nodes[0]->node->findQueue("", "/q/key"), nullptr);
+    EXPECT_EQ(rig.nodes[0]->node->findQueue("", "/other/key"), nullptr);
+}
+
 TEST(Workflow, aGangStartsTogetherOrNotAtAll)
 {
     Rig rig(1, 2);
