Place no new neighbours where they are held

Now a worker whose neighbours are held gets none, and they are held 0.7 s longer. Throttles have a log line of their own. Ruled out: lost orders, a change of leader (one leader throughout), reports that came late (0.5 to 1.1 s apart).

--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -108,7 +108,8 @@
     std::set<RunName> strays; ///< runs that we did not order and whose size is unknown
     std::uint64_t reportCount = 0;
     std::uint32_t adoptedRuns = 0; ///< by the last report: runs of a former leader
-    TimePoint sampledAt{};         ///< last report that the pressure model took in
+    TimePoint heldUntil{}; ///< a serving task was over its target for too long: nothing that fills works until then
+    TimePoint sampledAt{}; ///< last report that the pressure model took in
 
     // Health
     std::uint32_t failuresInRow = 0; ///< of runs, over all jobs
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -39,8 +39,9 @@
     Duration startUp = std::chrono::milliseconds(1500);    ///< of a serving task: its first tails say nothing
     Duration sampleEvery = std::chrono::milliseconds(400); ///< reports cover the last half second
     Duration overFor
-        = std::chrono::milliseconds(1000); ///< a tail above its target for so long: whatever the model says, all
-                                           ///< neighbours are held
+        = std::chrono::milliseconds(1300); ///< a tail above its target for so long: whatever the model says, all
+                                          ///< neighbours are held ...
+    Duration holdFor = std::chrono::milliseconds(700); ///< ... for so long after it, and no new ones come
     Duration moveAfter
         = std::chrono::milliseconds(1200); ///< a neighbour held nearly still for so long is moved, if it can
     int stillPercent = 15;                 ///< throttled to this or less counts as held still
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -74,6 +74,9 @@
     if (isServing(ref)) { // never refused: its neighbours are throttled
         return std::max(0.0, m_pressure.effectOf(imageOf(ref), filling) - allowedEffect(ref, margin));
     }
+    if (m_now < worker.heldUntil) {
+        return std::nullopt;
+    }
     double strongest = 0;
     for (const TaskRef &it : worker.runs) {
         if (!isServing(it)) {
@@ -118,7 +121,7 @@
 
 void WorkflowScheduler::setThrottles(WorkerIndex index)
 {
-    const WorkerState &worker = *m_workers[index];
+    WorkerState &worker = *m_workers[index];
     const std::vector<TaskRef> runs = fillingRuns(worker);
     if (runs.empty()) {
         return;
@@ -135,10 +138,14 @@
         mustLower = mustLower || effects > allowedEffect(it, m_settings.pressure.actMargin);
         const TimePoint overSince = it.task().overSince;
         if (overSince != TimePoint{} && m_now - overSince >= m_settings.pressure.overFor) {
-            std::fill(percents.begin(), percents.end(), 0);
-            mustLower = true;
+            worker.heldUntil = m_now + m_settings.pressure.holdFor;
         }
     }
+    if (m_now < worker.heldUntil) {
+        std::fill(percents.begin(), percents.end(), 0);
+        mustLower = true;
+    }
+    logThrottles(worker, runs, percents, mustLower);
     for (std::size_t i = 0; i < runs.size(); ++i) {
         const TaskState &task = runs[i].task();
         const int wanted = percents[i] - percents[i] % m_settings.pressure.coarseness;
@@ -153,6 +160,51 @@
     }
 }
 
+/** One line where a worker's throttles change: the serving task that is nearest to its target, and what it allows. */
+void WorkflowScheduler::logThrottles(const WorkerState &worker,
+                                     std::span<const TaskRef> runs,
+                                     std::span<const int> percents,
+                                     bool mustLower)
+{
+    int lowered = 0;
+    int lifted = 0;
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const int wanted = percents[i] - percents[i] % m_settings.pressure.coarseness;
+        lowered += mustLower && wanted < runs[i].task().percent ? 1 : 0;
+        lifted += wanted > runs[i].task().percent ? 1 : 0;
+    }
+    if (lowered + lifted == 0) {
+        return;
+    }
+    const auto ratioOf = [](const TaskRef &it) {
+        return static_cast<double>(it.task().gauge)
+               / static_cast<double>(std::max<std::int64_t>(1, it.spec().latencyTargetMs));
+    };
+    const auto worst
+        = std::max_element(worker.runs.begin(), worker.runs.end(), [&](const TaskRef &a, const TaskRef &b) {
+              return (isServing(a) ? ratioOf(a) : 0) < (isServing(b) ? ratioOf(b) : 0);
+          });
+    m_log.write("throttles_set",
+                "worker",
+                worker.record.id,
+                "lowered",
+                lowered,
+                "lifted",
+                lifted,
+                "of",
+                runs.size(),
+                "job",
+                worst->job->key(),
+                "task",
+                worst->index,
+                "tail_ms",
+                worst->task().gauge,
+                "target_ms",
+                worst->spec().latencyTargetMs,
+                "allowed",
+                allowedEffect(*worst, 0));
+}
+
 void WorkflowScheduler::throttle(const TaskRef &ref, int percent)
 {
     TaskState &task = ref.task();
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -176,6 +176,10 @@
     void notePressure(WorkerIndex index);
     void setThrottles(WorkerIndex index);
     void throttle(const TaskRef &ref, int percent);
+    void logThrottles(const WorkerState &worker,
+                      std::span<const TaskRef> runs,
+                      std::span<const int> percents,
+                      bool mustLower);
     std::vector<TaskRef> fillingRuns(const WorkerState &worker) const;
     std::vector<FillingTask> describeFilling(const WorkerState &worker, std::span<const TaskRef> runs) const;
     double allowedEffect(const TaskRef &serving, double margin) const;
