--- a/packages/daemon/main.cpp
+++ b/packages/daemon/main.cpp
@@ -97,7 +97,7 @@
     }
     FLAGS_log_prefix = false; // lines of the event log carry their own time
     blockSignals();
-    return Adapter::runFleetNode(arguments.config, settings);
+    return Adapter::runFleetNode(settings);
 }
 
 int runWith(const Arguments &arguments)
--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -140,18 +140,10 @@
                  }));
 }
 
-void WorkflowScheduler::onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt)
+void WorkflowScheduler::onNotRenewed(WorkerIndex index, OrderStatus status, TimePoint now)
 {
     WorkerState &worker = *m_workers[index];
-    const TimePoint now = m_clock.now();
-    m_now = now;
-    worker.isRenewing = false;
-    if (fence != worker.fence) {
-        return; // sent to an earlier life
-    }
-    switch (reply.order.status) {
-    case OrderStatus::Accepted:
-        break;
+    switch (status) {
     case OrderStatus::Fenced:
         m_log.write("fenced_by_worker", "worker", worker.record.id, "epoch", m_term.epoch);
         m_isDeposed = true;
@@ -165,7 +157,7 @@
         worker.renewAt = now + m_settings.renewEvery;
         return;
     default:
-        worker.lostCalls += reply.order.status == OrderStatus::Unhealthy ? 0 : 1;
+        worker.lostCalls += status == OrderStatus::Unhealthy ? 0 : 1;
         worker.renewAt = now + m_settings.askAgain;
         if (worker.lostCalls == 1) {
             m_log.write("worker_contact_lost",
@@ -174,10 +166,25 @@
                         "runs",
                         worker.runs.size(),
                         "status",
-                        static_cast<int>(reply.order.status));
+                        static_cast<int>(status));
         }
         return;
     }
+}
+
+void WorkflowScheduler::onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt)
+{
+    WorkerState &worker = *m_workers[index];
+    const TimePoint now = m_clock.now();
+    m_now = now;
+    worker.isRenewing = false;
+    if (fence != worker.fence) {
+        return; // sent to an earlier life
+    }
+    if (reply.order.status != OrderStatus::Accepted) {
+        onNotRenewed(index, reply.order.status, now);
+        return;
+    }
     if (worker.lostCalls > 0) {
         m_log.write("worker_contact_regained", "worker", worker.record.id, "lost_calls", worker.lostCalls);
     }
@@ -341,6 +348,40 @@
     worker.keptEnds.push_back({entry.sequence, ref->job->key(), ref->job->version});
 }
 
+/** A failed run counts once, by its number, whoever reports it; too many end the job. */
+void WorkflowScheduler::takeFailure(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry)
+{
+    TaskState &task = ref.task();
+    ++m_counters.failed;
+    noteHealth(*m_workers[index], false, m_now);
+    task.avoid = index;
+    auto &failed = task.failedAttempts;
+    if (std::find(failed.begin(), failed.end(), entry.run.attempt) == failed.end()) {
+        failed.push_back(entry.run.attempt);
+    }
+    const std::uint32_t most = ref.job->accepted.maxFailures;
+    m_log.write("run_failed",
+                "job",
+                ref.job->key(),
+                "step",
+                ref.step,
+                "task",
+                ref.index,
+                "attempt",
+                entry.run.attempt,
+                "worker",
+                m_workers[index]->record.id,
+                "failures",
+                failed.size(),
+                "most",
+                most);
+    if (ref.spec().isLasting) {
+        failed.clear(); // no number of failures ends a lasting task
+    } else if (most > 0 && failed.size() >= most) {
+        failJob(*ref.job, "a task has failed too often");
+    }
+}
+
 void WorkflowScheduler::takeEndOfTask(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry)
 {
     TaskState &task = ref.task();
@@ -368,37 +409,9 @@
             finishTask(ref);
         }
         break;
-    case RunEnd::Failed: {
-        ++m_counters.failed;
-        noteHealth(worker, false, m_now);
-        task.avoid = index;
-        auto &failed = task.failedAttempts;
-        if (std::find(failed.begin(), failed.end(), entry.run.attempt) == failed.end()) {
-            failed.push_back(entry.run.attempt);
-        }
-        const std::uint32_t most = ref.job->accepted.maxFailures;
-        m_log.write("run_failed",
-                    "job",
-                    ref.job->key(),
-                    "step",
-                    ref.step,
-                    "task",
-                    ref.index,
-                    "attempt",
-                    entry.run.attempt,
-                    "worker",
-                    worker.record.id,
-                    "failures",
-                    failed.size(),
-                    "most",
-                    most);
-        if (ref.spec().isLasting) {
-            failed.clear();
-        } else if (most > 0 && failed.size() >= most) {
-            failJob(*ref.job, "a task has failed too often");
-        }
+    case RunEnd::Failed:
+        takeFailure(index, ref, entry);
         break;
-    }
     case RunEnd::LeaseLapsed:
         ++m_counters.lost;
         m_log.write(
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -15,22 +15,6 @@
 
 const prometheus::Histogram::BucketBoundaries Seconds{0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60};
 
-std::string_view nameOf(WorkflowState state)
-{
-    switch (state) {
-    case WorkflowState::Completed:
-        return "completed";
-    case WorkflowState::Failed:
-        return "failed";
-    case WorkflowState::Cancelled:
-        return "cancelled";
-    case WorkflowState::Queued:
-    case WorkflowState::Running:
-        break;
-    }
-    return "open";
-}
-
 double toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -88,7 +72,7 @@
 
 void NodeMetrics::onFinal(std::string_view queue, WorkflowState state, Duration age)
 {
-    m_impl->jobTime.Add({{"queue", std::string(queue)}, {"state", std::string(nameOf(state))}}, Seconds)
+    m_impl->jobTime.Add({{"queue", std::string(queue)}, {"state", std::string(stateName(state))}}, Seconds)
         .Observe(toSeconds(age));
 }
 
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -88,7 +88,7 @@
     if (m_catalog.version > 0) {
         m_election.tick(now);
     }
-    followTerm(now);
+    followTerm();
     if (m_scheduler) {
         m_registry->tick(now);
         m_scheduler->tick(now, m_election.authority(now));
@@ -100,7 +100,7 @@
 }
 
 /** Makes a scheduler for each term, and drops it with the term. */
-void Node::followTerm(TimePoint)
+void Node::followTerm()
 {
     const Leadership &term = m_election.leadership();
     if (term.epoch == m_epoch) {
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -60,7 +60,7 @@
 private:
     void onOperatorItem(const StoreItem &item);
     void onRegistryItem(const StoreItem &item);
-    void followTerm(TimePoint now);
+    void followTerm();
 
     NodeSettings m_settings;
     RecordStore &m_store;
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -40,7 +40,7 @@
     Duration sampleEvery = std::chrono::milliseconds(400); ///< reports cover the last half second
     Duration overFor
         = std::chrono::milliseconds(1300); ///< a tail above its target for so long: whatever the model says, all
-                                          ///< neighbours are held ...
+                                           ///< neighbours are held ...
     Duration holdFor = std::chrono::milliseconds(700); ///< ... for so long after it, and no new ones come
     Duration moveAfter
         = std::chrono::milliseconds(1200); ///< a neighbour held nearly still for so long is moved, if it can
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -90,6 +90,23 @@
 
 } // namespace
 
+std::string_view stateName(WorkflowState state)
+{
+    switch (state) {
+    case WorkflowState::Queued:
+        return "queued";
+    case WorkflowState::Running:
+        return "running";
+    case WorkflowState::Completed:
+        return "completed";
+    case WorkflowState::Failed:
+        return "failed";
+    case WorkflowState::Cancelled:
+        return "cancelled";
+    }
+    return "queued";
+}
+
 void resetTasks(JobState &job)
 {
     const WorkflowSpec &spec = job.accepted.spec;
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -123,6 +123,8 @@
     }
 };
 
+std::string_view stateName(WorkflowState state); ///< such as "completed"
+
 /** Sizes the tables of @p job by its spec. */
 void resetTasks(JobState &job);
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -135,9 +135,11 @@
     void renewWorkers(TimePoint now);
     void renewWorker(WorkerIndex index, TimePoint now);
     void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt);
+    void onNotRenewed(WorkerIndex index, OrderStatus status, TimePoint now);
     void takeReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
     void takeRunning(WorkerIndex index, const RunningEntry &entry);
     void takeEnd(WorkerIndex index, const EndedEntry &entry);
+    void takeFailure(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry);
     void takeEndOfTask(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry);
     void checkUnlisted(WorkerIndex index, std::int64_t clockMs, bool isWhole, TimePoint sentAt);
     void loseRuns(WorkerIndex index, std::string_view why);
