--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -360,21 +360,16 @@
         failed.push_back(entry.run.attempt);
     }
     const std::uint32_t most = ref.job->accepted.maxFailures;
-    m_log.write("run_failed",
-                "job",
-                ref.job->key(),
-                "step",
-                ref.step,
-                "task",
-                ref.index,
-                "attempt",
-                entry.run.attempt,
-                "worker",
-                m_workers[index]->record.id,
-                "failures",
-                failed.size(),
-                "most",
-                most);
+    logRun("run_failed",
+           ref,
+           "attempt",
+           entry.run.attempt,
+           "worker",
+           m_workers[index]->record.id,
+           "failures",
+           failed.size(),
+           "most",
+           most);
     if (ref.spec().isLasting) {
         failed.clear(); // no number of failures ends a lasting task
     } else if (most > 0 && failed.size() >= most) {
@@ -414,24 +409,13 @@
         break;
     case RunEnd::LeaseLapsed:
         ++m_counters.lost;
-        m_log.write(
-            "run_lapsed", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id);
+        logRun("run_lapsed", ref, "worker", worker.record.id);
         break;
     case RunEnd::Stopped:
     case RunEnd::GangBroken:
     case RunEnd::GangAlone:
         if (!wasStopping) {
-            m_log.write("run_ended",
-                        "job",
-                        ref.job->key(),
-                        "step",
-                        ref.step,
-                        "task",
-                        ref.index,
-                        "how",
-                        static_cast<int>(entry.how),
-                        "worker",
-                        worker.record.id);
+            logRun("run_ended", ref, "how", static_cast<int>(entry.how), "worker", worker.record.id);
         }
         break;
     }
@@ -452,32 +436,14 @@
         }
         if (isNewLife) {
             ++m_counters.lost;
-            m_log.write("run_lost",
-                        "job",
-                        ref.job->key(),
-                        "step",
-                        ref.step,
-                        "task",
-                        ref.index,
-                        "worker",
-                        worker.record.id,
-                        "why",
-                        "the worker has started anew");
+            logRun("run_lost", ref, "worker", worker.record.id, "why", "the worker has started anew");
             takeBack(ref);
             continue;
         }
         const bool isAnswered = task.phase == TaskPhase::Stopping ? task.stopAnswered : task.isAnswered;
         if (!isAnswered && task.phase != TaskPhase::Running) {
             if (task.phase == TaskPhase::Starting && clockMs > task.validUntilMs + ClockMarginMs) {
-                m_log.write("start_void",
-                            "job",
-                            ref.job->key(),
-                            "step",
-                            ref.step,
-                            "task",
-                            ref.index,
-                            "worker",
-                            worker.record.id);
+                logRun("start_void", ref, "worker", worker.record.id);
                 takeBack(ref);
             } else if (task.phase == TaskPhase::Stopping && m_now >= task.orderedAt + m_settings.askAgain) {
                 sendStop(ref);
@@ -489,8 +455,7 @@
         }
         if (task.phase != TaskPhase::Stopping) {
             ++m_counters.lost;
-            m_log.write(
-                "run_vanished", "job", ref.job->key(), "step", ref.step, "task", ref.index, "worker", worker.record.id);
+            logRun("run_vanished", ref, "worker", worker.record.id);
         }
         takeBack(ref);
     }
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -358,7 +358,7 @@
     }
     if (reply.status == OrderStatus::Unanswered) {
         ++m_counters.startsUnanswered;
-        m_log.write("start_unanswered", "job", key, "step", ref.step, "task", ref.index, "worker", worker.record.id);
+        logRun("start_unanswered", ref, "worker", worker.record.id);
         if (task.phase == TaskPhase::Starting) {
             task.avoid = index;
             stop(ref, "its start was not answered");
@@ -366,21 +366,16 @@
         return;
     }
     ++m_counters.startsRejected;
-    m_log.write("start_rejected",
-                "job",
-                key,
-                "step",
-                ref.step,
-                "task",
-                ref.index,
-                "worker",
-                worker.record.id,
-                "status",
-                static_cast<int>(reply.status),
-                "free_cpu",
-                worker.freeRoom().cpuMillis,
-                "free_mib",
-                worker.freeRoom().memoryMib);
+    logRun("start_rejected",
+           ref,
+           "worker",
+           worker.record.id,
+           "status",
+           static_cast<int>(reply.status),
+           "free_cpu",
+           worker.freeRoom().cpuMillis,
+           "free_mib",
+           worker.freeRoom().memoryMib);
     worker.noStartsUntil = m_now + RejectedPause;
     release(ref);
     waitAgain(ref, RetryDelay);
@@ -397,17 +392,7 @@
         return;
     }
     ++m_counters.stops;
-    m_log.write("run_stop",
-                "job",
-                ref.job->key(),
-                "step",
-                ref.step,
-                "task",
-                ref.index,
-                "worker",
-                m_workers[task.worker]->record.id,
-                "why",
-                why);
+    logRun("run_stop", ref, "worker", m_workers[task.worker]->record.id, "why", why);
     task.phase = TaskPhase::Stopping;
     task.stopAnswered = false;
     sendStop(ref);
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -3,7 +3,7 @@
  * what has gone meanwhile.
  *
  * Use
- *   PrefixMirror mirror(store, clock, log, "op/", [](const StoreItem &it) { ... it.isDeleted ... });
+ *   PrefixMirror mirror(store, clock, log, "operator/", [](const StoreItem &it) { ... it.isDeleted ... });
  *   mirror.tick(now);      // again and again; starts the next call where none is under way
  */
 #pragma once
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -199,6 +199,8 @@
     JobState *findJob(const JobKey &key);
     template<typename Handler>
     auto guard(Handler handler); ///< drops answers that come after the term
+    template<typename... Fields>
+    void logRun(std::string_view event, const TaskRef &ref, const Fields &...fields); ///< job, step and task come first
 
     WorkflowSettings m_settings;
     RecordStore &m_store;
@@ -264,6 +266,12 @@
     WorkflowObserver *m_observer = nullptr;
 };
 
+template<typename... Fields>
+void WorkflowScheduler::logRun(std::string_view event, const TaskRef &ref, const Fields &...fields)
+{
+    m_log.write(event, "job", ref.job->key(), "step", ref.step, "task", ref.index, fields...);
+}
+
 template<typename Handler>
 auto WorkflowScheduler::guard(Handler handler)
 {
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -108,7 +108,7 @@
             if (below(3) == 0) {
                 const std::string id = anyWorker();
                 m_rig.fleet.rebirth(id);
-                m_rig.backend.write("servers/" + id, "reborn");
+                m_rig.backend.write("workers/" + id, "reborn");
             }
             break;
         case 13:
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -661,15 +661,15 @@
 
     std::string_view operatorPrefix() const override
     {
-        return "op/";
+        return "operator/";
     }
     std::string_view registryPrefix() const override
     {
-        return "servers/";
+        return "workers/";
     }
     bool isCatalog(std::string_view key) const override
     {
-        return key == "op/config";
+        return key == "operator/config";
     }
     Catalog parseCatalog(std::string_view) const override
     {
@@ -724,7 +724,7 @@
         queue.pool = "pool";
         queue.maxFailures = 3;
         decoder.catalog.queues = {queue};
-        backend.write("op/config", "1");
+        backend.write("operator/config", "1");
         for (int i = 0; i < workers; ++i) {
             addWorker("w" + std::to_string(i));
         }
@@ -739,7 +739,7 @@
         FakeWorker worker;
         worker.id = id;
         fleet.workers[id] = worker;
-        backend.write("servers/" + id, "1");
+        backend.write("workers/" + id, "1");
     }
 
     void boot(int i)
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -308,7 +308,7 @@
     rig.submit(0, spec);
     rig.run(1s);
     rig.fleet.workers["w0"].condition = WorkerCondition::Draining;
-    rig.backend.write("servers/w0", "2");
+    rig.backend.write("workers/w0", "2");
     rig.run(2s);
     EXPECT_EQ(rig.fleet.workers["w0"].running.size(), 0U);
     EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 4U);
@@ -354,12 +354,12 @@
     rig.run(1s);
     rig.decoder.catalog.version = 5;
     rig.decoder.catalog.queues[0].name = "renamed";
-    rig.backend.write("op/config", "5");
+    rig.backend.write("operator/config", "5");
     rig.run(1s);
     EXPECT_EQ(rig.nodes[0]->node->catalog().version, 5);
     rig.decoder.catalog.version = 4;
     rig.decoder.catalog.queues.clear();
-    rig.backend.write("op/config", "4");
+    rig.backend.write("operator/config", "4");
     rig.run(1s);
     EXPECT_EQ(rig.nodes[0]->node->catalog().version, 5);
     EXPECT_NE(rig.nodes[0]->node->findQueue("", "/q/key"), nullptr);
