--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -33,11 +33,6 @@
     return m_term;
 }
 
-const std::string &Election::leaderName() const
-{
-    return m_leaderName;
-}
-
 TimePoint Election::nextAt() const
 {
     const TimePoint renewAt = m_term.epoch != 0 && !m_isRenewing ? m_renewAt : TimePoint::max();
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -73,8 +73,6 @@
 
     TimePoint nextAt() const; ///< when tick() has something to do next, answers aside
 
-    const std::string &leaderName() const; ///< as last heard; empty where there is none
-
 private:
     enum class Stage {
         Idle,        ///< nothing under way
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -19,11 +19,6 @@
     return m_counters;
 }
 
-std::size_t Intake::openWrites() const
-{
-    return m_writes.size();
-}
-
 IntakeReply Intake::notTaken() const
 {
     return {IntakeOutcome::NotTaken, m_settings.retryAfter};
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -67,7 +67,6 @@
 
     void tick(TimePoint now); ///< repeats writes whose fate is unknown
 
-    std::size_t openWrites() const;
     const IntakeCounters &counters() const;
 
 private:
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -105,10 +105,6 @@
     /** A worker's entry in the registry has changed. @p record is empty where it was removed or cannot be read. */
     void setWorker(const WorkerId &id, const std::optional<WorkerRecord> &record);
 
-    /** Jobs of @p queue for which no task has started yet. */
-    std::uint32_t pendingJobs(std::string_view queue) const;
-
-    bool isLoaded() const; ///< false: still reads what is stored
     const WorkflowCounters &counters() const;
     std::size_t activeJobs() const;
 
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -42,11 +42,6 @@
     return m_isDeposed;
 }
 
-bool WorkflowScheduler::isLoaded() const
-{
-    return m_load == Load::Done;
-}
-
 const WorkflowCounters &WorkflowScheduler::counters() const
 {
     return m_counters;
@@ -57,16 +52,6 @@
     return m_active.size();
 }
 
-std::uint32_t WorkflowScheduler::pendingJobs(std::string_view queue) const
-{
-    std::uint32_t n = 0;
-    for (const auto &[key, job] : m_active) {
-        const bool isWaiting = job->state == WorkflowState::Queued && job->heldTasks == 0;
-        n += isWaiting && job->accepted.queue == queue ? 1 : 0;
-    }
-    return n;
-}
-
 void WorkflowScheduler::tick(TimePoint now, Authority authority)
 {
     m_now = now;
