--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -101,7 +101,8 @@
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         WorkerState &worker = *m_workers[i];
         // Only a leader that is sure to be the only one knows that nobody else has prolonged the lease.
-        const bool hasRunOut = worker.clock.isKnown() && now >= worker.leaseEndsBy;
+        // A renewal under way may bring ends that the worker listed before its lease ran out.
+        const bool hasRunOut = worker.clock.isKnown() && !worker.isRenewing && now >= worker.leaseEndsBy;
         if (!worker.runs.empty() && hasRunOut && m_authority == Authority::Firm) {
             loseRuns(i, "its lease has run out");
         }
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -574,10 +574,11 @@
     {
     }
 
-    bool isCutOff = false;      ///< this node reaches no worker
-    std::set<WorkerId> cutFrom; ///< this node does not reach these
-    int loseStarts = 0;         ///< so many next starts get no answer
-    Duration applyLostAfter{};  ///< and are executed so much later; negative: never
+    bool isCutOff = false;                 ///< this node reaches no worker
+    std::set<WorkerId> cutFrom;            ///< this node does not reach these
+    int loseStarts = 0;                    ///< so many next starts get no answer
+    Duration applyLostAfter{};             ///< and are executed so much later; negative: never
+    std::map<WorkerId, Duration> readLate; ///< answers to renewals are heard so much later
 
     void
     start(const WorkerTarget &worker, const StartOrder &order, std::function<void(const OrderReply &)> done) override
@@ -611,7 +612,10 @@
     renew(const WorkerTarget &worker, const RenewOrder &order, std::function<void(const RenewReply &)> done) override
     {
         send(
-            worker, [this, worker, order] { return m_fleet.renew(worker, order); }, std::move(done));
+            worker,
+            [this, worker, order] { return m_fleet.renew(worker, order); },
+            std::move(done),
+            readLate[worker.id]);
     }
 
     void deliver()
@@ -628,7 +632,7 @@
 
 private:
     template<typename Act, typename Done>
-    void send(const WorkerTarget &worker, Act act, Done done)
+    void send(const WorkerTarget &worker, Act act, Done done, Duration late = {})
     {
         using Reply = decltype(act());
         const bool isReached = !isCutOff && !cutFrom.contains(worker.id) && m_fleet.workers.at(worker.id).isReachable;
@@ -637,7 +641,7 @@
             return;
         }
         const Reply reply = act();
-        m_postbox.post(StepTime, [done, reply] { done(reply); });
+        m_postbox.post(StepTime + late, [done, reply] { done(reply); });
     }
 
     FakeFleet &m_fleet;
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -131,6 +131,23 @@
     EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
 }
 
+// A busy leader reads a report late, after the lease that it belongs to: the ends that it lists count all the same.
+TEST(Workflow, aRenewalUnderWayIsHeardBeforeALeaseCountsAsRunOut)
+{
+    Rig rig(1, 2);
+    rig.fleet.workTime = 2500ms;
+    rig.run(2s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    while (rig.fleet.runningTasks() < 4) {
+        rig.run(StepTime);
+    }
+    rig.run(rig.fleet.workTime - StepTime);
+    rig.nodes[0]->port.readLate["w0"] = 7s; // from the report on that lists the ends
+    rig.run(15s);
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_EQ(rig.fleet.starts, 4U) << "nothing was started again";
+}
+
 // The former leader's node has started anew, so only the lease that it may have given is waited for, not its grace.
 TEST(Workflow, aFormerLeaderThatStartedAnewIsNotWaitedFor)
 {
