--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -37,26 +37,34 @@
     return *m_workers[it->second];
 }
 
-void WorkflowScheduler::setWorker(const WorkerId &id, const std::optional<WorkerRecord> &record)
+void WorkflowScheduler::removeWorker(const WorkerId &id)
 {
-    WorkerState &worker = addWorker(id);
-    m_mustPlace = true;
-    if (!record) {
-        worker.isListed = false;
-        m_log.write("worker_unlisted", "worker", id, "runs", worker.runs.size());
-        return;
+    const auto found = m_workerIndex.find(id);
+    if (found == m_workerIndex.end()) {
+        return; // another shard's
     }
-    if (worker.record.bornMs != 0 && record->bornMs != 0 && worker.record.bornMs != record->bornMs) {
-        beginLife(m_workerIndex.at(id), *record);
+    WorkerState &worker = *m_workers[found->second];
+    worker.isListed = false;
+    m_mustPlace = true;
+    m_log.write("worker_unlisted", "worker", id, "runs", worker.runs.size());
+}
+
+void WorkflowScheduler::setWorker(const WorkerRecord &record)
+{
+    WorkerState &worker = addWorker(record.id);
+    m_mustPlace = true;
+    if (worker.record.bornMs != 0 && record.bornMs != 0 && worker.record.bornMs != record.bornMs) {
+        beginLife(m_workerIndex.at(record.id), record);
     }
     const bool wasDraining = worker.record.condition == WorkerCondition::Draining;
-    worker.record = *record;
+    worker.record = record;
     worker.isListed = true;
-    if (record->condition == WorkerCondition::Draining && !wasDraining) {
+    if (record.condition == WorkerCondition::Draining && !wasDraining) {
         worker.drainSeenAt = m_clock.now();
-        m_log.write("worker_drains", "worker", id, "leaves_in_ms", record->leavesInMs, "runs", worker.runs.size());
+        m_log.write(
+            "worker_drains", "worker", record.id, "leaves_in_ms", record.leavesInMs, "runs", worker.runs.size());
     }
-    if (!m_durableWorkers.contains(id)) {
+    if (!m_durableWorkers.contains(record.id)) {
         m_workersDirty = true;
     }
 }
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -13,6 +13,7 @@
 constexpr Duration PlaceAgain = 100ms;    ///< where tasks wait for room, for a time, or for a worker to be trusted
 constexpr Duration SortEvery = 100ms;     ///< turns of jobs change with time; a new job is sorted in at once
 constexpr Duration RejectedPause = 300ms; ///< a worker that rejected a start gets none for so long
+constexpr Duration KeepRoomFor = 500ms;   ///< renewed with each attempt at placing, see PlaceAgain
 constexpr Duration RetryDelay = 20ms;     ///< of a task whose start was rejected
 
 bool hasLabel(const WorkerState &worker, const std::string &label)
@@ -30,6 +31,24 @@
     return n;
 }
 
+/** What lasting tasks hold there: it does not fall free by itself. */
+Resources lastingUse(const WorkerState &worker)
+{
+    Resources use;
+    for (const TaskRef &it : worker.runs) {
+        if (it.spec().isLasting) {
+            use += it.spec().need;
+        }
+    }
+    return use;
+}
+
+/** How much of a worker has to fall free before @p need fits, as a part of its capacity. */
+double lackOf(std::int64_t need, std::int64_t free, std::int64_t capacity)
+{
+    return static_cast<double>(need - free) / static_cast<double>(std::max<std::int64_t>(1, capacity));
+}
+
 /** A serving task of the same image is there: what disturbs one disturbs the other, and nothing else does. */
 bool servesImage(const WorkerState &worker, const TaskRef &ref)
 {
@@ -73,7 +92,7 @@
     std::vector<std::pair<JobTurn, JobState *>> turns;
     turns.reserve(m_active.size());
     for (const auto &[key, job] : m_active) {
-        turns.emplace_back(turnOf(*job, wallMs), job);
+        turns.emplace_back(turnOf(*job, wallMs, now), job);
     }
     std::sort(turns.begin(), turns.end());
     m_order.clear();
@@ -124,6 +143,9 @@
         }
         const WorkerIndex worker = choose(ref, now);
         if (worker == NoWorker) {
+            if (isStarving(job, ref.spec(), task, now)) {
+                keepRoom(ref, now);
+            }
             break; // the other tasks of the step need as much
         }
         start(ref, worker, nextAttempt(task), now);
@@ -183,6 +205,56 @@
     m_log.write("gang_started", "job", job.key(), "step", step, "tasks", tasks.size(), "attempt", attempt);
 }
 
+/** All that speaks for or against a worker but room and neighbours. */
+bool WorkflowScheduler::mayTake(const WorkerState &worker, const TaskRef &ref, TimePoint now) const
+{
+    const StepSpec &step = ref.spec();
+    const bool isUsable = worker.isListed && worker.isReadFirmly && worker.record.condition == WorkerCondition::Ready
+                          && worker.record.pool == ref.job->accepted.pool && worker.strays.empty()
+                          && worker.lostCalls == 0 && now >= worker.noStartsUntil
+                          && now < worker.answeredAt + m_settings.contactLost
+                          && m_durableWorkers.contains(worker.record.id);
+    if (!isUsable || (worker.isSuspect(now) && !worker.runs.empty()) || worker.isKeptFromOthers(*ref.job, now)) {
+        return false;
+    }
+    if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel)) {
+        return false;
+    }
+    return step.maxPerWorker == 0 || runsOfStep(worker, ref) < step.maxPerWorker;
+}
+
+/** Keeps a worker from other jobs until @p ref fits: the one that lacks least, and would have room without short tasks. */
+void WorkflowScheduler::keepRoom(const TaskRef &ref, TimePoint now)
+{
+    const Resources need = ref.spec().need;
+    WorkerState *best = nullptr;
+    double leastLack = 0;
+    for (const auto &it : m_workers) {
+        if (it->keptFor == ref.job && now < it->keptUntil) {
+            best = it.get(); // one worker at a time for each job
+            break;
+        }
+        if (!mayTake(*it, ref, now) || !need.fitsIn(it->record.capacity - lastingUse(*it))) {
+            continue;
+        }
+        const Resources free = it->freeRoom();
+        const double lack = std::max(lackOf(need.cpuMillis, free.cpuMillis, it->record.capacity.cpuMillis),
+                                     lackOf(need.memoryMib, free.memoryMib, it->record.capacity.memoryMib));
+        if (best == nullptr || lack < leastLack) {
+            best = it.get();
+            leastLack = lack;
+        }
+    }
+    if (best == nullptr) {
+        return;
+    }
+    if (best->keptFor != ref.job) {
+        logRun("room_kept", ref, "worker", best->record.id, "lack", leastLack);
+    }
+    best->keptFor = ref.job;
+    best->keptUntil = now + KeepRoomFor;
+}
+
 WorkerIndex WorkflowScheduler::choose(const TaskRef &ref, TimePoint now)
 {
     const StepSpec &step = ref.spec();
@@ -192,24 +264,13 @@
     double bestScore = 0;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         const WorkerState &worker = *m_workers[i];
-        const bool isUsable
-            = worker.isListed && worker.isReadFirmly && worker.record.condition == WorkerCondition::Ready
-              && worker.record.pool == ref.job->accepted.pool && worker.strays.empty() && worker.lostCalls == 0
-              && now >= worker.noStartsUntil && now < worker.answeredAt + m_settings.contactLost
-              && m_durableWorkers.contains(worker.record.id);
-        if (!isUsable || (worker.isSuspect(now) && !worker.runs.empty())) {
-            continue;
-        }
-        if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel)) {
+        if (!mayTake(worker, ref, now)) {
             continue;
         }
         const std::optional<double> push = pushOf(worker, ref);
         if (!push) {
             continue;
         }
-        if (step.maxPerWorker > 0 && runsOfStep(worker, ref) >= step.maxPerWorker) {
-            continue;
-        }
         Candidate candidate;
         candidate.free = worker.freeRoom();
         candidate.capacityMillis = worker.record.capacity.cpuMillis;
--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -2,6 +2,7 @@
 
 #include <base/errors.h>
 
+#include <algorithm>
 #include <functional>
 
 namespace QuetzalRock::Workflow {
@@ -15,16 +16,20 @@
 Election::Election(RecordStore &store,
                    Clock &clock,
                    EventLog &log,
+                   ShardId shard,
                    std::string node,
                    std::string boot,
                    const ElectionSettings &settings)
     : m_store(store)
     , m_clock(clock)
     , m_log(log)
+    , m_shard(shard)
+    , m_keys(keysOf(shard))
     , m_node(std::move(node))
     , m_boot(std::move(boot))
     , m_settings(settings)
-    , m_random(static_cast<std::minstd_rand::result_type>(std::hash<std::string>()(m_node + m_boot) % 2147483646 + 1))
+    , m_random(static_cast<std::minstd_rand::result_type>(
+          std::hash<std::string>()(m_node + m_boot + m_keys.leader) % 2147483646 + 1))
 {
 }
 
@@ -65,29 +70,20 @@
     if (m_term.epoch != 0 && !m_hasResigned && !m_isRenewing && now >= m_renewAt) {
         renew(now);
     }
-    if (!m_hasStoredBoot) {
-        storeBoot();
-    }
     if (m_stage == Stage::Idle && now >= m_nextAt) {
         look();
     }
 }
 
-/** Tells later leaders that no earlier life of this node leads any more. Repeated where it fails: it hurries takeovers. */
-void Election::storeBoot()
+void Election::setHandicap(Duration handicap)
 {
-    m_hasStoredBoot = true;
-    StoreChange change;
-    change.puts = {{std::string(BootPrefix) + m_node, m_boot, 0}};
-    m_store.change(std::move(change), guard([this](const StoreReply &reply) {
-                       m_hasStoredBoot = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
-                   }));
+    m_handicap = handicap;
 }
 
 void Election::lookAtOnce()
 {
     m_nextAt = std::min(m_nextAt, m_clock.now());
-    m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage; // the watch's answer is then ignored
+    m_stage = m_stage == Stage::Following ? Stage::Idle : m_stage;
 }
 
 void Election::doubt()
@@ -109,11 +105,11 @@
     }
     m_hasResigned = true;
     if (m_term.epoch != 0) {
-        m_log.write("leader_resigns", "epoch", m_term.epoch);
+        m_log.write("leader_resigns", "shard", m_shard, "epoch", m_term.epoch);
         StoreChange change;
-        change.conditions = {{std::string(LeaderKey), m_term.keyRevision}};
-        change.puts = {{std::string(EpochKey), encodeEpoch({m_term.epoch, m_node, m_boot, true}), 0}};
-        change.removals = {std::string(LeaderKey)};
+        change.conditions = {{m_keys.leader, m_term.keyRevision}};
+        change.puts = {{m_keys.epoch, encodeEpoch({m_term.epoch, m_node, m_boot, true}), 0}};
+        change.removals = {m_keys.leader};
         m_store.change(std::move(change), [](const StoreReply &) {}); // where it fails, the lease lapses by itself
         m_term = {};
     }
@@ -132,27 +128,37 @@
 void Election::look()
 {
     m_stage = Stage::Looking;
-    m_store.get(LeaderKey, guard([this](const StoreReply &reply) { onLook(reply); }));
+    m_store.get(m_keys.leader, guard([this](const StoreReply &reply) { onLook(reply); }));
 }
 
 void Election::onLook(const StoreReply &reply)
 {
     if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
         takeKey(reply.items.front());
-        follow(std::max(reply.revision, reply.items.front().revision));
-        return;
-    }
-    if (reply.status != StoreStatus::Missing) {
+        const bool hasGoneSince = reply.items.front().revision < m_goneRevision;
+        m_stage = hasGoneSince ? Stage::Idle : Stage::Following;
+        m_nextAt = m_clock.now();
+    } else if (reply.status == StoreStatus::Missing) {
+        onMissing();
+    } else {
         retryLater();
-        return;
     }
+}
+
+/** Nobody leads: campaigns, unless others are to be let first. */
+void Election::onMissing()
+{
     m_leaderName.clear();
     loseTerm("the key is gone");
     if (m_hasResigned) {
         retryLater();
-        return;
+    } else if (m_handicap > Duration::zero() && !m_hasWaited) {
+        m_hasWaited = true;
+        m_stage = Stage::Idle;
+        m_nextAt = m_clock.now() + m_handicap;
+    } else {
+        campaign();
     }
-    campaign();
 }
 
 /** The leader's key as it is: ours, or another's. */
@@ -160,13 +166,13 @@
 {
     const std::string name = item.value.substr(0, item.value.find(' '));
     if (name != m_leaderName) {
-        m_log.write("leader_seen", "leader", name, "revision", item.revision);
+        m_log.write("leader_seen", "shard", m_shard, "leader", name, "revision", item.revision);
         m_leaderName = name;
     }
     if (item.value == m_ownValue && m_term.epoch == 0 && m_campaignEpoch != 0 && !m_hasResigned) {
         m_term = {m_campaignEpoch, item.revision, m_former}; // the campaign's answer was lost, and it had succeeded
         m_validUntil = m_leaseSentAt + m_settings.leaseTime;
-        m_log.write("leader_elected", "epoch", m_term.epoch, "revision", m_term.keyRevision);
+        m_log.write("leader_elected", "shard", m_shard, "epoch", m_term.epoch, "revision", m_term.keyRevision);
     } else if (m_term.epoch != 0 && item.revision != m_term.keyRevision) {
         loseTerm("another leads");
     }
@@ -176,45 +182,35 @@
 void Election::loseTerm(std::string_view why)
 {
     if (m_term.epoch != 0) {
-        m_log.write("leader_deposed", "epoch", m_term.epoch, "why", why);
+        m_log.write("leader_deposed", "shard", m_shard, "epoch", m_term.epoch, "why", why);
         m_term = {};
     }
     m_isDoubted = false;
 }
 
-void Election::follow(std::uint64_t after)
+void Election::onKey(const StoreItem &item)
 {
-    m_stage = Stage::Following;
-    m_store.watch(LeaderKey, after, m_settings.watchWait, guard([this, id = ++m_watchId](const StoreReply &reply) {
-                      if (m_stage == Stage::Following && id == m_watchId) {
-                          onFollow(reply);
-                      }
-                  }));
+    if (item.isDeleted) {
+        onGone(item);
+    } else if (m_stage == Stage::Following && item.revision > m_goneRevision) {
+        takeKey(item);
+    }
 }
 
-void Election::onFollow(const StoreReply &reply)
+/** Looks again, and campaigns then: the random delay keeps the nodes from doing so all at once. */
+void Election::onGone(const StoreItem &item)
 {
-    if (reply.status != StoreStatus::Ok) {
-        retryLater();
-        m_nextAt = reply.status == StoreStatus::Missing ? m_clock.now() : m_nextAt;
-        return;
+    const bool isOld = m_term.epoch != 0 && item.revision <= m_term.keyRevision;
+    m_goneRevision = std::max(m_goneRevision, item.revision);
+    if (isOld || m_stage != Stage::Following) {
+        return; // what is under way reads the key anew, or has written it since
     }
-    for (const StoreItem &it : reply.items) {
-        if (it.key != LeaderKey) {
-            continue;
-        }
-        if (it.isDeleted) {
-            // Looks again, and campaigns then: the random delay keeps the others from doing so all at once.
-            m_log.write("leader_gone", "leader", m_leaderName, "revision", it.revision);
-            m_leaderName.clear();
-            loseTerm("the key was removed");
-            m_stage = Stage::Idle;
-            m_nextAt = m_clock.now() + Duration(m_random() % (m_settings.campaignSpread.count() + 1));
-            return;
-        }
-        takeKey(it);
-    }
-    follow(reply.revision);
+    m_log.write("leader_gone", "shard", m_shard, "leader", m_leaderName, "revision", item.revision);
+    m_leaderName.clear();
+    loseTerm("the key was removed");
+    m_stage = Stage::Idle;
+    m_hasWaited = true;
+    m_nextAt = m_clock.now() + m_handicap + Duration(m_random() % (m_settings.campaignSpread.count() + 1));
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -224,7 +220,8 @@
 void Election::campaign()
 {
     m_stage = Stage::Campaigning;
-    m_store.get(EpochKey, guard([this](const StoreReply &reply) { onEpoch(reply); }));
+    m_hasWaited = false;
+    m_store.get(m_keys.epoch, guard([this](const StoreReply &reply) { onEpoch(reply); }));
 }
 
 void Election::onEpoch(const StoreReply &reply)
@@ -257,9 +254,9 @@
     m_settings.leaseTime = reply.lifetime.count() > 0 ? reply.lifetime : m_settings.leaseTime;
     m_ownValue = m_node + " " + std::to_string(m_campaignEpoch) + " " + std::to_string(m_random());
     StoreChange change;
-    change.conditions = {{std::string(LeaderKey), 0}, {std::string(EpochKey), m_campaignEpochRevision}};
-    change.puts = {{std::string(LeaderKey), m_ownValue, m_lease},
-                   {std::string(EpochKey), encodeEpoch({m_campaignEpoch, m_node, m_boot, false}), 0}};
+    change.conditions = {{m_keys.leader, 0}, {m_keys.epoch, m_campaignEpochRevision}};
+    change.puts = {{m_keys.leader, m_ownValue, m_lease},
+                   {m_keys.epoch, encodeEpoch({m_campaignEpoch, m_node, m_boot, false}), 0}};
     m_store.change(std::move(change), guard([this](const StoreReply &it) { onWrite(it); }));
 }
 
@@ -277,7 +274,7 @@
     m_validUntil = m_leaseSentAt + m_settings.leaseTime;
     m_renewAt = m_leaseSentAt + m_settings.renewEvery;
     m_isDoubted = false;
-    m_log.write("leader_elected", "epoch", m_term.epoch, "revision", m_term.keyRevision);
+    m_log.write("leader_elected", "shard", m_shard, "epoch", m_term.epoch, "revision", m_term.keyRevision);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -1,5 +1,5 @@
 /**
- * Who decides: one leader at a time, known by a leased key in the platform's store.
+ * Who decides for a shard: one leader at a time, known by a leased key in the platform's store.
  *
  * Index of this file
  *   Authority          what a leader may do now
@@ -44,7 +44,6 @@
     Duration renewEvery = std::chrono::milliseconds(400);    ///< three tries within a lease
     Duration retryEvery = std::chrono::milliseconds(150);    ///< of a renewal that failed
     Duration grace = std::chrono::seconds(8);                ///< about as long as the store is usually away
-    Duration watchWait = std::chrono::milliseconds(1500);    ///< as MirrorSettings::watchWait
     Duration campaignSpread = std::chrono::milliseconds(60); ///< random delay, so that not all campaign at once
 };
 
@@ -55,12 +54,19 @@
     Election(RecordStore &store,
              Clock &clock,
              EventLog &log,
+             ShardId shard,
              std::string node,
              std::string boot,
              const ElectionSettings &settings);
 
     void tick(TimePoint now);
 
+    /** The leader's key has changed, or has gone; whoever follows the board reports it. */
+    void onKey(const StoreItem &item);
+
+    /** This node campaigns so much later than others that suit better. */
+    void setHandicap(Duration handicap);
+
     /** The term under way; epoch 0 where this process does not lead. A new epoch is a new term. */
     const Leadership &leadership() const;
     Authority authority(TimePoint now) const;
@@ -77,7 +83,7 @@
     enum class Stage {
         Idle,        ///< nothing under way
         Looking,     ///< reads the leader's key
-        Following,   ///< watches the leader's key
+        Following,   ///< waits until the leader's key goes
         Campaigning, ///< epoch read, lease grant or write under way
     };
 
@@ -85,8 +91,8 @@
     StoreDone guard(Handler handler);
     void look();
     void onLook(const StoreReply &reply);
-    void follow(std::uint64_t after);
-    void onFollow(const StoreReply &reply);
+    void onMissing();
+    void onGone(const StoreItem &item);
     void campaign();
     void onEpoch(const StoreReply &reply);
     void onGrant(const StoreReply &reply);
@@ -97,12 +103,13 @@
     void loseTerm(std::string_view why);
     void doubt(); ///< looks at the key before anything else
     void lookAtOnce();
-    void storeBoot();
     void retryLater();
 
     RecordStore &m_store;
     Clock &m_clock;
     EventLog &m_log;
+    ShardId m_shard;
+    ShardKeys m_keys;
     std::string m_node;
     std::string m_boot;
     ElectionSettings m_settings;
@@ -110,15 +117,16 @@
     std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 
     Stage m_stage = Stage::Idle;
-    TimePoint m_nextAt{};        ///< of the next step while Idle
-    std::uint64_t m_watchId = 0; ///< of the watch under way; answers of earlier ones are ignored
+    TimePoint m_nextAt{};             ///< of the next step while Idle
+    std::uint64_t m_goneRevision = 0; ///< the last time that the key was seen to go
+    Duration m_handicap{};
+    bool m_hasWaited = false; ///< the handicap has passed since the key was seen to be gone
     bool m_hasResigned = false;
     std::string m_leaderName;
     std::string m_ownValue;                    ///< written by the last campaign; unique to it
     EpochRecord m_former;                      ///< as read by the last campaign
     std::uint64_t m_campaignEpoch = 0;         ///< 0: no campaign yet
     std::uint64_t m_campaignEpochRevision = 0; ///< of ctl/epoch as read by it
-    bool m_hasStoredBoot = false;
     std::uint64_t m_lease = 0;
     TimePoint m_leaseSentAt{};
 
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -28,7 +28,7 @@
 // Writes
 // ---------------------------------------------------------------------------------------------------------------------
 
-void Intake::submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Done done)
+void Intake::submit(const Queue &queue, ShardId shard, WorkflowSpec spec, TimePoint deadline, Done done)
 {
     AcceptedJob job;
     job.spec = std::move(spec);
@@ -43,6 +43,7 @@
     job.acceptedMs = m_clock.wallNow().count();
     auto write = std::make_shared<Write>();
     write->key = job.spec.key;
+    write->shard = shard;
     write->value = encodeAccepted(job);
     write->deadline = deadline;
     write->done = std::move(done);
@@ -53,33 +54,52 @@
 void Intake::cancel(const JobKey &key, TimePoint deadline, Done done)
 {
     ++m_counters.cancels;
-    m_store.get(std::string(JobPrefix) + key, [this, key, deadline, done = std::move(done)](const StoreReply &reply) {
-        if (reply.status == StoreStatus::Missing) {
-            done({IntakeOutcome::NoSuchJob});
-            return;
-        }
-        if (reply.status != StoreStatus::Ok || reply.items.empty()) {
-            m_log.write("cancel_not_taken", "job", key);
-            done(notTaken());
-            return;
-        }
-        auto write = std::make_shared<Write>();
-        write->key = key;
-        write->isCancel = true;
-        write->jobRevision = reply.items.front().revision;
-        write->deadline = deadline;
-        write->done = done;
-        m_writes.push_back(write);
-        send(write);
-    });
+    m_store.get(std::string(RegistrationPrefix) + key,
+                [this, key, deadline, done = std::move(done)](const StoreReply &reply) {
+                    onFoundToCancel(key, deadline, reply, done);
+                });
+}
+
+void Intake::onFoundToCancel(const JobKey &key, TimePoint deadline, const StoreReply &reply, const Done &done)
+{
+    if (reply.status == StoreStatus::Missing) {
+        done({IntakeOutcome::NoSuchJob});
+        return;
+    }
+    if (reply.status != StoreStatus::Ok || reply.items.empty()) {
+        m_log.write("cancel_not_taken", "job", key);
+        done(notTaken());
+        return;
+    }
+    auto write = std::make_shared<Write>();
+    write->key = key;
+    write->isCancel = true;
+    write->jobRevision = reply.items.front().revision;
+    write->deadline = deadline;
+    write->done = done;
+    try {
+        write->shard = decodeRegistration(reply.items.front().value);
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "job", key, "error", error.what());
+        done(notTaken());
+        return;
+    }
+    m_writes.push_back(write);
+    send(write);
 }
 
 void Intake::send(const WritePtr &write)
 {
     StoreChange change;
-    const std::string job = std::string(JobPrefix) + write->key;
-    change.conditions = {{job, write->isCancel ? write->jobRevision : 0}};
-    change.puts = {{write->isCancel ? std::string(CancelPrefix) + write->key : job, write->value, 0}};
+    const std::string registration = std::string(RegistrationPrefix) + write->key;
+    const ShardKeys keys = keysOf(write->shard);
+    if (write->isCancel) {
+        change.conditions = {{registration, write->jobRevision}};
+        change.puts = {{keys.cancels + write->key, {}, 0}};
+    } else {
+        change.conditions = {{registration, 0}};
+        change.puts = {{registration, encodeRegistration(write->shard), 0}, {keys.jobs + write->key, write->value, 0}};
+    }
     write->isSent = true;
     m_store.change(std::move(change), [this, write](const StoreReply &reply) { onSent(write, reply); });
 }
@@ -95,7 +115,7 @@
         finish(write, IntakeOutcome::Ok);
         return;
     case StoreStatus::Conflict:
-        // A submission: the key exists, so it is this very job. A cancel: the job's record has gone, long after its end.
+        // A submission: the key is registered, so it is this very job. A cancel: the job has gone, long after its end.
         finish(write, write->isCancel ? IntakeOutcome::NoSuchJob : IntakeOutcome::Ok);
         return;
     case StoreStatus::NotTaken:
@@ -171,7 +191,7 @@
 
 void Intake::askJob(const JobKey &key, const Done &done)
 {
-    m_store.get(std::string(JobPrefix) + key, [this, done](const StoreReply &reply) {
+    m_store.get(std::string(RegistrationPrefix) + key, [this, done](const StoreReply &reply) {
         if (reply.status == StoreStatus::Missing) {
             done({IntakeOutcome::NoSuchJob});
         } else if (reply.status == StoreStatus::Ok) {
@@ -195,23 +215,33 @@
         done(answer());
         return;
     }
-    m_store.get(PendingKey, [this, answer, done = std::move(done)](const StoreReply &reply) {
-        if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Missing) {
+    m_store.range(PendingPrefix, {}, [this, answer, done = std::move(done)](const StoreReply &reply) {
+        if (reply.status != StoreStatus::Ok) {
             done(notTaken());
             return;
         }
         try {
-            m_counts = reply.items.empty() ? std::map<std::string, std::uint32_t>()
-                                           : decodeCounts(reply.items.front().value);
+            takeCounts(reply);
         } catch (const Error &error) {
             m_log.write("counts_unreadable", "error", error.what());
             done(notTaken());
             return;
         }
-        m_countsAt = m_clock.now();
-        m_hasCounts = true;
         done(answer());
     });
 }
 
+void Intake::takeCounts(const StoreReply &reply)
+{
+    std::map<std::string, std::uint32_t> counts;
+    for (const StoreItem &it : reply.items) {
+        for (const auto &[queue, n] : decodeCounts(it.value)) {
+            counts[queue] += n;
+        }
+    }
+    m_counts = std::move(counts);
+    m_countsAt = m_clock.now();
+    m_hasCounts = true;
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -5,7 +5,7 @@
  *   IntakeOutcome, IntakeReply   what the caller may conclude
  *   Intake                       one for each node; driven on the node's thread
  *
- * A job is accepted by one conditional write under its own key, so the same key is one job at whichever nodes it arrives.
+ * A job is accepted by one conditional write that registers its own key, so the same key is one job at whichever nodes it arrives.
  * A write without an answer is repeated until its fate is known: the caller is never told "not accepted" of a job that the
  * store may hold.
  */
@@ -60,7 +60,7 @@
 
     Intake(RecordStore &store, Clock &clock, EventLog &log, const IntakeSettings &settings = {});
 
-    void submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Done done);
+    void submit(const Queue &queue, ShardId shard, WorkflowSpec spec, TimePoint deadline, Done done);
     void cancel(const JobKey &key, TimePoint deadline, Done done);
     void state(const JobKey &key, Done done);
     void count(const std::string &queue, Done done);
@@ -74,9 +74,10 @@
     struct Write
     {
         JobKey key;
+        ShardId shard = 0;
         bool isCancel = false;
         std::string value;
-        std::uint64_t jobRevision = 0; ///< cancels: of the job's record
+        std::uint64_t jobRevision = 0; ///< cancels: of the job's registration
         TimePoint deadline;
         TimePoint retryAt{};
         bool isSent = false;
@@ -90,6 +91,8 @@
     void finish(const WritePtr &write, IntakeOutcome outcome);
     IntakeReply notTaken() const;
     void askJob(const JobKey &key, const Done &done);
+    void onFoundToCancel(const JobKey &key, TimePoint deadline, const StoreReply &reply, const Done &done);
+    void takeCounts(const StoreReply &reply);
 
     RecordStore &m_store;
     Clock &m_clock;
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -53,7 +53,22 @@
         family->Add({}).Set(value);
     }
 
-    WorkflowCounters seen;
+    void raiseAll(ShardId shard, const WorkflowCounters &counters)
+    {
+        const WorkflowCounters before = seen.contains(shard) ? seen[shard] : WorkflowCounters{};
+        const std::string name = std::to_string(shard);
+        raise("starts_total", {{"shard", name}}, counters.starts, before.starts);
+        raise("starts_rejected_total", {{"shard", name}}, counters.startsRejected, before.startsRejected);
+        raise("starts_unanswered_total", {{"shard", name}}, counters.startsUnanswered, before.startsUnanswered);
+        raise("runs_total", {{"shard", name}, {"end", "done"}}, counters.done, before.done);
+        raise("runs_total", {{"shard", name}, {"end", "failed"}}, counters.failed, before.failed);
+        raise("runs_total", {{"shard", name}, {"end", "lost"}}, counters.lost, before.lost);
+        raise("stops_total", {{"shard", name}}, counters.stops, before.stops);
+        raise("throttles_total", {{"shard", name}}, counters.throttles, before.throttles);
+        raise("writes_total", {{"shard", name}}, counters.writes, before.writes);
+    }
+
+    std::map<ShardId, WorkflowCounters> seen; ///< of the terms under way
     IntakeCounters seenIntake;
     std::uint64_t seenLeftOut = 0;
 };
@@ -79,19 +94,14 @@
 void NodeMetrics::update(const Node &node, TimePoint now, std::uint64_t logLinesLeftOut)
 {
     Impl &it = *m_impl;
-    const WorkflowScheduler *scheduler = node.scheduler();
-    const WorkflowCounters counters = scheduler != nullptr ? scheduler->counters() : WorkflowCounters{};
-    const WorkflowCounters &seen = it.seen;
-    it.raise("starts_total", {}, counters.starts, seen.starts);
-    it.raise("starts_rejected_total", {}, counters.startsRejected, seen.startsRejected);
-    it.raise("starts_unanswered_total", {}, counters.startsUnanswered, seen.startsUnanswered);
-    it.raise("runs_total", {{"end", "done"}}, counters.done, seen.done);
-    it.raise("runs_total", {{"end", "failed"}}, counters.failed, seen.failed);
-    it.raise("runs_total", {{"end", "lost"}}, counters.lost, seen.lost);
-    it.raise("stops_total", {}, counters.stops, seen.stops);
-    it.raise("throttles_total", {}, counters.throttles, seen.throttles);
-    it.raise("writes_total", {}, counters.writes, seen.writes);
-    it.seen = counters;
+    std::map<ShardId, WorkflowCounters> seen;
+    std::size_t activeJobs = 0;
+    for (const WorkflowScheduler *scheduler : node.schedulers()) {
+        it.raiseAll(scheduler->shard(), scheduler->counters());
+        seen[scheduler->shard()] = scheduler->counters();
+        activeJobs += scheduler->activeJobs();
+    }
+    it.seen = std::move(seen);
     const IntakeCounters &intake = node.intakeCounters();
     it.raise("intake_total", {{"outcome", "accepted"}}, intake.accepted, it.seenIntake.accepted);
     it.raise("intake_total", {{"outcome", "not_taken"}}, intake.notTaken, it.seenIntake.notTaken);
@@ -100,9 +110,9 @@
     it.seenIntake = intake;
     it.raise("log_lines_left_out_total", {}, logLinesLeftOut, it.seenLeftOut);
     it.seenLeftOut = logLinesLeftOut;
-    it.set("leader", node.election().authority(now) == Authority::None ? 0 : 1);
+    it.set("led_shards", static_cast<double>(it.seen.size()));
     it.set("ready", node.isReady(now) ? 1 : 0);
-    it.set("active_jobs", scheduler != nullptr ? static_cast<double>(scheduler->activeJobs()) : 0);
+    it.set("active_jobs", static_cast<double>(activeJobs));
     it.set("catalog_version", static_cast<double>(node.catalog().version));
 }
 
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -8,9 +8,10 @@
  * Metrics (all start with quetzalrock_)
  *   first_start_seconds{queue}        from acceptance to the first start of a task
  *   job_seconds{queue,state}          from acceptance to the end of the job
- *   starts_total, starts_rejected_total, starts_unanswered_total, runs_total{end}, stops_total, throttles_total, writes_total
+ *   starts_total, starts_rejected_total, starts_unanswered_total, runs_total{end}, stops_total, throttles_total,
+ *   writes_total              all {shard}: of the shards that this node leads or has led
  *   intake_total{outcome}, questions_total
- *   leader, ready, active_jobs, catalog_version, log_lines_left_out_total
+ *   led_shards, ready, active_jobs, catalog_version, log_lines_left_out_total
  */
 #pragma once
 
--- a/packages/workflow/model.h
+++ b/packages/workflow/model.h
@@ -141,6 +141,7 @@
     std::string address;     ///< ip:port
     std::string pool;
     std::string failureDomain;
+    std::string rack;
     WorkerCondition condition = WorkerCondition::Ready;
     Resources capacity;
     std::vector<std::string> labels; ///< kind and rack
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -3,6 +3,7 @@
 #include <base/errors.h>
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 
 namespace QuetzalRock::Workflow {
@@ -14,6 +15,34 @@
 constexpr Duration LeaderIdle = 10ms;    ///< orders and writes are gathered for a few times this long
 constexpr Duration FollowerIdle = 100ms; ///< renewals and retries need no more
 
+// Who leads which shard. Each term is longer than a campaign takes, some 30 ms, so that the better suited node is first.
+constexpr double StrongShare = 0.5;             ///< of a core: carries two shards under full load
+constexpr Duration WeakHandicap = 400ms;        ///< of a node without any processor; in proportion above
+constexpr Duration HeldHandicap = 300ms;        ///< for each shard that the node leads already
+constexpr Duration OtherDomainHandicap = 150ms; ///< the shard's workers are in another failure domain
+constexpr Duration HandicapSpread = 200ms;      ///< nodes that suit as well take their turn in a random order
+
+constexpr Duration PlanEvery = 2s;      ///< between two writes of the map
+constexpr double WeightTolerance = 0.2; ///< a shard's weight may be off by so much before the map is written anew
+
+/** True where @p a and @p b would send jobs elsewhere. */
+bool differs(const ShardMap &a, const ShardMap &b)
+{
+    if (a.shardOfRack != b.shardOfRack || a.shards.size() != b.shards.size()) {
+        return true;
+    }
+    for (std::size_t i = 0; i < a.shards.size(); ++i) {
+        for (const auto &[pool, millis] : b.shards[i].poolMillis) {
+            const auto found = a.shards[i].poolMillis.find(pool);
+            const auto before = static_cast<double>(found == a.shards[i].poolMillis.end() ? 0 : found->second);
+            if (std::abs(before - static_cast<double>(millis)) > WeightTolerance * static_cast<double>(millis)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 Node::Node(const NodeSettings &settings,
@@ -30,9 +59,10 @@
     , m_log(log)
     , m_operatorItems(
           store, clock, log, std::string(decoder.operatorPrefix()), [this](const StoreItem &it) { onOperatorItem(it); })
-    , m_election(store, clock, log, settings.name, settings.boot, settings.election)
+    , m_board(store, clock, log, std::string(BoardPrefix), [this](const StoreItem &it) { onBoardItem(it); })
     , m_intake(store, clock, log, settings.intake)
 {
+    openDuties();
 }
 
 const Catalog &Node::catalog() const
@@ -50,25 +80,50 @@
     return m_intake.counters();
 }
 
+void Node::submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Intake::Done done)
+{
+    const ShardId shard = chooseShard(m_map, queue.pool, spec.key);
+    m_intake.submit(queue, shard, std::move(spec), deadline, std::move(done));
+}
+
 void Node::setObserver(WorkflowObserver *observer)
 {
     m_observer = observer;
 }
 
-const Election &Node::election() const
+const ShardMap &Node::shardMap() const
+{
+    return m_map;
+}
+
+Authority Node::authority(ShardId shard, TimePoint now) const
+{
+    return shard < m_duties.size() ? m_duties[shard]->election.authority(now) : Authority::None;
+}
+
+std::vector<const WorkflowScheduler *> Node::schedulers() const
 {
-    return m_election;
+    std::vector<const WorkflowScheduler *> list;
+    for (const auto &it : m_duties) {
+        if (it->scheduler) {
+            list.push_back(it->scheduler.get());
+        }
+    }
+    return list;
 }
 
-const WorkflowScheduler *Node::scheduler() const
+bool Node::isLeading() const
 {
-    return m_scheduler.get();
+    return std::any_of(m_duties.begin(), m_duties.end(), [](const auto &it) { return it->scheduler != nullptr; });
 }
 
 Duration Node::idleTime() const
 {
-    const Duration untilElection = std::max<Duration>(1ms, m_election.nextAt() - m_clock.now());
-    return std::min(untilElection, m_scheduler ? LeaderIdle : FollowerIdle);
+    Duration idle = isLeading() ? LeaderIdle : FollowerIdle;
+    for (const auto &it : m_duties) {
+        idle = std::min(idle, std::max<Duration>(1ms, it->election.nextAt() - m_clock.now()));
+    }
+    return idle;
 }
 
 bool Node::isReady(TimePoint now) const
@@ -79,47 +134,222 @@
 void Node::beginDrain()
 {
     m_isDraining = true;
-    m_election.resign();
+    for (const auto &it : m_duties) {
+        it->election.resign();
+    }
 }
 
 void Node::tick(TimePoint now)
 {
     m_operatorItems.tick(now);
+    m_board.tick(now);
+    if (!m_hasStoredBoot) {
+        storeBoot();
+    }
+    for (std::size_t i = 0; i < m_duties.size(); ++i) { // the map may grow meanwhile
+        tickDuty(*m_duties[i], now);
+    }
+    followRegistry(now);
+    plan(now);
+    m_intake.tick(now);
+}
+
+/** Tells later leaders that no earlier life of this node leads any more. Repeated where it fails: it hurries takeovers. */
+void Node::storeBoot()
+{
+    m_hasStoredBoot = true;
+    StoreChange change;
+    change.puts = {{std::string(BootPrefix) + m_settings.name, m_settings.boot, 0}};
+    m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+        if (!alive.expired()) {
+            m_hasStoredBoot = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
+        }
+    });
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Shards
+// ---------------------------------------------------------------------------------------------------------------------
+
+/** One duty for each shard of the map; the first shard's is there from the beginning. */
+void Node::openDuties()
+{
+    while (m_duties.size() < std::max<std::size_t>(1, m_map.shards.size())) {
+        const auto shard = static_cast<ShardId>(m_duties.size());
+        m_duties.push_back(std::make_unique<ShardDuty>(
+            ShardDuty{shard,
+                      Election(m_store, m_clock, m_log, shard, m_settings.name, m_settings.boot, m_settings.election),
+                      nullptr}));
+        if (m_isDraining) {
+            m_duties.back()->election.resign();
+        }
+    }
+}
+
+void Node::tickDuty(ShardDuty &duty, TimePoint now)
+{
     if (m_catalog.version > 0) {
-        m_election.tick(now);
-    }
-    followTerm();
-    if (m_scheduler) {
-        m_registry->tick(now);
-        m_scheduler->tick(now, m_election.authority(now));
-        if (m_scheduler->isDeposed()) {
-            m_election.depose();
+        duty.election.setHandicap(handicapOf(duty));
+        duty.election.tick(now);
+    }
+    followTerm(duty);
+    if (duty.scheduler) {
+        duty.scheduler->tick(now, duty.election.authority(now));
+        if (duty.scheduler->isDeposed()) {
+            duty.election.depose();
         }
     }
-    m_intake.tick(now);
 }
 
 /** Makes a scheduler for each term, and drops it with the term. */
-void Node::followTerm()
+void Node::followTerm(ShardDuty &duty)
 {
-    const Leadership &term = m_election.leadership();
-    if (term.epoch == m_epoch) {
+    const Leadership &term = duty.election.leadership();
+    if (term.epoch == duty.epoch) {
         return;
     }
-    m_epoch = term.epoch;
-    m_registry.reset();
-    m_scheduler.reset();
+    duty.epoch = term.epoch;
+    duty.scheduler.reset();
     if (term.epoch == 0) {
         return;
     }
-    m_scheduler = std::make_unique<WorkflowScheduler>(m_settings.scheduler, m_store, m_workers, m_clock, m_log, term);
-    m_scheduler->setObserver(m_observer);
-    m_registry = std::make_unique<PrefixMirror>(
-        m_store, m_clock, m_log, std::string(m_decoder.registryPrefix()), [this](const StoreItem &it) {
-            onRegistryItem(it);
-        });
+    duty.scheduler = std::make_unique<WorkflowScheduler>(
+        m_settings.scheduler, m_store, m_workers, m_clock, m_log, duty.shard, term);
+    duty.scheduler->setObserver(m_observer);
+    for (const auto &[id, worker] : m_listed) {
+        tellScheduler(worker);
+    }
+}
+
+/** Lets nodes that suit better lead first, where there are several shards to lead. */
+Duration Node::handicapOf(const ShardDuty &duty) const
+{
+    if (m_map.shards.size() <= 1) {
+        return Duration::zero();
+    }
+    Duration handicap{};
+    for (const auto &it : m_duties) {
+        handicap += it->scheduler && it.get() != &duty ? HeldHandicap : Duration::zero();
+    }
+    const double weakness = std::max(0.0, 1 - m_settings.processorShare / StrongShare);
+    handicap += Duration(static_cast<Duration::rep>(weakness * static_cast<double>(WeakHandicap.count())));
+    const bool isHome = m_map.shards[duty.shard].failureDomain == m_settings.failureDomain;
+    handicap += isHome ? Duration::zero() : OtherDomainHandicap;
+    const std::size_t order = std::hash<std::string>()(m_settings.name + "/" + std::to_string(duty.shard));
+    return handicap + Duration(static_cast<Duration::rep>(order % static_cast<std::size_t>(HandicapSpread.count())));
+}
+
+void Node::onBoardItem(const StoreItem &item)
+{
+    if (item.key == ShardMapKey && !item.isDeleted) {
+        try {
+            m_map = decodeShardMap(item.value);
+            m_mapRevision = item.revision;
+        } catch (const Error &error) {
+            m_log.write("shard_map_unreadable", "revision", item.revision, "error", error.what());
+            return;
+        }
+        m_log.write(
+            "shard_map", "revision", item.revision, "shards", m_map.shards.size(), "racks", m_map.shardOfRack.size());
+        openDuties();
+        for (const auto &[id, worker] : m_listed) {
+            tellScheduler(worker);
+        }
+    } else if (item.key.starts_with(LeaderPrefix)) {
+        const std::string_view number = std::string_view(item.key).substr(LeaderPrefix.size());
+        ShardId shard = 0;
+        std::from_chars(number.data(), number.data() + number.size(), shard);
+        if (shard < m_duties.size()) {
+            m_duties[shard]->election.onKey(item);
+        }
+    }
+}
+
+/** The leader of the first shard assigns racks that are new, and keeps the shards' weights up to date. */
+void Node::plan(TimePoint now)
+{
+    const bool mayPlan = authority(0, now) == Authority::Firm && m_registry && m_registry->isLoaded()
+                         && m_board.isLoaded() && !m_isPlanning && !m_listed.empty();
+    if (!mayPlan || now < m_planAt || now < m_listGrewAt + m_settings.shards.settle) {
+        return;
+    }
+    std::vector<WorkerRecord> workers;
+    for (const auto &[id, worker] : m_listed) {
+        workers.push_back(worker);
+    }
+    m_planAt = now + PlanEvery;
+    const ShardMap map = planShards(m_map, workers, m_settings.shards);
+    if (!differs(m_map, map)) {
+        return;
+    }
+    m_isPlanning = true;
+    StoreChange change;
+    change.conditions = {{keysOf(0).leader, m_duties.front()->election.leadership().keyRevision},
+                         {std::string(ShardMapKey), m_mapRevision}};
+    change.puts = {{std::string(ShardMapKey), encodeShardMap(map), 0}};
+    m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+        if (!alive.expired()) {
+            m_isPlanning = false; // the board brings what was written
+            m_log.write("shards_planned", "ok", reply.status == StoreStatus::Ok);
+        }
+    });
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Registry of workers
+// ---------------------------------------------------------------------------------------------------------------------
+
+void Node::followRegistry(TimePoint now)
+{
+    if (!isLeading()) {
+        m_registry.reset();
+        m_listed.clear();
+        return;
+    }
+    if (!m_registry) {
+        m_registry = std::make_unique<PrefixMirror>(
+            m_store, m_clock, m_log, std::string(m_decoder.registryPrefix()), [this](const StoreItem &it) {
+                onRegistryItem(it);
+            });
+    }
+    m_registry->tick(now);
 }
 
+void Node::onRegistryItem(const StoreItem &item)
+{
+    const std::string id = item.key.substr(m_decoder.registryPrefix().size());
+    if (!item.isDeleted) {
+        try {
+            const WorkerRecord worker = m_decoder.parseWorker(id, item.value);
+            const bool isNew = m_listed.insert_or_assign(id, worker).second;
+            m_listGrewAt = isNew ? m_clock.now() : m_listGrewAt;
+            tellScheduler(worker);
+            return;
+        } catch (const std::exception &error) {
+            m_log.write("worker_entry_unreadable", "worker", id, "revision", item.revision, "error", error.what());
+        }
+    }
+    m_listed.erase(id);
+    for (const auto &it : m_duties) {
+        if (it->scheduler) {
+            it->scheduler->removeWorker(id);
+        }
+    }
+}
+
+/** Where its rack belongs to no shard yet, the next map brings it back. */
+void Node::tellScheduler(const WorkerRecord &worker)
+{
+    const auto found = m_map.shardOfRack.find(worker.rack);
+    if (found != m_map.shardOfRack.end() && m_duties[found->second]->scheduler) {
+        m_duties[found->second]->scheduler->setWorker(worker);
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// The operator's configuration
+// ---------------------------------------------------------------------------------------------------------------------
+
 void Node::onOperatorItem(const StoreItem &item)
 {
     if (!m_decoder.isCatalog(item.key) || item.isDeleted) {
@@ -144,21 +374,6 @@
     }
 }
 
-void Node::onRegistryItem(const StoreItem &item)
-{
-    const std::string id = item.key.substr(m_decoder.registryPrefix().size());
-    if (item.isDeleted) {
-        m_scheduler->setWorker(id, std::nullopt);
-        return;
-    }
-    try {
-        m_scheduler->setWorker(id, m_decoder.parseWorker(id, item.value));
-    } catch (const std::exception &error) {
-        m_log.write("worker_entry_unreadable", "worker", id, "revision", item.revision, "error", error.what());
-        m_scheduler->setWorker(id, std::nullopt);
-    }
-}
-
 const Queue *Node::findQueue(std::string_view host, std::string_view path) const
 {
     const Queue *best = nullptr;
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -1,5 +1,5 @@
 /**
- * One node: what every process does for callers, and, while it leads, the scheduler.
+ * One node: what every process does for callers, and the scheduler of each shard that it leads.
  *
  * Index of this file
  *   NodeSettings   all settings of the package
@@ -12,6 +12,7 @@
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
 #include <workflow/scheduler.h>
+#include <workflow/shards.h>
 
 #include <memory>
 
@@ -21,9 +22,12 @@
 {
     std::string name; ///< unique among the nodes
     std::string boot; ///< unique among the lives of this node
+    std::string failureDomain;
+    double processorShare = 1; ///< of a core; the strongest nodes lead first
     ElectionSettings election;
     WorkflowSettings scheduler;
     IntakeSettings intake;
+    ShardSettings shards;
     Duration storeSilence
         = std::chrono::milliseconds(3500); ///< a node that has not heard from the store for so long says
                                            ///< that it is not ready: it could accept nothing. Longer than
@@ -49,18 +53,40 @@
     const Queue *findQueue(std::string_view host, std::string_view path) const;
 
     const Catalog &catalog() const; ///< version 0: none yet
+    /** Hands a job in to the shard that suits it. */
+    void submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Intake::Done done);
     Intake &intake();
     const IntakeCounters &intakeCounters() const;
-    const Election &election() const;
-    const WorkflowScheduler *scheduler() const; ///< null where this node does not lead
+
+    const ShardMap &shardMap() const;
+    Authority authority(ShardId shard, TimePoint now) const;
+    std::vector<const WorkflowScheduler *> schedulers() const; ///< of the shards that this node leads
 
     bool isReady(TimePoint now) const;
     void beginDrain(); ///< gives leadership away and says that it is not ready; goes on answering
 
 private:
+    /** This node's part in one shard. */
+    struct ShardDuty
+    {
+        ShardId shard;
+        Election election;
+        std::unique_ptr<WorkflowScheduler> scheduler; ///< while this node leads the shard
+        std::uint64_t epoch = 0;                      ///< of the scheduler
+    };
+
     void onOperatorItem(const StoreItem &item);
+    void onBoardItem(const StoreItem &item);
     void onRegistryItem(const StoreItem &item);
-    void followTerm();
+    void storeBoot();
+    void openDuties();
+    void tickDuty(ShardDuty &duty, TimePoint now);
+    void followTerm(ShardDuty &duty);
+    void followRegistry(TimePoint now);
+    void tellScheduler(const WorkerRecord &worker);
+    void plan(TimePoint now);
+    Duration handicapOf(const ShardDuty &duty) const;
+    bool isLeading() const;
 
     NodeSettings m_settings;
     RecordStore &m_store;
@@ -70,13 +96,22 @@
     EventLog &m_log;
     Catalog m_catalog;
     PrefixMirror m_operatorItems;
-    std::unique_ptr<PrefixMirror> m_registry; ///< while this node leads
-    Election m_election;
+    PrefixMirror m_board;
+    std::unique_ptr<PrefixMirror> m_registry; ///< while this node leads a shard
     Intake m_intake;
-    std::unique_ptr<WorkflowScheduler> m_scheduler;
-    std::uint64_t m_epoch = 0; ///< of m_scheduler
     WorkflowObserver *m_observer = nullptr;
+    std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< callbacks outlive the node
     bool m_isDraining = false;
+    bool m_hasStoredBoot = false;
+
+    // Shards
+    std::vector<std::unique_ptr<ShardDuty>> m_duties; ///< by ShardId
+    ShardMap m_map;
+    std::uint64_t m_mapRevision = 0;
+    std::map<WorkerId, WorkerRecord> m_listed; ///< the registry, while this node leads a shard
+    TimePoint m_listGrewAt{};                  ///< the last time that a worker was new in it
+    TimePoint m_planAt{};                      ///< not before
+    bool m_isPlanning = false;
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -109,7 +109,9 @@
     std::uint64_t reportCount = 0;
     std::uint32_t adoptedRuns = 0; ///< by the last report: runs of a former leader
     TimePoint heldUntil{}; ///< a serving task was over its target for too long: nothing that fills works until then
-    TimePoint sampledAt{}; ///< last report that the pressure model took in
+    const JobState *keptFor = nullptr; ///< room that falls free goes to a starving task of this job ...
+    TimePoint keptUntil{};             ///< ... until then
+    TimePoint sampledAt{};             ///< last report that the pressure model took in
 
     // Health
     std::uint32_t failuresInRow = 0; ///< of runs, over all jobs
@@ -120,6 +122,10 @@
     {
         return now < suspectUntil;
     }
+    bool isKeptFromOthers(const JobState &job, TimePoint now) const
+    {
+        return keptFor != nullptr && keptFor != &job && now < keptUntil;
+    }
     Resources freeRoom() const
     {
         return record.capacity - reserved;
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -1,33 +1,14 @@
 #include <workflow/progress.h>
+#include <workflow/records.h>
 
 #include <base/errors.h>
 
-#include <nlohmann/json.hpp>
-
 namespace QuetzalRock::Workflow {
 
 namespace {
 
 using nlohmann::json;
 
-constexpr int StoredVersion = 1; ///< of every stored form
-
-std::string pack(const json &value)
-{
-    std::string bytes;
-    json::to_msgpack(value, bytes);
-    return bytes;
-}
-
-json unpack(std::string_view bytes)
-{
-    json value = json::from_msgpack(bytes, true, false);
-    if (value.is_discarded() || !value.is_array() || value.empty() || value[0] != StoredVersion) {
-        throw InvalidArgument("record", "not a stored record of this version");
-    }
-    return value;
-}
-
 json stepToJson(const StepSpec &it)
 {
     const unsigned flags = (it.isGang ? 1U : 0U) | (it.wantsOneRack ? 2U : 0U) | (it.isCheckpointed ? 4U : 0U)
@@ -123,27 +104,27 @@
     for (const StepSpec &it : job.spec.steps) {
         steps.push_back(stepToJson(it));
     }
-    return pack(json::array({StoredVersion,
-                             job.spec.key,
-                             job.spec.payload,
-                             std::move(steps),
-                             job.spec.repeatCount,
-                             job.spec.firstStartMs,
-                             job.spec.intervalMs,
-                             job.queue,
-                             job.host,
-                             job.pathPrefix,
-                             job.pool,
-                             job.priority,
-                             job.maxFailures,
-                             job.stretch,
-                             job.slackMs,
-                             job.acceptedMs}));
+    return packRecord(json::array({StoredVersion,
+                                   job.spec.key,
+                                   job.spec.payload,
+                                   std::move(steps),
+                                   job.spec.repeatCount,
+                                   job.spec.firstStartMs,
+                                   job.spec.intervalMs,
+                                   job.queue,
+                                   job.host,
+                                   job.pathPrefix,
+                                   job.pool,
+                                   job.priority,
+                                   job.maxFailures,
+                                   job.stretch,
+                                   job.slackMs,
+                                   job.acceptedMs}));
 }
 
 AcceptedJob decodeAccepted(std::string_view bytes)
 {
-    const json value = unpack(bytes);
+    const json value = unpackRecord(bytes);
     try {
         AcceptedJob job;
         job.spec.key = value.at(1);
@@ -169,6 +150,21 @@
     }
 }
 
+std::string encodeRegistration(ShardId shard)
+{
+    return packRecord(json::array({StoredVersion, shard}));
+}
+
+ShardId decodeRegistration(std::string_view bytes)
+{
+    const json value = unpackRecord(bytes);
+    try {
+        return value.at(1);
+    } catch (const json::exception &error) {
+        throw InvalidArgument("registration", error.what());
+    }
+}
+
 std::string encodeProgress(const JobState &job)
 {
     json rows = json::array();
@@ -186,12 +182,12 @@
             }
         }
     }
-    return pack(json::array({StoredVersion, static_cast<int>(job.state), std::move(rows)}));
+    return packRecord(json::array({StoredVersion, static_cast<int>(job.state), std::move(rows)}));
 }
 
 void decodeProgress(std::string_view bytes, JobState &job)
 {
-    const json value = unpack(bytes);
+    const json value = unpackRecord(bytes);
     try {
         job.state = static_cast<WorkflowState>(value.at(1).get<int>());
         for (const json &it : value.at(2)) {
@@ -209,7 +205,7 @@
 
 WorkflowState decodeState(std::string_view bytes)
 {
-    const json value = unpack(bytes);
+    const json value = unpackRecord(bytes);
     try {
         return static_cast<WorkflowState>(value.at(1).get<int>());
     } catch (const json::exception &error) {
@@ -219,12 +215,12 @@
 
 std::string encodeEpoch(const EpochRecord &record)
 {
-    return pack(json::array({StoredVersion, record.epoch, record.node, record.boot, record.hasResigned}));
+    return packRecord(json::array({StoredVersion, record.epoch, record.node, record.boot, record.hasResigned}));
 }
 
 EpochRecord decodeEpoch(std::string_view bytes)
 {
-    const json value = unpack(bytes);
+    const json value = unpackRecord(bytes);
     try {
         return {value.at(1), value.at(2), value.at(3), value.at(4)};
     } catch (const json::exception &error) {
@@ -238,12 +234,12 @@
     for (const KnownWorker &it : workers) {
         rows.push_back(json::array({it.id, it.bornMs, it.address, it.pool}));
     }
-    return pack(rows);
+    return packRecord(rows);
 }
 
 std::vector<KnownWorker> decodeWorkers(std::string_view bytes)
 {
-    const json value = unpack(bytes);
+    const json value = unpackRecord(bytes);
     std::vector<KnownWorker> workers;
     try {
         for (std::size_t i = 1; i < value.size(); ++i) {
@@ -258,12 +254,12 @@
 
 std::string encodeCounts(const std::map<std::string, std::uint32_t> &counts)
 {
-    return pack(json::array({StoredVersion, counts}));
+    return packRecord(json::array({StoredVersion, counts}));
 }
 
 std::map<std::string, std::uint32_t> decodeCounts(std::string_view bytes)
 {
-    const json value = unpack(bytes);
+    const json value = unpackRecord(bytes);
     try {
         return value.at(1).get<std::map<std::string, std::uint32_t>>();
     } catch (const json::exception &error) {
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -6,37 +6,33 @@
  *   TaskState, StepState ...    in memory; a part of it is stored as the job's progress
  *   encode..., decode...        MessagePack; decode throws InvalidArgument for what it cannot read
  *
- * Stored keys
- *   in/j/KEY      AcceptedJob; created once and never changed
- *   in/c/KEY      exists: the caller has cancelled the job
- *   out/KEY       progress: state, ends of tasks, failed attempts, checkpoints
- *   ctl/leader    who decides, under a lease (election.h)
- *   ctl/epoch     the last fencing epoch given out, who has it, and whether that leader has resigned
- *   ctl/boot/NODE the node's present life: whoever led in an earlier one leads no more
- *   ctl/workers   every worker that the present leader may have sent an order to
- *   ctl/pending   jobs of each queue for which no task has started
- *   ctl/pressure  what has been learned of neighbours (pressure.h)
+ * Stored keys (N: number of a shard, see shards.h)
+ *   job/KEY            the job's shard; created once and never changed, so one key is one job
+ *   in/N/j/KEY         AcceptedJob; created with it
+ *   in/N/c/KEY         exists: the caller has cancelled the job
+ *   out/KEY            progress: state, ends of tasks, failed attempts, checkpoints
+ *   ctl/board/leader/N who decides, under a lease (election.h)
+ *   ctl/board/shards   ShardMap
+ *   ctl/epoch/N        the last fencing epoch given out, who has it, and whether that leader has resigned
+ *   ctl/boot/NODE      the node's present life: whoever led in an earlier one leads no more
+ *   ctl/workers/N      every worker that the present leader may have sent an order to
+ *   ctl/pending/N      jobs of each queue for which no task has started
+ *   ctl/pressure/N     what has been learned of neighbours (pressure.h)
  */
 #pragma once
 
 #include <workflow/model.h>
 #include <workflow/pressure.h>
+#include <workflow/shards.h>
 
 #include <map>
 #include <memory>
 
 namespace QuetzalRock::Workflow {
 
-constexpr std::string_view InboxPrefix = "in/";
-constexpr std::string_view JobPrefix = "in/j/";
-constexpr std::string_view CancelPrefix = "in/c/";
+constexpr std::string_view RegistrationPrefix = "job/";
 constexpr std::string_view ProgressPrefix = "out/";
-constexpr std::string_view LeaderKey = "ctl/leader";
-constexpr std::string_view EpochKey = "ctl/epoch";
 constexpr std::string_view BootPrefix = "ctl/boot/";
-constexpr std::string_view WorkersKey = "ctl/workers";
-constexpr std::string_view PendingKey = "ctl/pending";
-constexpr std::string_view PressureKey = "ctl/pressure";
 
 using WorkerIndex = std::uint32_t;
 constexpr WorkerIndex NoWorker = ~0U;
@@ -135,6 +131,10 @@
 std::string encodeAccepted(const AcceptedJob &job);
 AcceptedJob decodeAccepted(std::string_view bytes);
 
+/** The content of job/KEY. */
+std::string encodeRegistration(ShardId shard);
+ShardId decodeRegistration(std::string_view bytes);
+
 std::string encodeProgress(const JobState &job);
 
 /** Fills state, ends, failures and checkpoints; resetTasks() comes first. */
--- /dev/null
+++ b/packages/workflow/records.h
@@ -0,0 +1,18 @@
+/** The form of everything that the package stores: a MessagePack array that begins with its version. */
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+#include <string_view>
+
+namespace QuetzalRock::Workflow {
+
+constexpr int StoredVersion = 1; ///< first element of every record
+
+std::string packRecord(const nlohmann::json &record);
+
+/** Throws InvalidArgument for bytes that are no record of this version. */
+nlohmann::json unpackRecord(std::string_view bytes);
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -1,5 +1,5 @@
 /**
- * The leader's work: takes over, places tasks, keeps leases alive, takes in ends, stores progress.
+ * The work of a shard's leader: takes over, places tasks, keeps leases alive, takes in ends, stores progress.
  *
  * Index of this file
  *   WorkflowSettings     times and limits
@@ -90,6 +90,7 @@
                       WorkerPort &workers,
                       Clock &clock,
                       EventLog &log,
+                      ShardId shard,
                       const Leadership &term);
     WorkflowScheduler(const WorkflowScheduler &) = delete;
     WorkflowScheduler &operator=(const WorkflowScheduler &) = delete;
@@ -102,9 +103,13 @@
     /** True once a worker or the store has shown that another leads, or has led since. */
     bool isDeposed() const;
 
-    /** A worker's entry in the registry has changed. @p record is empty where it was removed or cannot be read. */
-    void setWorker(const WorkerId &id, const std::optional<WorkerRecord> &record);
+    /** A worker's entry in the registry is new or has changed. */
+    void setWorker(const WorkerRecord &record);
 
+    /** A worker's entry has gone, or cannot be read. */
+    void removeWorker(const WorkerId &id);
+
+    ShardId shard() const;
     const WorkflowCounters &counters() const;
     std::size_t activeJobs() const;
 
@@ -154,6 +159,8 @@
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     bool isOpen(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     WorkerIndex choose(const TaskRef &ref, TimePoint now);
+    bool mayTake(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
+    void keepRoom(const TaskRef &ref, TimePoint now);
     void start(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
     void onStarted(
         const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
@@ -203,6 +210,8 @@
     WorkerPort &m_port;
     Clock &m_clock;
     EventLog &m_log;
+    ShardId m_shard;
+    ShardKeys m_keys;
     Leadership m_term;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< callbacks outlive the scheduler
 
--- /dev/null
+++ b/packages/workflow/shards.h
@@ -0,0 +1,82 @@
+/**
+ * How a large fleet is divided among several schedulers. A shard is a group of racks of one failure domain with jobs of its
+ * own; each has its own leader, so that no node decides for the whole fleet. A small fleet is one shard.
+ *
+ * Index of this file
+ *   ShardKeys       where a shard's records lie in the store
+ *   ShardSettings   how large a shard gets
+ *   ShardMap        which rack belongs to which shard; written by the leader of the first shard, read by all nodes
+ *   planShards()    assigns racks that are new
+ *   chooseShard()   the shard that a new job goes to
+ *
+ * A rack never changes its shard: a worker only ever hears of the epochs of one shard, and a task only ever runs on workers
+ * of its job's shard. So each shard keeps the promises by itself, as if it were alone.
+ */
+#pragma once
+
+#include <workflow/model.h>
+
+#include <base/clock.h>
+
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace QuetzalRock::Workflow {
+
+using ShardId = std::uint32_t; ///< from 0; the first shard always exists
+
+constexpr std::string_view BoardPrefix = "ctl/board/"; ///< what every node follows: leaders and the map
+constexpr std::string_view ShardMapKey = "ctl/board/shards";
+constexpr std::string_view LeaderPrefix = "ctl/board/leader/"; ///< and the shard's number
+constexpr std::string_view PendingPrefix = "ctl/pending/";     ///< and the shard's number
+
+struct ShardKeys
+{
+    std::string inbox;    ///< prefix of the two below
+    std::string jobs;     ///< prefix: AcceptedJob by key
+    std::string cancels;  ///< prefix: cancelled jobs by key
+    std::string leader;   ///< who decides, under a lease
+    std::string epoch;    ///< EpochRecord
+    std::string workers;  ///< every worker that the present leader may have sent an order to
+    std::string pending;  ///< jobs of each queue for which no task has started
+    std::string pressure; ///< what has been learned of neighbours
+};
+
+ShardKeys keysOf(ShardId shard);
+
+struct ShardSettings
+{
+    std::uint32_t singleUpTo = 80;             ///< workers; one leader on a tenth of a core carries about so many
+    std::uint32_t workersPerShard = 40;        ///< beyond that; half, so that a node can take over a second shard
+    Duration settle = std::chrono::seconds(1); ///< racks are assigned so long after the last new worker
+};
+
+struct ShardRow
+{
+    std::string failureDomain;                      ///< of all its racks; empty: of several
+    std::map<std::string, std::int64_t> poolMillis; ///< processors by pool, in millis: its weight for new jobs
+
+    bool operator==(const ShardRow &) const = default;
+};
+
+struct ShardMap
+{
+    std::vector<ShardRow> shards; ///< by ShardId; empty: not planned yet
+    std::map<std::string, ShardId> shardOfRack;
+
+    bool operator==(const ShardMap &) const = default;
+};
+
+/** Keeps what @p map says, gives racks of @p workers that it does not know to shards, and weighs the shards anew. */
+ShardMap planShards(const ShardMap &map, std::span<const WorkerRecord> workers, const ShardSettings &settings);
+
+/** By the shards' weights for @p pool; the same for the same key and map. The first shard where nothing is known. */
+ShardId chooseShard(const ShardMap &map, std::string_view pool, const JobKey &key);
+
+std::string encodeShardMap(const ShardMap &map);
+ShardMap decodeShardMap(std::string_view bytes); ///< throws InvalidArgument
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2; ///< each takes a condition and a put
-constexpr std::size_t DropsPerChange = 10;                        ///< each takes three removals
+constexpr std::size_t DropsPerChange = 7;                         ///< each takes four removals
 
 } // namespace
 
@@ -41,13 +41,13 @@
         return;
     }
     StoreChange change;
-    change.conditions.push_back({std::string(LeaderKey), m_term.keyRevision});
+    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     if (isPressureDue) {
-        change.puts.push_back({std::string(PressureKey), m_pressure.save(), 0});
+        change.puts.push_back({m_keys.pressure, m_pressure.save(), 0});
         m_pressureAt = now + m_settings.pressureEvery;
     }
     if (pending != m_storedPending) {
-        change.puts.push_back({std::string(PendingKey), pending, 0});
+        change.puts.push_back({m_keys.pending, pending, 0});
         m_pendingAt = now + m_settings.pendingEvery;
         m_storedPending = pending;
     }
@@ -98,7 +98,7 @@
     if (reply.status == StoreStatus::Conflict) {
         // Either another leads, or an earlier write whose answer was lost had taken effect.
         const auto leader = std::find_if(
-            reply.items.begin(), reply.items.end(), [](const StoreItem &it) { return it.key == LeaderKey; });
+            reply.items.begin(), reply.items.end(), [this](const StoreItem &it) { return it.key == m_keys.leader; });
         if (leader == reply.items.end() || leader->revision != m_term.keyRevision) {
             m_isDeposed = true;
         }
@@ -143,8 +143,8 @@
         }
     }
     StoreChange change;
-    change.conditions = {{std::string(LeaderKey), m_term.keyRevision}, {std::string(WorkersKey), m_workersRevision}};
-    change.puts = {{std::string(WorkersKey), encodeWorkers(known), 0}};
+    change.conditions = {{m_keys.leader, m_term.keyRevision}, {m_keys.workers, m_workersRevision}};
+    change.puts = {{m_keys.workers, encodeWorkers(known), 0}};
     m_isStoring = true;
     m_workersDirty = false;
     m_store.change(std::move(change), guard([this, ids = std::move(ids)](const StoreReply &reply) {
@@ -158,9 +158,9 @@
                        m_workersDirty = true;
                        m_storeAt = m_clock.now() + m_settings.storeRetry;
                        for (const StoreItem &it : reply.items) {
-                           if (it.key == WorkersKey) {
+                           if (it.key == m_keys.workers) {
                                m_workersRevision = it.revision;
-                           } else if (it.key == LeaderKey && it.revision != m_term.keyRevision) {
+                           } else if (it.key == m_keys.leader && it.revision != m_term.keyRevision) {
                                m_isDeposed = true;
                            }
                        }
@@ -174,7 +174,7 @@
         return;
     }
     StoreChange change;
-    change.conditions.push_back({std::string(LeaderKey), m_term.keyRevision});
+    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     std::vector<JobKey> keys;
     while (!m_final.empty() && keys.size() < DropsPerChange && now >= m_final.front().first + m_settings.keepFinal) {
         const JobKey key = m_final.front().second;
@@ -184,8 +184,9 @@
         }
         m_final.pop_front();
         keys.push_back(key);
-        for (const std::string_view prefix : {JobPrefix, CancelPrefix, ProgressPrefix}) {
-            change.removals.push_back(std::string(prefix) + key);
+        for (const std::string &prefix :
+             {std::string(RegistrationPrefix), m_keys.jobs, m_keys.cancels, std::string(ProgressPrefix)}) {
+            change.removals.push_back(prefix + key);
         }
     }
     if (keys.empty()) {
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -18,15 +18,18 @@
                                      WorkerPort &workers,
                                      Clock &clock,
                                      EventLog &log,
+                                     ShardId shard,
                                      const Leadership &term)
     : m_settings(settings)
     , m_store(store)
     , m_port(workers)
     , m_clock(clock)
     , m_log(log)
+    , m_shard(shard)
+    , m_keys(keysOf(shard))
     , m_term(term)
     , m_electedAt(clock.now())
-    , m_inbox(store, clock, log, std::string(InboxPrefix), [this](const StoreItem &it) { onInboxItem(it); })
+    , m_inbox(store, clock, log, m_keys.inbox, [this](const StoreItem &it) { onInboxItem(it); })
     , m_isFormerGone(term.former.hasResigned || term.former.epoch == 0)
     , m_formerGoneAt(clock.now())
 {
@@ -42,6 +45,11 @@
     return m_isDeposed;
 }
 
+ShardId WorkflowScheduler::shard() const
+{
+    return m_shard;
+}
+
 const WorkflowCounters &WorkflowScheduler::counters() const
 {
     return m_counters;
@@ -73,7 +81,17 @@
         }
         m_load = Load::Done;
         m_loadedProgress.clear();
-        m_log.write("takeover_loaded", "epoch", m_term.epoch, "jobs", m_active.size(), "workers", m_workers.size());
+        std::erase_if(m_storedRevisions,
+                      [this](const auto &it) { return !m_jobs.contains(it.first); }); // other shards'
+        m_log.write("takeover_loaded",
+                    "shard",
+                    m_shard,
+                    "epoch",
+                    m_term.epoch,
+                    "jobs",
+                    m_active.size(),
+                    "workers",
+                    m_workers.size());
     }
     if (authority == Authority::None) {
         return;
@@ -100,13 +118,13 @@
 
 void WorkflowScheduler::loadWorkers()
 {
-    m_store.get(WorkersKey, guard([this](const StoreReply &reply) { onWorkersLoaded(reply); }));
+    m_store.get(m_keys.workers, guard([this](const StoreReply &reply) { onWorkersLoaded(reply); }));
 }
 
 void WorkflowScheduler::onWorkersLoaded(const StoreReply &reply)
 {
     if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::Missing) {
-        retryLoad(WorkersKey);
+        retryLoad(m_keys.workers);
         return;
     }
     for (const StoreItem &it : reply.items) {
@@ -129,7 +147,7 @@
 /** Helps, but nothing waits for it: without it the effects of neighbours are learned anew. */
 void WorkflowScheduler::loadPressure()
 {
-    m_store.get(PressureKey, guard([this](const StoreReply &reply) {
+    m_store.get(m_keys.pressure, guard([this](const StoreReply &reply) {
                     try {
                         if (!reply.items.empty()) {
                             m_pressure.load(reply.items.front().value);
@@ -174,10 +192,10 @@
         return; // only leaders remove jobs, long after their end
     }
     try {
-        if (item.key.starts_with(JobPrefix)) {
+        if (item.key.starts_with(m_keys.jobs)) {
             addJob(item);
-        } else if (item.key.starts_with(CancelPrefix)) {
-            onCancel(item.key.substr(CancelPrefix.size()));
+        } else if (item.key.starts_with(m_keys.cancels)) {
+            onCancel(item.key.substr(m_keys.cancels.size()));
         }
     } catch (const Error &error) {
         m_log.write("job_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
--- a/packages/workflow/tests/decisiontest.cpp
+++ b/packages/workflow/tests/decisiontest.cpp
@@ -38,6 +38,12 @@
     return job;
 }
 
+/** Right after the job was learned of. */
+JobTurn turnAt(const JobState &job, std::int64_t wallMs)
+{
+    return turnOf(job, wallMs, job.learnedAt);
+}
+
 Candidate makeWorker(std::int64_t freeMillis, std::int64_t servingMillis = 0, std::int64_t spareMillis = 0)
 {
     Candidate it;
@@ -60,17 +66,17 @@
     const JobState old = makeJob("old", 30'000, 2000); // objective 5 s: worth nothing any more
     const JobState late = makeJob("late", 6000, 2000); // late, and still worth something
     const JobState fresh = makeJob("fresh", 100, 2000);
-    EXPECT_LT(turnOf(fresh, Now), turnOf(late, Now));
-    EXPECT_LT(turnOf(late, Now), turnOf(old, Now));
+    EXPECT_LT(turnAt(fresh, Now), turnAt(late, Now));
+    EXPECT_LT(turnAt(late, Now), turnAt(old, Now));
 }
 
 TEST(Turns, whatIsDoneCountsForAJob)
 {
     JobState job = makeJob("a", 5000, 2000, 2); // objective 9 s, 4 s of work: can be in time by a hair
-    EXPECT_EQ(turnOf(job, Now).hope, JobHope::InTime);
-    EXPECT_EQ(turnOf(job, Now + 1000).hope, JobHope::Late);
+    EXPECT_EQ(turnAt(job, Now).hope, JobHope::InTime);
+    EXPECT_EQ(turnAt(job, Now + 1000).hope, JobHope::Late);
     job.occurrences[0].steps[0].doneCount = 2;
-    EXPECT_EQ(turnOf(job, Now + 1000).hope, JobHope::InTime) << "half of the chain is done";
+    EXPECT_EQ(turnAt(job, Now + 1000).hope, JobHope::InTime) << "half of the chain is done";
 }
 
 TEST(Turns, priorityGoesFirstAndShortWorkBeforeLastingWork)
@@ -78,10 +84,27 @@
     JobState urgent = makeJob("z", 30'000, 2000);
     JobState patient = makeJob("a", 100, 2000);
     patient.accepted.priority = 2;
-    EXPECT_LT(turnOf(urgent, Now), turnOf(patient, Now));
+    EXPECT_LT(turnAt(urgent, Now), turnAt(patient, Now));
     JobState lasting = makeJob("b", 40'000, 2000);
     lasting.accepted.spec.steps[0].isLasting = true;
-    EXPECT_LT(turnOf(urgent, Now), turnOf(lasting, Now));
+    EXPECT_LT(turnAt(urgent, Now), turnAt(lasting, Now));
+}
+
+TEST(Turns, aLastingTaskThatHasWaitedTooLongGoesBeforeShortWork)
+{
+    const JobState urgent = makeJob("a", 0, 2000);
+    JobState lasting = makeJob("b", 0, 2000);
+    lasting.accepted.spec.steps[0].isLasting = true;
+    const TimePoint later = lasting.learnedAt + LastingPatience;
+    EXPECT_LT(turnOf(lasting, Now, later), turnOf(urgent, Now, later));
+    for (TaskState &it : lasting.occurrences[0].steps[0].tasks) {
+        it.phase = TaskPhase::Running;
+    }
+    EXPECT_LT(turnOf(urgent, Now, later), turnOf(lasting, Now, later));
+    lasting.occurrences[0].steps[0].tasks[1].phase = TaskPhase::Waiting; // its run has just ended
+    lasting.occurrences[0].steps[0].tasks[1].retryAt = later;
+    EXPECT_LT(turnOf(urgent, Now, later), turnOf(lasting, Now, later));
+    EXPECT_LT(turnOf(lasting, Now, later + LastingPatience), turnOf(urgent, Now, later + LastingPatience));
 }
 
 TEST(Turns, stepsSideBySideMakeNoLongerChain)
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -162,7 +162,7 @@
             ADD_FAILURE() << it;
         }
         for (const JobKey &key : m_keys) {
-            const bool isStored = m_rig.backend.items.contains(std::string(JobPrefix) + key);
+            const bool isStored = m_rig.backend.items.contains(std::string(RegistrationPrefix) + key);
             if (m_outcomes[key] == IntakeOutcome::Ok) {
                 EXPECT_TRUE(isStored) << key << " was accepted";
             }
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -752,6 +752,7 @@
         NodeSettings settings;
         settings.name = "n" + std::to_string(i);
         settings.boot = std::to_string(++m_boots);
+        settings.shards = shards;
         it.node = std::make_unique<Node>(settings, it.store, it.port, decoder, clock, it.log);
     }
 
@@ -785,7 +786,7 @@
     {
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             const auto &node = nodes[i]->node;
-            if (node && !nodes[i]->isFrozen && node->election().authority(clock.now()) == Authority::Firm) {
+            if (node && !nodes[i]->isFrozen && node->authority(0, clock.now()) == Authority::Firm) {
                 return static_cast<int>(i);
             }
         }
@@ -815,7 +816,7 @@
     void submit(int i, const WorkflowSpec &spec, std::optional<IntakeOutcome> *outcome = nullptr)
     {
         Node &node = *nodes[static_cast<std::size_t>(i)]->node;
-        node.intake().submit(decoder.catalog.queues.front(), spec, clock.now() + 3s, [outcome](const IntakeReply &it) {
+        node.submit(decoder.catalog.queues.front(), spec, clock.now() + 3s, [outcome](const IntakeReply &it) {
             if (outcome != nullptr) {
                 *outcome = it.outcome;
             }
@@ -838,6 +839,7 @@
     StoreBackend backend;
     FakeFleet fleet;
     FakeDecoder decoder;
+    ShardSettings shards{80, 40, Duration::zero()};
     std::vector<std::unique_ptr<RigNode>> nodes;
 
 private:
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -92,7 +92,7 @@
     rig.run(5s);
     EXPECT_EQ(rig.state("a"), Done);
     EXPECT_TRUE(rig.fleet.faults.empty());
-    EXPECT_EQ(frozen.node->scheduler(), nullptr) << "it has stood down";
+    EXPECT_TRUE(frozen.node->schedulers().empty()) << "it has stood down";
 }
 
 // While a worker cannot be read, it may run any task of the former leader.
@@ -148,6 +148,29 @@
     EXPECT_EQ(rig.fleet.starts, 4U) << "nothing was started again";
 }
 
+// Small tasks come all the time and take each piece of room as it falls free; together they want more than there is.
+TEST(Workflow, aLargeLastingTaskGetsRoomAmongSmallShortOnes)
+{
+    Rig rig(1, 2);
+    rig.fleet.workTime = 600ms;
+    rig.run(2s);
+    int jobs = 0;
+    const auto press = [&rig, &jobs](Duration time) {
+        for (Duration passed{}; passed < time; passed += 100ms) {
+            rig.submit(0, Rig::makeJob("short" + std::to_string(jobs++), 8)); // 80 cores wanted, of 32
+            rig.run(100ms);
+        }
+    };
+    press(2s);
+    WorkflowSpec lasting = Rig::makeJob("lasting", 1);
+    lasting.steps[0].need.cpuMillis = 12'000;
+    lasting.steps[0].isLasting = true;
+    rig.fleet.lasting.insert("lasting");
+    rig.submit(0, lasting);
+    press(5s);
+    EXPECT_EQ(rig.state("lasting"), WorkflowState::Running);
+}
+
 // The former leader's node has started anew, so only the lease that it may have given is waited for, not its grace.
 TEST(Workflow, aFormerLeaderThatStartedAnewIsNotWaitedFor)
 {
@@ -353,7 +376,7 @@
         it->store.isSilent = true;
     }
     rig.run(200ms);
-    rig.backend.write(std::string(JobPrefix) + "x", "not a record"); // from another writer: named in the log, and left
+    rig.backend.write(keysOf(0).jobs + "x", "not a record"); // from another writer: named in the log, and left
     rig.backend.dropHistory();
     for (const auto &it : rig.nodes) {
         it->store.isSilent = false;
--- a/packages/workflow/turns.cpp
+++ b/packages/workflow/turns.cpp
@@ -23,6 +23,21 @@
     return longest;
 }
 
+bool hasStarvingTask(const JobState &job, TimePoint now)
+{
+    for (const OccurrenceState &occurrence : job.occurrences) {
+        for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
+            const StepSpec &step = job.accepted.spec.steps[s];
+            const auto &tasks = occurrence.steps[s].tasks;
+            if (std::any_of(
+                    tasks.begin(), tasks.end(), [&](const TaskState &it) { return isStarving(job, step, it, now); })) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
 } // namespace
 
 std::int64_t longestChainMs(const WorkflowSpec &spec)
@@ -37,7 +52,13 @@
     });
 }
 
-JobTurn turnOf(const JobState &job, std::int64_t wallMs)
+bool isStarving(const JobState &job, const StepSpec &step, const TaskState &task, TimePoint now)
+{
+    return step.isLasting && task.phase == TaskPhase::Waiting
+           && now >= std::max(job.learnedAt, task.retryAt) + LastingPatience;
+}
+
+JobTurn turnOf(const JobState &job, std::int64_t wallMs, TimePoint now)
 {
     const AcceptedJob &accepted = job.accepted;
     JobTurn turn;
@@ -49,6 +70,7 @@
     const bool isTimed = accepted.spec.repeatCount > 0;
     const bool isLasting = std::any_of(steps.begin(), steps.end(), [](const StepSpec &it) { return it.isLasting; });
     turn.isLasting = isLasting;
+    turn.isPatient = !isLasting || !hasStarvingTask(job, now);
     if (isLasting || isTimed) {
         return turn; // each occurrence counts from its own due time, and a lasting task as long as it is at work
     }
--- a/packages/workflow/turns.h
+++ b/packages/workflow/turns.h
@@ -6,6 +6,7 @@
  *   JobHope       what can still become of a job
  *   JobTurn       sorts jobs; the smallest goes first
  *   turnOf()      the turn of a job at a time
+ *   isStarving()  a lasting task that must not wait for room any longer
  *   longestChainMs(), remainingChainMs()   by declared estimates
  */
 #pragma once
@@ -25,6 +26,7 @@
 struct JobTurn
 {
     int priority = 0;
+    bool isPatient = true;  ///< false: a lasting task of it has waited too long
     bool isLasting = false; ///< holds its room for long: short work of the same priority goes first
     JobHope hope = JobHope::InTime;
     bool isNew = true; ///< nothing of it is done: work already spent on others is saved first
@@ -36,7 +38,12 @@
 
 constexpr double LateFactor = 3; ///< a job that takes so many times its objective is worth nothing
 
-JobTurn turnOf(const JobState &job, std::int64_t wallMs);
+constexpr Duration LastingPatience = std::chrono::seconds(1); ///< its users are without it meanwhile
+
+JobTurn turnOf(const JobState &job, std::int64_t wallMs, TimePoint now);
+
+/** Answers this load: short tasks take each piece of room as it falls free, so that none gets large enough for this one. */
+bool isStarving(const JobState &job, const StepSpec &step, const TaskState &task, TimePoint now);
 
 std::int64_t longestChainMs(const WorkflowSpec &spec);
 std::int64_t remainingChainMs(const JobState &job, const OccurrenceState &occurrence);
