--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -3,6 +3,7 @@
 #include <base/errors.h>
 
 #include <algorithm>
+#include <charconv>
 
 namespace QuetzalRock::Workflow {
 
@@ -28,7 +29,7 @@
 // Writes
 // ---------------------------------------------------------------------------------------------------------------------
 
-void Intake::submit(const Queue &queue, ShardId shard, WorkflowSpec spec, TimePoint deadline, Done done)
+void Intake::submit(const Queue &queue, std::optional<ShardId> shard, WorkflowSpec spec, TimePoint deadline, Done done)
 {
     AcceptedJob job;
     job.spec = std::move(spec);
@@ -54,6 +55,11 @@
 void Intake::cancel(const JobKey &key, TimePoint deadline, Done done)
 {
     ++m_counters.cancels;
+    findToCancel(key, deadline, std::move(done));
+}
+
+void Intake::findToCancel(const JobKey &key, TimePoint deadline, Done done)
+{
     m_store.get(std::string(RegistrationPrefix) + key,
                 [this, key, deadline, done = std::move(done)](const StoreReply &reply) {
                     onFoundToCancel(key, deadline, reply, done);
@@ -84,6 +90,14 @@
         done(notTaken());
         return;
     }
+    if (!write->shard) { // it gets one within a few calls to the store
+        if (m_clock.now() + m_settings.retryEvery + m_settings.answerMargin >= deadline) {
+            done(notTaken());
+        } else {
+            m_cancelsToRepeat.push_back({key, deadline, m_clock.now() + m_settings.retryEvery, done});
+        }
+        return;
+    }
     m_writes.push_back(write);
     send(write);
 }
@@ -92,13 +106,13 @@
 {
     StoreChange change;
     const std::string registration = std::string(RegistrationPrefix) + write->key;
-    const ShardKeys keys = keysOf(write->shard);
     if (write->isCancel) {
         change.conditions = {{registration, write->jobRevision}};
-        change.puts = {{keys.cancels + write->key, {}, 0}};
+        change.puts = {{keysOf(*write->shard).cancels + write->key, {}, 0}};
     } else {
+        const std::string inbox = write->shard ? keysOf(*write->shard).jobs : std::string(SpreadPrefix);
         change.conditions = {{registration, 0}};
-        change.puts = {{registration, encodeRegistration(write->shard), 0}, {keys.jobs + write->key, write->value, 0}};
+        change.puts = {{registration, encodeRegistration(write->shard), 0}, {inbox + write->key, write->value, 0}};
     }
     write->isSent = true;
     m_store.change(std::move(change), [this, write](const StoreReply &reply) { onSent(write, reply); });
@@ -152,6 +166,15 @@
 
 void Intake::tick(TimePoint now)
 {
+    std::vector<CancelToRepeat> cancels;
+    cancels.swap(m_cancelsToRepeat);
+    for (CancelToRepeat &it : cancels) {
+        if (now >= it.at) {
+            findToCancel(it.key, it.deadline, std::move(it.done));
+        } else {
+            m_cancelsToRepeat.push_back(std::move(it));
+        }
+    }
     const std::vector<WritePtr> writes = m_writes;
     for (const WritePtr &it : writes) {
         if (now + m_settings.answerMargin >= it->deadline) {
@@ -205,43 +228,71 @@
 void Intake::count(const std::string &queue, Done done)
 {
     ++m_counters.questions;
-    const auto answer = [this, queue] {
-        const auto it = m_counts.find(queue);
+    if (m_statusesAt != TimePoint{} && m_clock.now() < m_statusesAt + m_settings.countMaxAge) {
         IntakeReply reply;
-        reply.pending = it == m_counts.end() ? 0 : it->second;
-        return reply;
-    };
-    if (m_hasCounts && m_clock.now() < m_countsAt + m_settings.countMaxAge) {
-        done(answer());
+        reply.pending = pendingOf(queue);
+        done(reply);
         return;
     }
-    m_store.range(PendingPrefix, {}, [this, answer, done = std::move(done)](const StoreReply &reply) {
+    readStatuses([this, queue, done = std::move(done)](IntakeReply reply) {
+        reply.pending = reply.outcome == IntakeOutcome::Ok ? pendingOf(queue) : 0;
+        done(reply);
+    });
+}
+
+std::uint32_t Intake::pendingOf(const std::string &queue) const
+{
+    std::uint32_t n = 0;
+    for (const auto &[shard, status] : m_statuses) {
+        const auto found = status.pending.find(queue);
+        n += found == status.pending.end() ? 0 : found->second;
+    }
+    return n;
+}
+
+const ShardStatuses &Intake::statuses() const
+{
+    return m_statuses;
+}
+
+void Intake::refreshStatuses()
+{
+    const bool isOld = m_statusesAt == TimePoint{} || m_clock.now() >= m_statusesAt + m_settings.statusMaxAge;
+    if (isOld && !m_isReadingStatuses) {
+        m_isReadingStatuses = true;
+        readStatuses([this](const IntakeReply &) { m_isReadingStatuses = false; });
+    }
+}
+
+void Intake::readStatuses(Done done)
+{
+    m_store.range(StatusPrefix, {}, [this, done = std::move(done)](const StoreReply &reply) {
         if (reply.status != StoreStatus::Ok) {
             done(notTaken());
             return;
         }
         try {
-            takeCounts(reply);
+            takeStatuses(reply);
         } catch (const Error &error) {
-            m_log.write("counts_unreadable", "error", error.what());
+            m_log.write("statuses_unreadable", "error", error.what());
             done(notTaken());
             return;
         }
-        done(answer());
+        done({});
     });
 }
 
-void Intake::takeCounts(const StoreReply &reply)
+void Intake::takeStatuses(const StoreReply &reply)
 {
-    std::map<std::string, std::uint32_t> counts;
+    ShardStatuses statuses;
     for (const StoreItem &it : reply.items) {
-        for (const auto &[queue, n] : decodeCounts(it.value)) {
-            counts[queue] += n;
-        }
+        const std::string_view number = std::string_view(it.key).substr(StatusPrefix.size());
+        ShardId shard = 0;
+        std::from_chars(number.data(), number.data() + number.size(), shard);
+        statuses[shard] = decodeStatus(it.value);
     }
-    m_counts = std::move(counts);
-    m_countsAt = m_clock.now();
-    m_hasCounts = true;
+    m_statuses = std::move(statuses);
+    m_statusesAt = m_clock.now();
 }
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -41,7 +41,8 @@
         = std::chrono::milliseconds(150);                  ///< the answer goes out so long before the caller's deadline
     Duration retryEvery = std::chrono::milliseconds(100);  ///< of a write whose fate is unknown
     Duration retryAfter = std::chrono::seconds(1);         ///< told to callers while the store does not take calls
-    Duration countMaxAge = std::chrono::milliseconds(500); ///< of the counts kept for further questions
+    Duration countMaxAge = std::chrono::milliseconds(500); ///< of the statuses, when callers ask for counts
+    Duration statusMaxAge = std::chrono::seconds(1);       ///< and when a shard is chosen
 };
 
 struct IntakeCounters
@@ -60,13 +61,17 @@
 
     Intake(RecordStore &store, Clock &clock, EventLog &log, const IntakeSettings &settings = {});
 
-    void submit(const Queue &queue, ShardId shard, WorkflowSpec spec, TimePoint deadline, Done done);
+    /** No @p shard: the job waits until it is given one, see spreader.h. */
+    void submit(const Queue &queue, std::optional<ShardId> shard, WorkflowSpec spec, TimePoint deadline, Done done);
     void cancel(const JobKey &key, TimePoint deadline, Done done);
     void state(const JobKey &key, Done done);
     void count(const std::string &queue, Done done);
 
     void tick(TimePoint now); ///< repeats writes whose fate is unknown
 
+    const ShardStatuses &statuses() const; ///< as last read
+    void refreshStatuses();                ///< where they are older than IntakeSettings::statusMaxAge
+
     const IntakeCounters &counters() const;
 
 private:
@@ -74,7 +79,7 @@
     struct Write
     {
         JobKey key;
-        ShardId shard = 0;
+        std::optional<ShardId> shard;
         bool isCancel = false;
         std::string value;
         std::uint64_t jobRevision = 0; ///< cancels: of the job's registration
@@ -86,22 +91,35 @@
     };
     using WritePtr = std::shared_ptr<Write>;
 
+    /** Of a job that has no shard yet. */
+    struct CancelToRepeat
+    {
+        JobKey key;
+        TimePoint deadline;
+        TimePoint at;
+        Done done;
+    };
+
     void send(const WritePtr &write);
     void onSent(const WritePtr &write, const StoreReply &reply);
     void finish(const WritePtr &write, IntakeOutcome outcome);
     IntakeReply notTaken() const;
     void askJob(const JobKey &key, const Done &done);
+    void findToCancel(const JobKey &key, TimePoint deadline, Done done);
     void onFoundToCancel(const JobKey &key, TimePoint deadline, const StoreReply &reply, const Done &done);
-    void takeCounts(const StoreReply &reply);
+    void readStatuses(Done done);
+    void takeStatuses(const StoreReply &reply);
+    std::uint32_t pendingOf(const std::string &queue) const;
 
     RecordStore &m_store;
     Clock &m_clock;
     EventLog &m_log;
     IntakeSettings m_settings;
     std::vector<WritePtr> m_writes;
-    std::map<std::string, std::uint32_t> m_counts;
-    TimePoint m_countsAt{};
-    bool m_hasCounts = false;
+    std::vector<CancelToRepeat> m_cancelsToRepeat;
+    ShardStatuses m_statuses;
+    TimePoint m_statusesAt{}; ///< when they were read; zero: never
+    bool m_isReadingStatuses = false;
     IntakeCounters m_counters;
 };
 
--- a/packages/workflow/mirror.cpp
+++ b/packages/workflow/mirror.cpp
@@ -4,12 +4,14 @@
 
 namespace QuetzalRock::Workflow {
 
-PrefixMirror::PrefixMirror(RecordStore &store, Clock &clock, EventLog &log, std::string prefix, OnItem onItem)
+PrefixMirror::PrefixMirror(
+    RecordStore &store, Clock &clock, EventLog &log, std::string prefix, OnItem onItem, const MirrorSettings &settings)
     : m_store(store)
     , m_clock(clock)
     , m_log(log)
     , m_prefix(std::move(prefix))
     , m_onItem(std::move(onItem))
+    , m_settings(settings)
     , m_retryAfter(m_settings.retryAfter)
 {
 }
@@ -31,7 +33,7 @@
 
 void PrefixMirror::tick(TimePoint now)
 {
-    if (m_isBusy || now < m_retryAt) {
+    if (m_isBusy || now < m_nextAt) {
         return;
     }
     m_isBusy = true;
@@ -116,6 +118,7 @@
     }
     m_revision = std::max(m_revision, reply.revision);
     succeed();
+    m_nextAt = reply.items.empty() ? m_nextAt : m_clock.now() + m_settings.gather;
 }
 
 void PrefixMirror::report(const StoreItem &item)
@@ -138,7 +141,7 @@
 void PrefixMirror::fail(std::string_view what)
 {
     m_isBusy = false;
-    m_retryAt = m_clock.now() + m_retryAfter;
+    m_nextAt = m_clock.now() + m_retryAfter;
     m_retryAfter = std::min(m_settings.retryMost, m_retryAfter * 2);
     m_log.write("mirror_call_failed", "prefix", m_prefix, "call", what, "revision", m_revision);
 }
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -26,6 +26,7 @@
                                            ///< a configuration has to be in force
     Duration retryAfter = std::chrono::milliseconds(200); ///< after a failed call; doubles up to retryMost
     Duration retryMost = std::chrono::milliseconds(800);
+    Duration gather{}; ///< changes are gathered for so long before the next call; zero: each is reported at once
 };
 
 class PrefixMirror
@@ -33,7 +34,12 @@
 public:
     using OnItem = std::function<void(const StoreItem &)>;
 
-    PrefixMirror(RecordStore &store, Clock &clock, EventLog &log, std::string prefix, OnItem onItem);
+    PrefixMirror(RecordStore &store,
+                 Clock &clock,
+                 EventLog &log,
+                 std::string prefix,
+                 OnItem onItem,
+                 const MirrorSettings &settings = {});
 
     void tick(TimePoint now);
 
@@ -64,7 +70,7 @@
     std::uint64_t m_loadRevision = 0;             ///< of the first page
     std::set<std::string> m_loadedKeys;           ///< of the load under way
     std::map<std::string, std::uint64_t> m_known; ///< revision of each key
-    TimePoint m_retryAt{};
+    TimePoint m_nextAt{};                         ///< no call before
     TimePoint m_freshAt{};
     Duration m_retryAfter{};
 };
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -22,6 +22,9 @@
 constexpr Duration OtherDomainHandicap = 150ms; ///< the shard's workers are in another failure domain
 constexpr Duration HandicapSpread = 200ms;      ///< nodes that suit as well take their turn in a random order
 
+// Workers renew their entries every second or two, all of them. A drain has to be known within two seconds.
+constexpr Duration GatherRegistry = 250ms;
+
 constexpr Duration PlanEvery = 2s;      ///< between two writes of the map
 constexpr double WeightTolerance = 0.2; ///< a shard's weight may be off by so much before the map is written anew
 
@@ -82,7 +85,12 @@
 
 void Node::submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Intake::Done done)
 {
-    const ShardId shard = chooseShard(m_map, queue.pool, spec.key);
+    std::optional<ShardId> shard = 0;
+    if (m_map.shards.size() > 1) {
+        m_intake.refreshStatuses();
+        const bool mustSpread = hasLastingStep(spec);
+        shard = mustSpread ? std::nullopt : std::optional(chooseShard(m_map, m_intake.statuses(), queue.pool, spec));
+    }
     m_intake.submit(queue, shard, std::move(spec), deadline, std::move(done));
 }
 
@@ -151,6 +159,7 @@
     }
     followRegistry(now);
     plan(now);
+    spread(now);
     m_intake.tick(now);
 }
 
@@ -295,6 +304,24 @@
     });
 }
 
+/** While this node leads the first shard, it gives lasting jobs their shards. */
+void Node::spread(TimePoint now)
+{
+    const Leadership &term = m_duties.front()->election.leadership();
+    if (m_map.shards.size() <= 1 || authority(0, now) != Authority::Firm) {
+        m_spreader.reset();
+        return;
+    }
+    if (!m_spreader || m_spreaderEpoch != term.epoch) {
+        m_spreader = std::make_unique<JobSpreader>(m_store, m_clock, m_log, m_map, m_intake.statuses(), term);
+        m_spreaderEpoch = term.epoch;
+    }
+    if (m_spreader->isBusy()) {
+        m_intake.refreshStatuses();
+    }
+    m_spreader->tick(now);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Registry of workers
 // ---------------------------------------------------------------------------------------------------------------------
@@ -307,10 +334,15 @@
         return;
     }
     if (!m_registry) {
+        MirrorSettings settings;
+        settings.gather = GatherRegistry;
         m_registry = std::make_unique<PrefixMirror>(
-            m_store, m_clock, m_log, std::string(m_decoder.registryPrefix()), [this](const StoreItem &it) {
-                onRegistryItem(it);
-            });
+            m_store,
+            m_clock,
+            m_log,
+            std::string(m_decoder.registryPrefix()),
+            [this](const StoreItem &it) { onRegistryItem(it); },
+            settings);
     }
     m_registry->tick(now);
 }
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -13,6 +13,7 @@
 #include <workflow/mirror.h>
 #include <workflow/scheduler.h>
 #include <workflow/shards.h>
+#include <workflow/spreader.h>
 
 #include <memory>
 
@@ -85,6 +86,7 @@
     void followRegistry(TimePoint now);
     void tellScheduler(const WorkerRecord &worker);
     void plan(TimePoint now);
+    void spread(TimePoint now);
     Duration handicapOf(const ShardDuty &duty) const;
     bool isLeading() const;
 
@@ -112,6 +114,8 @@
     TimePoint m_listGrewAt{};                  ///< the last time that a worker was new in it
     TimePoint m_planAt{};                      ///< not before
     bool m_isPlanning = false;
+    std::unique_ptr<JobSpreader> m_spreader; ///< while this node leads the first of several shards
+    std::uint64_t m_spreaderEpoch = 0;
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -150,16 +150,16 @@
     }
 }
 
-std::string encodeRegistration(ShardId shard)
+std::string encodeRegistration(std::optional<ShardId> shard)
 {
-    return packRecord(json::array({StoredVersion, shard}));
+    return packRecord(json::array({StoredVersion, shard ? json(*shard) : json()}));
 }
 
-ShardId decodeRegistration(std::string_view bytes)
+std::optional<ShardId> decodeRegistration(std::string_view bytes)
 {
     const json value = unpackRecord(bytes);
     try {
-        return value.at(1);
+        return value.at(1).is_null() ? std::nullopt : std::optional(value.at(1).get<ShardId>());
     } catch (const json::exception &error) {
         throw InvalidArgument("registration", error.what());
     }
@@ -252,19 +252,4 @@
     return workers;
 }
 
-std::string encodeCounts(const std::map<std::string, std::uint32_t> &counts)
-{
-    return packRecord(json::array({StoredVersion, counts}));
-}
-
-std::map<std::string, std::uint32_t> decodeCounts(std::string_view bytes)
-{
-    const json value = unpackRecord(bytes);
-    try {
-        return value.at(1).get<std::map<std::string, std::uint32_t>>();
-    } catch (const json::exception &error) {
-        throw InvalidArgument("pending", error.what());
-    }
-}
-
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -7,8 +7,9 @@
  *   encode..., decode...        MessagePack; decode throws InvalidArgument for what it cannot read
  *
  * Stored keys (N: number of a shard, see shards.h)
- *   job/KEY            the job's shard; created once and never changed, so one key is one job
- *   in/N/j/KEY         AcceptedJob; created with it
+ *   job/KEY            the job's shard, or that it has none yet; created once, so one key is one job
+ *   in/spread/KEY      AcceptedJob that has no shard yet (spreader.h)
+ *   in/N/j/KEY         AcceptedJob; created with it, or when it gets its shard; never changed
  *   in/N/c/KEY         exists: the caller has cancelled the job
  *   out/KEY            progress: state, ends of tasks, failed attempts, checkpoints
  *   ctl/board/leader/N who decides, under a lease (election.h)
@@ -16,7 +17,7 @@
  *   ctl/epoch/N        the last fencing epoch given out, who has it, and whether that leader has resigned
  *   ctl/boot/NODE      the node's present life: whoever led in an earlier one leads no more
  *   ctl/workers/N      every worker that the present leader may have sent an order to
- *   ctl/pending/N      jobs of each queue for which no task has started
+ *   ctl/status/N       ShardStatus
  *   ctl/pressure/N     what has been learned of neighbours (pressure.h)
  */
 #pragma once
@@ -131,9 +132,9 @@
 std::string encodeAccepted(const AcceptedJob &job);
 AcceptedJob decodeAccepted(std::string_view bytes);
 
-/** The content of job/KEY. */
-std::string encodeRegistration(ShardId shard);
-ShardId decodeRegistration(std::string_view bytes);
+/** The content of job/KEY: the job's shard; none while it waits to be given one. */
+std::string encodeRegistration(std::optional<ShardId> shard);
+std::optional<ShardId> decodeRegistration(std::string_view bytes);
 
 std::string encodeProgress(const JobState &job);
 
@@ -167,8 +168,4 @@
 std::string encodeWorkers(const std::vector<KnownWorker> &workers);
 std::vector<KnownWorker> decodeWorkers(std::string_view bytes);
 
-/** Pending jobs by queue. */
-std::string encodeCounts(const std::map<std::string, std::uint32_t> &counts);
-std::map<std::string, std::uint32_t> decodeCounts(std::string_view bytes);
-
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -45,13 +45,12 @@
         = std::chrono::milliseconds(1700); ///< how long after our election a former leader may take on
                                            ///< jobs: its lease and a margin
     Duration formerLeaderLife = std::chrono::milliseconds(9700); ///< and how long it may send orders: its grace as well
-    Duration storeEvery = std::chrono::milliseconds(50); ///< ends are gathered for so long before they are written
-    Duration pendingEvery
-        = std::chrono::milliseconds(700);                 ///< between two writes of the counts of waiting jobs; callers
-                                                          ///< may be told counts of two seconds ago
-    Duration pressureEvery = std::chrono::seconds(4);     ///< between two writes of what was learned of neighbours
-    Duration storeRetry = std::chrono::milliseconds(200); ///< after a write that failed
-    Duration placeEvery = std::chrono::milliseconds(5);   ///< changes are gathered for so long before placing
+    Duration storeEvery = std::chrono::milliseconds(50);   ///< ends are gathered for so long before they are written
+    Duration statusEvery = std::chrono::milliseconds(700); ///< between two writes of ShardStatus; callers
+                                                           ///< may be told counts of two seconds ago
+    Duration pressureEvery = std::chrono::seconds(4);      ///< between two writes of what was learned of neighbours
+    Duration storeRetry = std::chrono::milliseconds(200);  ///< after a write that failed
+    Duration placeEvery = std::chrono::milliseconds(5);    ///< changes are gathered for so long before placing
     Duration contactLost
         = std::chrono::milliseconds(2200);              ///< a worker that has not answered for so long gets no starts
     Duration askAgain = std::chrono::milliseconds(250); ///< after a call to a worker without an answer; also for stops
@@ -198,7 +197,7 @@
                   const StoreReply &reply);
     void storeWorkers();
     void dropOldJobs(TimePoint now);
-    std::string encodePending() const;
+    ShardStatus describe() const;
     JobState *findJob(const JobKey &key);
     template<typename Handler>
     auto guard(Handler handler); ///< drops answers that come after the term
@@ -264,9 +263,9 @@
     std::set<JobKey> m_isDirty;
     bool m_isStoring = false;
     TimePoint m_storeAt{};
-    std::string m_storedPending; ///< ctl/pending as last written
-    TimePoint m_pendingAt{};     ///< not before
-    TimePoint m_pressureAt{};    ///< not before
+    std::string m_storedStatus; ///< as last written
+    TimePoint m_statusAt{};     ///< not before
+    TimePoint m_pressureAt{};   ///< not before
     WorkflowCounters m_counters;
     WorkflowObserver *m_observer = nullptr;
 };
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -1,11 +1,14 @@
 #include <workflow/shards.h>
 
 #include <workflow/records.h>
+#include <workflow/turns.h>
 
 #include <base/errors.h>
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
+#include <limits>
 #include <numeric>
 
 #include <xxhash.h>
@@ -16,6 +19,9 @@
 
 using nlohmann::json;
 
+constexpr std::uint64_t OtherHashSeed = 1; ///< a second hash that has nothing to do with the first
+constexpr std::int64_t FarWaitFactor = 2;  ///< away from its data a task takes three times as long
+
 struct Rack
 {
     std::string name;
@@ -56,7 +62,7 @@
     }
     for (const auto &[domain, n] : workersIn) {
         const auto shards = std::max(1L, std::lround(static_cast<double>(n) / settings.workersPerShard));
-        map.shards.insert(map.shards.end(), static_cast<std::size_t>(shards), ShardRow{domain, {}});
+        map.shards.insert(map.shards.end(), static_cast<std::size_t>(shards), ShardRow{domain, {}, {}});
     }
 }
 
@@ -86,7 +92,7 @@
             }
         }
         if (best == m_map.shards.size()) { // a failure domain that is new
-            m_map.shards.push_back({rack.failureDomain, {}});
+            m_map.shards.push_back({rack.failureDomain, {}, {}});
             m_cpuMillis.push_back(0);
         }
         m_map.shardOfRack.emplace(rack.name, static_cast<ShardId>(best));
@@ -98,6 +104,49 @@
     std::vector<std::int64_t> m_cpuMillis; ///< by shard
 };
 
+bool canRun(const ShardMap &map, const ShardRow &row, const WorkflowSpec &spec)
+{
+    return std::all_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec &it) {
+        const std::string &label = it.requiredLabel;
+        return label.empty() || row.labels.contains(label) || map.shardOfRack.contains(label);
+    });
+}
+
+/** Processors that each shard has for @p spec; those that lack a label have none, unless all do. */
+std::vector<std::int64_t> weightsFor(const ShardMap &map, std::string_view pool, const WorkflowSpec &spec)
+{
+    std::vector<std::int64_t> all;
+    std::vector<std::int64_t> able;
+    for (const ShardRow &row : map.shards) {
+        const auto found = row.poolMillis.find(std::string(pool));
+        all.push_back(found == row.poolMillis.end() ? 0 : found->second);
+        able.push_back(canRun(map, row, spec) ? all.back() : 0);
+    }
+    const bool isAble = std::any_of(able.begin(), able.end(), [](std::int64_t it) { return it > 0; });
+    return isAble ? able : all;
+}
+
+/** By weight; the first shard where none has any. */
+ShardId pick(const std::vector<std::int64_t> &weights, std::uint64_t hash)
+{
+    const std::int64_t total = std::accumulate(weights.begin(), weights.end(), std::int64_t{0});
+    if (total <= 0) {
+        return 0;
+    }
+    auto at = static_cast<std::int64_t>(hash % static_cast<std::uint64_t>(total));
+    ShardId shard = 0;
+    while (at >= weights[shard]) {
+        at -= weights[shard++];
+    }
+    return shard;
+}
+
+std::int64_t backlogOf(const ShardStatuses &statuses, ShardId shard)
+{
+    const auto found = statuses.find(shard);
+    return found == statuses.end() ? 0 : found->second.backlogMs;
+}
+
 } // namespace
 
 ShardKeys keysOf(ShardId shard)
@@ -110,7 +159,7 @@
     it.leader = std::string(LeaderPrefix) + id;
     it.epoch = "ctl/epoch/" + id;
     it.workers = "ctl/workers/" + id;
-    it.pending = std::string(PendingPrefix) + id;
+    it.status = std::string(StatusPrefix) + id;
     it.pressure = "ctl/pressure/" + id;
     return it;
 }
@@ -133,37 +182,84 @@
     }
     for (ShardRow &row : it.shards) {
         row.poolMillis.clear();
+        row.labels.clear();
     }
     for (const WorkerRecord &worker : workers) {
-        it.shards[it.shardOfRack.at(worker.rack)].poolMillis[worker.pool] += worker.capacity.cpuMillis;
+        ShardRow &row = it.shards[it.shardOfRack.at(worker.rack)];
+        row.poolMillis[worker.pool] += worker.capacity.cpuMillis;
+        std::copy_if(worker.labels.begin(),
+                     worker.labels.end(),
+                     std::inserter(row.labels, row.labels.end()),
+                     [&worker](const std::string &label) { return label != worker.rack; });
     }
     return it;
 }
 
-ShardId chooseShard(const ShardMap &map, std::string_view pool, const JobKey &key)
+ShardId chooseShard(const ShardMap &map, const ShardStatuses &statuses, std::string_view pool, const WorkflowSpec &spec)
 {
-    std::vector<std::int64_t> weights;
-    for (const ShardRow &row : map.shards) {
-        const auto found = row.poolMillis.find(std::string(pool));
-        weights.push_back(found == row.poolMillis.end() ? 0 : found->second);
+    const std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    const std::uint64_t hash = XXH3_64bits(spec.key.data(), spec.key.size());
+    const std::uint64_t otherHash = XXH3_64bits_withSeed(spec.key.data(), spec.key.size(), OtherHashSeed);
+    const ShardId first = pick(weights, hash);
+    const ShardId second = pick(weights, otherHash);
+    const ShardId best = backlogOf(statuses, second) < backlogOf(statuses, first) ? second : first;
+    for (const StepSpec &it : spec.steps) {
+        const auto home = map.shardOfRack.find(it.preferredRack);
+        if (!it.preferredRack.empty() && home != map.shardOfRack.end() && weights[home->second] > 0) {
+            // Elsewhere the work takes a few times as long, which is worth waiting for in proportion.
+            const std::int64_t worthWaiting = FarWaitFactor * longestChainMs(spec);
+            return backlogOf(statuses, home->second) <= backlogOf(statuses, best) + worthWaiting ? home->second : best;
+        }
     }
-    const std::int64_t total = std::accumulate(weights.begin(), weights.end(), std::int64_t{0});
-    if (total <= 0) {
-        return 0;
+    return best;
+}
+
+ShardId spreadShard(const ShardMap &map,
+                    const ShardStatuses &statuses,
+                    const std::map<ShardId, std::int64_t> &spreadMillis,
+                    std::string_view pool,
+                    const WorkflowSpec &spec)
+{
+    const std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    const std::int64_t own = lastingMillisOf(spec);
+    ShardId best = 0;
+    double leastUse = std::numeric_limits<double>::infinity();
+    for (ShardId i = 0; i < weights.size(); ++i) {
+        if (weights[i] <= 0) {
+            continue;
+        }
+        const auto status = statuses.find(i);
+        const auto spread = spreadMillis.find(i);
+        const std::int64_t held = (status == statuses.end() ? 0 : status->second.lastingMillis)
+                                  + (spread == spreadMillis.end() ? 0 : spread->second) + own;
+        const double use = static_cast<double>(held) / static_cast<double>(weights[i]);
+        if (use < leastUse) {
+            best = i;
+            leastUse = use;
+        }
     }
-    auto at = static_cast<std::int64_t>(XXH3_64bits(key.data(), key.size()) % static_cast<std::uint64_t>(total));
-    ShardId shard = 0;
-    while (at >= weights[shard]) {
-        at -= weights[shard++];
+    return best;
+}
+
+bool hasLastingStep(const WorkflowSpec &spec)
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.isLasting; });
+}
+
+std::int64_t lastingMillisOf(const WorkflowSpec &spec)
+{
+    std::int64_t millis = 0;
+    for (const StepSpec &it : spec.steps) {
+        millis += it.isLasting ? it.taskCount * it.need.cpuMillis : 0;
     }
-    return shard;
+    return millis;
 }
 
 std::string encodeShardMap(const ShardMap &map)
 {
     json shards = json::array();
     for (const ShardRow &it : map.shards) {
-        shards.push_back(json::array({it.failureDomain, it.poolMillis}));
+        shards.push_back(json::array({it.failureDomain, it.poolMillis, it.labels}));
     }
     return packRecord(json::array({StoredVersion, std::move(shards), map.shardOfRack}));
 }
@@ -174,7 +270,9 @@
     ShardMap it;
     try {
         for (const json &row : value.at(1)) {
-            it.shards.push_back({row.at(0), row.at(1).get<std::map<std::string, std::int64_t>>()});
+            it.shards.push_back({row.at(0),
+                                 row.at(1).get<std::map<std::string, std::int64_t>>(),
+                                 row.at(2).get<std::set<std::string>>()});
         }
         it.shardOfRack = value.at(2).get<std::map<std::string, ShardId>>();
     } catch (const json::exception &error) {
@@ -188,4 +286,19 @@
     return it;
 }
 
+std::string encodeStatus(const ShardStatus &status)
+{
+    return packRecord(json::array({StoredVersion, status.pending, status.lastingMillis, status.backlogMs}));
+}
+
+ShardStatus decodeStatus(std::string_view bytes)
+{
+    const json value = unpackRecord(bytes);
+    try {
+        return {value.at(1).get<std::map<std::string, std::uint32_t>>(), value.at(2), value.at(3)};
+    } catch (const json::exception &error) {
+        throw InvalidArgument("status", error.what());
+    }
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -6,8 +6,10 @@
  *   ShardKeys       where a shard's records lie in the store
  *   ShardSettings   how large a shard gets
  *   ShardMap        which rack belongs to which shard; written by the leader of the first shard, read by all nodes
+ *   ShardStatus     how busy a shard is; written by its leader about once a second
  *   planShards()    assigns racks that are new
  *   chooseShard()   the shard that a new job goes to
+ *   spreadShard()   the shard that a lasting job goes to
  *
  * A rack never changes its shard: a worker only ever hears of the epochs of one shard, and a task only ever runs on workers
  * of its job's shard. So each shard keeps the promises by itself, as if it were alone.
@@ -19,6 +21,7 @@
 #include <base/clock.h>
 
 #include <map>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -30,8 +33,9 @@
 
 constexpr std::string_view BoardPrefix = "ctl/board/"; ///< what every node follows: leaders and the map
 constexpr std::string_view ShardMapKey = "ctl/board/shards";
+constexpr std::string_view SpreadPrefix = "in/spread/";        ///< jobs that still wait for their shard, see spreader.h
 constexpr std::string_view LeaderPrefix = "ctl/board/leader/"; ///< and the shard's number
-constexpr std::string_view PendingPrefix = "ctl/pending/";     ///< and the shard's number
+constexpr std::string_view StatusPrefix = "ctl/status/";       ///< and the shard's number
 
 struct ShardKeys
 {
@@ -41,7 +45,7 @@
     std::string leader;   ///< who decides, under a lease
     std::string epoch;    ///< EpochRecord
     std::string workers;  ///< every worker that the present leader may have sent an order to
-    std::string pending;  ///< jobs of each queue for which no task has started
+    std::string status;   ///< ShardStatus
     std::string pressure; ///< what has been learned of neighbours
 };
 
@@ -58,6 +62,7 @@
 {
     std::string failureDomain;                      ///< of all its racks; empty: of several
     std::map<std::string, std::int64_t> poolMillis; ///< processors by pool, in millis: its weight for new jobs
+    std::set<std::string> labels;                   ///< of its workers, racks aside
 
     bool operator==(const ShardRow &) const = default;
 };
@@ -70,13 +75,42 @@
     bool operator==(const ShardMap &) const = default;
 };
 
+struct ShardStatus
+{
+    std::map<std::string, std::uint32_t> pending; ///< by queue: jobs for which no task has started
+    std::int64_t lastingMillis = 0;               ///< processors of all lasting tasks, at work or waiting
+    std::int64_t backlogMs = 0;                   ///< work that waits for room, against all its processors
+
+    bool operator==(const ShardStatus &) const = default;
+};
+
+using ShardStatuses = std::map<ShardId, ShardStatus>; ///< as last read; a shard that is missing counts as idle
+
 /** Keeps what @p map says, gives racks of @p workers that it does not know to shards, and weighs the shards anew. */
 ShardMap planShards(const ShardMap &map, std::span<const WorkerRecord> workers, const ShardSettings &settings);
 
-/** By the shards' weights for @p pool; the same for the same key and map. The first shard where nothing is known. */
-ShardId chooseShard(const ShardMap &map, std::string_view pool, const JobKey &key);
+/**
+ * Answers this load: jobs come at all nodes at once, and each node knows how busy the shards were a second ago. Of two shards
+ * by the hash of @p key the less busy one; the one that holds the job's data unless it is far busier. The first shard where
+ * nothing is known.
+ */
+ShardId
+chooseShard(const ShardMap &map, const ShardStatuses &statuses, std::string_view pool, const WorkflowSpec &spec);
+
+/** Of the shards that can run @p spec the one where lasting tasks, @p spread and @p spec hold the smallest part of the room. */
+ShardId spreadShard(const ShardMap &map,
+                    const ShardStatuses &statuses,
+                    const std::map<ShardId, std::int64_t> &spreadMillis,
+                    std::string_view pool,
+                    const WorkflowSpec &spec);
+
+bool hasLastingStep(const WorkflowSpec &spec);
+std::int64_t lastingMillisOf(const WorkflowSpec &spec); ///< processors of its lasting tasks
 
 std::string encodeShardMap(const ShardMap &map);
 ShardMap decodeShardMap(std::string_view bytes); ///< throws InvalidArgument
 
+std::string encodeStatus(const ShardStatus &status);
+ShardStatus decodeStatus(std::string_view bytes); ///< throws InvalidArgument
+
 } // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/spreader.cpp
@@ -0,0 +1,138 @@
+#include <workflow/spreader.h>
+
+#include <base/errors.h>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration RetryAfter = 150ms; ///< after a call to the store that failed
+constexpr Duration StatusesLag
+    = 2500ms; ///< until a shard's status shows a job that it was given: it is written and read
+              ///< about once a second each
+
+} // namespace
+
+JobSpreader::JobSpreader(RecordStore &store,
+                         Clock &clock,
+                         EventLog &log,
+                         const ShardMap &map,
+                         const ShardStatuses &statuses,
+                         const Leadership &term)
+    : m_store(store)
+    , m_clock(clock)
+    , m_log(log)
+    , m_map(map)
+    , m_statuses(statuses)
+    , m_term(term)
+    , m_inbox(store, clock, log, std::string(SpreadPrefix), [this](const StoreItem &it) { onItem(it); })
+{
+}
+
+bool JobSpreader::isBusy() const
+{
+    return !m_waiting.empty();
+}
+
+void JobSpreader::tick(TimePoint now)
+{
+    m_inbox.tick(now);
+    for (auto &[key, it] : m_waiting) {
+        if (!it.isTrying && now >= it.tryAt) {
+            it.isTrying = true;
+            find(key);
+        }
+    }
+}
+
+void JobSpreader::onItem(const StoreItem &item)
+{
+    const JobKey key = item.key.substr(SpreadPrefix.size());
+    if (item.isDeleted) {
+        m_waiting.erase(key);
+    } else {
+        m_waiting[key].value = item.value;
+    }
+}
+
+void JobSpreader::find(const JobKey &key)
+{
+    m_store.get(std::string(RegistrationPrefix) + key,
+                [this, key, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+                    if (!alive.expired()) {
+                        onFound(key, reply);
+                    }
+                });
+}
+
+void JobSpreader::onFound(const JobKey &key, const StoreReply &reply)
+{
+    if (!m_waiting.contains(key)) {
+        return;
+    }
+    if (reply.status != StoreStatus::Ok || reply.items.empty()) {
+        retryLater(key);
+        return;
+    }
+    try {
+        if (!decodeRegistration(reply.items.front().value)) {
+            give(key, reply.items.front().revision);
+        } else {
+            m_waiting.erase(key); // has its shard; the answer to that write was lost
+        }
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "job", key, "error", error.what());
+        retryLater(key);
+    }
+}
+
+void JobSpreader::give(const JobKey &key, std::uint64_t registrationRevision)
+{
+    const std::string &value = m_waiting[key].value;
+    const AcceptedJob job = decodeAccepted(value);
+    const ShardId shard = spreadShard(m_map, m_statuses, recentMillis(), job.pool, job.spec);
+    const std::string registration = std::string(RegistrationPrefix) + key;
+    m_recent.push_back({m_clock.now(), shard, lastingMillisOf(job.spec)});
+    StoreChange change;
+    change.conditions = {{keysOf(0).leader, m_term.keyRevision}, {registration, registrationRevision}};
+    change.puts = {{registration, encodeRegistration(shard), 0}, {keysOf(shard).jobs + key, value, 0}};
+    change.removals = {std::string(SpreadPrefix) + key};
+    m_store.change(std::move(change), [this, key, shard, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+        if (!alive.expired()) {
+            onGiven(key, shard, reply);
+        }
+    });
+}
+
+void JobSpreader::onGiven(const JobKey &key, ShardId shard, const StoreReply &reply)
+{
+    if (reply.status == StoreStatus::Ok) {
+        m_log.write("job_spread", "job", key, "shard", shard);
+        m_waiting.erase(key);
+    } else if (m_waiting.contains(key)) {
+        retryLater(key);
+    }
+}
+
+void JobSpreader::retryLater(const JobKey &key)
+{
+    Waiting &it = m_waiting[key];
+    it.isTrying = false;
+    it.tryAt = m_clock.now() + RetryAfter;
+}
+
+std::map<ShardId, std::int64_t> JobSpreader::recentMillis()
+{
+    while (!m_recent.empty() && m_clock.now() >= m_recent.front().at + StatusesLag) {
+        m_recent.pop_front();
+    }
+    std::map<ShardId, std::int64_t> millis;
+    for (const Recent &it : m_recent) {
+        millis[it.shard] += it.millis;
+    }
+    return millis;
+}
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -8,8 +8,29 @@
 namespace {
 
 constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2; ///< each takes a condition and a put
+constexpr std::int64_t BacklogGrainMs = 100;                      ///< finer changes are not worth a write
 constexpr std::size_t DropsPerChange = 7;                         ///< each takes four removals
 
+/** Of tasks that could start, were there room: processor millis x milliseconds. */
+std::int64_t waitingWorkOf(const JobState &job)
+{
+    std::int64_t work = 0;
+    const auto &specs = job.accepted.spec.steps;
+    const auto &steps = job.occurrences.front().steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        const bool isOpen = std::all_of(specs[s].after.begin(), specs[s].after.end(), [&steps](std::uint32_t it) {
+            return steps[it].doneCount == steps[it].tasks.size();
+        });
+        if (isOpen && !specs[s].isLasting) {
+            const auto waiting = std::count_if(steps[s].tasks.begin(), steps[s].tasks.end(), [](const TaskState &it) {
+                return it.phase == TaskPhase::Waiting;
+            });
+            work += waiting * specs[s].need.cpuMillis * specs[s].estimateMs;
+        }
+    }
+    return work;
+}
+
 } // namespace
 
 JobState *WorkflowScheduler::findJob(const JobKey &key)
@@ -35,9 +56,9 @@
         storeWorkers();
         return;
     }
-    const std::string pending = now >= m_pendingAt ? encodePending() : m_storedPending;
+    const std::string status = now >= m_statusAt ? encodeStatus(describe()) : m_storedStatus;
     const bool isPressureDue = now >= m_pressureAt && m_counters.throttles > 0;
-    if (m_dirty.empty() && pending == m_storedPending && !isPressureDue) {
+    if (m_dirty.empty() && status == m_storedStatus && !isPressureDue) {
         return;
     }
     StoreChange change;
@@ -46,10 +67,10 @@
         change.puts.push_back({m_keys.pressure, m_pressure.save(), 0});
         m_pressureAt = now + m_settings.pressureEvery;
     }
-    if (pending != m_storedPending) {
-        change.puts.push_back({m_keys.pending, pending, 0});
-        m_pendingAt = now + m_settings.pendingEvery;
-        m_storedPending = pending;
+    if (status != m_storedStatus) {
+        change.puts.push_back({m_keys.status, status, 0});
+        m_statusAt = now + m_settings.statusEvery;
+        m_storedStatus = status;
     }
     std::vector<std::pair<JobKey, std::uint64_t>> batch;
     std::vector<std::string> values;
@@ -93,7 +114,7 @@
         }
         return;
     }
-    m_storedPending.clear();
+    m_storedStatus.clear();
     m_storeAt = m_clock.now() + (reply.status == StoreStatus::Conflict ? Duration::zero() : m_settings.storeRetry);
     if (reply.status == StoreStatus::Conflict) {
         // Either another leads, or an earlier write whose answer was lost had taken effect.
@@ -120,15 +141,24 @@
     }
 }
 
-std::string WorkflowScheduler::encodePending() const
+ShardStatus WorkflowScheduler::describe() const
 {
-    std::map<std::string, std::uint32_t> counts;
+    ShardStatus status;
+    std::int64_t capacityMillis = 0;
+    for (const auto &it : m_workers) {
+        capacityMillis += it->isListed ? it->record.capacity.cpuMillis : 0;
+    }
+    std::int64_t waitingWork = 0; // processor millis x milliseconds
     for (const auto &[key, job] : m_active) {
         if (job->state == WorkflowState::Queued && job->heldTasks == 0) {
-            ++counts[job->accepted.queue];
+            ++status.pending[job->accepted.queue];
         }
+        status.lastingMillis += lastingMillisOf(job->accepted.spec);
+        waitingWork += waitingWorkOf(*job);
     }
-    return encodeCounts(counts);
+    const std::int64_t backlogMs = waitingWork / std::max<std::int64_t>(1, capacityMillis);
+    status.backlogMs = backlogMs - backlogMs % BacklogGrainMs;
+    return status;
 }
 
 /** Written before the first order to a new worker, so that a successor knows whom to ask. */
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -17,7 +17,8 @@
 constexpr int StepsPerRun = 60;
 constexpr int Nodes = 3;
 constexpr int Workers = 4;
-constexpr Duration HealTime = 60s; ///< longer than every lease and grace together
+constexpr std::uint32_t WorkersPerShard = 2; ///< in every other history; one shard in the rest
+constexpr Duration HealTime = 60s;           ///< longer than every lease and grace together
 
 std::uint64_t fromEnvironment(const char *name, std::uint64_t fallback)
 {
@@ -30,7 +31,7 @@
 public:
     explicit History(std::uint64_t seed)
         : m_random(static_cast<std::mt19937::result_type>(seed))
-        , m_rig(Nodes, Workers)
+        , m_rig(Nodes, Workers, seed % 2 == 0 ? 0 : WorkersPerShard)
     {
     }
 
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -381,6 +381,8 @@
     WorkerId id;
     std::int64_t bornMs = 1;
     std::string pool = "pool";
+    std::string rack = "r";
+    std::string failureDomain = "d";
     Resources capacity{16'000, 64'000, 0};
     WorkerCondition condition = WorkerCondition::Ready;
     std::int64_t clockOffsetMs = 0;
@@ -687,6 +689,8 @@
         it.bornMs = worker.bornMs;
         it.address = worker.id;
         it.pool = worker.pool;
+        it.rack = worker.rack;
+        it.failureDomain = worker.failureDomain;
         it.condition = worker.condition;
         it.capacity = worker.capacity;
         it.leavesInMs = 2000;
@@ -716,11 +720,16 @@
 class Rig
 {
 public:
-    explicit Rig(int nodes = 2, int workers = 4)
+    /** @p workersPerShard 0: one shard. Else each two workers are a rack, and each two racks a failure domain. */
+    explicit Rig(int nodes = 2, int workers = 4, std::uint32_t workersPerShard = 0)
         : backend(clock)
         , fleet(clock)
         , decoder(fleet)
     {
+        if (workersPerShard > 0) {
+            shards.singleUpTo = 0;
+            shards.workersPerShard = workersPerShard;
+        }
         decoder.catalog.version = 1;
         Queue queue;
         queue.name = "queue";
@@ -730,7 +739,7 @@
         decoder.catalog.queues = {queue};
         backend.write("operator/config", "1");
         for (int i = 0; i < workers; ++i) {
-            addWorker("w" + std::to_string(i));
+            addWorker("w" + std::to_string(i), "r" + std::to_string(i / 2), "d" + std::to_string(i / 4));
         }
         for (int i = 0; i < nodes; ++i) {
             this->nodes.push_back(std::make_unique<RigNode>(backend, fleet, clock));
@@ -738,10 +747,12 @@
         }
     }
 
-    void addWorker(const WorkerId &id)
+    void addWorker(const WorkerId &id, const std::string &rack = "r", const std::string &failureDomain = "d")
     {
         FakeWorker worker;
         worker.id = id;
+        worker.rack = rack;
+        worker.failureDomain = failureDomain;
         fleet.workers[id] = worker;
         backend.write("workers/" + id, "1");
     }
@@ -781,12 +792,12 @@
         }
     }
 
-    /** Index of the node that leads with firm authority; -1: none. */
-    int leader() const
+    /** Index of the node that leads @p shard with firm authority; -1: none. */
+    int leader(ShardId shard = 0) const
     {
         for (std::size_t i = 0; i < nodes.size(); ++i) {
             const auto &node = nodes[i]->node;
-            if (node && !nodes[i]->isFrozen && node->authority(0, clock.now()) == Authority::Firm) {
+            if (node && !nodes[i]->isFrozen && node->authority(shard, clock.now()) == Authority::Firm) {
                 return static_cast<int>(i);
             }
         }
@@ -835,6 +846,13 @@
         return it == backend.items.end() ? std::nullopt : std::optional(decodeState(it->second.value));
     }
 
+    /** The map as stored. */
+    ShardMap shardMap() const
+    {
+        const auto it = backend.items.find(std::string(ShardMapKey));
+        return it == backend.items.end() ? ShardMap{} : decodeShardMap(it->second.value);
+    }
+
     ManualClock clock;
     StoreBackend backend;
     FakeFleet fleet;
--- /dev/null
+++ b/packages/workflow/tests/shardtest.cpp
@@ -0,0 +1,199 @@
+/** A fleet that is divided among several schedulers: who gets which rack and which job, and what one shard's loss does. */
+#include "rig.h"
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+constexpr std::string_view PoolName = "pool";
+
+std::vector<WorkerRecord> makeWorkers(int racks, int perRack, const std::string &domain)
+{
+    std::vector<WorkerRecord> workers;
+    for (int i = 0; i < racks * perRack; ++i) {
+        WorkerRecord it;
+        it.rack = domain + "-r" + std::to_string(i / perRack);
+        it.id = it.rack + "-w" + std::to_string(i);
+        it.failureDomain = domain;
+        it.pool = PoolName;
+        it.labels = {"kind", it.rack};
+        it.capacity = {16'000, 64'000, 0};
+        workers.push_back(it);
+    }
+    return workers;
+}
+
+ShardMap planTwoDomains()
+{
+    std::vector<WorkerRecord> workers = makeWorkers(10, 8, "a");
+    const std::vector<WorkerRecord> more = makeWorkers(10, 8, "b");
+    workers.insert(workers.end(), more.begin(), more.end());
+    return planShards({}, workers, {});
+}
+
+WorkflowSpec makeLasting(const JobKey &key, std::uint32_t tasks)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].isLasting = true;
+    return spec;
+}
+
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// The map
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(Shards, aSmallFleetIsOneShard)
+{
+    const ShardMap map = planShards({}, makeWorkers(10, 8, "a"), {});
+    EXPECT_EQ(map.shards.size(), 1U);
+}
+
+TEST(Shards, aLargeFleetIsDividedByFailureDomainsAndEvenly)
+{
+    const ShardMap map = planTwoDomains();
+    ASSERT_EQ(map.shards.size(), 4U);
+    for (const ShardRow &it : map.shards) {
+        EXPECT_EQ(it.poolMillis.at(std::string(PoolName)), 40 * 16'000);
+    }
+    for (const auto &[rack, shard] : map.shardOfRack) {
+        EXPECT_EQ(rack.substr(0, 1), map.shards[shard].failureDomain);
+    }
+}
+
+TEST(Shards, aRackKeepsItsShardWhateverComesOrGoes)
+{
+    const ShardMap before = planTwoDomains();
+    std::vector<WorkerRecord> workers = makeWorkers(3, 8, "a"); // seven racks are away
+    const std::vector<WorkerRecord> fresh = makeWorkers(5, 8, "c");
+    workers.insert(workers.end(), fresh.begin(), fresh.end());
+    const ShardMap after = planShards(before, workers, {});
+    for (const auto &[rack, shard] : before.shardOfRack) {
+        EXPECT_EQ(after.shardOfRack.at(rack), shard);
+    }
+    EXPECT_EQ(after.shardOfRack.size(), before.shardOfRack.size() + 5);
+    EXPECT_EQ(decodeShardMap(encodeShardMap(after)), after);
+}
+
+TEST(Shards, ofTwoShardsTheLessBusyOneGetsTheJob)
+{
+    const ShardMap map = planTwoDomains();
+    ShardStatuses statuses;
+    statuses[2].backlogMs = 60'000;
+    std::map<ShardId, int> jobs;
+    for (int i = 0; i < 400; ++i) {
+        ++jobs[chooseShard(map, statuses, PoolName, Rig::makeJob("job" + std::to_string(i), 1))];
+    }
+    EXPECT_LT(jobs[2], 400 / 4 / 2) << "only where both hashes name it";
+    EXPECT_GT(jobs[0], 400 / 4 / 2);
+}
+
+TEST(Shards, aJobGoesToItsDataUnlessThatShardIsFarBusier)
+{
+    const ShardMap map = planTwoDomains();
+    WorkflowSpec spec = Rig::makeJob("a", 1);
+    spec.steps[0].preferredRack = "b-r3";
+    const ShardId home = map.shardOfRack.at("b-r3");
+    ShardStatuses statuses;
+    statuses[home].backlogMs = spec.steps[0].estimateMs;
+    EXPECT_EQ(chooseShard(map, statuses, PoolName, spec), home);
+    statuses[home].backlogMs = 60'000;
+    EXPECT_NE(chooseShard(map, statuses, PoolName, spec), home);
+}
+
+TEST(Shards, aJobGoesWhereItsLabelIs)
+{
+    std::vector<WorkerRecord> workers = makeWorkers(10, 8, "a");
+    std::vector<WorkerRecord> special = makeWorkers(10, 8, "b");
+    for (WorkerRecord &it : special) {
+        it.labels[0] = "special";
+    }
+    workers.insert(workers.end(), special.begin(), special.end());
+    const ShardMap map = planShards({}, workers, {});
+    for (int i = 0; i < 40; ++i) {
+        WorkflowSpec spec = Rig::makeJob("job" + std::to_string(i), 1);
+        spec.steps[0].requiredLabel = "special";
+        EXPECT_EQ(map.shards[chooseShard(map, {}, PoolName, spec)].failureDomain, "b");
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// The whole path
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(ShardedWorkflow, everyJobRunsOnceInOneShard)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    ASSERT_EQ(rig.shardMap().shards.size(), 4U);
+    for (int i = 0; i < 40; ++i) {
+        rig.submit(i % 3, Rig::makeJob("job" + std::to_string(i), 3, 2));
+    }
+    rig.run(5s);
+    for (int i = 0; i < 40; ++i) {
+        EXPECT_EQ(rig.state("job" + std::to_string(i)), WorkflowState::Completed);
+    }
+    EXPECT_EQ(rig.fleet.starts, 240U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
+TEST(ShardedWorkflow, lastingJobsThatComeTogetherAreSpreadEvenly)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    for (int i = 0; i < 12; ++i) {
+        rig.fleet.lasting.insert("job" + std::to_string(i));
+        rig.submit(i % 3, makeLasting("job" + std::to_string(i), 8)); // each a quarter of a shard
+    }
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 96U);
+    std::map<std::string, std::size_t> runsOfRack; // each is a shard
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        runsOfRack[worker.rack] += worker.running.size();
+    }
+    for (const auto &[rack, n] : runsOfRack) {
+        EXPECT_EQ(n, 24U) << "three quarters of " << rack;
+    }
+}
+
+TEST(ShardedWorkflow, aJobThatWaitsForItsShardCanBeCancelled)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    const int first = rig.leader(0);
+    rig.kill(first); // nobody gives the job its shard for a while
+    const int other = (first + 1) % 3;
+    rig.fleet.lasting.insert("a");
+    rig.submit(other, makeLasting("a", 2));
+    rig.run(100ms);
+    rig.cancel(other, "a");
+    rig.run(10s);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Cancelled);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+}
+
+TEST(ShardedWorkflow, theLossOfALeaderStopsNoOtherShard)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    const int lost = rig.leader(0);
+    std::vector<ShardId> untouched;
+    for (ShardId i = 0; i < 4; ++i) {
+        if (rig.leader(i) != lost) {
+            untouched.push_back(i);
+        }
+    }
+    ASSERT_FALSE(untouched.empty());
+    rig.kill(lost);
+    rig.run(500ms);
+    for (const ShardId it : untouched) {
+        EXPECT_NE(rig.leader(it), -1);
+    }
+    rig.run(5s);
+    for (ShardId i = 0; i < 4; ++i) {
+        EXPECT_NE(rig.leader(i), -1) << "taken over";
+    }
+}
+
+} // namespace QuetzalRock::Workflow
