Share what shards learn of neighbours; count spread jobs exactly

Cause: (1) the grown sites have 180 pairs of images, and each shard saw a tenth of the workers: effects of neighbours were learned too slowly.

Change: leaders write what they learned at first hand every 2 s and borrow what the others wrote, as a prior of bounded strength; what was borrowed is not passed on. A status names the inbox revision that it counts, so a job is in the ledger or in the status. Shards of 60 workers: fewer pieces of room too small for a lasting task; strong nodes take a second shard before weak ones take one.

--- a/packages/placement/interference.cpp
+++ b/packages/placement/interference.cpp
@@ -68,6 +68,7 @@
     for (std::size_t it = 0; it < Features; ++it) {
         target.coefficients[it] = priorMean(it);
     }
+    target.learned = target.coefficients;
     target.errors.fill(std::sqrt(target.noise / m_settings.priorStrength));
 }
 
@@ -125,7 +126,7 @@
         if (!target.dirty) {
             continue; // without reports there is nothing newer to make room for
         }
-        solve(target);
+        update(target);
         for (std::size_t i = 0; i < Features; ++i) {
             for (std::size_t j = 0; j <= i; ++j) {
                 target.products[i][j] *= keep;
@@ -153,9 +154,24 @@
     target.assumed[neighbour] = logSlowdown;
     target.assumedStrength[neighbour] = strength;
     target.coefficients[FirstNeighbour + neighbour] = logSlowdown;
+    target.learned[FirstNeighbour + neighbour] = logSlowdown;
     target.errors[FirstNeighbour + neighbour] = std::sqrt(target.noise / std::max(strength, WeakPrior));
 }
 
+void InterferenceModel::borrow(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength)
+{
+    Target &target = targetOf(service);
+    target.borrowed[neighbour] = logSlowdown;
+    target.borrowedStrength[neighbour] = strength;
+    target.dirty = true;
+}
+
+double InterferenceModel::learned(ClassIndex service, ClassIndex neighbour) const
+{
+    return service >= m_targets.size() ? m_settings.priorSlowdown
+                                       : std::max(0.0, m_targets[service].learned[FirstNeighbour + neighbour]);
+}
+
 double InterferenceModel::evidence(ClassIndex service, ClassIndex neighbour) const
 {
     if (service >= m_targets.size()) {
@@ -171,19 +187,32 @@
     return m_names.size();
 }
 
-double InterferenceModel::priorMean(const Target &target, std::size_t feature) const
+/** Of the general prior and of all that is known from elsewhere, by strength. */
+double InterferenceModel::priorMean(const Target &target, std::size_t feature, bool useBorrowed) const
 {
-    const bool isAssumed = feature >= FirstNeighbour && target.assumedStrength[feature - FirstNeighbour] > 0;
-    return isAssumed ? target.assumed[feature - FirstNeighbour] : priorMean(feature);
+    if (feature < FirstNeighbour) {
+        return priorMean(feature);
+    }
+    const std::size_t neighbour = feature - FirstNeighbour;
+    const double assumed = target.assumedStrength[neighbour];
+    const double borrowed = useBorrowed ? target.borrowedStrength[neighbour] : 0;
+    if (assumed + borrowed <= 0) {
+        return priorMean(feature);
+    }
+    return (assumed * target.assumed[neighbour] + borrowed * target.borrowed[neighbour]) / (assumed + borrowed);
 }
 
-double InterferenceModel::priorStrength(const Target &target, std::size_t feature) const
+double InterferenceModel::priorStrength(const Target &target, std::size_t feature, bool useBorrowed) const
 {
     if (feature < FirstNeighbour) {
         return WeakPrior;
     }
     const std::size_t neighbour = feature - FirstNeighbour;
-    return target.pinned[neighbour] ? PinnedStrength : m_settings.priorStrength + target.assumedStrength[neighbour];
+    if (target.pinned[neighbour]) {
+        return PinnedStrength;
+    }
+    return m_settings.priorStrength + target.assumedStrength[neighbour]
+           + (useBorrowed ? target.borrowedStrength[neighbour] : 0);
 }
 
 float InterferenceModel::slowdown(ClassIndex service, ClassIndex neighbour) const
@@ -215,17 +244,16 @@
     return static_cast<float>(sum);
 }
 
-/** Cholesky of (products + prior), then the coefficients and the diagonal of the inverse. */
-void InterferenceModel::solve(Target &target) const
+/** By Cholesky of (products + prior). */
+InterferenceModel::Row InterferenceModel::solve(const Target &target, bool useBorrowed) const
 {
     const std::size_t n = FirstNeighbour + m_names.size();
     std::array<Row, Features> lower{};
     Row right{};
     for (std::size_t i = 0; i < n; ++i) {
-        const bool neighbour = i >= FirstNeighbour;
-        const bool pinned = neighbour && target.pinned[i - FirstNeighbour];
-        const double strength = priorStrength(target, i);
-        const double mean = pinned ? target.coefficients[i] : priorMean(target, i);
+        const bool pinned = i >= FirstNeighbour && target.pinned[i - FirstNeighbour];
+        const double strength = priorStrength(target, i, useBorrowed);
+        const double mean = pinned ? target.coefficients[i] : priorMean(target, i, useBorrowed);
         for (std::size_t j = 0; j <= i; ++j) {
             double sum = target.products[i][j] + (i == j ? strength : 0);
             for (std::size_t k = 0; k < j; ++k) {
@@ -247,12 +275,23 @@
         }
         solution[i] = sum / lower[i][i];
     }
+    return solution;
+}
+
+/** Brings what was seen into the coefficients and their errors. */
+void InterferenceModel::update(Target &target) const
+{
+    const std::size_t n = FirstNeighbour + m_names.size();
+    const bool hasBorrowed
+        = std::any_of(target.borrowedStrength.begin(), target.borrowedStrength.end(), [](double it) { return it > 0; });
+    const Row solution = solve(target, true);
+    target.learned = hasBorrowed ? solve(target, false) : solution;
     for (std::size_t i = 0; i < n; ++i) {
         const bool pinned = i >= FirstNeighbour && target.pinned[i - FirstNeighbour];
         if (!pinned) {
             target.coefficients[i] = solution[i];
             // The conditional error: cheap, and enough to tell a pair seldom seen from one that is known.
-            target.errors[i] = std::sqrt(target.noise / (target.products[i][i] + priorStrength(target, i)));
+            target.errors[i] = std::sqrt(target.noise / (target.products[i][i] + priorStrength(target, i, true)));
         }
     }
     if (target.meanAt != TimePoint{}) {
--- a/packages/placement/interference.h
+++ b/packages/placement/interference.h
@@ -62,8 +62,14 @@
     /** What another model has learned of a pair, as a prior that is worth @p strength reports of a full neighbour. */
     void assume(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength);
 
-    /** How much has been seen of a pair, in the unit of assume(). */
+    /** What models of other workers know of a pair now; replaces what was lent before, and counts in slowdown() only. */
+    void borrow(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength);
+
+    /** How much has been seen of a pair, in the unit of assume(); without what was borrowed. */
     double evidence(ClassIndex service, ClassIndex neighbour) const;
+
+    /** What this model would say without what it has borrowed: what it can lend. */
+    double learned(ClassIndex service, ClassIndex neighbour) const;
     std::size_t classCount() const;
 
     float slowdown(ClassIndex service, ClassIndex neighbour) const;    ///< never negative
@@ -87,6 +93,9 @@
         std::array<bool, MaxClasses> pinned{};
         std::array<double, MaxClasses> assumed{}; ///< prior means of neighbours, where assumedStrength is not 0
         std::array<double, MaxClasses> assumedStrength{};
+        std::array<double, MaxClasses> borrowed{}; ///< the same, of what other models lend
+        std::array<double, MaxClasses> borrowedStrength{};
+        Row learned{};       ///< as coefficients, without what was borrowed
         double noise = 0.04; ///< variance of what the neighbours do not explain
         bool dirty = false;
     };
@@ -94,11 +103,12 @@
     static Row featuresOf(const ServiceSample &sample);
     void followMean(Target &target, const Row &row, double measured, TimePoint when) const;
     Target &targetOf(ClassIndex service);
-    void solve(Target &target) const;
+    Row solve(const Target &target, bool useBorrowed) const;
+    void update(Target &target) const;
     void setPrior(Target &target) const;
     double priorMean(std::size_t feature) const;
-    double priorMean(const Target &target, std::size_t feature) const;
-    double priorStrength(const Target &target, std::size_t feature) const;
+    double priorMean(const Target &target, std::size_t feature, bool useBorrowed) const;
+    double priorStrength(const Target &target, std::size_t feature, bool useBorrowed) const;
 
     PlacementSettings m_settings;
     std::map<std::string, ClassIndex, std::less<>> m_classes;
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -17,10 +17,10 @@
 
 // Who leads which shard. Each term is longer than a campaign takes, some 30 ms, so that the better suited node is first.
 constexpr double StrongShare = 0.5;             ///< of a core: carries two shards under full load
-constexpr Duration WeakHandicap = 400ms;        ///< of a node without any processor; in proportion above
-constexpr Duration HeldHandicap = 300ms;        ///< for each shard that the node leads already
-constexpr Duration OtherDomainHandicap = 150ms; ///< the shard's workers are in another failure domain
-constexpr Duration HandicapSpread = 200ms;      ///< nodes that suit as well take their turn in a random order
+constexpr Duration WeakHandicap = 500ms;        ///< of a node without any processor; in proportion above
+constexpr Duration HeldHandicap = 200ms;        ///< for each shard that the node leads already
+constexpr Duration OtherDomainHandicap = 100ms; ///< the shard's workers are in another failure domain
+constexpr Duration HandicapSpread = 100ms;      ///< nodes that suit as well take their turn in a random order
 
 // Workers renew their entries every second or two, all of them. A drain has to be known within two seconds.
 constexpr Duration GatherRegistry = 250ms;
@@ -203,6 +203,7 @@
     }
     followTerm(duty);
     if (duty.scheduler) {
+        duty.scheduler->setHasSiblings(m_map.shards.size() > 1);
         duty.scheduler->tick(now, duty.election.authority(now));
         if (duty.scheduler->isDeposed()) {
             duty.election.depose();
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <map>
 #include <numeric>
 
 namespace QuetzalRock::Workflow {
@@ -20,6 +21,7 @@
 constexpr double LeastLoad = 0.05;
 constexpr int SavedVersion = 1;
 constexpr double MostEvidence = 1;     ///< of a stored pair, in changes of a full neighbour: newer ones can outweigh it
+constexpr double MostBorrowed = 4;     ///< of a pair, from all other shards: enough to outweigh the prior by far
 constexpr double StrongestEffect = 10; ///< more is saturation or noise: a tenth of the worker doubles the utilisation
 constexpr double ReportError = 0.12;   ///< of one report's utilisation, as a part of it
 constexpr double SaturatedError = 0.5;
@@ -188,7 +190,7 @@
         for (std::size_t n = 0; n < m_model.classCount(); ++n) {
             const auto neighbour = static_cast<ClassIndex>(n);
             if (const double evidence = m_model.evidence(service, neighbour); evidence > 0) {
-                pairs.push_back({m_model.nameOf(neighbour), effect(service, neighbour), evidence});
+                pairs.push_back({m_model.nameOf(neighbour), m_model.learned(service, neighbour), evidence});
             }
         }
         rows.push_back({m_model.nameOf(service), m_services[s].leastTailMs, m_services[s].peakLoad, std::move(pairs)});
@@ -199,24 +201,54 @@
 }
 
 void PressureModel::load(std::string_view bytes)
+{
+    for (const SavedPair &it : readSaved(bytes)) {
+        m_model.assume(it.service, it.neighbour, it.effect, std::min(MostEvidence, it.evidence));
+    }
+}
+
+void PressureModel::borrow(std::span<const std::string> others)
+{
+    std::map<std::pair<ClassIndex, ClassIndex>, std::pair<double, double>> pairs; // to weighted effects and weights
+    for (const std::string &bytes : others) {
+        for (const SavedPair &it : readSaved(bytes)) {
+            auto &[effects, weight] = pairs[{it.service, it.neighbour}];
+            effects += it.evidence * it.effect;
+            weight += it.evidence;
+        }
+    }
+    for (const auto &[pair, sums] : pairs) {
+        const auto &[effects, weight] = sums;
+        m_model.borrow(pair.first, pair.second, effects / weight, std::min(MostBorrowed, weight));
+    }
+}
+
+/** Brings base tails and peak loads in as well: the lowest and the highest seen anywhere hold for all. */
+std::vector<PressureModel::SavedPair> PressureModel::readSaved(std::string_view bytes)
 {
     const nlohmann::json rows = nlohmann::json::from_msgpack(bytes, true, false);
     if (!rows.is_array() || rows.empty() || rows[0] != SavedVersion) {
         throw InvalidArgument("pressure", "not a stored model of this version");
     }
+    std::vector<SavedPair> pairs;
     try {
         for (std::size_t i = 1; i < rows.size(); ++i) {
             const ClassIndex service = classOf(rows[i].at(0).get<std::string>());
-            m_services[service].leastTailMs = rows[i].at(1);
-            m_services[service].peakLoad = rows[i].at(2);
-            for (const nlohmann::json &it : rows[i].at(3)) {
-                const ClassIndex neighbour = classOf(it.at(0).get<std::string>());
-                m_model.assume(service, neighbour, it.at(1), std::min(MostEvidence, it.at(2).get<double>()));
+            Service &it = m_services[service];
+            const double leastTailMs = rows[i].at(1);
+            it.peakLoad = it.leastTailMs == 0 ? rows[i].at(2).get<double>() : it.peakLoad;
+            it.leastTailMs = it.leastTailMs == 0 ? leastTailMs : std::min(it.leastTailMs, leastTailMs);
+            for (const nlohmann::json &row : rows[i].at(3)) {
+                const double evidence = row.at(2);
+                if (evidence > 0) {
+                    pairs.push_back({service, classOf(row.at(0).get<std::string>()), row.at(1), evidence});
+                }
             }
         }
     } catch (const nlohmann::json::exception &error) {
         throw InvalidArgument("pressure", error.what());
     }
+    return pairs;
 }
 
 void PressureModel::refresh(TimePoint now)
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -102,10 +102,15 @@
     /** Utilisation at which the tail is at @p targetMs. */
     double utilisationAt(ClassIndex service, std::int64_t targetMs) const;
 
-    /** All that was learned, for a successor; load() takes it as a prior. Throws InvalidArgument where it cannot be read. */
+    /** All that was learned here, for a successor and for the leaders of other shards. */
     std::string save() const;
+
+    /** Takes over what a former leader saved. Throws InvalidArgument where it cannot be read. */
     void load(std::string_view bytes);
 
+    /** Takes in what the leaders of other shards have saved; replaces what was borrowed before. Throws InvalidArgument. */
+    void borrow(std::span<const std::string> others);
+
 private:
     /** What is known of one serving image. */
     struct Service
@@ -113,6 +118,15 @@
         double leastTailMs = 0; ///< 0: not seen yet
         double peakLoad = 0.6;
     };
+    /** One saved pair. */
+    struct SavedPair
+    {
+        ClassIndex service = 0;
+        ClassIndex neighbour = 0;
+        double effect = 0;
+        double evidence = 0;
+    };
+    std::vector<SavedPair> readSaved(std::string_view bytes);
     Service &serviceOf(ClassIndex index);
     double effectOf(ClassIndex service, const Shares &shares) const;
     double errorOf(ClassIndex service, const Shares &shares) const;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -49,6 +49,8 @@
     Duration statusEvery = std::chrono::milliseconds(700); ///< between two writes of ShardStatus; callers
                                                            ///< may be told counts of two seconds ago
     Duration pressureEvery = std::chrono::seconds(4);      ///< between two writes of what was learned of neighbours
+    Duration pressureShareEvery = std::chrono::seconds(2); ///< the same, and between two reads of what others learned,
+                                                           ///< where there are several shards: a burst lasts seconds
     Duration storeRetry = std::chrono::milliseconds(200);  ///< after a write that failed
     Duration placeEvery = std::chrono::milliseconds(5);    ///< changes are gathered for so long before placing
     Duration contactLost
@@ -102,6 +104,9 @@
     /** True once a worker or the store has shown that another leads, or has led since. */
     bool isDeposed() const;
 
+    /** There are other shards: what their leaders learn of neighbours counts here too. */
+    void setHasSiblings(bool hasSiblings);
+
     /** A worker's entry in the registry is new or has changed. */
     void setWorker(const WorkerRecord &record);
 
@@ -119,6 +124,8 @@
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
     void loadPressure();
+    void borrowPressure(TimePoint now);
+    void onPressuresRead(const StoreReply &reply);
     void loadProgress(const std::string &afterKey);
     void onProgressPage(const StoreReply &reply);
     void retryLoad(std::string_view what);
@@ -244,6 +251,8 @@
     std::uint64_t m_workersRevision = 0;
 
     PressureModel m_pressure;
+    bool m_hasSiblings = false;
+    TimePoint m_borrowAt{}; ///< not before
 
     // Jobs
     std::unordered_map<JobKey, JobPtr> m_jobs;
@@ -263,7 +272,7 @@
     std::set<JobKey> m_isDirty;
     bool m_isStoring = false;
     TimePoint m_storeAt{};
-    std::string m_storedStatus; ///< as last written
+    ShardStatus m_storedStatus; ///< as last written, without its revision
     TimePoint m_statusAt{};     ///< not before
     TimePoint m_pressureAt{};   ///< not before
     WorkflowCounters m_counters;
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -160,7 +160,7 @@
     it.epoch = "ctl/epoch/" + id;
     it.workers = "ctl/workers/" + id;
     it.status = std::string(StatusPrefix) + id;
-    it.pressure = "ctl/pressure/" + id;
+    it.pressure = std::string(PressurePrefix) + id;
     return it;
 }
 
@@ -288,14 +288,15 @@
 
 std::string encodeStatus(const ShardStatus &status)
 {
-    return packRecord(json::array({StoredVersion, status.pending, status.lastingMillis, status.backlogMs}));
+    return packRecord(
+        json::array({StoredVersion, status.pending, status.lastingMillis, status.backlogMs, status.inboxRevision}));
 }
 
 ShardStatus decodeStatus(std::string_view bytes)
 {
     const json value = unpackRecord(bytes);
     try {
-        return {value.at(1).get<std::map<std::string, std::uint32_t>>(), value.at(2), value.at(3)};
+        return {value.at(1).get<std::map<std::string, std::uint32_t>>(), value.at(2), value.at(3), value.at(4)};
     } catch (const json::exception &error) {
         throw InvalidArgument("status", error.what());
     }
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -35,6 +35,7 @@
 constexpr std::string_view ShardMapKey = "ctl/board/shards";
 constexpr std::string_view SpreadPrefix = "in/spread/";        ///< jobs that still wait for their shard, see spreader.h
 constexpr std::string_view LeaderPrefix = "ctl/board/leader/"; ///< and the shard's number
+constexpr std::string_view PressurePrefix = "ctl/pressure/";   ///< and the shard's number
 constexpr std::string_view StatusPrefix = "ctl/status/";       ///< and the shard's number
 
 struct ShardKeys
@@ -53,8 +54,10 @@
 
 struct ShardSettings
 {
-    std::uint32_t singleUpTo = 80;             ///< workers; one leader on a tenth of a core carries about so many
-    std::uint32_t workersPerShard = 40;        ///< beyond that; half, so that a node can take over a second shard
+    std::uint32_t singleUpTo = 80; ///< workers; one leader on a tenth of a core carries about so many
+    std::uint32_t workersPerShard
+        = 60; ///< beyond that: a node of half a core leads two; smaller ones leave more pieces
+              ///< of room that are too small for a lasting task
     Duration settle = std::chrono::seconds(1); ///< racks are assigned so long after the last new worker
 };
 
@@ -80,6 +83,7 @@
     std::map<std::string, std::uint32_t> pending; ///< by queue: jobs for which no task has started
     std::int64_t lastingMillis = 0;               ///< processors of all lasting tasks, at work or waiting
     std::int64_t backlogMs = 0;                   ///< work that waits for room, against all its processors
+    std::uint64_t inboxRevision = 0;              ///< jobs given to the shard up to this count in the above
 
     bool operator==(const ShardStatus &) const = default;
 };
--- a/packages/workflow/spreader.cpp
+++ b/packages/workflow/spreader.cpp
@@ -9,9 +9,6 @@
 using namespace std::chrono_literals;
 
 constexpr Duration RetryAfter = 150ms; ///< after a call to the store that failed
-constexpr Duration StatusesLag
-    = 2500ms; ///< until a shard's status shows a job that it was given: it is written and read
-              ///< about once a second each
 
 } // namespace
 
@@ -94,7 +91,7 @@
     const AcceptedJob job = decodeAccepted(value);
     const ShardId shard = spreadShard(m_map, m_statuses, recentMillis(), job.pool, job.spec);
     const std::string registration = std::string(RegistrationPrefix) + key;
-    m_recent.push_back({m_clock.now(), shard, lastingMillisOf(job.spec)});
+    m_recent[key] = {shard, lastingMillisOf(job.spec), 0};
     StoreChange change;
     change.conditions = {{keysOf(0).leader, m_term.keyRevision}, {registration, registrationRevision}};
     change.puts = {{registration, encodeRegistration(shard), 0}, {keysOf(shard).jobs + key, value, 0}};
@@ -111,7 +108,11 @@
     if (reply.status == StoreStatus::Ok) {
         m_log.write("job_spread", "job", key, "shard", shard);
         m_waiting.erase(key);
-    } else if (m_waiting.contains(key)) {
+        m_recent[key].revision = reply.revision;
+        return;
+    }
+    m_recent.erase(key); // where it was given all the same, the shard's status tells
+    if (m_waiting.contains(key)) {
         retryLater(key);
     }
 }
@@ -125,11 +126,13 @@
 
 std::map<ShardId, std::int64_t> JobSpreader::recentMillis()
 {
-    while (!m_recent.empty() && m_clock.now() >= m_recent.front().at + StatusesLag) {
-        m_recent.pop_front();
-    }
+    std::erase_if(m_recent, [this](const auto &entry) {
+        const auto status = m_statuses.find(entry.second.shard);
+        return entry.second.revision != 0 && status != m_statuses.end()
+               && status->second.inboxRevision >= entry.second.revision;
+    });
     std::map<ShardId, std::int64_t> millis;
-    for (const Recent &it : m_recent) {
+    for (const auto &[key, it] : m_recent) {
         millis[it.shard] += it.millis;
     }
     return millis;
--- a/packages/workflow/spreader.h
+++ b/packages/workflow/spreader.h
@@ -12,8 +12,6 @@
 #include <workflow/mirror.h>
 #include <workflow/shards.h>
 
-#include <deque>
-
 namespace QuetzalRock::Workflow {
 
 class JobSpreader
@@ -37,11 +35,12 @@
         TimePoint tryAt{};
         bool isTrying = false;
     };
+    /** A job that was given a shard whose status may not show it yet. */
     struct Recent
     {
-        TimePoint at;
-        ShardId shard;
-        std::int64_t millis;
+        ShardId shard = 0;
+        std::int64_t millis = 0;
+        std::uint64_t revision = 0; ///< of the write; 0: not answered
     };
 
     void onItem(const StoreItem &item);
@@ -61,7 +60,7 @@
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< callbacks outlive the spreader
     PrefixMirror m_inbox;
     std::map<JobKey, Waiting> m_waiting;
-    std::deque<Recent> m_recent; ///< given so lately that the statuses do not show it
+    std::map<JobKey, Recent> m_recent;
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -56,7 +56,7 @@
         storeWorkers();
         return;
     }
-    const std::string status = now >= m_statusAt ? encodeStatus(describe()) : m_storedStatus;
+    const ShardStatus status = now >= m_statusAt ? describe() : m_storedStatus;
     const bool isPressureDue = now >= m_pressureAt && m_counters.throttles > 0;
     if (m_dirty.empty() && status == m_storedStatus && !isPressureDue) {
         return;
@@ -65,12 +65,14 @@
     change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     if (isPressureDue) {
         change.puts.push_back({m_keys.pressure, m_pressure.save(), 0});
-        m_pressureAt = now + m_settings.pressureEvery;
+        m_pressureAt = now + (m_hasSiblings ? m_settings.pressureShareEvery : m_settings.pressureEvery);
     }
     if (status != m_storedStatus) {
-        change.puts.push_back({m_keys.status, status, 0});
-        m_statusAt = now + m_settings.statusEvery;
         m_storedStatus = status;
+        m_statusAt = now + m_settings.statusEvery;
+        ShardStatus stored = status;
+        stored.inboxRevision = m_inbox.revision(); // alone no reason to write
+        change.puts.push_back({m_keys.status, encodeStatus(stored), 0});
     }
     std::vector<std::pair<JobKey, std::uint64_t>> batch;
     std::vector<std::string> values;
@@ -114,7 +116,7 @@
         }
         return;
     }
-    m_storedStatus.clear();
+    m_storedStatus = {};
     m_storeAt = m_clock.now() + (reply.status == StoreStatus::Conflict ? Duration::zero() : m_settings.storeRetry);
     if (reply.status == StoreStatus::Conflict) {
         // Either another leads, or an earlier write whose answer was lost had taken effect.
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -97,6 +97,7 @@
         return;
     }
     resolveUnread(now);
+    borrowPressure(now);
     renewWorkers(now);
     if (now >= m_placeAt) {
         place(now);
@@ -158,6 +159,36 @@
                 }));
 }
 
+void WorkflowScheduler::setHasSiblings(bool hasSiblings)
+{
+    m_hasSiblings = hasSiblings;
+}
+
+/** Each shard sees few of the many pairs of images; together they see them within seconds. */
+void WorkflowScheduler::borrowPressure(TimePoint now)
+{
+    if (!m_hasSiblings || now < m_borrowAt) {
+        return;
+    }
+    m_borrowAt = now + m_settings.pressureShareEvery;
+    m_store.range(PressurePrefix, {}, guard([this](const StoreReply &reply) { onPressuresRead(reply); }));
+}
+
+void WorkflowScheduler::onPressuresRead(const StoreReply &reply)
+{
+    std::vector<std::string> others;
+    for (const StoreItem &it : reply.items) {
+        if (it.key != m_keys.pressure) {
+            others.push_back(it.value);
+        }
+    }
+    try {
+        m_pressure.borrow(others);
+    } catch (const Error &error) {
+        m_log.write("pressure_unreadable", "error", error.what());
+    }
+}
+
 void WorkflowScheduler::loadProgress(const std::string &afterKey)
 {
     m_store.range(ProgressPrefix, afterKey, guard([this](const StoreReply &reply) { onProgressPage(reply); }));
--- a/packages/workflow/tests/decisiontest.cpp
+++ b/packages/workflow/tests/decisiontest.cpp
@@ -220,6 +220,29 @@
     EXPECT_THROW(successor.load("no model"), InvalidArgument);
 }
 
+TEST(Pressure, whatOtherShardsLearnedCountsAndIsNotPassedOnAsOnesOwn)
+{
+    PressureModel teacher;
+    const ClassIndex service = teacher.classOf("service");
+    const ClassIndex mild = teacher.classOf("mild");
+    const ClassIndex strong = teacher.classOf("strong");
+    SharedLoad load;
+    teach(teacher, service, mild, strong, load);
+    PressureModel other;
+    const ClassIndex there = other.classOf("service");
+    const std::vector<std::string> lent{teacher.save()};
+    other.borrow(lent);
+    other.refresh(TimePoint(2h));
+    EXPECT_NEAR(other.effect(there, other.classOf("mild")), teacher.effect(service, mild), 0.2);
+    EXPECT_NEAR(other.effect(there, other.classOf("strong")), teacher.effect(service, strong), 0.2);
+    PressureModel third;
+    const std::vector<std::string> secondHand{other.save()};
+    third.borrow(secondHand);
+    third.refresh(TimePoint(2h));
+    EXPECT_DOUBLE_EQ(third.effect(third.classOf("service"), third.classOf("strong")), PressureModel().effect(0, 0))
+        << "nobody has told it at first hand";
+}
+
 TEST(Pressure, aSharedLoadFollowsItsSwing)
 {
     SharedLoad load;
--- a/packages/workflow/tests/shardtest.cpp
+++ b/packages/workflow/tests/shardtest.cpp
@@ -23,12 +23,14 @@
     return workers;
 }
 
+constexpr ShardSettings FortyEach{80, 40, {}};
+
 ShardMap planTwoDomains()
 {
     std::vector<WorkerRecord> workers = makeWorkers(10, 8, "a");
     const std::vector<WorkerRecord> more = makeWorkers(10, 8, "b");
     workers.insert(workers.end(), more.begin(), more.end());
-    return planShards({}, workers, {});
+    return planShards({}, workers, FortyEach);
 }
 
 WorkflowSpec makeLasting(const JobKey &key, std::uint32_t tasks)
