--- /dev/null
+++ b/packages/workflow/testing/fakefleet.h
@@ -0,0 +1,222 @@
+/**
+ * Workers in memory that keep the protocol: fences, leases, attempts, lists of runs and of ends. For tests and stand-ins.
+ *
+ * Index of this file
+ *   FakeRun, FakeWorker   one worker, and what runs there
+ *   FakeFleet             all of them; notes in faults what must never be
+ */
+#pragma once
+
+#include <workflow/ports.h>
+
+#include <algorithm>
+#include <chrono>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace QuetzalRock::Workflow {
+
+using namespace std::chrono_literals;
+
+struct FakeRun
+{
+    RunName run;
+    TimePoint startedAt;
+    std::string checkpoint;
+    int percent = 100;
+};
+
+struct FakeWorker
+{
+    WorkerId id;
+    std::int64_t bornMs = 1;
+    std::string pool = "pool";
+    std::string rack = "r";
+    std::string failureDomain = "d";
+    Resources capacity{16'000, 64'000, 0};
+    WorkerCondition condition = WorkerCondition::Ready;
+    std::int64_t clockOffsetMs = 0;
+    std::uint64_t fence = 0;
+    TimePoint leaseUntil{};
+    std::vector<FakeRun> running;
+    std::deque<EndedEntry> ended;
+    std::uint64_t lastSequence = 0;
+    std::map<TaskName, std::uint64_t> barred; ///< highest attempt that ended, or was stopped, there
+    bool isReachable = true;
+    bool failsAll = false;
+};
+
+class FakeFleet
+{
+public:
+    explicit FakeFleet(Clock &clock)
+        : m_clock(clock)
+    {
+    }
+
+    std::map<WorkerId, FakeWorker> workers;
+    Duration workTime = 300ms; ///< of every task that ends
+    std::set<JobKey> lasting;  ///< jobs whose tasks do not end
+    std::set<JobKey> poisoned; ///< jobs whose tasks fail
+    std::set<TaskName> done;   ///< ended as done, and seen by a leader
+    std::uint64_t starts = 0;
+    std::vector<std::string> faults; ///< what must never be
+
+    std::int64_t clockMs(const FakeWorker &worker) const
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count()
+               + worker.clockOffsetMs;
+    }
+
+    /** Ends what is due, and checks that no task runs twice. */
+    void step()
+    {
+        std::map<TaskName, int> running;
+        for (auto &[id, worker] : workers) {
+            const std::vector<FakeRun> runs = worker.running;
+            for (const FakeRun &it : runs) {
+                if (m_clock.now() >= worker.leaseUntil) {
+                    end(worker, it.run, RunEnd::LeaseLapsed);
+                } else if (worker.failsAll || poisoned.contains(it.run.task.job)) {
+                    end(worker, it.run, RunEnd::Failed);
+                } else if (!lasting.contains(it.run.task.job) && m_clock.now() >= it.startedAt + workTime) {
+                    end(worker, it.run, RunEnd::Done);
+                }
+            }
+            for (const FakeRun &it : worker.running) {
+                if (++running[it.run.task] > 1) {
+                    faults.push_back("runs twice: " + text(it.run));
+                }
+            }
+        }
+    }
+
+    void end(FakeWorker &worker, const RunName &run, RunEnd how)
+    {
+        std::erase_if(worker.running, [&run](const FakeRun &it) { return it.run == run; });
+        std::uint64_t &barred = worker.barred[run.task];
+        barred = std::max(barred, run.attempt);
+        const std::string checkpoint = how == RunEnd::Done ? "" : "saved-" + std::to_string(run.attempt);
+        worker.ended.push_back({++worker.lastSequence, run, how, checkpoint});
+    }
+
+    /** The worker starts anew under its id: it runs nothing and knows nothing. */
+    void rebirth(const WorkerId &id)
+    {
+        FakeWorker &worker = workers.at(id);
+        worker.bornMs += 1000;
+        worker.fence = 0;
+        worker.running.clear();
+        worker.ended.clear();
+        worker.lastSequence = 0;
+        worker.barred.clear();
+    }
+
+    OrderReply start(const WorkerTarget &target, const StartOrder &order)
+    {
+        FakeWorker &worker = workers.at(target.id);
+        if (const auto rejection = rejectFence(worker, target)) {
+            return *rejection;
+        }
+        if (clockMs(worker) > order.validUntilMs) {
+            return {OrderStatus::TooLate, clockMs(worker)};
+        }
+        const auto known = std::find_if(worker.running.begin(), worker.running.end(), [&order](const FakeRun &it) {
+            return it.run.task == order.run.task;
+        });
+        if (known != worker.running.end() && known->run == order.run) {
+            return {OrderStatus::Accepted, clockMs(worker)};
+        }
+        const auto barred = worker.barred.find(order.run.task);
+        if (barred != worker.barred.end() && barred->second >= order.run.attempt) {
+            return {OrderStatus::Superseded, clockMs(worker)};
+        }
+        if (done.contains(order.run.task)) {
+            faults.push_back("started after its end: " + text(order.run));
+        }
+        ++starts;
+        prolong(worker, order.validUntilMs);
+        worker.running.push_back({order.run, m_clock.now(), order.checkpoint});
+        return {OrderStatus::Accepted, clockMs(worker)};
+    }
+
+    OrderReply stop(const WorkerTarget &target, const RunName &run)
+    {
+        FakeWorker &worker = workers.at(target.id);
+        if (const auto rejection = rejectFence(worker, target)) {
+            return *rejection;
+        }
+        const bool isRunning = std::any_of(
+            worker.running.begin(), worker.running.end(), [&run](const FakeRun &it) { return it.run == run; });
+        if (isRunning) {
+            end(worker, run, RunEnd::Stopped);
+        }
+        std::uint64_t &barred = worker.barred[run.task];
+        barred = std::max(barred, run.attempt);
+        return {OrderStatus::Accepted, clockMs(worker)};
+    }
+
+    RenewReply renew(const WorkerTarget &target, const RenewOrder &order)
+    {
+        FakeWorker &worker = workers.at(target.id);
+        RenewReply reply;
+        if (const auto rejection = rejectFence(worker, target)) {
+            reply.order = *rejection;
+            return reply;
+        }
+        if (order.leaseUntilMs) {
+            prolong(worker, *order.leaseUntilMs);
+        }
+        while (!worker.ended.empty() && worker.ended.front().sequence <= order.forgetUpTo) {
+            if (worker.ended.front().how == RunEnd::Done) {
+                done.insert(worker.ended.front().run.task);
+            }
+            worker.ended.pop_front();
+        }
+        reply.order = {OrderStatus::Accepted, clockMs(worker)};
+        reply.report.clockMs = clockMs(worker);
+        reply.report.bornMs = worker.bornMs;
+        for (const FakeRun &it : worker.running) {
+            reply.report.running.push_back({it.run, it.checkpoint, 50, 1000});
+        }
+        reply.report.ended.assign(worker.ended.begin(), worker.ended.end());
+        return reply;
+    }
+
+    std::size_t runningTasks() const
+    {
+        std::size_t n = 0;
+        for (const auto &[id, worker] : workers) {
+            n += worker.running.size();
+        }
+        return n;
+    }
+
+    static std::string text(const RunName &run)
+    {
+        return run.task.job + "." + std::to_string(run.task.step) + "." + std::to_string(run.task.index) + "/"
+               + std::to_string(run.attempt);
+    }
+
+private:
+    std::optional<OrderReply> rejectFence(FakeWorker &worker, const WorkerTarget &target)
+    {
+        if (target.fence < worker.fence) {
+            return OrderReply{OrderStatus::Fenced, clockMs(worker)};
+        }
+        worker.fence = target.fence;
+        return std::nullopt;
+    }
+
+    void prolong(FakeWorker &worker, std::int64_t untilMs)
+    {
+        const auto left = std::chrono::milliseconds(std::min<std::int64_t>(untilMs - clockMs(worker), 10'000));
+        worker.leaseUntil = std::max(worker.leaseUntil, m_clock.now() + left);
+    }
+
+    Clock &m_clock;
+};
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -2,10 +2,7 @@
  * Several nodes over one store and a fleet of workers, all in memory, on a clock that tests advance.
  *
  * Index of this file
- *   StoreBackend   the store's content: items, revisions, leases, history
- *   FakeStore      one node's way to it, with faults
- *   FakeWorker     a worker that keeps the protocol: fences, leases, attempts, lists of runs and ends
- *   FakeFleet      all workers, and what must hold of them at any time
+ *   FakeStore      one node's way to the store, with faults
  *   FakePort       one node's way to the workers, with faults
  *   Rig            nodes, store, fleet; run() advances time in small steps
  *
@@ -14,6 +11,8 @@
 #pragma once
 
 #include <workflow/node.h>
+#include <workflow/testing/fakefleet.h>
+#include <workflow/testing/storebackend.h>
 
 #include <gtest/gtest.h>
 
@@ -67,118 +66,6 @@
 // Store
 // ---------------------------------------------------------------------------------------------------------------------
 
-struct StoreBackend
-{
-    explicit StoreBackend(ManualClock &theClock)
-        : clock(theClock)
-    {
-    }
-
-    ManualClock &clock;
-    std::uint64_t revision = 1;
-    std::map<std::string, StoreItem> items;
-    std::vector<StoreItem> history;
-    std::uint64_t historyFrom = 0; ///< changes up to this are forgotten
-    std::map<std::uint64_t, std::pair<TimePoint, Duration>> leases;
-    std::uint64_t lastLease = 100;
-
-    void write(const std::string &key, const std::string &value, std::uint64_t lease = 0)
-    {
-        ++revision;
-        put(key, value, lease);
-    }
-
-    void put(const std::string &key, const std::string &value, std::uint64_t lease)
-    {
-        StoreItem &it = items[key];
-        it.created = it.created == 0 ? revision : it.created;
-        it.key = key;
-        it.value = value;
-        it.revision = revision;
-        it.lease = lease;
-        history.push_back(it);
-    }
-
-    void remove(const std::string &key)
-    {
-        if (items.erase(key) > 0) {
-            StoreItem it;
-            it.key = key;
-            it.revision = revision;
-            it.isDeleted = true;
-            history.push_back(it);
-        }
-    }
-
-    void endLease(std::uint64_t lease)
-    {
-        ++revision;
-        std::vector<std::string> keys;
-        for (const auto &[key, item] : items) {
-            if (item.lease == lease) {
-                keys.push_back(key);
-            }
-        }
-        for (const std::string &key : keys) {
-            remove(key);
-        }
-        leases.erase(lease);
-    }
-
-    void expireLeases()
-    {
-        std::vector<std::uint64_t> lapsed;
-        for (const auto &[lease, it] : leases) {
-            if (clock.now() >= it.first) {
-                lapsed.push_back(lease);
-            }
-        }
-        for (const std::uint64_t lease : lapsed) {
-            endLease(lease);
-        }
-    }
-
-    void dropHistory()
-    {
-        history.clear();
-        historyFrom = revision;
-    }
-
-    StoreReply change(const StoreChange &change)
-    {
-        StoreReply reply;
-        reply.status = StoreStatus::Ok;
-        for (const StoreCondition &it : change.conditions) {
-            const auto found = items.find(it.key);
-            const std::uint64_t actual = found == items.end() ? 0 : found->second.revision;
-            if (actual != it.revision) {
-                reply.status = StoreStatus::Conflict;
-            }
-            if (found != items.end()) {
-                reply.items.push_back(found->second);
-            }
-        }
-        for (const StorePut &it : change.puts) {
-            if (it.lease != 0 && !leases.contains(it.lease)) {
-                reply.status = reply.status == StoreStatus::Ok ? StoreStatus::Missing : reply.status;
-            }
-        }
-        EXPECT_LE(change.conditions.size() + change.puts.size() + change.removals.size(), MaxChangeEntries);
-        if (reply.status != StoreStatus::Ok) {
-            return reply;
-        }
-        reply.items.clear();
-        reply.revision = ++revision;
-        for (const StorePut &it : change.puts) {
-            put(it.key, it.value, it.lease);
-        }
-        for (const std::string &it : change.removals) {
-            remove(it);
-        }
-        return reply;
-    }
-};
-
 class FakeStore final : public RecordStore
 {
 public:
@@ -325,6 +212,7 @@
 
     StoreReply execute(const StoreChange &change)
     {
+        EXPECT_LE(change.conditions.size() + change.puts.size() + change.removals.size(), MaxChangeEntries);
         StoreReply it = m_backend.change(change);
         if (it.status == StoreStatus::Ok && onChange) {
             onChange(change);
@@ -368,205 +256,6 @@
 // Workers
 // ---------------------------------------------------------------------------------------------------------------------
 
-struct FakeRun
-{
-    RunName run;
-    TimePoint startedAt;
-    std::string checkpoint;
-    int percent = 100;
-};
-
-struct FakeWorker
-{
-    WorkerId id;
-    std::int64_t bornMs = 1;
-    std::string pool = "pool";
-    std::string rack = "r";
-    std::string failureDomain = "d";
-    Resources capacity{16'000, 64'000, 0};
-    WorkerCondition condition = WorkerCondition::Ready;
-    std::int64_t clockOffsetMs = 0;
-    std::uint64_t fence = 0;
-    TimePoint leaseUntil{};
-    std::vector<FakeRun> running;
-    std::deque<EndedEntry> ended;
-    std::uint64_t lastSequence = 0;
-    std::map<TaskName, std::uint64_t> barred; ///< highest attempt that ended, or was stopped, there
-    bool isReachable = true;
-    bool failsAll = false;
-};
-
-class FakeFleet
-{
-public:
-    explicit FakeFleet(ManualClock &clock)
-        : m_clock(clock)
-    {
-    }
-
-    std::map<WorkerId, FakeWorker> workers;
-    Duration workTime = 300ms; ///< of every task that ends
-    std::set<JobKey> lasting;  ///< jobs whose tasks do not end
-    std::set<JobKey> poisoned; ///< jobs whose tasks fail
-    std::set<TaskName> done;   ///< ended as done, and seen by a leader
-    std::uint64_t starts = 0;
-    std::vector<std::string> faults; ///< what must never be
-
-    std::int64_t clockMs(const FakeWorker &worker) const
-    {
-        return std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count()
-               + worker.clockOffsetMs;
-    }
-
-    /** Ends what is due, and checks that no task runs twice. */
-    void step()
-    {
-        std::map<TaskName, int> running;
-        for (auto &[id, worker] : workers) {
-            const std::vector<FakeRun> runs = worker.running;
-            for (const FakeRun &it : runs) {
-                if (m_clock.now() >= worker.leaseUntil) {
-                    end(worker, it.run, RunEnd::LeaseLapsed);
-                } else if (worker.failsAll || poisoned.contains(it.run.task.job)) {
-                    end(worker, it.run, RunEnd::Failed);
-                } else if (!lasting.contains(it.run.task.job) && m_clock.now() >= it.startedAt + workTime) {
-                    end(worker, it.run, RunEnd::Done);
-                }
-            }
-            for (const FakeRun &it : worker.running) {
-                if (++running[it.run.task] > 1) {
-                    faults.push_back("runs twice: " + text(it.run));
-                }
-            }
-        }
-    }
-
-    void end(FakeWorker &worker, const RunName &run, RunEnd how)
-    {
-        std::erase_if(worker.running, [&run](const FakeRun &it) { return it.run == run; });
-        std::uint64_t &barred = worker.barred[run.task];
-        barred = std::max(barred, run.attempt);
-        const std::string checkpoint = how == RunEnd::Done ? "" : "saved-" + std::to_string(run.attempt);
-        worker.ended.push_back({++worker.lastSequence, run, how, checkpoint});
-    }
-
-    /** The worker starts anew under its id: it runs nothing and knows nothing. */
-    void rebirth(const WorkerId &id)
-    {
-        FakeWorker &worker = workers.at(id);
-        worker.bornMs += 1000;
-        worker.fence = 0;
-        worker.running.clear();
-        worker.ended.clear();
-        worker.lastSequence = 0;
-        worker.barred.clear();
-    }
-
-    OrderReply start(const WorkerTarget &target, const StartOrder &order)
-    {
-        FakeWorker &worker = workers.at(target.id);
-        if (const auto rejection = rejectFence(worker, target)) {
-            return *rejection;
-        }
-        if (clockMs(worker) > order.validUntilMs) {
-            return {OrderStatus::TooLate, clockMs(worker)};
-        }
-        const auto known = std::find_if(worker.running.begin(), worker.running.end(), [&order](const FakeRun &it) {
-            return it.run.task == order.run.task;
-        });
-        if (known != worker.running.end() && known->run == order.run) {
-            return {OrderStatus::Accepted, clockMs(worker)};
-        }
-        const auto barred = worker.barred.find(order.run.task);
-        if (barred != worker.barred.end() && barred->second >= order.run.attempt) {
-            return {OrderStatus::Superseded, clockMs(worker)};
-        }
-        if (done.contains(order.run.task)) {
-            faults.push_back("started after its end: " + text(order.run));
-        }
-        ++starts;
-        prolong(worker, order.validUntilMs);
-        worker.running.push_back({order.run, m_clock.now(), order.checkpoint});
-        return {OrderStatus::Accepted, clockMs(worker)};
-    }
-
-    OrderReply stop(const WorkerTarget &target, const RunName &run)
-    {
-        FakeWorker &worker = workers.at(target.id);
-        if (const auto rejection = rejectFence(worker, target)) {
-            return *rejection;
-        }
-        const bool isRunning = std::any_of(
-            worker.running.begin(), worker.running.end(), [&run](const FakeRun &it) { return it.run == run; });
-        if (isRunning) {
-            end(worker, run, RunEnd::Stopped);
-        }
-        std::uint64_t &barred = worker.barred[run.task];
-        barred = std::max(barred, run.attempt);
-        return {OrderStatus::Accepted, clockMs(worker)};
-    }
-
-    RenewReply renew(const WorkerTarget &target, const RenewOrder &order)
-    {
-        FakeWorker &worker = workers.at(target.id);
-        RenewReply reply;
-        if (const auto rejection = rejectFence(worker, target)) {
-            reply.order = *rejection;
-            return reply;
-        }
-        if (order.leaseUntilMs) {
-            prolong(worker, *order.leaseUntilMs);
-        }
-        while (!worker.ended.empty() && worker.ended.front().sequence <= order.forgetUpTo) {
-            if (worker.ended.front().how == RunEnd::Done) {
-                done.insert(worker.ended.front().run.task);
-            }
-            worker.ended.pop_front();
-        }
-        reply.order = {OrderStatus::Accepted, clockMs(worker)};
-        reply.report.clockMs = clockMs(worker);
-        reply.report.bornMs = worker.bornMs;
-        for (const FakeRun &it : worker.running) {
-            reply.report.running.push_back({it.run, it.checkpoint, 50, 1000});
-        }
-        reply.report.ended.assign(worker.ended.begin(), worker.ended.end());
-        return reply;
-    }
-
-    std::size_t runningTasks() const
-    {
-        std::size_t n = 0;
-        for (const auto &[id, worker] : workers) {
-            n += worker.running.size();
-        }
-        return n;
-    }
-
-    static std::string text(const RunName &run)
-    {
-        return run.task.job + "." + std::to_string(run.task.step) + "." + std::to_string(run.task.index) + "/"
-               + std::to_string(run.attempt);
-    }
-
-private:
-    std::optional<OrderReply> rejectFence(FakeWorker &worker, const WorkerTarget &target)
-    {
-        if (target.fence < worker.fence) {
-            return OrderReply{OrderStatus::Fenced, clockMs(worker)};
-        }
-        worker.fence = target.fence;
-        return std::nullopt;
-    }
-
-    void prolong(FakeWorker &worker, std::int64_t untilMs)
-    {
-        const auto left = std::chrono::milliseconds(std::min<std::int64_t>(untilMs - clockMs(worker), 10'000));
-        worker.leaseUntil = std::max(worker.leaseUntil, m_clock.now() + left);
-    }
-
-    ManualClock &m_clock;
-};
-
 class FakePort final : public WorkerPort
 {
 public:
