Soak real nodes under faults; forget no end of a worker's new life unseen

A worker that starts anew counts its ends from 1; a renewal meant for its former life told it to forget ends up to 4, and so the end of a run that an order under way had begun in the new life was forgotten unseen. The run counted as lost and was started again.

Ruled out: the stand-in alone.

Change: after a lost call a renewal only looks, and lets the worker forget nothing, until the same life has answered.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -134,7 +134,8 @@
     WorkerState &worker = *m_workers[index];
     forgetDurable(worker);
     RenewOrder order;
-    order.forgetUpTo = worker.forgetUpTo;
+    // After a lost call another life may answer, which counts its ends anew: it must not forget any that we have not seen.
+    order.forgetUpTo = worker.lostCalls == 0 ? worker.forgetUpTo : 0;
     const bool mayProlong = worker.isRead && worker.clock.isKnown() && worker.lostCalls < LostCallsBeforeLooking;
     if (mayProlong) {
         order.leaseUntilMs = worker.clock.timeIn(m_settings.workerLease, now);
--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -61,6 +61,8 @@
     std::set<JobKey> lasting;  ///< jobs whose tasks do not end
     std::set<JobKey> poisoned; ///< jobs whose tasks fail
     std::set<TaskName> done;   ///< ended as done, and seen by a leader
+    std::set<TaskName> endedDone; ///< ended as done, seen or not
+    std::set<JobKey> startedJobs;
     std::uint64_t starts = 0;
     std::vector<std::string> faults; ///< what must never be
 
@@ -99,6 +101,9 @@
         std::uint64_t &barred = worker.barred[run.task];
         barred = std::max(barred, run.attempt);
         const std::string checkpoint = how == RunEnd::Done ? "" : "saved-" + std::to_string(run.attempt);
+        if (how == RunEnd::Done) {
+            endedDone.insert(run.task);
+        }
         worker.ended.push_back({++worker.lastSequence, run, how, checkpoint});
     }
 
@@ -137,6 +142,7 @@
             faults.push_back("started after its end: " + text(order.run));
         }
         ++starts;
+        startedJobs.insert(order.run.task.job);
         prolong(worker, order.validUntilMs);
         worker.running.push_back({order.run, m_clock.now(), order.checkpoint});
         return {OrderStatus::Accepted, clockMs(worker)};
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -148,6 +148,33 @@
     EXPECT_EQ(rig.fleet.starts, 4U) << "nothing was started again";
 }
 
+// The new life counts its ends from 1 again. A renewal meant for the former life must not make it forget them unseen.
+TEST(Workflow, aWorkerThatStartedAnewForgetsNoEndUnseen)
+{
+    Rig rig(1, 1);
+    rig.run(2s);
+    rig.submit(0, Rig::makeJob("first", 4));
+    rig.run(2s);
+    ASSERT_EQ(rig.state("first"), Done);
+    RigNode &node = *rig.nodes[0];
+    node.port.loseStarts = 1;
+    node.port.applyLostAfter = 200ms; // reaches the new life
+    rig.submit(0, Rig::makeJob("second", 1));
+    while (node.port.loseStarts > 0) {
+        rig.run(StepTime);
+    }
+    node.port.cutFrom = {"w0"};
+    rig.run(100ms);
+    rig.fleet.rebirth("w0");
+    rig.fleet.workers["w0"].leaseUntil = {};
+    rig.run(500ms);
+    node.port.cutFrom.clear();
+    rig.run(10s);
+    EXPECT_EQ(rig.state("second"), Done);
+    EXPECT_EQ(rig.fleet.starts, 5U) << "the second job's task ran in the new life, and its end was listed";
+    EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
+}
+
 // Small tasks come all the time and take each piece of room as it falls free; together they want more than there is.
 TEST(Workflow, aLargeLastingTaskGetsRoomAmongSmallShortOnes)
 {
--- /dev/null
+++ b/soak/nodeprocess.cpp
@@ -0,0 +1,118 @@
+#include "nodeprocess.h"
+
+#include <base/errors.h>
+
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char **environ;
+
+namespace QuetzalRock::Soak {
+
+namespace {
+
+/** A port that was free just now. */
+std::uint16_t findPort()
+{
+    const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    const bool isBound = bind(fd, reinterpret_cast<sockaddr *>(&address), size) == 0
+                         && getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    ::close(fd);
+    if (!isBound) {
+        throw Unavailable("no port to be had on loopback");
+    }
+    return ntohs(address.sin_port);
+}
+
+} // namespace
+
+NodeProcess::NodeProcess(NodeFiles files, std::string name, std::uint16_t storePort)
+    : m_files(std::move(files))
+    , m_name(std::move(name))
+    , m_requestsPort(findPort())
+    , m_readyPort(findPort())
+    , m_settingsFile(m_files.folder + "/" + m_name + ".ini")
+{
+    std::ofstream out(m_settingsFile);
+    out << "[process]\nname = " << m_name << "\nfailure_domain = d0\n"
+        << "[listen]\nrequests = " << address() << "\nready = 127.0.0.1:" << m_readyPort << "\n"
+        << "[platform]\nkind = fleet\nstore = 127.0.0.1:" << storePort << "\n";
+}
+
+NodeProcess::~NodeProcess()
+{
+    if (isRunning()) {
+        kill(m_pid, SIGKILL);
+        waitpid(m_pid, nullptr, 0);
+    }
+}
+
+void NodeProcess::start()
+{
+    const std::string log = m_files.folder + "/" + m_name + ".log";
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    for (const int it : {STDOUT_FILENO, STDERR_FILENO}) {
+        posix_spawn_file_actions_addopen(&actions, it, log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
+    std::string program = m_files.program;
+    std::string option = "--config";
+    char *arguments[] = {program.data(), option.data(), m_settingsFile.data(), nullptr};
+    const int ec = posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments, environ);
+    posix_spawn_file_actions_destroy(&actions);
+    if (ec != 0) {
+        m_pid = 0;
+        throw Unavailable("cannot start " + program);
+    }
+}
+
+void NodeProcess::signal(int number)
+{
+    if (isRunning()) {
+        kill(m_pid, number);
+    }
+}
+
+bool NodeProcess::isRunning()
+{
+    if (m_pid == 0) {
+        return false;
+    }
+    int status = 0;
+    if (waitpid(m_pid, &status, WNOHANG) != m_pid) {
+        return true;
+    }
+    m_pid = 0;
+    m_end = status;
+    return false;
+}
+
+std::optional<int> NodeProcess::takeEnd()
+{
+    isRunning();
+    return std::exchange(m_end, std::nullopt);
+}
+
+const std::string &NodeProcess::name() const
+{
+    return m_name;
+}
+
+std::string NodeProcess::address() const
+{
+    return "127.0.0.1:" + std::to_string(m_requestsPort);
+}
+
+} // namespace QuetzalRock::Soak
