Move a small lasting task where a large one finds no room

Change: where no worker would have room even without its short tasks, one smaller lasting task a second moves to another worker, if its step's limit of unavailable tasks allows it; the room it leaves is kept for the larger one.

Before: the large task of the new test starves; after: it runs.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -167,6 +167,9 @@
     WorkerIndex choose(const TaskRef &ref, TimePoint now);
     bool mayTake(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     void keepRoom(const TaskRef &ref, TimePoint now);
+    void makeRoom(const TaskRef &ref, TimePoint now);
+    bool canGoElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const;
+    bool mayBeStopped(const TaskRef &ref) const; ///< without too many of its step being away
     void start(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
     void onStarted(
         const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
@@ -261,6 +264,7 @@
     TimePoint m_orderAt{};
     std::deque<std::pair<TimePoint, JobKey>> m_final;
     TimePoint m_placeAt{};
+    TimePoint m_makeRoomAt{}; ///< no lasting task is moved before
     bool m_mustPlace = false;
     TimePoint m_now{};
     TimePoint m_firmAt{}; ///< last tick with firm authority
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -198,6 +198,34 @@
     EXPECT_EQ(rig.state("lasting"), WorkflowState::Running);
 }
 
+// Room enough in all, and in no one piece: a smaller lasting task moves to make room for a larger one.
+TEST(Workflow, aSmallLastingTaskMovesWhereALargeOneFindsNoRoom)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    const auto submit = [&rig](const JobKey &key, std::int64_t cpuMillis) {
+        WorkflowSpec spec = Rig::makeJob(key, 1);
+        spec.steps[0].need.cpuMillis = cpuMillis;
+        spec.steps[0].isLasting = true;
+        rig.fleet.lasting.insert(key);
+        rig.submit(0, spec);
+        rig.run(200ms);
+    };
+    for (const char *worker : {"first", "second"}) { // fills one, then the other
+        submit(std::string(worker) + "-goes", 6000);
+        submit(std::string(worker) + "-stays", 6000);
+        submit(std::string(worker) + "-small", 4000);
+    }
+    rig.cancel(0, "first-goes");
+    rig.cancel(0, "second-goes");
+    rig.run(500ms);
+    submit("large", 8000);
+    rig.run(6s);
+    EXPECT_EQ(rig.state("large"), WorkflowState::Running);
+    EXPECT_EQ(rig.fleet.runningTasks(), 5U);
+    EXPECT_TRUE(rig.fleet.faults.empty());
+}
+
 // The former leader's node has started anew, so only the lease that it may have given is waited for, not its grace.
 TEST(Workflow, aFormerLeaderThatStartedAnewIsNotWaitedFor)
 {
