Notice a new life of a worker whose entry came later

A new leader had read a worker whose registry entry was away, so it knew no time of birth; the worker started anew, the entry came back with the new life's, and nothing differed. Its ends, counted from 1 again, were taken for old ones: the run 'vanished' and was started again.

Ruled out: calls of a former life that arrive late (the worker's log showed one life per connection), a second leader (one epoch only). The random histories had not found it since registry entries never went away there; now they do.

Change: the first report tells the life where the entry does not. aNewLifeIsNoticedAlsoWhereTheEntryCameLater failed before (started after its end) and passes.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -201,6 +201,9 @@
     const bool isFirst = !worker.isRead || worker.lostCalls > 0;
     worker.lostCalls = 0;
     worker.answeredAt = now;
+    if (worker.record.bornMs == 0) {
+        worker.record.bornMs = reply.report.bornMs; // its entry is away; it may start anew before it is back
+    }
     const bool isOtherLife
         = worker.record.bornMs != 0 && reply.report.bornMs != 0 && worker.record.bornMs != reply.report.bornMs;
     if (isOtherLife) {
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -72,7 +72,7 @@
     {
         const int i = anyNode();
         RigNode &it = node(i);
-        switch (below(16)) {
+        switch (below(17)) {
         case 0:
         case 1:
         case 2:
@@ -122,6 +122,16 @@
                 m_rig.cancel(i, key);
             }
             break;
+        case 15: { // its entry lapses, or is back
+            const std::string id = anyWorker();
+            if (m_rig.backend.items.contains("workers/" + id)) {
+                ++m_rig.backend.revision;
+                m_rig.backend.remove("workers/" + id);
+            } else {
+                m_rig.backend.write("workers/" + id, "back");
+            }
+            break;
+        }
         default:
             m_rig.fleet.workers[anyWorker()].failsAll = below(4) == 0;
         }
@@ -153,6 +163,7 @@
             }
         }
         for (auto &[id, worker] : m_rig.fleet.workers) {
+            m_rig.backend.write("workers/" + id, "back");
             worker.failsAll = false;
         }
     }
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -175,6 +175,32 @@
     EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
 }
 
+// A new leader reads a worker whose entry is away; the worker starts anew, and then its entry is back.
+TEST(Workflow, aNewLifeIsNoticedAlsoWhereTheEntryCameLater)
+{
+    Rig rig(2, 2);
+    rig.fleet.workers["w1"].isReachable = false; // all tasks go to w0
+    rig.run(2s);
+    rig.submit(0, Rig::makeJob("first", 4));
+    while (rig.fleet.runningTasks() < 4) {
+        rig.run(StepTime);
+    }
+    rig.backend.remove("workers/w0");
+    rig.kill(rig.leader()); // its successor reads the ends, and counts up to four
+    rig.run(10s);
+    ASSERT_EQ(rig.state("first"), Done);
+    rig.fleet.rebirth("w0");
+    rig.run(100ms);
+    rig.backend.write("workers/w0", "back");
+    rig.run(1s);
+    const int alive = rig.leader();
+    rig.submit(alive, Rig::makeJob("second", 1));
+    rig.run(10s);
+    EXPECT_EQ(rig.state("second"), Done);
+    EXPECT_EQ(rig.fleet.starts, 5U);
+    EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
+}
+
 // Small tasks come all the time and take each piece of room as it falls free; together they want more than there is.
 TEST(Workflow, aLargeLastingTaskGetsRoomAmongSmallShortOnes)
 {
