--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -43,6 +43,11 @@
             m_rig.run(Duration(below(400) * 1000));
         }
         heal();
+        m_rig.run(5s); // late writes have come by then
+        for (const JobKey &it : m_rig.fleet.lasting) {
+            m_cancelled.insert(it);
+            m_rig.cancel(0, it);
+        }
         m_rig.run(HealTime);
         check();
     }
@@ -145,6 +150,11 @@
         const JobKey key = "job" + std::to_string(m_keys.size());
         m_keys.push_back(key);
         WorkflowSpec spec = Rig::makeJob(key, 1 + below(4), 1 + below(3));
+        if (below(5) == 0) {
+            spec.steps.resize(1);
+            spec.steps[0].isLasting = true;
+            m_rig.fleet.lasting.insert(key);
+        }
         m_rig.submit(i, spec, &m_outcomes[key]);
     }
 
