--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -57,12 +57,13 @@
     }
 
     std::map<WorkerId, FakeWorker> workers;
-    Duration workTime = 300ms; ///< of every task that ends
-    std::set<JobKey> lasting;  ///< jobs whose tasks do not end
-    std::set<JobKey> poisoned; ///< jobs whose tasks fail
-    std::set<TaskName> done;   ///< ended as done, and seen by a leader
+    Duration workTime = 300ms;    ///< of every task that ends
+    std::set<JobKey> lasting;     ///< jobs whose tasks do not end
+    std::set<JobKey> poisoned;    ///< jobs whose tasks fail
+    std::set<TaskName> done;      ///< ended as done, and seen by a leader
     std::set<TaskName> endedDone; ///< ended as done, seen or not
     std::set<JobKey> startedJobs;
+    std::map<JobKey, std::int64_t> gauges; ///< what reports say of the tasks of a job; 1000 where nothing is said
     std::uint64_t starts = 0;
     std::vector<std::string> faults; ///< what must never be
 
@@ -185,7 +186,8 @@
         reply.report.clockMs = clockMs(worker);
         reply.report.bornMs = worker.bornMs;
         for (const FakeRun &it : worker.running) {
-            reply.report.running.push_back({it.run, it.checkpoint, 50, 1000});
+            const auto gauge = gauges.find(it.run.task.job);
+            reply.report.running.push_back({it.run, it.checkpoint, 50, gauge == gauges.end() ? 1000 : gauge->second});
         }
         reply.report.ended.assign(worker.ended.begin(), worker.ended.end());
         return reply;
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -201,6 +201,38 @@
     EXPECT_TRUE(rig.fleet.faults.empty()) << rig.fleet.faults.front();
 }
 
+// Whatever the model says: where a serving task has been over its target for long, those beside it stand still, and none comes.
+TEST(Workflow, noNeighbourComesWhereAServingTaskIsOverItsTarget)
+{
+    Rig rig(1, 1);
+    rig.fleet.workTime = 60s;
+    rig.run(2s);
+    WorkflowSpec serving = Rig::makeJob("serving", 1);
+    serving.steps[0].isLasting = true;
+    serving.steps[0].image = "serves";
+    serving.steps[0].latencyTargetMs = 50;
+    rig.fleet.lasting.insert("serving");
+    rig.fleet.gauges["serving"] = 10;
+    rig.submit(0, serving);
+    rig.run(3s);
+    WorkflowSpec filling = Rig::makeJob("filling", 1);
+    filling.steps[0].usesSpareCpu = true;
+    filling.steps[0].image = "fills";
+    rig.submit(0, filling);
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 2U);
+    rig.fleet.gauges["serving"] = 2000; // saturated: the model cannot tell by how much
+    rig.run(2s);
+    EXPECT_EQ(rig.nodes[0]->port.throttles.back(), 0);
+    filling.key = "another";
+    rig.submit(0, filling);
+    rig.run(4s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 2U);
+    rig.fleet.gauges["serving"] = 10;
+    rig.run(4s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 3U) << "it comes once the serving task is well";
+}
+
 // Small tasks come all the time and take each piece of room as it falls free; together they want more than there is.
 TEST(Workflow, aLargeLastingTaskGetsRoomAmongSmallShortOnes)
 {
