--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -166,10 +166,6 @@
     bool isOpen(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     WorkerIndex choose(const TaskRef &ref, TimePoint now);
     bool mayTake(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
-    void keepRoom(const TaskRef &ref, TimePoint now);
-    void makeRoom(const TaskRef &ref, TimePoint now);
-    bool canGoElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const;
-    bool mayBeStopped(const TaskRef &ref) const; ///< without too many of its step being away
     void start(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
     void onStarted(
         const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
@@ -186,6 +182,12 @@
     Duration ageOf(const JobState &job) const; ///< by the wall clocks of the node that accepted it and of this one
     void stopAll(JobState &job, std::string_view why);
 
+    // Room for lasting tasks that starve (room.cpp)
+    void keepRoom(const TaskRef &ref, TimePoint now);
+    void makeRoom(const TaskRef &ref, TimePoint now);
+    bool canGoElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const;
+    bool mayBeStopped(const TaskRef &ref) const; ///< without too many of its step being away
+
     // Serving tasks and their neighbours (pressureguard.cpp)
     void notePressure(WorkerIndex index);
     void setThrottles(WorkerIndex index);
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -41,6 +41,7 @@
         rack.cpuMillis += it.capacity.cpuMillis;
     }
     std::vector<Rack> list;
+    list.reserve(racks.size());
     for (auto &[name, rack] : racks) {
         list.push_back(std::move(rack));
     }
--- a/soak/soak.cpp
+++ b/soak/soak.cpp
@@ -1,5 +1,8 @@
 #include "soak.h"
 
+#include <standin/standinwire.h>
+#include <wire.h>
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -89,7 +92,7 @@
     for (const auto &[id, address] : m_platform.workerAddresses()) {
         m_links.push_back(m_proxy.addLink(portOf(address)));
         const std::string proxied = "127.0.0.1:" + std::to_string(m_proxy.port(m_links.back()));
-        m_platform.with([&id, &proxied](StandInState &state) { state.addressOf[id] = proxied; });
+        m_platform.with([&worker = id, &proxied](StandInState &state) { state.addressOf[worker] = proxied; });
     }
     for (int i = 0; i < m_settings.nodes; ++i) {
         Node node;
@@ -276,22 +279,22 @@
     std::snprintf(
         key.data(), key.size(), "%08x%08x", static_cast<unsigned>(m_random()), static_cast<unsigned>(m_random()));
     job->key = key.data();
-    const int steps = 1 + static_cast<int>(below(3));
-    json rows = json::array();
-    for (int i = 0; i < steps; ++i) {
-        const int count = 1 + static_cast<int>(below(6));
-        json row{{"count", count},
-                 {"cpu", 1000 + below(3000)},
-                 {"memMb", 500},
-                 {"estimateMs", 300},
-                 {"checkpointing", true}};
+    Workflow::WorkflowSpec spec;
+    spec.payload = "soak";
+    const std::uint32_t steps = 1 + below(3);
+    for (std::uint32_t i = 0; i < steps; ++i) {
+        Workflow::StepSpec step;
+        step.taskCount = 1 + below(6);
+        step.need = {1000 + below(3000), 500, 0};
+        step.estimateMs = 300;
+        step.isCheckpointed = true;
         if (i > 0) {
-            row["after"] = json::array({i - 1});
+            step.after = {i - 1};
         }
-        rows.push_back(std::move(row));
-        job->tasks += count;
+        job->tasks += static_cast<int>(step.taskCount);
+        spec.steps.push_back(std::move(step));
     }
-    job->body = json{{"spec", "soak"}, {"steps", std::move(rows)}}.dump();
+    job->body = Adapter::jobBody(spec);
     job->wantsCancel = below(8) == 0;
     m_jobs.push_back(std::move(job));
 }
@@ -324,7 +327,7 @@
 void SoakRun::handIn(Job &job)
 {
     m_calls.send(
-        {"POST", anyAddress(), std::string(Prefix) + job.key, job.body, {{"X-Quetzalrock-Deadline-Ms", "3000"}}},
+        {"POST", anyAddress(), std::string(Prefix) + job.key, job.body, {{Adapter::CallerDeadlineHeader, "3000"}}},
         CallLimit,
         [this, &job](const HttpReply &reply) {
             job.isBusy = false;
@@ -376,7 +379,7 @@
 
 void SoakRun::cancel(Job &job)
 {
-    m_calls.send({"DELETE", anyAddress(), std::string(Prefix) + job.key, {}, {{"X-Quetzalrock-Deadline-Ms", "3000"}}},
+    m_calls.send({"DELETE", anyAddress(), std::string(Prefix) + job.key, {}, {{Adapter::CallerDeadlineHeader, "3000"}}},
                  CallLimit,
                  [this, &job](const HttpReply &reply) {
                      job.isBusy = false;
