--- a/soak/proxy.cpp
+++ b/soak/test/proxy.cpp
@@ -48,6 +48,7 @@
 LoopbackProxy::~LoopbackProxy()
 {
     m_isStopping = true;
+    m_wake.notify_all();
     if (m_thread.joinable()) {
         m_thread.join();
     }
@@ -98,15 +99,13 @@
 
 void LoopbackProxy::run()
 {
+    std::unique_lock lock(m_mutex);
     while (!m_isStopping) {
-        {
-            const std::lock_guard lock(m_mutex);
-            const TimePoint now = m_clock.now();
-            for (const auto &it : m_links) {
-                serve(*it, now);
-            }
+        const TimePoint now = m_clock.now();
+        for (const auto &it : m_links) {
+            serve(*it, now);
         }
-        std::this_thread::sleep_for(LookEvery);
+        m_clock.waitUntil(lock, m_wake, now + LookEvery);
     }
 }
 
--- a/soak/proxy.h
+++ b/soak/test/proxy.h
@@ -10,6 +10,7 @@
 #include <base/clock.h>
 
 #include <atomic>
+#include <condition_variable>
 #include <cstdint>
 #include <deque>
 #include <memory>
@@ -85,6 +86,7 @@
     mutable std::mutex m_mutex; ///< guards the links
     std::vector<std::unique_ptr<Link>> m_links;
     std::atomic<bool> m_isStopping = false;
+    std::condition_variable m_wake; ///< ends the thread's wait
     std::thread m_thread;
 };
 
