Count a tail that hovers about its target as over it

The guard that holds all neighbours after 1.3 s over the target started anew with each report below it. Reports are off by an eighth, so a tail that is over by little is under in many of them.

Change: a tail counts as over from the first report above the target until one is an eighth below it. The new test has every other report over: without the change nothing is held within three seconds, with it all is.

--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -41,6 +41,9 @@
     Duration overFor
         = std::chrono::milliseconds(1300); ///< a tail above its target for so long: whatever the model says, all
                                            ///< neighbours are held ...
+    double wellShare
+        = 0.88; ///< of its target: a tail counts as above until a report is below this, as reports are off by
+                ///< an eighth either way
     Duration holdFor = std::chrono::milliseconds(700); ///< ... for so long after it, and no new ones come
     Duration moveAfter
         = std::chrono::milliseconds(1200); ///< a neighbour held nearly still for so long is moved, if it can
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -111,8 +111,13 @@
         const bool hasStarted = m_now >= task.startedAt + m_settings.pressure.startUp;
         if (isServing(it) && task.phase == TaskPhase::Running && task.gauge > 0 && hasStarted) {
             m_pressure.observe(imageOf(it), task.gauge, shares, m_now, loadOf(it));
-            const bool isOver = task.gauge > it.spec().latencyTargetMs;
-            task.overSince = !isOver ? TimePoint{} : task.overSince == TimePoint{} ? m_now : task.overSince;
+            const auto target = static_cast<double>(it.spec().latencyTargetMs);
+            const auto tail = static_cast<double>(task.gauge);
+            if (tail <= m_settings.pressure.wellShare * target) {
+                task.overSince = {};
+            } else if (tail > target && task.overSince == TimePoint{}) {
+                task.overSince = m_now;
+            }
         }
     }
     m_pressure.refresh(m_now);
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -79,7 +79,7 @@
     TimePoint startedAt{};         ///< when the run was ordered, or found
     TimePoint retryAt{};           ///< Waiting: not before
     std::int64_t gauge = 0;        ///< as RunningEntry::gauge
-    TimePoint overSince{};         ///< serving: its tail has been above the target since; zero: it is not
+    TimePoint overSince{};         ///< serving: its tail counts as above the target since; zero: it does not
     TimePoint stillSince{};        ///< throttled to nearly nothing since; zero: it is not
     TimePoint idleSince{};         ///< has used no processor since; zero: it does, or is not known
     std::uint64_t reportStamp = 0; ///< last report of its worker that listed it
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -233,6 +233,35 @@
     EXPECT_EQ(rig.fleet.runningTasks(), 3U) << "it comes once the serving task is well";
 }
 
+// Reports are rough: a tail that hovers about its target is over it in every other one, and may be over it all the time.
+TEST(Workflow, aTailThatHoversAboutItsTargetCountsAsOver)
+{
+    Rig rig(1, 1);
+    rig.fleet.workTime = 60s;
+    rig.run(2s);
+    WorkflowSpec serving = Rig::makeJob("serving", 1);
+    serving.steps[0].isLasting = true;
+    serving.steps[0].image = "serves";
+    serving.steps[0].latencyTargetMs = 50;
+    rig.fleet.lasting.insert("serving");
+    rig.fleet.gauges["serving"] = 10;
+    rig.submit(0, serving);
+    rig.run(3s);
+    WorkflowSpec filling = Rig::makeJob("filling", 1);
+    filling.steps[0].usesSpareCpu = true;
+    filling.steps[0].image = "fills";
+    filling.steps[0].need.cpuMillis = 100; // by the model too little to matter
+    rig.submit(0, filling);
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 2U);
+    for (int i = 0; i < 8; ++i) {
+        rig.fleet.gauges["serving"] = i % 2 == 0 ? 52 : 48;
+        rig.run(400ms);
+    }
+    const auto &throttles = rig.nodes[0]->port.throttles;
+    EXPECT_NE(std::find(throttles.begin(), throttles.end(), 0), throttles.end()) << "held within three seconds";
+}
+
 // Small tasks come all the time and take each piece of room as it falls free; together they want more than there is.
 TEST(Workflow, aLargeLastingTaskGetsRoomAmongSmallShortOnes)
 {
