Keep room only on a worker that may take the task

Ruled out: want of room (no worker that lacked it was logged), a worker's new life (its runs were given up at once), entries that had gone.

Change: the worker that is kept has to be one that may take the task and has room for it without short tasks; else another is chosen. roomIsKeptOnAnotherWorkerWhereTheFirstMayTakeNoMore failed before.

--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -40,13 +40,13 @@
     WorkerState *best = nullptr;
     double leastLack = 0;
     for (const auto &it : m_workers) {
+        if (!mayTake(*it, ref, now) || !need.fitsIn(it->record.capacity - lastingUse(*it))) {
+            continue;
+        }
         if (it->keptFor == ref.job && now < it->keptUntil) {
             best = it.get(); // one worker at a time for each job
             break;
         }
-        if (!mayTake(*it, ref, now) || !need.fitsIn(it->record.capacity - lastingUse(*it))) {
-            continue;
-        }
         const Resources free = it->freeRoom();
         const double lack = std::max(lackOf(need.cpuMillis, free.cpuMillis, it->record.capacity.cpuMillis),
                                      lackOf(need.memoryMib, free.memoryMib, it->record.capacity.memoryMib));
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -233,6 +233,36 @@
     EXPECT_EQ(rig.fleet.runningTasks(), 3U) << "it comes once the serving task is well";
 }
 
+// The worker kept for the first task has all of the step that it may have; the second needs another one.
+TEST(Workflow, roomIsKeptOnAnotherWorkerWhereTheFirstMayTakeNoMore)
+{
+    Rig rig(1, 2);
+    rig.fleet.workTime = 600ms;
+    rig.run(2s);
+    int jobs = 0;
+    const auto press = [&rig, &jobs](Duration time) {
+        for (Duration passed{}; passed < time; passed += 100ms) {
+            rig.submit(0, Rig::makeJob("short" + std::to_string(jobs++), 8)); // 80 cores wanted, of 32
+            rig.run(100ms);
+        }
+    };
+    press(2s);
+    WorkflowSpec lasting = Rig::makeJob("lasting", 2);
+    lasting.steps[0].need.cpuMillis = 12'000;
+    lasting.steps[0].isLasting = true;
+    lasting.steps[0].maxPerWorker = 1;
+    rig.fleet.lasting.insert("lasting");
+    rig.submit(0, lasting);
+    press(8s);
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        EXPECT_EQ(std::count_if(worker.running.begin(),
+                                worker.running.end(),
+                                [](const FakeRun &it) { return it.run.task.job == "lasting"; }),
+                  1)
+            << id;
+    }
+}
+
 // Reports are rough: a tail that hovers about its target is over it in every other one, and may be over it all the time.
 TEST(Workflow, aTailThatHoversAboutItsTargetCountsAsOver)
 {
