One copy of what the change wrote twice

Read once more as a whole: shard numbers were read from keys in two places, each taking a key without a number for shard 0 (now shardOfKey(), none there); the rule whether a step is open stood in storing.cpp beside WorkflowScheduler::isOpen(); a search for lasting steps beside hasLastingStep(); two tests each held the same press of short tasks and the same serving job. An accessor without callers and an include are gone. No decision and no assertion changed.

Ruled out as worth a change: counters and settings of the same shape (boilerplate), the plan's copy of the registry (every two seconds, on one node).

--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -3,7 +3,6 @@
 #include <base/errors.h>
 
 #include <algorithm>
-#include <charconv>
 
 namespace QuetzalRock::Workflow {
 
@@ -286,10 +285,9 @@
 {
     ShardStatuses statuses;
     for (const StoreItem &it : reply.items) {
-        const std::string_view number = std::string_view(it.key).substr(StatusPrefix.size());
-        ShardId shard = 0;
-        std::from_chars(number.data(), number.data() + number.size(), shard);
-        statuses[shard] = decodeStatus(it.value);
+        if (const auto shard = shardOfKey(it.key, StatusPrefix)) {
+            statuses[*shard] = decodeStatus(it.value);
+        }
     }
     m_statuses = std::move(statuses);
     m_statusesAt = m_clock.now();
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -3,7 +3,6 @@
 #include <base/errors.h>
 
 #include <algorithm>
-#include <charconv>
 #include <functional>
 
 namespace QuetzalRock::Workflow {
@@ -99,11 +98,6 @@
     m_observer = observer;
 }
 
-const ShardMap &Node::shardMap() const
-{
-    return m_map;
-}
-
 Authority Node::authority(ShardId shard, TimePoint now) const
 {
     return shard < m_duties.size() ? m_duties[shard]->election.authority(now) : Authority::None;
@@ -266,11 +260,9 @@
             tellScheduler(worker);
         }
     } else if (item.key.starts_with(LeaderPrefix)) {
-        const std::string_view number = std::string_view(item.key).substr(LeaderPrefix.size());
-        ShardId shard = 0;
-        std::from_chars(number.data(), number.data() + number.size(), shard);
-        if (shard < m_duties.size()) {
-            m_duties[shard]->election.onKey(item);
+        const auto shard = shardOfKey(item.key, LeaderPrefix);
+        if (shard && *shard < m_duties.size()) {
+            m_duties[*shard]->election.onKey(item);
         }
     }
 }
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -59,7 +59,6 @@
     Intake &intake();
     const IntakeCounters &intakeCounters() const;
 
-    const ShardMap &shardMap() const;
     Authority authority(ShardId shard, TimePoint now) const;
     std::vector<const WorkflowScheduler *> schedulers() const; ///< of the shards that this node leads
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -209,6 +209,7 @@
                   const StoreReply &reply);
     void storeWorkers();
     void dropOldJobs(TimePoint now);
+    std::int64_t waitingWorkOf(const JobState &job) const;
     ShardStatus describe() const;
     JobState *findJob(const JobKey &key);
     template<typename Handler>
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -6,6 +6,7 @@
 #include <base/errors.h>
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <iterator>
 #include <limits>
@@ -165,6 +166,14 @@
     return it;
 }
 
+std::optional<ShardId> shardOfKey(std::string_view key, std::string_view prefix)
+{
+    const std::string_view number = key.substr(std::min(key.size(), prefix.size()));
+    ShardId shard = 0;
+    const auto [end, ec] = std::from_chars(number.data(), number.data() + number.size(), shard);
+    return ec == std::errc() && end == number.data() + number.size() ? std::optional(shard) : std::nullopt;
+}
+
 ShardMap planShards(const ShardMap &map, std::span<const WorkerRecord> workers, const ShardSettings &settings)
 {
     ShardMap it = map;
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -21,6 +21,7 @@
 #include <base/clock.h>
 
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -52,6 +53,9 @@
 
 ShardKeys keysOf(ShardId shard);
 
+/** The shard whose number follows @p prefix in @p key; none where no number does. */
+std::optional<ShardId> shardOfKey(std::string_view key, std::string_view prefix);
+
 struct ShardSettings
 {
     std::uint32_t singleUpTo = 80; ///< workers; one leader on a tenth of a core carries about so many
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -11,26 +11,6 @@
 constexpr std::int64_t BacklogGrainMs = 100;                      ///< finer changes are not worth a write
 constexpr std::size_t DropsPerChange = 7;                         ///< each takes four removals
 
-/** Of tasks that could start, were there room: processor millis x milliseconds. */
-std::int64_t waitingWorkOf(const JobState &job)
-{
-    std::int64_t work = 0;
-    const auto &specs = job.accepted.spec.steps;
-    const auto &steps = job.occurrences.front().steps;
-    for (std::size_t s = 0; s < steps.size(); ++s) {
-        const bool isOpen = std::all_of(specs[s].after.begin(), specs[s].after.end(), [&steps](std::uint32_t it) {
-            return steps[it].doneCount == steps[it].tasks.size();
-        });
-        if (isOpen && !specs[s].isLasting) {
-            const auto waiting = std::count_if(steps[s].tasks.begin(), steps[s].tasks.end(), [](const TaskState &it) {
-                return it.phase == TaskPhase::Waiting;
-            });
-            work += waiting * specs[s].need.cpuMillis * specs[s].estimateMs;
-        }
-    }
-    return work;
-}
-
 } // namespace
 
 JobState *WorkflowScheduler::findJob(const JobKey &key)
@@ -143,6 +123,23 @@
     }
 }
 
+/** Of tasks that could start, were there room: processor millis x milliseconds. */
+std::int64_t WorkflowScheduler::waitingWorkOf(const JobState &job) const
+{
+    std::int64_t work = 0;
+    const auto &steps = job.occurrences.front().steps;
+    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+        const StepSpec &spec = job.accepted.spec.steps[s];
+        if (isOpen(job, 0, s) && !spec.isLasting) {
+            const auto waiting = std::count_if(steps[s].tasks.begin(), steps[s].tasks.end(), [](const TaskState &it) {
+                return it.phase == TaskPhase::Waiting;
+            });
+            work += waiting * spec.need.cpuMillis * spec.estimateMs;
+        }
+    }
+    return work;
+}
+
 ShardStatus WorkflowScheduler::describe() const
 {
     ShardStatus status;
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -7,6 +7,36 @@
 
 constexpr auto Done = WorkflowState::Completed;
 
+/** Small short tasks for @p time, more than the two workers of @p rig can take: 80 cores wanted, of 32. */
+void press(Rig &rig, int &jobs, Duration time)
+{
+    for (Duration passed{}; passed < time; passed += 100ms) {
+        rig.submit(0, Rig::makeJob("short" + std::to_string(jobs++), 8));
+        rig.run(100ms);
+    }
+}
+
+/** Starts the job "serving": one task with a target of 50 ms, far below it. */
+void serve(Rig &rig)
+{
+    WorkflowSpec serving = Rig::makeJob("serving", 1);
+    serving.steps[0].isLasting = true;
+    serving.steps[0].image = "serves";
+    serving.steps[0].latencyTargetMs = 50;
+    rig.fleet.lasting.insert("serving");
+    rig.fleet.gauges["serving"] = 10;
+    rig.submit(0, serving);
+    rig.run(3s);
+}
+
+WorkflowSpec makeFilling()
+{
+    WorkflowSpec filling = Rig::makeJob("filling", 1);
+    filling.steps[0].usesSpareCpu = true;
+    filling.steps[0].image = "fills";
+    return filling;
+}
+
 } // namespace
 
 TEST(Workflow, runsStepsInOrderAndStoresTheEnd)
@@ -207,17 +237,8 @@
     Rig rig(1, 1);
     rig.fleet.workTime = 60s;
     rig.run(2s);
-    WorkflowSpec serving = Rig::makeJob("serving", 1);
-    serving.steps[0].isLasting = true;
-    serving.steps[0].image = "serves";
-    serving.steps[0].latencyTargetMs = 50;
-    rig.fleet.lasting.insert("serving");
-    rig.fleet.gauges["serving"] = 10;
-    rig.submit(0, serving);
-    rig.run(3s);
-    WorkflowSpec filling = Rig::makeJob("filling", 1);
-    filling.steps[0].usesSpareCpu = true;
-    filling.steps[0].image = "fills";
+    serve(rig);
+    WorkflowSpec filling = makeFilling();
     rig.submit(0, filling);
     rig.run(1s);
     ASSERT_EQ(rig.fleet.runningTasks(), 2U);
@@ -240,20 +261,14 @@
     rig.fleet.workTime = 600ms;
     rig.run(2s);
     int jobs = 0;
-    const auto press = [&rig, &jobs](Duration time) {
-        for (Duration passed{}; passed < time; passed += 100ms) {
-            rig.submit(0, Rig::makeJob("short" + std::to_string(jobs++), 8)); // 80 cores wanted, of 32
-            rig.run(100ms);
-        }
-    };
-    press(2s);
+    press(rig, jobs, 2s);
     WorkflowSpec lasting = Rig::makeJob("lasting", 2);
     lasting.steps[0].need.cpuMillis = 12'000;
     lasting.steps[0].isLasting = true;
     lasting.steps[0].maxPerWorker = 1;
     rig.fleet.lasting.insert("lasting");
     rig.submit(0, lasting);
-    press(8s);
+    press(rig, jobs, 8s);
     for (const auto &[id, worker] : rig.fleet.workers) {
         EXPECT_EQ(std::count_if(worker.running.begin(),
                                 worker.running.end(),
@@ -269,17 +284,8 @@
     Rig rig(1, 1);
     rig.fleet.workTime = 60s;
     rig.run(2s);
-    WorkflowSpec serving = Rig::makeJob("serving", 1);
-    serving.steps[0].isLasting = true;
-    serving.steps[0].image = "serves";
-    serving.steps[0].latencyTargetMs = 50;
-    rig.fleet.lasting.insert("serving");
-    rig.fleet.gauges["serving"] = 10;
-    rig.submit(0, serving);
-    rig.run(3s);
-    WorkflowSpec filling = Rig::makeJob("filling", 1);
-    filling.steps[0].usesSpareCpu = true;
-    filling.steps[0].image = "fills";
+    serve(rig);
+    WorkflowSpec filling = makeFilling();
     filling.steps[0].need.cpuMillis = 100; // by the model too little to matter
     rig.submit(0, filling);
     rig.run(1s);
@@ -299,19 +305,13 @@
     rig.fleet.workTime = 600ms;
     rig.run(2s);
     int jobs = 0;
-    const auto press = [&rig, &jobs](Duration time) {
-        for (Duration passed{}; passed < time; passed += 100ms) {
-            rig.submit(0, Rig::makeJob("short" + std::to_string(jobs++), 8)); // 80 cores wanted, of 32
-            rig.run(100ms);
-        }
-    };
-    press(2s);
+    press(rig, jobs, 2s);
     WorkflowSpec lasting = Rig::makeJob("lasting", 1);
     lasting.steps[0].need.cpuMillis = 12'000;
     lasting.steps[0].isLasting = true;
     rig.fleet.lasting.insert("lasting");
     rig.submit(0, lasting);
-    press(5s);
+    press(rig, jobs, 5s);
     EXPECT_EQ(rig.state("lasting"), WorkflowState::Running);
 }
 
--- a/packages/workflow/turns.cpp
+++ b/packages/workflow/turns.cpp
@@ -66,9 +66,8 @@
     turn.acceptedMs = accepted.acceptedMs;
     turn.key = job.key();
     turn.isNew = job.state == WorkflowState::Queued;
-    const auto &steps = accepted.spec.steps;
     const bool isTimed = accepted.spec.repeatCount > 0;
-    const bool isLasting = std::any_of(steps.begin(), steps.end(), [](const StepSpec &it) { return it.isLasting; });
+    const bool isLasting = hasLastingStep(accepted.spec);
     turn.isLasting = isLasting;
     turn.isPatient = !isLasting || !hasStarvingTask(job, now);
     if (isLasting || isTimed) {
--- a/soak/test/proxy.cpp
+++ b/soak/test/proxy.cpp
@@ -6,7 +6,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
