--- a/packages/placement/enginevents.cpp
+++ b/packages/placement/enginevents.cpp
@@ -447,7 +447,7 @@
 float PlacementEngine::logSlowdown(ClassIndex service, const Shares &shares, ClassIndex self, float selfShare) const
 {
     float sum = 0;
-    for (ClassIndex it = 0; it < MaxClasses; ++it) {
+    for (ClassIndex it = 0; it < shares.size(); ++it) {
         const float share = it == self ? std::max(0.0F, shares[it] - selfShare) : shares[it];
         if (share > 0) {
             sum += share * m_model.slowdown(service, it);
@@ -576,8 +576,7 @@
         ++m_counters.samplesDropped;
         return;
     }
-    float &own = sample.neighbours[job.classIndex];
-    own = std::max(0.0F, own - task.share);
+    sample.neighbours.add(job.classIndex, -task.share); // the service is not its own neighbour
     sample.service = job.classIndex;
     sample.measured = measured;
     sample.logRatio = std::log(entry.latencyMs / job.spec.latencyTargetMs);
--- a/packages/placement/interference.cpp
+++ b/packages/placement/interference.cpp
@@ -33,10 +33,11 @@
     if (found != m_classes.end()) {
         return found->second;
     }
-    const auto index = static_cast<ClassIndex>(std::min<std::size_t>(m_names.size(), MaxClasses - 1));
-    if (m_names.size() < MaxClasses) {
-        m_names.emplace_back(name);
+    if (m_names.size() >= MaxClasses) {
+        return UntrackedClass;
     }
+    const auto index = static_cast<ClassIndex>(m_names.size());
+    m_names.emplace_back(name);
     m_classes.emplace(std::string(name), index);
     return index;
 }
@@ -46,54 +47,96 @@
     return m_names[index];
 }
 
-InterferenceModel::Row InterferenceModel::featuresOf(const ServiceSample &sample)
+std::size_t InterferenceModel::classCount() const
 {
-    Row row{};
-    row[InterceptFeature] = 1;
-    row[LoadFeature] = sample.logLoad;
-    std::copy(sample.neighbours.begin(), sample.neighbours.end(), row.begin() + FirstNeighbour);
-    return row;
+    return m_names.size();
 }
 
-InterferenceModel::Regression &InterferenceModel::regressionOf(ClassIndex service)
+// Features
+
+std::size_t InterferenceModel::findFeature(ClassIndex service, ClassIndex neighbour) const
 {
-    while (m_regressions.size() <= service) {
-        resetToPrior(m_regressions.emplace_back());
+    if (service >= m_regressions.size()) {
+        return 0;
     }
-    return m_regressions[service];
+    const auto &featureOf = m_regressions[service].featureOf;
+    return neighbour < featureOf.size() ? featureOf[neighbour] : 0;
 }
 
-void InterferenceModel::resetToPrior(Regression &regression) const
+std::size_t InterferenceModel::addFeature(Regression &regression, double mean, double strength) const
 {
-    for (std::size_t it = 0; it < Features; ++it) {
-        regression.coefficients[it] = priorMean(it);
+    const std::size_t feature = regression.featureCount();
+    regression.products.emplace_back(feature + 1, 0.0);
+    regression.sums.push_back(0);
+    regression.mean.push_back(0);
+    regression.coefficients.push_back(mean);
+    regression.localCoefficients.push_back(mean);
+    regression.standardErrors.push_back(std::sqrt(regression.residualVariance / strength));
+    return feature;
+}
+
+std::size_t InterferenceModel::featureFor(Regression &regression, ClassIndex neighbour) const
+{
+    if (neighbour >= regression.featureOf.size()) {
+        regression.featureOf.resize(neighbour + 1U);
+    }
+    std::uint16_t &feature = regression.featureOf[neighbour];
+    if (feature == 0) {
+        feature
+            = static_cast<std::uint16_t>(addFeature(regression, m_settings.priorSlowdown, m_settings.priorStrength));
+        regression.pairs.push_back({neighbour});
     }
-    regression.localCoefficients = regression.coefficients;
-    regression.standardErrors.fill(std::sqrt(regression.residualVariance / m_settings.priorStrength));
+    return feature;
 }
 
-double InterferenceModel::priorMean(std::size_t feature) const
+InterferenceModel::Pair &InterferenceModel::pairFor(ClassIndex service, ClassIndex neighbour)
 {
-    if (feature == InterceptFeature) {
-        return std::log(m_settings.priorBaseline);
+    Regression &regression = regressionOf(service);
+    return regression.pairs[featureFor(regression, neighbour) - FirstNeighbour];
+}
+
+InterferenceModel::Regression &InterferenceModel::regressionOf(ClassIndex service)
+{
+    while (m_regressions.size() <= service) {
+        Regression &it = m_regressions.emplace_back();
+        addFeature(it, std::log(m_settings.priorBaseline), WeakPriorStrength);
+        addFeature(it, 0, WeakPriorStrength);
     }
-    return feature == LoadFeature ? 0 : m_settings.priorSlowdown;
+    return m_regressions[service];
 }
 
+InterferenceModel::Row InterferenceModel::featuresOf(Regression &regression, const ServiceSample &sample) const
+{
+    for (ClassIndex it = 0; it < std::min(sample.neighbours.size(), MaxClasses); ++it) {
+        if (sample.neighbours[it] > 0) {
+            featureFor(regression, it);
+        }
+    }
+    Row row{1, sample.logLoad};
+    for (const Pair &it : regression.pairs) {
+        row.push_back(sample.neighbours[it.neighbour]);
+    }
+    return row;
+}
+
+// Samples
+
 void InterferenceModel::observe(const ServiceSample &sample)
 {
+    if (sample.service >= MaxClasses) {
+        return;
+    }
     Regression &regression = regressionOf(sample.service);
-    Row row = featuresOf(sample);
+    Row row = featuresOf(regression, sample);
     double measured = std::clamp(sample.logRatio, -MaxLogRatio, MaxLogRatio);
     const double error = measured - predict(sample);
     regression.residualVariance += ResidualSmoothing * (std::min(error * error, 1.0) - regression.residualVariance);
     updateMean(regression, row, measured, sample.measured);
-    const std::size_t n = FirstNeighbour + m_names.size();
-    for (std::size_t it = LoadFeature; it < n; ++it) {
+    for (std::size_t it = LoadFeature; it < row.size(); ++it) {
         row[it] -= regression.mean[it];
     }
     measured -= regression.meanRatio;
-    for (std::size_t i = LoadFeature; i < n; ++i) {
+    for (std::size_t i = LoadFeature; i < row.size(); ++i) {
         for (std::size_t j = LoadFeature; j <= i; ++j) {
             regression.products[i][j] += row[i] * row[j];
         }
@@ -107,7 +150,7 @@
     const bool first = regression.meanAt == TimePoint{};
     const std::chrono::duration<double> step = std::max(Duration::zero(), when - regression.meanAt);
     const double weight = first ? 1 : 1 - std::exp(-(step / m_settings.commonModeWindow));
-    for (std::size_t it = 0; it < Features; ++it) {
+    for (std::size_t it = 0; it < row.size(); ++it) {
         regression.mean[it] += weight * (row[it] - regression.mean[it]);
     }
     regression.meanRatio += weight * (measured - regression.meanRatio);
@@ -127,9 +170,9 @@
             continue; // without new samples the old ones keep their weight
         }
         refit(regression);
-        for (std::size_t i = 0; i < Features; ++i) {
-            for (std::size_t j = 0; j <= i; ++j) {
-                regression.products[i][j] *= decay;
+        for (std::size_t i = 0; i < regression.featureCount(); ++i) {
+            for (double &it : regression.products[i]) {
+                it *= decay;
             }
             regression.sums[i] *= decay;
         }
@@ -138,71 +181,60 @@
     return true;
 }
 
+// Priors and estimates of other models
+
 void InterferenceModel::pin(std::string_view service, std::string_view neighbour, double logSlowdown)
 {
     const ClassIndex row = classOf(service);
     const ClassIndex column = classOf(neighbour);
-    Regression &regression = regressionOf(row);
-    regression.pinned[column] = true;
-    regression.coefficients[FirstNeighbour + column] = logSlowdown;
-    regression.standardErrors[FirstNeighbour + column] = 0;
+    if (row >= MaxClasses || column >= MaxClasses) {
+        return;
+    }
+    pairFor(row, column).isPinned = true;
+    const std::size_t feature = findFeature(row, column);
+    m_regressions[row].coefficients[feature] = logSlowdown;
+    m_regressions[row].standardErrors[feature] = 0;
 }
 
 void InterferenceModel::setPairPrior(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength)
 {
-    Regression &regression = regressionOf(service);
-    regression.pairPrior[neighbour] = logSlowdown;
-    regression.pairPriorStrength[neighbour] = strength;
-    regression.coefficients[FirstNeighbour + neighbour] = logSlowdown;
-    regression.localCoefficients[FirstNeighbour + neighbour] = logSlowdown;
-    regression.standardErrors[FirstNeighbour + neighbour]
-        = std::sqrt(regression.residualVariance / std::max(strength, WeakPriorStrength));
+    if (service >= MaxClasses || neighbour >= MaxClasses) {
+        return;
+    }
+    Pair &pair = pairFor(service, neighbour);
+    pair.prior = logSlowdown;
+    pair.priorStrength = strength;
+    Regression &regression = m_regressions[service];
+    const std::size_t feature = findFeature(service, neighbour);
+    regression.coefficients[feature] = priorMean(regression, feature, true);
+    regression.localCoefficients[feature] = priorMean(regression, feature, false);
+    regression.standardErrors[feature] = std::sqrt(regression.residualVariance / std::max(strength, WeakPriorStrength));
 }
 
 void InterferenceModel::importEstimate(ClassIndex service, ClassIndex neighbour, double logSlowdown, double strength)
 {
-    Regression &regression = regressionOf(service);
-    regression.imported[neighbour] = logSlowdown;
-    regression.importedStrength[neighbour] = strength;
-    regression.needsRefit = true;
-}
-
-double InterferenceModel::localEstimate(ClassIndex service, ClassIndex neighbour) const
-{
-    return service >= m_regressions.size()
-               ? m_settings.priorSlowdown
-               : std::max(0.0, m_regressions[service].localCoefficients[FirstNeighbour + neighbour]);
-}
-
-double InterferenceModel::evidence(ClassIndex service, ClassIndex neighbour) const
-{
-    if (service >= m_regressions.size()) {
-        return 0;
+    if (service >= MaxClasses || neighbour >= MaxClasses) {
+        return;
     }
-    const Regression &regression = m_regressions[service];
-    const std::size_t it = FirstNeighbour + neighbour;
-    return regression.products[it][it] + regression.pairPriorStrength[neighbour];
-}
-
-std::size_t InterferenceModel::classCount() const
-{
-    return m_names.size();
+    Pair &pair = pairFor(service, neighbour);
+    pair.imported = logSlowdown;
+    pair.importedStrength = strength;
+    m_regressions[service].needsRefit = true;
 }
 
-/** Mean of the pair prior and the imported estimate, weighted by strength; the general prior if there is neither. */
+/** Mean of the general prior, the pair prior and the imported estimate, weighted by strength. */
 double InterferenceModel::priorMean(const Regression &regression, std::size_t feature, bool useImported) const
 {
     if (feature < FirstNeighbour) {
-        return priorMean(feature);
+        return feature == InterceptFeature ? std::log(m_settings.priorBaseline) : 0;
     }
-    const std::size_t neighbour = feature - FirstNeighbour;
-    const double pairStrength = regression.pairPriorStrength[neighbour];
-    const double importedStrength = useImported ? regression.importedStrength[neighbour] : 0;
-    if (pairStrength + importedStrength <= 0) {
-        return priorMean(feature);
+    const Pair &pair = regression.pairs[feature - FirstNeighbour];
+    if (pair.isPinned) {
+        return regression.coefficients[feature];
     }
-    return (pairStrength * regression.pairPrior[neighbour] + importedStrength * regression.imported[neighbour])
-           / (pairStrength + importedStrength);
+    double sum = m_settings.priorStrength * m_settings.priorSlowdown + pair.priorStrength * pair.prior;
+    sum += useImported ? pair.importedStrength * pair.imported : 0;
+    return sum / priorStrength(regression, feature, useImported);
 }
 
 double InterferenceModel::priorStrength(const Regression &regression, std::size_t feature, bool useImported) const
@@ -210,28 +242,45 @@
     if (feature < FirstNeighbour) {
         return WeakPriorStrength;
     }
-    const std::size_t neighbour = feature - FirstNeighbour;
-    if (regression.pinned[neighbour]) {
-        return PinnedStrength;
+    const Pair &pair = regression.pairs[feature - FirstNeighbour];
+    return pair.isPinned ? PinnedStrength
+                         : m_settings.priorStrength + pair.priorStrength + (useImported ? pair.importedStrength : 0);
+}
+
+// Estimates
+
+double InterferenceModel::localEstimate(ClassIndex service, ClassIndex neighbour) const
+{
+    const double strength = evidence(service, neighbour);
+    if (strength <= 0) {
+        return 0;
     }
-    return m_settings.priorStrength + regression.pairPriorStrength[neighbour]
-           + (useImported ? regression.importedStrength[neighbour] : 0);
+    const double fitted = m_regressions[service].localCoefficients[findFeature(service, neighbour)];
+    const double prior = m_settings.priorStrength;
+    return (fitted * (strength + prior) - m_settings.priorSlowdown * prior) / strength;
 }
 
-float InterferenceModel::slowdown(ClassIndex service, ClassIndex neighbour) const
+double InterferenceModel::evidence(ClassIndex service, ClassIndex neighbour) const
 {
-    if (service >= m_regressions.size()) {
-        return static_cast<float>(m_settings.priorSlowdown);
+    const std::size_t feature = findFeature(service, neighbour);
+    if (feature == 0) {
+        return 0;
     }
-    return static_cast<float>(std::max(0.0, m_regressions[service].coefficients[FirstNeighbour + neighbour]));
+    const Regression &regression = m_regressions[service];
+    return regression.products[feature][feature] + regression.pairs[feature - FirstNeighbour].priorStrength;
+}
+
+float InterferenceModel::slowdown(ClassIndex service, ClassIndex neighbour) const
+{
+    const std::size_t feature = findFeature(service, neighbour);
+    return static_cast<float>(feature == 0 ? m_settings.priorSlowdown
+                                           : std::max(0.0, m_regressions[service].coefficients[feature]));
 }
 
 float InterferenceModel::uncertainty(ClassIndex service, ClassIndex neighbour) const
 {
-    if (service >= m_regressions.size()) {
-        return static_cast<float>(m_settings.priorSlowdown);
-    }
-    return static_cast<float>(m_regressions[service].standardErrors[FirstNeighbour + neighbour]);
+    const std::size_t feature = findFeature(service, neighbour);
+    return static_cast<float>(feature == 0 ? m_settings.priorSlowdown : m_regressions[service].standardErrors[feature]);
 }
 
 float InterferenceModel::predict(const ServiceSample &sample) const
@@ -241,8 +290,8 @@
     }
     const Regression &regression = m_regressions[sample.service];
     double sum = regression.coefficients[InterceptFeature] + regression.coefficients[LoadFeature] * sample.logLoad;
-    for (std::size_t it = 0; it < m_names.size(); ++it) {
-        sum += std::max(0.0, regression.coefficients[FirstNeighbour + it]) * sample.neighbours[it];
+    for (ClassIndex it = 0; it < sample.neighbours.size(); ++it) {
+        sum += sample.neighbours[it] > 0 ? slowdown(sample.service, it) * sample.neighbours[it] : 0;
     }
     return static_cast<float>(sum);
 }
@@ -250,13 +299,11 @@
 /** Solves the ridge regression by Cholesky decomposition of feature products plus prior strengths. */
 InterferenceModel::Row InterferenceModel::solve(const Regression &regression, bool useImported) const
 {
-    const std::size_t n = FirstNeighbour + m_names.size();
-    std::array<Row, Features> lower{};
-    Row right{};
+    const std::size_t n = regression.featureCount();
+    std::vector<Row> lower(n, Row(n));
+    Row right(n);
     for (std::size_t i = 0; i < n; ++i) {
-        const bool pinned = i >= FirstNeighbour && regression.pinned[i - FirstNeighbour];
         const double strength = priorStrength(regression, i, useImported);
-        const double mean = pinned ? regression.coefficients[i] : priorMean(regression, i, useImported);
         for (std::size_t j = 0; j <= i; ++j) {
             double sum = regression.products[i][j] + (i == j ? strength : 0);
             for (std::size_t k = 0; k < j; ++k) {
@@ -264,13 +311,13 @@
             }
             lower[i][j] = i == j ? std::sqrt(std::max(sum, 1e-9)) : sum / lower[j][j];
         }
-        right[i] = regression.sums[i] + strength * mean;
+        right[i] = regression.sums[i] + strength * priorMean(regression, i, useImported);
         for (std::size_t k = 0; k < i; ++k) {
             right[i] -= lower[i][k] * right[k];
         }
         right[i] /= lower[i][i];
     }
-    Row solution{};
+    Row solution(n);
     for (std::size_t i = n; i-- > 0;) {
         double sum = right[i];
         for (std::size_t k = i + 1; k < n; ++k) {
@@ -284,14 +331,12 @@
 /** Recomputes coefficients and standard errors from the samples and priors. */
 void InterferenceModel::refit(Regression &regression) const
 {
-    const std::size_t n = FirstNeighbour + m_names.size();
     const bool hasImported = std::any_of(
-        regression.importedStrength.begin(), regression.importedStrength.end(), [](double it) { return it > 0; });
+        regression.pairs.begin(), regression.pairs.end(), [](const Pair &it) { return it.importedStrength > 0; });
     const Row solution = solve(regression, true);
     regression.localCoefficients = hasImported ? solve(regression, false) : solution;
-    for (std::size_t i = 0; i < n; ++i) {
-        const bool pinned = i >= FirstNeighbour && regression.pinned[i - FirstNeighbour];
-        if (!pinned) {
+    for (std::size_t i = 0; i < solution.size(); ++i) {
+        if (i < FirstNeighbour || !regression.pairs[i - FirstNeighbour].isPinned) {
             regression.coefficients[i] = solution[i];
             // The conditional standard error is cheap and suffices to tell rarely seen pairs from well known ones.
             regression.standardErrors[i] = std::sqrt(
@@ -300,7 +345,7 @@
     }
     if (regression.meanAt != TimePoint{}) {
         double intercept = regression.meanRatio;
-        for (std::size_t it = LoadFeature; it < n; ++it) {
+        for (std::size_t it = LoadFeature; it < solution.size(); ++it) {
             intercept -= regression.coefficients[it] * regression.mean[it];
         }
         regression.coefficients[InterceptFeature] = intercept;
@@ -313,7 +358,7 @@
 
 void ResidencyHistory::add(ClassIndex index, float share, TimePoint now)
 {
-    m_current[index] = std::max(0.0F, m_current[index] + share);
+    m_current.add(index, share);
     const Change change{now, index, share};
     if (m_changes.size() < MaxChanges) {
         m_changes.push_back(change);
@@ -341,7 +386,7 @@
         if (change.when <= when) {
             break;
         }
-        out[change.index] = std::max(0.0F, out[change.index] - change.share);
+        out.add(change.index, -change.share);
     }
     return true;
 }
--- a/packages/placement/interference.h
+++ b/packages/placement/interference.h
@@ -18,7 +18,7 @@
 #include <placement/settings.h>
 #include <platform/platform.h>
 
-#include <array>
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -28,9 +28,34 @@
 namespace QuetzalRock {
 
 using ClassIndex = std::uint16_t;
-constexpr ClassIndex MaxClasses = 32; ///< further classes share the last index
+constexpr ClassIndex MaxClasses = 256; ///< bounds the memory of a model
 
-using Shares = std::array<float, MaxClasses>; ///< by ClassIndex: fraction of the worker's processors used
+/** Stands for all classes beyond MaxClasses. Nothing is learned about it, so its estimates stay at the prior. */
+constexpr ClassIndex UntrackedClass = MaxClasses;
+
+/** Fraction of a worker's processors that each class uses. */
+class Shares
+{
+public:
+    float operator[](ClassIndex index) const
+    {
+        return index < m_shares.size() ? m_shares[index] : 0;
+    }
+    void add(ClassIndex index, float share) ///< @p share may be negative; the sum does not fall below 0
+    {
+        if (index >= m_shares.size()) {
+            m_shares.resize(index + 1U);
+        }
+        m_shares[index] = std::max(0.0F, m_shares[index] + share);
+    }
+    ClassIndex size() const ///< classes from here on use nothing
+    {
+        return static_cast<ClassIndex>(m_shares.size());
+    }
+
+private:
+    std::vector<float> m_shares;
+};
 
 struct ServiceSample
 {
@@ -43,14 +68,16 @@
 
 /**
  * One ridge regression for each service class over its neighbours' shares, with a prior and exponential forgetting.
- * observe() costs a few hundred additions; the regressions are solved in refresh() only.
+ * Only neighbours that have been seen beside a service take part in its regression, so cost and memory grow with the
+ * number of pairs seen, not with the number of classes. The regressions are solved in refresh() only.
  */
 class InterferenceModel
 {
 public:
     explicit InterferenceModel(const PlacementSettings &settings);
 
-    ClassIndex classOf(std::string_view name); ///< adds the class if it is not known
+    /** Adds the class if it is not known. Returns UntrackedClass once MaxClasses other classes are known. */
+    ClassIndex classOf(std::string_view name);
     const std::string &nameOf(ClassIndex index) const;
 
     void observe(const ServiceSample &sample);
@@ -71,7 +98,11 @@
     /** Weight of the samples and prior of a pair, in the unit of setPairPrior(); excludes imported estimates. */
     double evidence(ClassIndex service, ClassIndex neighbour) const;
 
-    /** Log slowdown of a pair without imported estimates, so that other models can import it. */
+    /**
+     * Log slowdown of a pair by its samples and setPairPrior() alone, so that other models can import it: the means of
+     * several models, weighted by their evidence(), are the mean over all their samples. May be negative. 0 without
+     * evidence.
+     */
     double localEstimate(ClassIndex service, ClassIndex neighbour) const;
     std::size_t classCount() const;
 
@@ -80,36 +111,50 @@
     float predict(const ServiceSample &sample) const;                  ///< expected ServiceSample::logRatio
 
 private:
-    static constexpr std::size_t Features = 2 + MaxClasses; ///< intercept, load, neighbours
-    using Row = std::array<double, Features>;
+    using Row = std::vector<double>; ///< by feature: intercept, load, then the neighbours in the order first seen
+
+    /** What is known about one neighbour class of a service. */
+    struct Pair
+    {
+        ClassIndex neighbour = 0;
+        bool isPinned = false;
+        double prior = 0; ///< from setPairPrior(); valid if priorStrength is not 0
+        double priorStrength = 0;
+        double imported = 0; ///< from importEstimate(); valid if importedStrength is not 0
+        double importedStrength = 0;
+    };
 
     /** The samples and estimates of one service class. */
     struct Regression
     {
-        std::array<Row, Features> products{}; ///< decayed sum of feature products; lower triangle
-        Row sums{};                           ///< decayed sum of feature times measured log ratio
-        Row mean{};                           ///< running mean of the features, with time constant commonModeWindow
-        double meanRatio = 0;                 ///< running mean of the measured log ratio, with the same time constant
+        std::vector<Pair> pairs;              ///< features from FirstNeighbour on
+        std::vector<std::uint16_t> featureOf; ///< by ClassIndex; 0 or missing: the pair has not been seen
+        std::vector<Row> products;            ///< decayed sum of feature products; lower triangle
+        Row sums;                             ///< decayed sum of feature times measured log ratio
+        Row mean;                             ///< running mean of the features, with time constant commonModeWindow
+        double meanRatio = 0;                 ///< running mean of the log ratio, with the same time constant
         TimePoint meanAt{};                   ///< time of the latest sample in the means; zero: none
-        Row coefficients{};
-        Row standardErrors{};
-        std::array<bool, MaxClasses> pinned{};
-        std::array<double, MaxClasses> pairPrior{}; ///< from setPairPrior(); valid where pairPriorStrength is not 0
-        std::array<double, MaxClasses> pairPriorStrength{};
-        std::array<double, MaxClasses> imported{}; ///< from importEstimate(); valid where importedStrength is not 0
-        std::array<double, MaxClasses> importedStrength{};
-        Row localCoefficients{};        ///< coefficients without imported estimates
+        Row coefficients;
+        Row localCoefficients; ///< coefficients without imported estimates
+        Row standardErrors;
         double residualVariance = 0.04; ///< smoothed squared prediction error
         bool needsRefit = false;
+
+        std::size_t featureCount() const
+        {
+            return sums.size();
+        }
     };
 
-    static Row featuresOf(const ServiceSample &sample);
+    std::size_t findFeature(ClassIndex service, ClassIndex neighbour) const; ///< 0: the pair has not been seen
+    std::size_t addFeature(Regression &regression, double mean, double strength) const;
+    std::size_t featureFor(Regression &regression, ClassIndex neighbour) const; ///< adds the pair if it is new
+    Pair &pairFor(ClassIndex service, ClassIndex neighbour);
+    Row featuresOf(Regression &regression, const ServiceSample &sample) const;
     void updateMean(Regression &regression, const Row &row, double measured, TimePoint when) const;
     Regression &regressionOf(ClassIndex service);
     Row solve(const Regression &regression, bool useImported) const;
     void refit(Regression &regression) const;
-    void resetToPrior(Regression &regression) const;
-    double priorMean(std::size_t feature) const;
     double priorMean(const Regression &regression, std::size_t feature, bool useImported) const;
     double priorStrength(const Regression &regression, std::size_t feature, bool useImported) const;
 
--- a/packages/placement/tests/interferencetest.cpp
+++ b/packages/placement/tests/interferencetest.cpp
@@ -134,7 +134,7 @@
     ServiceSample sample;
     sample.service = service;
     sample.logRatio = 3;
-    sample.neighbours[model.classOf("build")] = 1;
+    sample.neighbours.add(model.classOf("build"), 1);
     for (int it = 0; it < 100; ++it) {
         model.observe(sample);
     }
@@ -151,7 +151,8 @@
     const ClassIndex build = model.classOf("build");
     const auto observeSlowdown = [&](double slowdown, double from, double until) {
         for (double second = from; second < until; second += 1) {
-            sample.neighbours[build] = static_cast<float>(static_cast<int>(second) % 2);
+            sample.neighbours = {};
+            sample.neighbours.add(build, static_cast<float>(static_cast<int>(second) % 2));
             sample.logRatio = slowdown * sample.neighbours[build];
             sample.measured = at(second);
             model.observe(sample);
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -19,7 +19,9 @@
 constexpr double SmallEffect = 0.25;     ///< with a smaller total effect, the tail is a good measure of the own load
 constexpr double PeakLoadDecay = 0.9995; ///< per report
 constexpr double MinLoad = 0.05;
-constexpr int SavedVersion = 1;
+constexpr int SavedVersion = 2;
+constexpr double MaxSavedEffect = 1000;   ///< larger figures are taken as damage
+constexpr double MinSavedEvidence = 1e-4; ///< weaker pairs say nothing and only make the record larger
 constexpr double MaxLoadedEvidence = 1;   ///< per pair, in changes of a full neighbour: new reports can outweigh it
 constexpr double MaxImportedEvidence = 4; ///< per pair, from all other shards: outweighs the prior by far
 constexpr double MaxEffect = 10;     ///< at 10, a tenth of the CPU doubles the utilisation; more is saturation or noise
@@ -98,6 +100,57 @@
     return 1 / std::sqrt(m_weight);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// SavedPressure
+// ---------------------------------------------------------------------------------------------------------------------
+
+std::string encodePressure(const SavedPressure &saved)
+{
+    nlohmann::json rows = nlohmann::json::array({SavedVersion});
+    for (const SavedPressure::Service &it : saved.services) {
+        nlohmann::json pairs = nlohmann::json::array();
+        for (const SavedPressure::Pair &pair : it.pairs) {
+            pairs.push_back({pair.neighbour, static_cast<float>(pair.effect), static_cast<float>(pair.evidence)});
+        }
+        rows.push_back({it.image, it.minTailMs, it.peakLoad, std::move(pairs)});
+    }
+    std::string bytes;
+    nlohmann::json::to_msgpack(rows, bytes);
+    return bytes;
+}
+
+SavedPressure decodePressure(std::string_view bytes)
+{
+    const nlohmann::json rows = nlohmann::json::from_msgpack(bytes, true, false);
+    if (!rows.is_array() || rows.empty() || rows[0] != SavedVersion) {
+        throw InvalidArgument("pressure", "not a stored model of this version");
+    }
+    SavedPressure saved;
+    try {
+        for (std::size_t i = 1; i < rows.size(); ++i) {
+            SavedPressure::Service &it
+                = saved.services.emplace_back(SavedPressure::Service{rows[i].at(0), rows[i].at(1), rows[i].at(2), {}});
+            for (const nlohmann::json &row : rows[i].at(3)) {
+                it.pairs.push_back({row.at(0), row.at(1), row.at(2)});
+            }
+        }
+    } catch (const nlohmann::json::exception &error) {
+        throw InvalidArgument("pressure", error.what());
+    }
+    for (const SavedPressure::Service &it : saved.services) {
+        const bool isPlausible = it.minTailMs > 0 && std::isfinite(it.minTailMs) && it.peakLoad >= MinLoad
+                                 && it.peakLoad <= 1
+                                 && std::all_of(it.pairs.begin(), it.pairs.end(), [](const SavedPressure::Pair &pair) {
+                                        return std::abs(pair.effect) <= MaxSavedEffect && pair.evidence > 0
+                                               && std::isfinite(pair.evidence);
+                                    });
+        if (!isPlausible) {
+            throw InvalidArgument("pressure", "figure out of range for image " + it.image);
+        }
+    }
+    return saved;
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // PressureModel
 // ---------------------------------------------------------------------------------------------------------------------
@@ -110,28 +163,28 @@
 ClassIndex PressureModel::classOf(std::string_view image)
 {
     const ClassIndex index = m_model.classOf(image);
-    serviceOf(index);
+    imageAt(index);
     return index;
 }
 
-PressureModel::Service &PressureModel::serviceOf(ClassIndex index)
+PressureModel::Image &PressureModel::imageAt(ClassIndex index)
 {
-    if (m_services.size() <= index) {
-        m_services.resize(index + 1U);
+    if (m_images.size() <= index) {
+        m_images.resize(index + 1U);
     }
-    return m_services[index];
+    return m_images[index];
 }
 
 double PressureModel::baseLatencyMs(ClassIndex service) const
 {
-    return m_services[service].minTailMs * BaseOverMinTail;
+    return m_images[service].minTailMs * BaseOverMinTail;
 }
 
 double PressureModel::totalEffect(ClassIndex service, const Shares &shares) const
 {
     double effects = 0;
-    for (std::size_t i = 0; i < shares.size(); ++i) {
-        effects += shares[i] > 0 ? effect(service, static_cast<ClassIndex>(i)) * shares[i] : 0;
+    for (ClassIndex i = 0; i < shares.size(); ++i) {
+        effects += shares[i] > 0 ? effect(service, i) * shares[i] : 0;
     }
     return effects;
 }
@@ -139,8 +192,8 @@
 double PressureModel::totalEffectError(ClassIndex service, const Shares &shares) const
 {
     double sum = 0;
-    for (std::size_t i = 0; i < shares.size(); ++i) {
-        const double error = shares[i] > 0 ? m_model.uncertainty(service, static_cast<ClassIndex>(i)) * shares[i] : 0;
+    for (ClassIndex i = 0; i < shares.size(); ++i) {
+        const double error = shares[i] > 0 ? m_model.uncertainty(service, i) * shares[i] : 0;
         sum += error * error;
     }
     return std::sqrt(sum);
@@ -149,7 +202,13 @@
 void PressureModel::observe(
     ClassIndex service, std::int64_t tailMs, const Shares &shares, TimePoint now, StepLoad &load)
 {
-    Service &it = serviceOf(service);
+    if (service == UntrackedClass) {
+        return;
+    }
+    Image &it = imageAt(service);
+    for (ClassIndex i = 0; i < shares.size(); ++i) {
+        imageAt(i).isNeighbour |= shares[i] > 0;
+    }
     const auto tail = static_cast<double>(std::max<std::int64_t>(1, tailMs));
     it.minTailMs = it.minTailMs == 0 ? tail : std::min(it.minTailMs * MinTailGrowth, tail);
     const double utilisation = std::clamp(1 - baseLatencyMs(service) / tail, MinLoad, MaxUtilisation);
@@ -178,44 +237,64 @@
     }
 }
 
-std::string PressureModel::save() const
+SavedPressure PressureModel::save() const
 {
-    nlohmann::json rows = nlohmann::json::array({SavedVersion});
-    for (std::size_t s = 0; s < m_services.size() && s < m_model.classCount(); ++s) {
+    SavedPressure saved;
+    for (std::size_t s = 0; s < m_images.size() && s < m_model.classCount(); ++s) {
         const auto service = static_cast<ClassIndex>(s);
-        if (m_services[s].minTailMs == 0) {
+        if (m_images[s].minTailMs == 0) {
             continue; // not a serving image, or no reports yet
         }
-        nlohmann::json pairs = nlohmann::json::array();
+        SavedPressure::Service &it = saved.services.emplace_back(
+            SavedPressure::Service{m_model.nameOf(service), m_images[s].minTailMs, m_images[s].peakLoad, {}});
         for (std::size_t n = 0; n < m_model.classCount(); ++n) {
             const auto neighbour = static_cast<ClassIndex>(n);
-            if (const double evidence = m_model.evidence(service, neighbour); evidence > 0) {
-                pairs.push_back({m_model.nameOf(neighbour), m_model.localEstimate(service, neighbour), evidence});
+            if (const double evidence = m_model.evidence(service, neighbour); evidence >= MinSavedEvidence) {
+                it.pairs.push_back({m_model.nameOf(neighbour), m_model.localEstimate(service, neighbour), evidence});
             }
         }
-        rows.push_back({m_model.nameOf(service), m_services[s].minTailMs, m_services[s].peakLoad, std::move(pairs)});
     }
-    std::string bytes;
-    nlohmann::json::to_msgpack(rows, bytes);
-    return bytes;
+    return saved;
 }
 
-void PressureModel::load(std::string_view bytes)
+/** Updates the minimum tail, and the peak load if there are no own reports. */
+ClassIndex PressureModel::applySavedService(const SavedPressure::Service &saved)
 {
-    for (const SavedPair &it : decodeSaved(bytes)) {
-        m_model.setPairPrior(it.service, it.neighbour, it.effect, std::min(MaxLoadedEvidence, it.evidence));
+    const ClassIndex service = classOf(saved.image);
+    if (service != UntrackedClass) {
+        Image &it = m_images[service];
+        it.peakLoad = it.minTailMs == 0 ? saved.peakLoad : it.peakLoad;
+        it.minTailMs = it.minTailMs == 0 ? saved.minTailMs : std::min(it.minTailMs, saved.minTailMs);
     }
+    return service;
 }
 
-void PressureModel::importPeers(std::span<const std::string> others)
+void PressureModel::load(const SavedPressure &saved)
+{
+    for (const SavedPressure::Service &it : saved.services) {
+        const ClassIndex service = applySavedService(it);
+        for (const SavedPressure::Pair &pair : it.pairs) {
+            const ClassIndex neighbour = classOf(pair.neighbour);
+            imageAt(neighbour).isNeighbour = true;
+            m_model.setPairPrior(service, neighbour, pair.effect, std::min(MaxLoadedEvidence, pair.evidence));
+        }
+    }
+}
+
+void PressureModel::importPeers(std::span<const SavedPressure> others)
 {
     std::map<std::pair<ClassIndex, ClassIndex>, std::pair<double, double>>
         pairs; // sums of weighted effects and of weights
-    for (const std::string &bytes : others) {
-        for (const SavedPair &it : decodeSaved(bytes)) {
-            auto &[effects, weight] = pairs[{it.service, it.neighbour}];
-            effects += it.evidence * it.effect;
-            weight += it.evidence;
+    for (const SavedPressure &other : others) {
+        for (const SavedPressure::Service &it : other.services) {
+            const ClassIndex service = applySavedService(it);
+            for (const SavedPressure::Pair &pair : it.pairs) {
+                const ClassIndex neighbour = classOf(pair.neighbour);
+                imageAt(neighbour).isNeighbour = true;
+                auto &[effects, weight] = pairs[{service, neighbour}];
+                effects += pair.evidence * pair.effect;
+                weight += pair.evidence;
+            }
         }
     }
     for (const auto &[pair, sums] : pairs) {
@@ -224,32 +303,25 @@
     }
 }
 
-/** Decodes a saved model; also updates minimum tails, and the peak loads of services without own reports. */
-std::vector<PressureModel::SavedPair> PressureModel::decodeSaved(std::string_view bytes)
+std::vector<ClassIndex> PressureModel::knownNeighbours() const
 {
-    const nlohmann::json rows = nlohmann::json::from_msgpack(bytes, true, false);
-    if (!rows.is_array() || rows.empty() || rows[0] != SavedVersion) {
-        throw InvalidArgument("pressure", "not a stored model of this version");
-    }
-    std::vector<SavedPair> pairs;
-    try {
-        for (std::size_t i = 1; i < rows.size(); ++i) {
-            const ClassIndex service = classOf(rows[i].at(0).get<std::string>());
-            Service &it = m_services[service];
-            const double minTailMs = rows[i].at(1);
-            it.peakLoad = it.minTailMs == 0 ? rows[i].at(2).get<double>() : it.peakLoad;
-            it.minTailMs = it.minTailMs == 0 ? minTailMs : std::min(it.minTailMs, minTailMs);
-            for (const nlohmann::json &row : rows[i].at(3)) {
-                const double evidence = row.at(2);
-                if (evidence > 0) {
-                    pairs.push_back({service, classOf(row.at(0).get<std::string>()), row.at(1), evidence});
-                }
-            }
+    std::vector<ClassIndex> known;
+    for (std::size_t i = 0; i < std::min<std::size_t>(m_images.size(), MaxClasses); ++i) {
+        if (m_images[i].isNeighbour) {
+            known.push_back(static_cast<ClassIndex>(i));
         }
-    } catch (const nlohmann::json::exception &error) {
-        throw InvalidArgument("pressure", error.what());
     }
-    return pairs;
+    return known;
+}
+
+bool PressureModel::hasNeighbours() const
+{
+    return std::any_of(m_images.begin(), m_images.end(), [](const Image &it) { return it.isNeighbour; });
+}
+
+const std::string &PressureModel::imageOf(ClassIndex index) const
+{
+    return m_model.nameOf(index);
 }
 
 void PressureModel::refresh(TimePoint now)
@@ -273,7 +345,7 @@
 
 double PressureModel::expectedLoad(ClassIndex service, const StepLoad &load, TimePoint at) const
 {
-    return load.isKnown(at) ? std::clamp(load.estimateAt(at), MinLoad, 1.0) : m_services[service].peakLoad;
+    return load.isKnown(at) ? std::clamp(load.estimateAt(at), MinLoad, 1.0) : m_images[service].peakLoad;
 }
 
 double PressureModel::utilisationForTail(ClassIndex service, std::int64_t targetMs) const
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -1,8 +1,8 @@
 /**
  * Learns how much best-effort tasks slow down the serving tasks on the same worker, and computes throttles for them.
  *
- * Assumed workload: a handful of images that use spare CPU and a handful that serve. For each pair the effect is either
- * small or strong. It is not declared anywhere and shows only in the serving tasks' tail latency, half a second late.
+ * Assumed workload: dozens of images that use spare CPU and dozens that serve. For each pair the effect is either small
+ * or strong. It is not declared anywhere and shows only in the serving tasks' tail latency, half a second late.
  * The serving tasks' own load rises and falls within seconds, and the tasks of one job do so together.
  *
  * A serving task is modelled as a queue: tail latency = base latency / (1 - utilisation), where utilisation = own load
@@ -14,6 +14,7 @@
  *   PressureSettings   thresholds and timings
  *   StepLoad           estimates the own load of the serving tasks of one step
  *   BestEffortTask     a best-effort task, as input of planThrottle()
+ *   SavedPressure      what a leader has learned, as exchanged between the leaders of a fleet
  *   PressureModel      the learned effects by pair of images; wraps the placement package's InterferenceModel
  *   planThrottle()     computes throttles that keep a serving task below a utilisation
  */
@@ -92,11 +93,34 @@
     int percent = 100; ///< current throttle
 };
 
+/** What a leader has learned from the workers of its own shard. */
+struct SavedPressure
+{
+    struct Pair
+    {
+        std::string neighbour;
+        double effect = 0;   ///< see InterferenceModel::localEstimate()
+        double evidence = 0; ///< see InterferenceModel::evidence(); positive
+    };
+    struct Service
+    {
+        std::string image;
+        double minTailMs = 0;
+        double peakLoad = 0;
+        std::vector<Pair> pairs;
+    };
+    std::vector<Service> services;
+};
+
+std::string encodePressure(const SavedPressure &saved);
+SavedPressure decodePressure(std::string_view bytes); ///< throws InvalidArgument; also for a figure out of range
+
 class PressureModel
 {
 public:
     PressureModel();
 
+    /** UntrackedClass once too many images are known; nothing is learned about such an image. */
     ClassIndex classOf(std::string_view image);
 
     /** Learns from a serving task's tail latency and the CPU shares that neighbours of each image used at that time. */
@@ -113,36 +137,32 @@
     /** Utilisation at which the tail latency is @p targetMs. */
     double utilisationForTail(ClassIndex service, std::int64_t targetMs) const;
 
-    /** Encodes what this model has learned, for the next leader and for the leaders of other shards. */
-    std::string save() const;
+    /** What this model has learned, for the next leader and for the leaders of other shards. */
+    SavedPressure save() const;
 
-    /** Loads what a previous leader saved. Throws InvalidArgument if it cannot be decoded. */
-    void load(std::string_view bytes);
+    void load(const SavedPressure &saved);                   ///< loads what a previous leader saved
+    void importPeers(std::span<const SavedPressure> others); ///< what other shards saved; replaces any earlier import
 
-    /** Uses what the leaders of other shards saved; replaces any earlier import. Throws InvalidArgument. */
-    void importPeers(std::span<const std::string> others);
+    /** Images that are known as neighbours of serving tasks, from own reports or from other shards. */
+    std::vector<ClassIndex> knownNeighbours() const;
+    bool hasNeighbours() const; ///< whether there are any
+    const std::string &imageOf(ClassIndex index) const;
 
 private:
-    struct Service
+    struct Image
     {
-        double minTailMs = 0; ///< 0: no reports yet
+        double minTailMs = 0; ///< serving image; 0: no reports yet
         double peakLoad = 0.6;
+        bool isNeighbour = false; ///< has been seen beside a serving task
     };
-    struct SavedPair
-    {
-        ClassIndex service = 0;
-        ClassIndex neighbour = 0;
-        double effect = 0;
-        double evidence = 0; ///< see InterferenceModel::evidence()
-    };
-    std::vector<SavedPair> decodeSaved(std::string_view bytes);
-    Service &serviceOf(ClassIndex index);
+    ClassIndex applySavedService(const SavedPressure::Service &saved);
+    Image &imageAt(ClassIndex index);
     double totalEffect(ClassIndex service, const Shares &shares) const;
     double totalEffectError(ClassIndex service, const Shares &shares) const;
     double baseLatencyMs(ClassIndex service) const;
 
     InterferenceModel m_model;
-    std::vector<Service> m_services; ///< by ClassIndex
+    std::vector<Image> m_images; ///< by ClassIndex
 };
 
 /**
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -2,11 +2,15 @@
 #include <workflow/scheduler.h>
 
 #include <algorithm>
+#include <cmath>
+#include <set>
 
 namespace QuetzalRock::Workflow {
 
 namespace {
 
+constexpr int ToleranceResolution = 5; ///< percent; smaller changes do not cause a write
+
 bool isServing(const TaskRef &ref)
 {
     return ref.spec().isLongRunning && ref.spec().latencyTargetMs > 0;
@@ -92,6 +96,39 @@
     return strongest;
 }
 
+std::map<std::string, int> WorkflowScheduler::bestEffortTolerance() const
+{
+    const std::vector<ClassIndex> images = m_pressure.knownNeighbours();
+    std::vector<double> tolerated(images.size()); // CPU millis
+    double capacity = 0;
+    for (const auto &worker : m_workers) {
+        if (!worker->isRegistered || worker->record.condition != WorkerCondition::Ready) {
+            continue;
+        }
+        std::set<ClassIndex> services;
+        for (const TaskRef &it : worker->runs) {
+            if (isServing(it)) {
+                services.insert(imageOf(it));
+            }
+        }
+        const auto millis = static_cast<double>(worker->record.capacity.cpuMillis);
+        capacity += millis;
+        for (std::size_t i = 0; i < images.size(); ++i) {
+            double strongest = 0;
+            for (const ClassIndex service : services) {
+                strongest = std::max(strongest, m_pressure.effect(service, images[i]));
+            }
+            tolerated[i] += millis / (1 + strongest);
+        }
+    }
+    std::map<std::string, int> tolerance;
+    for (std::size_t i = 0; i < images.size() && capacity > 0; ++i) {
+        const auto steps = std::lround(tolerated[i] / capacity * 100 / ToleranceResolution);
+        tolerance[m_pressure.imageOf(images[i])] = static_cast<int>(steps) * ToleranceResolution;
+    }
+    return tolerance;
+}
+
 /** Feeds the tail latencies of a report to the pressure model, then adjusts the throttles of best-effort tasks. */
 void WorkflowScheduler::observePressure(WorkerIndex index)
 {
@@ -103,8 +140,8 @@
     Shares shares{};
     for (const TaskRef &it : worker.runs) {
         if (it.spec().usesSpareCpu) { // CPU use over the half second that the tail latencies cover
-            shares[imageOf(it)]
-                += static_cast<float>(it.task().gauge) / static_cast<float>(worker.record.capacity.cpuMillis);
+            shares.add(imageOf(it),
+                       static_cast<float>(it.task().gauge) / static_cast<float>(worker.record.capacity.cpuMillis));
         }
     }
     for (const TaskRef &it : worker.runs) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -59,7 +59,7 @@
                                                               ///< callers may be up to two seconds old
     Duration pressureStoreInterval = std::chrono::seconds(4); ///< between writes of the pressure model
     /** With several shards, between writes, and between reads of the other shards' models: bursts last only seconds. */
-    Duration pressureShareInterval = std::chrono::seconds(2);
+    Duration pressureShareInterval = std::chrono::seconds(1);
     Duration storeRetryDelay = std::chrono::milliseconds(200); ///< after a failed write
 
     // Placement
@@ -136,6 +136,7 @@
     void loadPressure();
     void loadSharedPressure(TimePoint now);
     void onSharedPressureLoaded(const StoreReply &reply);
+    std::optional<SavedPressure> readPressure(const StoreItem &item);
     void loadProgress(const std::string &afterKey);
     void onProgressPage(const StoreReply &reply);
     void retryLoad(std::string_view what);
@@ -210,6 +211,7 @@
     std::vector<BestEffortTask> describeBestEffortRuns(const WorkerState &worker, std::span<const TaskRef> runs) const;
     double allowedInterference(const TaskRef &serving, double margin) const;
     std::optional<double> interferenceOf(const WorkerState &worker, const TaskRef &ref) const;
+    std::map<std::string, int> bestEffortTolerance() const; ///< see ShardStatus::tolerance
 
     // Persistence (storing.cpp)
     void markDirty(JobState &job);
@@ -269,6 +271,8 @@
     std::uint64_t m_workersRevision = 0;
 
     PressureModel m_pressure;
+    std::set<std::string> m_unreadablePressure; ///< keys of stored models that were logged as unreadable
+    std::set<std::string> m_untrackedImages;    ///< images that were logged as exceeding the model's limit
     bool m_hasOtherShards = false;
     TimePoint m_nextSharedPressureAt{}; ///< earliest next read of the other shards' models
 
--- a/packages/workflow/shardassigner.cpp
+++ b/packages/workflow/shardassigner.cpp
@@ -91,7 +91,9 @@
     const AcceptedJob job = decodeAccepted(value);
     const ShardId shard = chooseLongRunningShard(m_map, m_statuses, recentCpuMillis(), job.pool, job.spec);
     const std::string registration = std::string(RegistrationPrefix) + key;
-    m_recent[key] = {shard, longRunningCpuMillisOf(job.spec), 0};
+    RecentAssignment recent{shard, {}, 0};
+    addLongRunningCpu(recent.cpuMillis, job.spec);
+    m_recent[key] = std::move(recent);
     StoreChange change;
     change.conditions = {{makeShardKeys(0).leader, m_term.keyRevision}, {registration, registrationRevision}};
     change.puts = {{registration, encodeRegistration(shard), 0}, {makeShardKeys(shard).jobs + key, value, 0}};
@@ -124,16 +126,18 @@
     it.retryAt = m_clock.now() + RetryDelay;
 }
 
-std::map<ShardId, std::int64_t> ShardAssigner::recentCpuMillis()
+std::map<ShardId, CpuByImage> ShardAssigner::recentCpuMillis()
 {
     std::erase_if(m_recent, [this](const auto &entry) {
         const auto status = m_statuses.find(entry.second.shard);
         return entry.second.revision != 0 && status != m_statuses.end()
                && status->second.inboxRevision >= entry.second.revision;
     });
-    std::map<ShardId, std::int64_t> cpuMillis;
+    std::map<ShardId, CpuByImage> cpuMillis;
     for (const auto &[key, it] : m_recent) {
-        cpuMillis[it.shard] += it.cpuMillis;
+        for (const auto &[image, millis] : it.cpuMillis) {
+            cpuMillis[it.shard][image] += millis;
+        }
     }
     return cpuMillis;
 }
--- a/packages/workflow/shardassigner.h
+++ b/packages/workflow/shardassigner.h
@@ -42,7 +42,7 @@
     struct RecentAssignment
     {
         ShardId shard = 0;
-        std::int64_t cpuMillis = 0;
+        CpuByImage cpuMillis;
         std::uint64_t revision = 0; ///< of the write; 0: in flight
     };
 
@@ -52,7 +52,7 @@
     void assign(const JobKey &key, std::uint64_t registrationRevision);
     void onAssigned(const JobKey &key, ShardId shard, const StoreReply &reply);
     void scheduleRetry(const JobKey &key);
-    std::map<ShardId, std::int64_t> recentCpuMillis();
+    std::map<ShardId, CpuByImage> recentCpuMillis();
 
     RecordStore &m_store;
     Clock &m_clock;
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -24,6 +24,11 @@
 constexpr std::int64_t DataLocalityWaitFactor
     = 2; ///< acceptable extra wait, in run times: away from its data a task takes three times as long
 
+constexpr int UnknownTolerance = 25;    ///< percent; for an image of which a shard reports nothing
+constexpr double MixingPenalty = 0.2;   ///< acceptable extra utilisation to keep images apart
+constexpr double NearlyFull = 0.85;     ///< above this utilisation, large tasks may not find room ...
+constexpr double NearlyFullPenalty = 4; ///< ... so each further part of it counts that much more
+
 struct Rack
 {
     std::string name;
@@ -150,6 +155,38 @@
     return found == statuses.end() ? 0 : found->second.backlogMs;
 }
 
+/** How well @p shard bears the best-effort tasks of @p spec, as the least of its images; 1 if there are none. */
+double toleranceOf(const ShardStatuses &statuses, ShardId shard, const WorkflowSpec &spec)
+{
+    const auto status = statuses.find(shard);
+    int percent = 100;
+    for (const StepSpec &it : spec.steps) {
+        if (it.usesSpareCpu && status != statuses.end()) {
+            const auto found = status->second.tolerance.find(it.image);
+            percent = std::min(percent, found == status->second.tolerance.end() ? UnknownTolerance : found->second);
+        }
+    }
+    return std::max(percent, 1) / 100.0;
+}
+
+/** Cost of adding @p own, the CPU of a job's long-running tasks, to a shard that holds @p present; the least is best. */
+double costOfLongRunning(const CpuByImage &present, const CpuByImage &own, std::int64_t capacityMillis)
+{
+    std::int64_t total = 0;
+    std::int64_t ownTotal = 0;
+    std::int64_t sameImage = 0;
+    for (const auto &[image, millis] : present) {
+        total += millis;
+        sameImage += own.contains(image) ? millis : 0;
+    }
+    for (const auto &[image, millis] : own) {
+        ownTotal += millis;
+    }
+    const double utilisation = static_cast<double>(total + ownTotal) / static_cast<double>(capacityMillis);
+    const double otherImages = total == 0 ? 0 : 1 - static_cast<double>(sameImage) / static_cast<double>(total);
+    return utilisation + MixingPenalty * otherImages + NearlyFullPenalty * std::max(0.0, utilisation - NearlyFull);
+}
+
 } // namespace
 
 ShardKeys makeShardKeys(ShardId shard)
@@ -208,12 +245,19 @@
 
 ShardId chooseShard(const ShardMap &map, const ShardStatuses &statuses, std::string_view pool, const WorkflowSpec &spec)
 {
-    const std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    for (ShardId i = 0; i < weights.size(); ++i) {
+        weights[i] = std::llround(static_cast<double>(weights[i]) * toleranceOf(statuses, i, spec));
+    }
+    const auto expectedMs = [&](ShardId shard) {
+        return static_cast<double>(backlogOf(statuses, shard) + criticalPathMs(spec))
+               / toleranceOf(statuses, shard, spec);
+    };
     const std::uint64_t hash = XXH3_64bits(spec.key.data(), spec.key.size());
     const std::uint64_t secondHash = XXH3_64bits_withSeed(spec.key.data(), spec.key.size(), SecondHashSeed);
     const ShardId first = pickWeighted(weights, hash);
     const ShardId second = pickWeighted(weights, secondHash);
-    const ShardId best = backlogOf(statuses, second) < backlogOf(statuses, first) ? second : first;
+    const ShardId best = expectedMs(second) < expectedMs(first) ? second : first;
     for (const StepSpec &it : spec.steps) {
         const auto home = map.shardOfRack.find(it.preferredRack);
         if (!it.preferredRack.empty() && home != map.shardOfRack.end() && weights[home->second] > 0) {
@@ -226,26 +270,30 @@
 
 ShardId chooseLongRunningShard(const ShardMap &map,
                                const ShardStatuses &statuses,
-                               const std::map<ShardId, std::int64_t> &assignedCpuMillis,
+                               const std::map<ShardId, CpuByImage> &assigned,
                                std::string_view pool,
                                const WorkflowSpec &spec)
 {
     const std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
-    const std::int64_t own = longRunningCpuMillisOf(spec);
+    CpuByImage own;
+    addLongRunningCpu(own, spec);
     ShardId best = 0;
-    double minUtilisation = std::numeric_limits<double>::infinity();
+    double minCost = std::numeric_limits<double>::infinity();
     for (ShardId i = 0; i < weights.size(); ++i) {
         if (weights[i] <= 0) {
             continue;
         }
         const auto status = statuses.find(i);
-        const auto assigned = assignedCpuMillis.find(i);
-        const std::int64_t reserved = (status == statuses.end() ? 0 : status->second.longRunningCpuMillis)
-                                      + (assigned == assignedCpuMillis.end() ? 0 : assigned->second) + own;
-        const double utilisation = static_cast<double>(reserved) / static_cast<double>(weights[i]);
-        if (utilisation < minUtilisation) {
+        CpuByImage present = status == statuses.end() ? CpuByImage{} : status->second.longRunningByImage;
+        if (const auto recent = assigned.find(i); recent != assigned.end()) {
+            for (const auto &[image, millis] : recent->second) {
+                present[image] += millis;
+            }
+        }
+        const double cost = costOfLongRunning(present, own, weights[i]);
+        if (cost < minCost) {
             best = i;
-            minUtilisation = utilisation;
+            minCost = cost;
         }
     }
     return best;
@@ -265,6 +313,15 @@
     return millis;
 }
 
+void addLongRunningCpu(CpuByImage &sums, const WorkflowSpec &spec)
+{
+    for (const StepSpec &it : spec.steps) {
+        if (it.isLongRunning) {
+            sums[it.image] += it.taskCount * it.need.cpuMillis;
+        }
+    }
+}
+
 std::string encodeShardMap(const ShardMap &map)
 {
     json shards = json::array();
@@ -298,15 +355,28 @@
 
 std::string encodeStatus(const ShardStatus &status)
 {
-    return packRecord(json::array(
-        {StoredVersion, status.pending, status.longRunningCpuMillis, status.backlogMs, status.inboxRevision}));
+    return packRecord(json::array({StoredVersion,
+                                   status.pending,
+                                   status.longRunningCpuMillis,
+                                   status.backlogMs,
+                                   status.inboxRevision,
+                                   status.longRunningByImage,
+                                   status.tolerance}));
 }
 
 ShardStatus decodeStatus(std::string_view bytes)
 {
     const json value = unpackRecord(bytes);
     try {
-        return {value.at(1).get<std::map<std::string, std::uint32_t>>(), value.at(2), value.at(3), value.at(4)};
+        ShardStatus it{
+            value.at(1).get<std::map<std::string, std::uint32_t>>(), value.at(2), value.at(3), value.at(4), {}, {}};
+        if (value.size() > 5) {
+            it.longRunningByImage = value.at(5).get<CpuByImage>();
+            it.tolerance = value.at(6).get<std::map<std::string, int>>();
+        } else { // written by an older version
+            it.longRunningByImage[{}] = it.longRunningCpuMillis;
+        }
+        return it;
     } catch (const json::exception &error) {
         throw InvalidArgument("status", error.what());
     }
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -83,12 +83,21 @@
     bool operator==(const ShardMap &) const = default;
 };
 
+using CpuByImage = std::map<std::string, std::int64_t>; ///< CPU millis by image
+
 struct ShardStatus
 {
     std::map<std::string, std::uint32_t> pending; ///< jobs by queue of which no task has started
     std::int64_t longRunningCpuMillis = 0;        ///< CPU declared by all long-running tasks, placed or waiting
     std::int64_t backlogMs = 0;      ///< time that the shard's total CPU needs for the tasks not yet placed
     std::uint64_t inboxRevision = 0; ///< store revision up to which the shard's jobs are included above
+    CpuByImage longRunningByImage;   ///< longRunningCpuMillis by image
+
+    /**
+     * By best-effort image, in percent: how well the shard's serving tasks bear such neighbours. 100: not affected at
+     * all, 50: their utilisation doubles beside a neighbour that uses a whole worker.
+     */
+    std::map<std::string, int> tolerance;
 
     bool operator==(const ShardStatus &) const = default;
 };
@@ -105,22 +114,28 @@
  * second old, so taking the least loaded shard would send a burst to a single one. Instead, two hashes of the job's key
  * give two candidates (power of two choices), and the one with the smaller backlog wins. A shard that holds the job's
  * data (preferred rack) is taken unless its backlog is much larger. Returns the first shard if no shard has a weight.
+ *
+ * Best-effort tasks are throttled beside serving tasks that they slow down. So a job with such tasks goes to the shards
+ * in proportion to their tolerance of its images, and its expected time there is divided by the tolerance.
  */
 ShardId
 chooseShard(const ShardMap &map, const ShardStatuses &statuses, std::string_view pool, const WorkflowSpec &spec);
 
 /**
- * Chooses, among the shards that can run @p spec, the one with the smallest utilisation by long-running tasks, counting
- * those of its status, those of jobs assigned since (@p assignedCpuMillis) and those of @p spec.
+ * Chooses the shard of a job with long-running tasks, among those that can run @p spec. Prefers a small utilisation by
+ * long-running tasks, and shards whose long-running tasks are of the same image: a best-effort image disturbs some
+ * serving images and spares others, so it finds quiet workers only where serving tasks are not mixed. Counts the tasks of
+ * the shard's status, those of jobs assigned since (@p assigned) and those of @p spec.
  */
 ShardId chooseLongRunningShard(const ShardMap &map,
                                const ShardStatuses &statuses,
-                               const std::map<ShardId, std::int64_t> &assignedCpuMillis,
+                               const std::map<ShardId, CpuByImage> &assigned,
                                std::string_view pool,
                                const WorkflowSpec &spec);
 
 bool hasLongRunningStep(const WorkflowSpec &spec);
 std::int64_t longRunningCpuMillisOf(const WorkflowSpec &spec); ///< CPU declared by its long-running tasks
+void addLongRunningCpu(CpuByImage &sums, const WorkflowSpec &spec);
 
 std::string encodeShardMap(const ShardMap &map);
 ShardMap decodeShardMap(std::string_view bytes); ///< throws InvalidArgument
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -7,9 +7,10 @@
 
 namespace {
 
-constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2; ///< each job takes a condition and a put
-constexpr std::int64_t BacklogResolutionMs = 100;                 ///< smaller changes do not cause a write
-constexpr std::size_t RemovedJobsPerChange = 7;                   ///< each job takes four removals
+constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2;        ///< each job takes a condition and a put
+constexpr std::int64_t BacklogResolutionMs = 100;                        ///< smaller changes do not cause a write
+constexpr Duration StatusCheckInterval = std::chrono::milliseconds(100); ///< while the status does not change
+constexpr std::size_t RemovedJobsPerChange = 7;                          ///< each job takes four removals
 
 } // namespace
 
@@ -36,15 +37,19 @@
         storeWorkers();
         return;
     }
-    const ShardStatus status = now >= m_nextStatusAt ? shardStatus() : m_storedStatus;
-    const bool isPressureDue = now >= m_nextPressureStoreAt && m_counters.throttles > 0;
+    ShardStatus status = m_storedStatus;
+    if (now >= m_nextStatusAt) {
+        status = shardStatus();
+        m_nextStatusAt = now + StatusCheckInterval;
+    }
+    const bool isPressureDue = now >= m_nextPressureStoreAt && m_pressure.hasNeighbours();
     if (m_dirtyQueue.empty() && status == m_storedStatus && !isPressureDue) {
         return;
     }
     StoreChange change;
     change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     if (isPressureDue) {
-        change.puts.push_back({m_keys.pressure, m_pressure.save(), 0});
+        change.puts.push_back({m_keys.pressure, encodePressure(m_pressure.save()), 0});
         m_nextPressureStoreAt
             = now + (m_hasOtherShards ? m_settings.pressureShareInterval : m_settings.pressureStoreInterval);
     }
@@ -155,10 +160,14 @@
             ++status.pending[job->accepted.queue];
         }
         status.longRunningCpuMillis += longRunningCpuMillisOf(job->accepted.spec);
+        addLongRunningCpu(status.longRunningByImage, job->accepted.spec);
         waitingWork += queuedWorkOf(*job);
     }
     const std::int64_t backlogMs = waitingWork / std::max<std::int64_t>(1, capacityMillis);
     status.backlogMs = backlogMs - backlogMs % BacklogResolutionMs;
+    if (m_hasOtherShards) {
+        status.tolerance = bestEffortTolerance();
+    }
     return status;
 }
 
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -149,12 +149,10 @@
 void WorkflowScheduler::loadPressure()
 {
     m_store.get(m_keys.pressure, ifAlive([this](const StoreReply &reply) {
-                    try {
-                        if (!reply.items.empty()) {
-                            m_pressure.load(reply.items.front().value);
+                    if (!reply.items.empty()) {
+                        if (const auto saved = readPressure(reply.items.front())) {
+                            m_pressure.load(*saved);
                         }
-                    } catch (const Error &error) {
-                        m_log.write("pressure_unreadable", "error", error.what());
                     }
                 }));
 }
@@ -176,16 +174,28 @@
 
 void WorkflowScheduler::onSharedPressureLoaded(const StoreReply &reply)
 {
-    std::vector<std::string> others;
+    std::vector<SavedPressure> others;
     for (const StoreItem &it : reply.items) {
-        if (it.key != m_keys.pressure) {
-            others.push_back(it.value);
+        if (it.key == m_keys.pressure) {
+            continue;
+        }
+        if (auto saved = readPressure(it)) {
+            others.push_back(std::move(*saved));
         }
     }
+    m_pressure.importPeers(others);
+}
+
+/** Decodes a stored pressure model; none if it cannot be used, which is logged once per key. */
+std::optional<SavedPressure> WorkflowScheduler::readPressure(const StoreItem &item)
+{
     try {
-        m_pressure.importPeers(others);
+        return decodePressure(item.value);
     } catch (const Error &error) {
-        m_log.write("pressure_unreadable", "error", error.what());
+        if (m_unreadablePressure.insert(item.key).second) {
+            m_log.write("pressure_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
+        }
+        return std::nullopt;
     }
 }
 
@@ -242,7 +252,11 @@
     resetTasks(*job);
     for (OccurrenceState &occurrence : job->occurrences) {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
-            occurrence.steps[s].image = m_pressure.classOf(job->accepted.spec.steps[s].image);
+            const std::string &image = job->accepted.spec.steps[s].image;
+            occurrence.steps[s].image = m_pressure.classOf(image);
+            if (occurrence.steps[s].image == UntrackedClass && m_untrackedImages.insert(image).second) {
+                m_log.write("image_untracked", "image", image, "limit", MaxClasses);
+            }
         }
     }
     const JobKey key = job->key();
--- a/packages/workflow/tests/decisiontest.cpp
+++ b/packages/workflow/tests/decisiontest.cpp
@@ -184,7 +184,7 @@
             const double effect = (neighbour == mild ? MildEffect : StrongEffect) * share;
             const double utilisation = std::min(0.98, oscillatingLoad(at) * (1 + effect));
             Shares shares{};
-            shares[neighbour] = static_cast<float>(share);
+            shares.add(neighbour, static_cast<float>(share));
             const auto tail = static_cast<std::int64_t>(std::round(BaseMs / (1 - utilisation) * noise(random)));
             model.observe(service, tail, shares, TimePoint(1h + at), load);
         }
@@ -217,13 +217,13 @@
     trainModel(model, service, mild, strong, load);
     PressureModel successor;
     successor.classOf("another image first"); // shifts the class indices; classes are matched by name
-    successor.load(model.save());
+    successor.load(decodePressure(encodePressure(model.save())));
     const ClassIndex importedService = successor.classOf("service");
     EXPECT_NEAR(successor.effect(importedService, successor.classOf("mild")), model.effect(service, mild), 0.1);
     EXPECT_NEAR(successor.effect(importedService, successor.classOf("strong")), model.effect(service, strong), 0.1);
     EXPECT_NEAR(
         successor.utilisationForTail(importedService, TargetMs), model.utilisationForTail(service, TargetMs), 0.01);
-    EXPECT_THROW(successor.load("no model"), InvalidArgument);
+    EXPECT_THROW(decodePressure("no model"), InvalidArgument);
 }
 
 TEST(Pressure, estimatesOfOtherShardsAreUsedButNotReexported)
@@ -236,19 +236,154 @@
     trainModel(source, service, mild, strong, load);
     PressureModel other;
     const ClassIndex importedService = other.classOf("service");
-    const std::vector<std::string> exported{source.save()};
+    const std::vector<SavedPressure> exported{source.save()};
     other.importPeers(exported);
     other.refresh(TimePoint(2h));
     EXPECT_NEAR(other.effect(importedService, other.classOf("mild")), source.effect(service, mild), 0.2);
     EXPECT_NEAR(other.effect(importedService, other.classOf("strong")), source.effect(service, strong), 0.2);
     PressureModel third;
-    const std::vector<std::string> reexported{other.save()};
+    const std::vector<SavedPressure> reexported{other.save()};
     third.importPeers(reexported);
     third.refresh(TimePoint(2h));
     EXPECT_DOUBLE_EQ(third.effect(third.classOf("service"), third.classOf("strong")), PressureModel().effect(0, 0))
         << "borrowed estimates are not exported";
 }
 
+namespace {
+
+constexpr int ManyServices = 16;
+constexpr int ManyNeighbours = 30;
+
+bool isStrongPair(int service, int neighbour)
+{
+    return (service * 7 + neighbour * 5) % 3 != 0;
+}
+
+ClassIndex serviceClass(PressureModel &model, int number)
+{
+    return model.classOf("service" + std::to_string(number));
+}
+
+ClassIndex neighbourClass(PressureModel &model, int number)
+{
+    return model.classOf("batch" + std::to_string(number));
+}
+
+/** Half a second of reports of eight tasks of each service, each but one beside two random neighbours. */
+void reportManyImages(PressureModel &model, std::vector<StepLoad> &loads, Duration at, std::mt19937 &random)
+{
+    std::uniform_real_distribution<double> noise(0.85, 1.15);
+    for (int service = 0; service < ManyServices; ++service) {
+        for (int task = 0; task < 8; ++task) {
+            Shares shares;
+            double effects = 0;
+            for (int n = 0; task > 0 && n < 2; ++n) {
+                const int neighbour = static_cast<int>(random() % ManyNeighbours);
+                shares.add(neighbourClass(model, neighbour), 0.1F);
+                effects += 0.1 * (isStrongPair(service, neighbour) ? StrongEffect : MildEffect);
+            }
+            const double utilisation = std::min(0.98, oscillatingLoad(at) * (1 + effects));
+            const auto tail = static_cast<std::int64_t>(std::round(BaseMs / (1 - utilisation) * noise(random)));
+            model.observe(serviceClass(model, service), tail, shares, TimePoint(1h + at), loads[service]);
+        }
+    }
+    model.refresh(TimePoint(1h + at));
+}
+
+/** Share of all combinations of a service's strong and mild neighbours in which the strong one has the larger effect. */
+double rankedRightly(PressureModel &model)
+{
+    int right = 0;
+    int total = 0;
+    for (int service = 0; service < ManyServices; ++service) {
+        for (int a = 0; a < ManyNeighbours; ++a) {
+            for (int b = 0; b < ManyNeighbours; ++b) {
+                if (isStrongPair(service, a) && !isStrongPair(service, b)) {
+                    const ClassIndex index = serviceClass(model, service);
+                    right += model.effect(index, neighbourClass(model, a))
+                             > model.effect(index, neighbourClass(model, b));
+                    ++total;
+                }
+            }
+        }
+    }
+    return static_cast<double>(right) / total;
+}
+
+} // namespace
+
+// Load: dozens of serving images, each of which meets dozens of best-effort images.
+TEST(Pressure, tellsHundredsOfPairsApart)
+{
+    PressureModel model;
+    std::vector<StepLoad> loads(ManyServices);
+    std::mt19937 random(11);
+    for (Duration at = 0s; at < 30s; at += 500ms) {
+        reportManyImages(model, loads, at, random);
+    }
+    EXPECT_GE(rankedRightly(model), 0.95);
+}
+
+TEST(Pressure, imagesBeyondTheLimitAreUntrackedAndDisturbNoOther)
+{
+    PressureModel model;
+    const ClassIndex service = model.classOf("service");
+    const ClassIndex known = model.classOf("known");
+    for (int i = 0; i < MaxClasses; ++i) {
+        model.classOf("image" + std::to_string(i));
+    }
+    const ClassIndex untracked = model.classOf("one too many");
+    EXPECT_EQ(untracked, UntrackedClass);
+    EXPECT_EQ(model.classOf("another"), UntrackedClass);
+    EXPECT_EQ(model.classOf("known"), known);
+    const double prior = model.effect(service, untracked);
+    StepLoad load;
+    Shares shares;
+    shares.add(untracked, 0.5F);
+    for (Duration at = 0s; at < 20s; at += 500ms) {
+        model.observe(service, 10, at.count() % 2 == 0 ? shares : Shares(), TimePoint(1h + at), load);
+        model.observe(untracked, 1, shares, TimePoint(1h + at), load);
+        model.refresh(TimePoint(1h + at));
+    }
+    EXPECT_DOUBLE_EQ(model.effect(service, untracked), prior);
+    const SavedPressure saved = model.save();
+    ASSERT_EQ(saved.services.size(), 1U);
+    EXPECT_EQ(saved.services[0].image, "service");
+    EXPECT_TRUE(saved.services[0].pairs.empty());
+}
+
+TEST(Pressure, estimatesOfManyShardsAddUp)
+{
+    // Each shard alone has seen too little to leave the prior; together they have not.
+    std::vector<SavedPressure> saved(20);
+    for (SavedPressure &it : saved) {
+        it.services.push_back({"service", 4, 0.5, {{"mild", MildEffect, 0.02}}});
+    }
+    PressureModel model;
+    model.importPeers(saved);
+    model.refresh(TimePoint(1h));
+    EXPECT_NEAR(model.effect(model.classOf("service"), model.classOf("mild")), MildEffect, 0.3);
+    EXPECT_EQ(model.knownNeighbours(), std::vector<ClassIndex>{model.classOf("mild")});
+}
+
+TEST(Pressure, unusableSavedModelsAreRefused)
+{
+    const SavedPressure good{{{"service", 4, 0.5, {{"batch", 2, 0.1}}}}};
+    EXPECT_EQ(decodePressure(encodePressure(good)).services[0].pairs[0].neighbour, "batch");
+    std::vector<SavedPressure> bad(5, good);
+    bad[0].services[0].minTailMs = 0;
+    bad[1].services[0].peakLoad = 7;
+    bad[2].services[0].pairs[0].effect = 1e9;
+    bad[3].services[0].pairs[0].evidence = 0;
+    bad[4].services[0].pairs[0].effect = std::nan("");
+    for (const SavedPressure &it : bad) {
+        EXPECT_THROW(decodePressure(encodePressure(it)), InvalidArgument);
+    }
+    std::string older = encodePressure(good);
+    older[1] = 1; // version 1 wrote the estimates of several images under the name of one
+    EXPECT_THROW(decodePressure(older), InvalidArgument);
+}
+
 TEST(Pressure, sharedLoadTracksAnOscillatingLoad)
 {
     StepLoad load;
--- a/packages/workflow/tests/shardtest.cpp
+++ b/packages/workflow/tests/shardtest.cpp
@@ -4,6 +4,8 @@
  */
 #include "rig.h"
 
+#include <workflow/records.h>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -107,6 +109,80 @@
     EXPECT_NE(chooseShard(map, statuses, PoolName, spec), home);
 }
 
+// Load: many serving images, half of whose jobs may not share workers, fill most of a divided fleet. Spread evenly, each
+// worker would hold several images, and hardly any worker would be quiet for a given best-effort image.
+TEST(Shards, longRunningJobsAreGatheredByImageWithoutOverfillingAShard)
+{
+    constexpr int Images = 8;
+    constexpr std::int64_t ShardMillis = 40 * 16'000;
+    std::vector<WorkerRecord> workers = makeWorkers(20, 8, "a");
+    const std::vector<WorkerRecord> more = makeWorkers(20, 8, "b");
+    workers.insert(workers.end(), more.begin(), more.end());
+    const ShardMap map = planShards({}, workers, FortyWorkersPerShard);
+    ASSERT_EQ(map.shards.size(), 8U);
+    std::map<ShardId, CpuByImage> assigned;
+    for (int i = 0; i < 8 * 16; ++i) { // each takes a twentieth of a shard: 80% of the fleet
+        WorkflowSpec spec = makeLongRunningJob("job" + std::to_string(i), 16);
+        spec.steps[0].need.cpuMillis = 2000;
+        spec.steps[0].image = "image" + std::to_string(i * 5 % Images);
+        addLongRunningCpu(assigned[chooseLongRunningShard(map, {}, assigned, PoolName, spec)], spec);
+    }
+    std::int64_t total = 0;
+    std::int64_t gathered = 0; // CPU of the image that is most frequent in its shard
+    for (const auto &[shard, images] : assigned) {
+        std::int64_t sum = 0;
+        std::int64_t largest = 0;
+        for (const auto &[image, millis] : images) {
+            sum += millis;
+            largest = std::max(largest, millis);
+        }
+        EXPECT_LE(sum, ShardMillis * 95 / 100) << "shard " << shard;
+        total += sum;
+        gathered += largest;
+    }
+    EXPECT_GE(gathered, total * 8 / 10);
+}
+
+// Load: a burst of best-effort jobs of one image, which a quarter of the shards bear well.
+TEST(Shards, bestEffortJobsGoToShardsThatBearTheirImage)
+{
+    const ShardMap map = planTwoDomains();
+    ShardStatuses statuses;
+    for (ShardId i = 0; i < 4; ++i) {
+        statuses[i].tolerance["batch"] = i == 2 ? 45 : 10;
+    }
+    std::map<ShardId, int> jobs;
+    std::map<ShardId, int> plainJobs;
+    for (int i = 0; i < 400; ++i) {
+        WorkflowSpec spec = Rig::makeJob("job" + std::to_string(i), 1);
+        ++plainJobs[chooseShard(map, statuses, PoolName, spec)];
+        spec.steps[0].usesSpareCpu = true;
+        spec.steps[0].image = "batch";
+        ++jobs[chooseShard(map, statuses, PoolName, spec)];
+    }
+    EXPECT_GT(jobs[2], 400 * 3 / 4);
+    EXPECT_LT(plainJobs[2], 400 / 2) << "jobs that reserve their CPU are not concerned";
+    statuses[2].backlogMs = 60'000;
+    EXPECT_NE(chooseShard(map, statuses, PoolName, Rig::makeJob("late", 1)), 2U) << "a full shard is avoided";
+}
+
+TEST(Shards, statusIsReadBackAndOlderOnesAreUnderstood)
+{
+    ShardStatus status;
+    status.pending["queue"] = 3;
+    status.longRunningCpuMillis = 7000;
+    status.backlogMs = 200;
+    status.inboxRevision = 9;
+    status.longRunningByImage["service"] = 7000;
+    status.tolerance["batch"] = 45;
+    EXPECT_EQ(decodeStatus(encodeStatus(status)), status);
+    const std::string older = packRecord(nlohmann::json::array({StoredVersion, status.pending, 7000, 200, 9}));
+    const ShardStatus read = decodeStatus(older);
+    EXPECT_EQ(read.backlogMs, 200);
+    EXPECT_EQ(read.longRunningByImage.at(""), 7000) << "counts as one unknown image";
+    EXPECT_TRUE(read.tolerance.empty());
+}
+
 TEST(Shards, jobGoesToShardWithRequiredLabel)
 {
     std::vector<WorkerRecord> workers = makeWorkers(10, 8, "a");
