Send jobs where long-running tasks leave room, and count best-effort backlog by itself

Short jobs went to shards in proportion to their whole capacity, and one backlog stood for reserved and best-effort work alike, of the tasks that were ready only.

Jobs choose among three shards in proportion to the CPU that long-running tasks leave them. Best-effort backlog has its own figure, which includes later steps and what throttles hold back. A shard's status says in which pieces its room is left; long-running jobs avoid shards without enough of them, and shards above three quarters count as much fuller.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -130,6 +130,13 @@
 private:
     using JobPtr = std::unique_ptr<JobState>;
 
+    /** Estimated work that is not running, in CPU millis x milliseconds. */
+    struct QueuedWork
+    {
+        std::int64_t reserved = 0;   ///< of tasks that reserve their CPU
+        std::int64_t bestEffort = 0; ///< of tasks that use spare CPU
+    };
+
     // Takeover (takeover.cpp)
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
@@ -221,7 +228,7 @@
                   const StoreReply &reply);
     void storeWorkers();
     void removeExpiredJobs(TimePoint now);
-    std::int64_t queuedWorkOf(const JobState &job) const;
+    void addQueuedWork(const JobState &job, QueuedWork &sums) const;
     ShardStatus shardStatus() const;
     JobState *findJob(const JobKey &key);
     template<typename Handler>
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -1,6 +1,7 @@
 #include <workflow/shards.h>
 
 #include <workflow/joborder.h>
+#include <workflow/placement.h>
 #include <workflow/records.h>
 
 #include <base/errors.h>
@@ -20,14 +21,17 @@
 
 using nlohmann::json;
 
-constexpr std::uint64_t SecondHashSeed = 1; ///< makes the second hash independent of the first
+constexpr std::uint64_t CandidateCount = 3; ///< shards of which the best gets a job
+constexpr double MinFreeShare = 0.02;       ///< of a shard's capacity; even a full shard is a candidate now and then
 constexpr std::int64_t DataLocalityWaitFactor
     = 2; ///< acceptable extra wait, in run times: away from its data a task takes three times as long
 
 constexpr int UnknownTolerance = 25;    ///< percent; for an image of which a shard reports nothing
-constexpr double MixingPenalty = 0.2;   ///< acceptable extra utilisation to keep images apart
-constexpr double NearlyFull = 0.85;     ///< above this utilisation, large tasks may not find room ...
+constexpr double MixingPenalty = 0.1;   ///< acceptable extra utilisation to keep images apart
+constexpr double NearlyFull = 0.75;     ///< above this utilisation, large tasks may not find room ...
 constexpr double NearlyFullPenalty = 4; ///< ... so each further part of it counts that much more
+constexpr double NoRoomPenalty = 10;    ///< larger than any other cost
+constexpr double SpareSlots = 1.5;      ///< a job's tasks should find that many times as many pieces of room
 
 struct Rack
 {
@@ -149,10 +153,28 @@
     return shard;
 }
 
-std::int64_t backlogOf(const ShardStatuses &statuses, ShardId shard)
+bool isBestEffort(const WorkflowSpec &spec)
+{
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.usesSpareCpu; });
+}
+
+std::int64_t backlogOf(const ShardStatuses &statuses, ShardId shard, const WorkflowSpec &spec)
+{
+    const auto found = statuses.find(shard);
+    if (found == statuses.end()) {
+        return 0;
+    }
+    return isBestEffort(spec) ? found->second.bestEffortBacklogMs : found->second.backlogMs;
+}
+
+/** The part of a shard's CPU that its long-running tasks leave to @p spec: best-effort tasks also use idle reservations. */
+std::int64_t
+freeCpuMillis(const ShardStatuses &statuses, ShardId shard, std::int64_t capacity, const WorkflowSpec &spec)
 {
     const auto found = statuses.find(shard);
-    return found == statuses.end() ? 0 : found->second.backlogMs;
+    const std::int64_t longRunning = found == statuses.end() ? 0 : found->second.longRunningCpuMillis;
+    const double usedShare = isBestEffort(spec) ? PlacementWeights().longRunningUtilisation : 1;
+    return capacity - static_cast<std::int64_t>(usedShare * static_cast<double>(longRunning));
 }
 
 /** How well @p shard bears the best-effort tasks of @p spec, as the least of its images; 1 if there are none. */
@@ -169,6 +191,22 @@
     return std::max(percent, 1) / 100.0;
 }
 
+/** Whether the pieces of room in a shard, less @p assignedMillis, suffice for each long-running step of @p spec. */
+bool hasRoomFor(const ShardStatus &status, std::int64_t assignedMillis, const WorkflowSpec &spec)
+{
+    return std::all_of(spec.steps.begin(), spec.steps.end(), [&](const StepSpec &it) {
+        if (!it.isLongRunning || it.need.cpuMillis <= 0) {
+            return true;
+        }
+        std::int64_t slots = -assignedMillis / it.need.cpuMillis;
+        for (const auto &[cores, workers] : status.workersByFreeCores) {
+            const std::int64_t fitting = cores * 1000 / it.need.cpuMillis;
+            slots += workers * (it.maxPerWorker > 0 ? std::min<std::int64_t>(fitting, it.maxPerWorker) : fitting);
+        }
+        return static_cast<double>(slots) >= SpareSlots * it.taskCount;
+    });
+}
+
 /** Cost of adding @p own, the CPU of a job's long-running tasks, to a shard that holds @p present; the least is best. */
 double costOfLongRunning(const CpuByImage &present, const CpuByImage &own, std::int64_t capacityMillis)
 {
@@ -247,22 +285,26 @@
 {
     std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
     for (ShardId i = 0; i < weights.size(); ++i) {
-        weights[i] = std::llround(static_cast<double>(weights[i]) * toleranceOf(statuses, i, spec));
+        const auto least = static_cast<std::int64_t>(MinFreeShare * static_cast<double>(weights[i]));
+        const std::int64_t free = std::max(least, freeCpuMillis(statuses, i, weights[i], spec));
+        weights[i] = std::llround(static_cast<double>(free) * toleranceOf(statuses, i, spec));
     }
     const auto expectedMs = [&](ShardId shard) {
-        return static_cast<double>(backlogOf(statuses, shard) + criticalPathMs(spec))
+        return static_cast<double>(backlogOf(statuses, shard, spec) + criticalPathMs(spec))
                / toleranceOf(statuses, shard, spec);
     };
-    const std::uint64_t hash = XXH3_64bits(spec.key.data(), spec.key.size());
-    const std::uint64_t secondHash = XXH3_64bits_withSeed(spec.key.data(), spec.key.size(), SecondHashSeed);
-    const ShardId first = pickWeighted(weights, hash);
-    const ShardId second = pickWeighted(weights, secondHash);
-    const ShardId best = expectedMs(second) < expectedMs(first) ? second : first;
+    ShardId best = pickWeighted(weights, XXH3_64bits(spec.key.data(), spec.key.size()));
+    for (std::uint64_t seed = 1; seed < CandidateCount; ++seed) {
+        const ShardId other = pickWeighted(weights, XXH3_64bits_withSeed(spec.key.data(), spec.key.size(), seed));
+        best = expectedMs(other) < expectedMs(best) ? other : best;
+    }
     for (const StepSpec &it : spec.steps) {
         const auto home = map.shardOfRack.find(it.preferredRack);
         if (!it.preferredRack.empty() && home != map.shardOfRack.end() && weights[home->second] > 0) {
             const std::int64_t extraWaitMs = DataLocalityWaitFactor * criticalPathMs(spec);
-            return backlogOf(statuses, home->second) <= backlogOf(statuses, best) + extraWaitMs ? home->second : best;
+            return backlogOf(statuses, home->second, spec) <= backlogOf(statuses, best, spec) + extraWaitMs
+                       ? home->second
+                       : best;
         }
     }
     return best;
@@ -285,12 +327,16 @@
         }
         const auto status = statuses.find(i);
         CpuByImage present = status == statuses.end() ? CpuByImage{} : status->second.longRunningByImage;
+        std::int64_t assignedMillis = 0;
         if (const auto recent = assigned.find(i); recent != assigned.end()) {
             for (const auto &[image, millis] : recent->second) {
                 present[image] += millis;
+                assignedMillis += millis;
             }
         }
-        const double cost = costOfLongRunning(present, own, weights[i]);
+        const bool hasRoom = status == statuses.end() || status->second.workersByFreeCores.empty()
+                             || hasRoomFor(status->second, assignedMillis, spec);
+        const double cost = costOfLongRunning(present, own, weights[i]) + (hasRoom ? 0 : NoRoomPenalty);
         if (cost < minCost) {
             best = i;
             minCost = cost;
@@ -361,6 +407,8 @@
                                    status.backlogMs,
                                    status.inboxRevision,
                                    status.longRunningByImage,
+                                   status.bestEffortBacklogMs,
+                                   status.workersByFreeCores,
                                    status.tolerance}));
 }
 
@@ -368,13 +416,19 @@
 {
     const json value = unpackRecord(bytes);
     try {
-        ShardStatus it{
-            value.at(1).get<std::map<std::string, std::uint32_t>>(), value.at(2), value.at(3), value.at(4), {}, {}};
+        ShardStatus it;
+        it.pending = value.at(1).get<std::map<std::string, std::uint32_t>>();
+        it.longRunningCpuMillis = value.at(2);
+        it.backlogMs = value.at(3);
+        it.inboxRevision = value.at(4);
         if (value.size() > 5) {
             it.longRunningByImage = value.at(5).get<CpuByImage>();
-            it.tolerance = value.at(6).get<std::map<std::string, int>>();
+            it.bestEffortBacklogMs = value.at(6);
+            it.workersByFreeCores = value.at(7).get<std::map<std::int64_t, std::uint32_t>>();
+            it.tolerance = value.at(8).get<std::map<std::string, int>>();
         } else { // written by an older version
             it.longRunningByImage[{}] = it.longRunningCpuMillis;
+            it.bestEffortBacklogMs = it.backlogMs;
         }
         return it;
     } catch (const json::exception &error) {
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -89,9 +89,15 @@
 {
     std::map<std::string, std::uint32_t> pending; ///< jobs by queue of which no task has started
     std::int64_t longRunningCpuMillis = 0;        ///< CPU declared by all long-running tasks, placed or waiting
-    std::int64_t backlogMs = 0;      ///< time that the shard's total CPU needs for the tasks not yet placed
+    std::int64_t backlogMs = 0;      ///< time that the shard's total CPU needs for the work that is not yet placed
     std::uint64_t inboxRevision = 0; ///< store revision up to which the shard's jobs are included above
     CpuByImage longRunningByImage;   ///< longRunningCpuMillis by image
+    std::int64_t bestEffortBacklogMs
+        = 0; ///< the same for best-effort work, which waits for spare CPU; also counts what
+             ///< throttles hold back
+
+    /** Number of workers by whole cores that are not held by long-running tasks: the pieces in which room is left. */
+    std::map<std::int64_t, std::uint32_t> workersByFreeCores;
 
     /**
      * By best-effort image, in percent: how well the shard's serving tasks bear such neighbours. 100: not affected at
@@ -111,8 +117,8 @@
 
 /**
  * Chooses the shard of a new job. Jobs arrive at all nodes at once, and each node's view of the shards' load is about a
- * second old, so taking the least loaded shard would send a burst to a single one. Instead, two hashes of the job's key
- * give two candidates (power of two choices), and the one with the smaller backlog wins. A shard that holds the job's
+ * second old, so taking the least loaded shard would send a burst to a single one. Instead, hashes of the job's key give a
+ * few candidates, in proportion to the shards' free CPU, and the one with the smallest backlog wins (power of d choices). A shard that holds the job's
  * data (preferred rack) is taken unless its backlog is much larger. Returns the first shard if no shard has a weight.
  *
  * Best-effort tasks are throttled beside serving tasks that they slow down. So a job with such tasks goes to the shards
@@ -124,7 +130,8 @@
 /**
  * Chooses the shard of a job with long-running tasks, among those that can run @p spec. Prefers a small utilisation by
  * long-running tasks, and shards whose long-running tasks are of the same image: a best-effort image disturbs some
- * serving images and spares others, so it finds quiet workers only where serving tasks are not mixed. Counts the tasks of
+ * serving images and spares others, so it finds quiet workers only where serving tasks are not mixed. Avoids shards whose
+ * room is left in pieces too small for the job's tasks. Counts the tasks of
  * the shard's status, those of jobs assigned since (@p assigned) and those of @p spec.
  */
 ShardId chooseLongRunningShard(const ShardMap &map,
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -130,21 +130,23 @@
     }
 }
 
-/** Estimated work of tasks that wait only for resources, in CPU millis x milliseconds. */
-std::int64_t WorkflowScheduler::queuedWorkOf(const JobState &job) const
+/** Adds the work of @p job that is not running, also that of later steps, and what throttles hold back of the rest. */
+void WorkflowScheduler::addQueuedWork(const JobState &job, QueuedWork &sums) const
 {
-    std::int64_t work = 0;
     const auto &steps = job.occurrences.front().steps;
-    for (std::uint32_t s = 0; s < steps.size(); ++s) {
+    for (std::size_t s = 0; s < steps.size(); ++s) {
         const StepSpec &spec = job.accepted.spec.steps[s];
-        if (arePredecessorsDone(job, 0, s) && !spec.isLongRunning) {
-            const auto waiting = std::count_if(steps[s].tasks.begin(), steps[s].tasks.end(), [](const TaskState &it) {
-                return it.phase == TaskPhase::Waiting;
-            });
-            work += waiting * spec.need.cpuMillis * spec.estimateMs;
+        if (spec.isLongRunning) {
+            continue;
+        }
+        std::int64_t queuedPercent = 0;
+        for (const TaskState &it : steps[s].tasks) {
+            const bool isThrottled = it.phase == TaskPhase::Running || it.phase == TaskPhase::Starting;
+            queuedPercent += it.phase == TaskPhase::Waiting ? 100 : isThrottled ? 100 - it.percent : 0;
         }
+        std::int64_t &sum = spec.usesSpareCpu ? sums.bestEffort : sums.reserved;
+        sum += queuedPercent * spec.need.cpuMillis * spec.estimateMs / 100;
     }
-    return work;
 }
 
 ShardStatus WorkflowScheduler::shardStatus() const
@@ -152,19 +154,25 @@
     ShardStatus status;
     std::int64_t capacityMillis = 0;
     for (const auto &it : m_workers) {
-        capacityMillis += it->isRegistered ? it->record.capacity.cpuMillis : 0;
+        if (it->isRegistered) {
+            capacityMillis += it->record.capacity.cpuMillis;
+        }
+        if (m_hasOtherShards && it->isRegistered && it->record.condition == WorkerCondition::Ready) {
+            ++status.workersByFreeCores[(it->record.capacity.cpuMillis - it->longRunningCpuMillis) / 1000];
+        }
     }
-    std::int64_t waitingWork = 0; // CPU millis x milliseconds
+    QueuedWork queued;
     for (const auto &[key, job] : m_activeJobs) {
         if (job->state == WorkflowState::Queued && job->heldTasks == 0) {
             ++status.pending[job->accepted.queue];
         }
         status.longRunningCpuMillis += longRunningCpuMillisOf(job->accepted.spec);
         addLongRunningCpu(status.longRunningByImage, job->accepted.spec);
-        waitingWork += queuedWorkOf(*job);
+        addQueuedWork(*job, queued);
     }
-    const std::int64_t backlogMs = waitingWork / std::max<std::int64_t>(1, capacityMillis);
-    status.backlogMs = backlogMs - backlogMs % BacklogResolutionMs;
+    const std::int64_t resolution = BacklogResolutionMs * std::max<std::int64_t>(1, capacityMillis);
+    status.backlogMs = queued.reserved / resolution * BacklogResolutionMs;
+    status.bestEffortBacklogMs = queued.bestEffort / resolution * BacklogResolutionMs;
     if (m_hasOtherShards) {
         status.tolerance = bestEffortTolerance();
     }
