Estimate loads without bias: low tail as an expectile of the reports, samples weighted by their expected error

The load of a service was computed from its smallest reported tail. Reports are whole milliseconds with an error of an eighth, so the smallest one is too low by up to a fifth; that bends the scale of utilisation: too little is allowed at low load, too much at the peak. Samples were weighted by their own values, so low ones counted most.

The low tail is the 0.01-expectile of the reports, which settles within seconds and is not moved by a single one. Samples are weighted by the error expected of them, and past ones are forgotten in 0.6 s instead of 0.8 s.

--- /dev/null
+++ b/bench/pressure.cmake
@@ -0,0 +1,1 @@
+qr_bench(NAME benchpressure SOURCES pressure.cpp LIBS qr_workflow)
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -13,11 +13,14 @@
 
 namespace {
 
-constexpr double BaseOverMinTail = 0.78; ///< a service is never quite idle: its minimum tail is above its base latency
-constexpr double MinTailGrowth = 1.0005; ///< per report: lets the model recover from a single tail that was too low
-constexpr double MaxUtilisation = 0.97;  ///< above it, the tail only shows saturation, not the exact utilisation
-constexpr double SmallEffect = 0.25;     ///< with a smaller total effect, the tail is a good measure of the own load
-constexpr double PeakLoadDecay = 0.9995; ///< per report
+constexpr double BaseOverLowTail = 0.78;  ///< a service is never quite idle: its low tail is above its base latency
+constexpr double LowTailExpectile = 0.01; ///< the low tail is this expectile of the reports: not moved by single ones
+constexpr double LowTailRate = 0.02;      ///< of its adjustment by a report ...
+constexpr double FirstReports = 8;        ///< ... and FirstReports / n by the n-th, so that it settles within seconds
+constexpr double MaxTailOverLow = 2;      ///< tails are cut to this multiple: saturation has no upper bound
+constexpr double MaxUtilisation = 0.97;   ///< above it, the tail only shows saturation, not the exact utilisation
+constexpr double SmallEffect = 0.25;      ///< with a smaller total effect, the tail is a good measure of the own load
+constexpr double PeakLoadDecay = 0.9995;  ///< per report
 constexpr double MinLoad = 0.05;
 constexpr int SavedVersion = 2;
 constexpr double MaxSavedEffect = 1000;   ///< larger figures are taken as damage
@@ -25,10 +28,11 @@
 constexpr double MaxLoadedEvidence = 1;   ///< per pair, in changes of a full neighbour: new reports can outweigh it
 constexpr double MaxImportedEvidence = 4; ///< per pair, from all other shards: outweighs the prior by far
 constexpr double MaxEffect = 10;     ///< at 10, a tenth of the CPU doubles the utilisation; more is saturation or noise
-constexpr double ReportError = 0.12; ///< relative standard error of a report's utilisation
+constexpr double ReportError = 0.12; ///< relative standard error of a report's tail latency
+constexpr double MinReportError = 0.01;    ///< of utilisation: tails are whole milliseconds
 constexpr double SaturatedError = 0.5;     ///< added to the standard error of the load while saturated
 constexpr double MaxKnownLoadError = 0.08; ///< effects are learned only while the load is known at least this well
-constexpr double DecaySeconds = 0.8;       ///< time in which a sample's weight falls to 1/e; loads swing within 10 s
+constexpr double DecaySeconds = 0.6;       ///< time in which a sample's weight falls to 1/e; loads swing within 10 s
 constexpr double SlopeDamping = 0.15;      ///< regularises the slope of StepLoad's line towards 0, in seconds squared
 constexpr double MaxSlope = 0.15;          ///< change of load per second; steeper is noise
 constexpr Duration MaxSampleAge = std::chrono::seconds(3); ///< StepLoad is unknown without newer samples
@@ -112,7 +116,7 @@
         for (const SavedPressure::Pair &pair : it.pairs) {
             pairs.push_back({pair.neighbour, static_cast<float>(pair.effect), static_cast<float>(pair.evidence)});
         }
-        rows.push_back({it.image, it.minTailMs, it.peakLoad, std::move(pairs)});
+        rows.push_back({it.image, it.lowTailMs, it.peakLoad, std::move(pairs)});
     }
     std::string bytes;
     nlohmann::json::to_msgpack(rows, bytes);
@@ -138,7 +142,7 @@
         throw InvalidArgument("pressure", error.what());
     }
     for (const SavedPressure::Service &it : saved.services) {
-        const bool isPlausible = it.minTailMs > 0 && std::isfinite(it.minTailMs) && it.peakLoad >= MinLoad
+        const bool isPlausible = it.lowTailMs > 0 && std::isfinite(it.lowTailMs) && it.peakLoad >= MinLoad
                                  && it.peakLoad <= 1
                                  && std::all_of(it.pairs.begin(), it.pairs.end(), [](const SavedPressure::Pair &pair) {
                                         return std::abs(pair.effect) <= MaxSavedEffect && pair.evidence > 0
@@ -177,7 +181,18 @@
 
 double PressureModel::baseLatencyMs(ClassIndex service) const
 {
-    return m_images[service].minTailMs * BaseOverMinTail;
+    return m_images[service].lowTailMs * BaseOverLowTail;
+}
+
+void PressureModel::updateLowTail(Image &image, double tailMs)
+{
+    if (image.reports++ == 0 && image.lowTailMs == 0) {
+        image.lowTailMs = tailMs;
+        return;
+    }
+    const double rate = std::min(1.0, std::max(LowTailRate, FirstReports / image.reports));
+    const double difference = std::min(tailMs, image.lowTailMs * MaxTailOverLow) - image.lowTailMs;
+    image.lowTailMs += rate * difference * (difference < 0 ? 1 - LowTailExpectile : LowTailExpectile);
 }
 
 double PressureModel::totalEffect(ClassIndex service, const Shares &shares) const
@@ -210,7 +225,7 @@
         imageAt(i).isNeighbour |= shares[i] > 0;
     }
     const auto tail = static_cast<double>(std::max<std::int64_t>(1, tailMs));
-    it.minTailMs = it.minTailMs == 0 ? tail : std::min(it.minTailMs * MinTailGrowth, tail);
+    updateLowTail(it, tail);
     const double utilisation = std::clamp(1 - baseLatencyMs(service) / tail, MinLoad, MaxUtilisation);
     const bool isSaturated = utilisation >= MaxUtilisation;
     const double effects = totalEffect(service, shares);
@@ -231,7 +246,11 @@
         return; // saturated by an effect that the model has not learned yet: the own load cannot be computed
     }
     const double own = std::clamp(utilisation / (1 + effects), MinLoad, 1.0);
-    load.addSample(own, own * (ReportError + error / (1 + effects)) + (isSaturated ? SaturatedError : 0), now);
+    // The error is that of the expected value: weighting samples by their own values would prefer the low ones.
+    const double expected = load.isKnown(now) ? std::clamp(load.estimateAt(now), MinLoad, 1.0) : own;
+    const double expectedUtilisation = std::min(MaxUtilisation, expected * (1 + effects));
+    const double reportError = ReportError * (1 - expectedUtilisation) + MinReportError;
+    load.addSample(own, (reportError + expected * error) / (1 + effects) + (isSaturated ? SaturatedError : 0), now);
     if (effects < SmallEffect) {
         it.peakLoad = std::max(it.peakLoad * PeakLoadDecay, load.estimateAt(now));
     }
@@ -242,11 +261,11 @@
     SavedPressure saved;
     for (std::size_t s = 0; s < m_images.size() && s < m_model.classCount(); ++s) {
         const auto service = static_cast<ClassIndex>(s);
-        if (m_images[s].minTailMs == 0) {
+        if (m_images[s].lowTailMs == 0) {
             continue; // not a serving image, or no reports yet
         }
         SavedPressure::Service &it = saved.services.emplace_back(
-            SavedPressure::Service{m_model.nameOf(service), m_images[s].minTailMs, m_images[s].peakLoad, {}});
+            SavedPressure::Service{m_model.nameOf(service), m_images[s].lowTailMs, m_images[s].peakLoad, {}});
         for (std::size_t n = 0; n < m_model.classCount(); ++n) {
             const auto neighbour = static_cast<ClassIndex>(n);
             if (const double evidence = m_model.evidence(service, neighbour); evidence >= MinSavedEvidence) {
@@ -257,14 +276,14 @@
     return saved;
 }
 
-/** Updates the minimum tail, and the peak load if there are no own reports. */
+/** Takes the low tail and the peak load over if there are no own reports. */
 ClassIndex PressureModel::applySavedService(const SavedPressure::Service &saved)
 {
     const ClassIndex service = classOf(saved.image);
     if (service != UntrackedClass) {
         Image &it = m_images[service];
-        it.peakLoad = it.minTailMs == 0 ? saved.peakLoad : it.peakLoad;
-        it.minTailMs = it.minTailMs == 0 ? saved.minTailMs : std::min(it.minTailMs, saved.minTailMs);
+        it.peakLoad = it.reports == 0 ? saved.peakLoad : it.peakLoad;
+        it.lowTailMs = it.reports == 0 ? saved.lowTailMs : it.lowTailMs;
     }
     return service;
 }
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -105,7 +105,7 @@
     struct Service
     {
         std::string image;
-        double minTailMs = 0;
+        double lowTailMs = 0;
         double peakLoad = 0;
         std::vector<Pair> pairs;
     };
@@ -151,12 +151,14 @@
 private:
     struct Image
     {
-        double minTailMs = 0; ///< serving image; 0: no reports yet
+        double lowTailMs = 0; ///< serving image: tail latency near its lowest load; 0: not known yet
+        std::uint32_t reports = 0;
         double peakLoad = 0.6;
         bool isNeighbour = false; ///< has been seen beside a serving task
     };
     ClassIndex applySavedService(const SavedPressure::Service &saved);
     Image &imageAt(ClassIndex index);
+    static void updateLowTail(Image &image, double tailMs);
     double totalEffect(ClassIndex service, const Shares &shares) const;
     double totalEffectError(ClassIndex service, const Shares &shares) const;
     double baseLatencyMs(ClassIndex service) const;
--- a/packages/workflow/tests/decisiontest.cpp
+++ b/packages/workflow/tests/decisiontest.cpp
@@ -324,6 +324,38 @@
     EXPECT_GE(rankedRightly(model), 0.95);
 }
 
+// Load: a service whose load swings, reported in whole milliseconds and with an error of an eighth.
+TEST(Pressure, noiseOfReportsDoesNotBiasTheLoadEstimate)
+{
+    constexpr int Steps = 10;
+    constexpr int TasksPerStep = 24;
+    PressureModel model;
+    const ClassIndex service = model.classOf("service");
+    std::vector<StepLoad> loads(Steps);
+    std::mt19937 random(5);
+    std::uniform_real_distribution<double> noise(0.88, 1.12);
+    double bias = 0;
+    int n = 0;
+    for (Duration at = 0s; at < 30s; at += 500ms) {
+        for (int step = 0; step < Steps; ++step) {
+            const double load = oscillatingLoad(at + step * 1s);
+            for (int task = 0; task < TasksPerStep; ++task) {
+                const auto tail = static_cast<std::int64_t>(std::round(BaseMs / (1 - load) * noise(random)));
+                model.observe(service, tail, {}, TimePoint(1h + at), loads[step]);
+            }
+            if (at >= 10s) {
+                bias += model.expectedLoad(service, loads[step], TimePoint(1h + at)) - load;
+                ++n;
+            }
+        }
+    }
+    EXPECT_NEAR(bias / n, 0, PressureSettings().placementMargin / 2);
+    const double limit = model.utilisationForTail(service, TargetMs);
+    EXPECT_NEAR(limit, 1 - BaseMs / TargetMs, 0.02);
+    model.observe(service, 1, {}, TimePoint(1h + 31s), loads[0]);
+    EXPECT_NEAR(model.utilisationForTail(service, TargetMs), limit, 0.01) << "one report says little";
+}
+
 TEST(Pressure, imagesBeyondTheLimitAreUntrackedAndDisturbNoOther)
 {
     PressureModel model;
@@ -371,7 +403,7 @@
     const SavedPressure good{{{"service", 4, 0.5, {{"batch", 2, 0.1}}}}};
     EXPECT_EQ(decodePressure(encodePressure(good)).services[0].pairs[0].neighbour, "batch");
     std::vector<SavedPressure> bad(5, good);
-    bad[0].services[0].minTailMs = 0;
+    bad[0].services[0].lowTailMs = 0;
     bad[1].services[0].peakLoad = 7;
     bad[2].services[0].pairs[0].effect = 1e9;
     bad[3].services[0].pairs[0].evidence = 0;
