A new leader stops no task that it may not start again yet

While a job's tasks may not be started, none is evicted, moved for a throttle, or taken off a draining worker before it is about to leave. Two rig tests, each of which fails without its change. No change to what may be started when, so the model stays as it is.

Ruled out for now: starting such a task again at once because its run was read here. A leader in its grace can learn of a worker's new life, take the run for lost and start it on a worker that its successor has not read. That needs the model extended by lives of workers first.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -494,6 +494,10 @@
     m_isPlacementDue = true;
 }
 
+/**
+ * Stops the tasks that should move to another worker. Long-running ones move at once, unless they may not be started
+ * again yet: then they serve their users where they are for as long as the worker stays.
+ */
 void WorkflowScheduler::evacuateDrainingWorker(WorkerIndex index, TimePoint now)
 {
     WorkerState &worker = *m_workers[index];
@@ -501,8 +505,9 @@
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
         const bool isRunning = ref.task().phase == TaskPhase::Running;
-        const bool mustMove
-            = ref.spec().isLongRunning || (ref.spec().isCheckpointed && now + m_settings.drainMargin >= leavesAt);
+        const bool leavesSoon = now + m_settings.drainMargin >= leavesAt;
+        const bool mustMove = ref.spec().isLongRunning ? leavesSoon || !mayBeRunningElsewhere(*ref.job)
+                                                       : leavesSoon && ref.spec().isCheckpointed;
         if (isRunning && mustMove) {
             stopTask(ref, "the worker is draining");
         }
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -124,6 +124,9 @@
 
 bool WorkflowScheduler::canBeEvicted(const TaskRef &ref) const
 {
+    if (mayBeRunningElsewhere(*ref.job)) {
+        return false; // could not be started again yet
+    }
     const std::uint32_t limit = ref.spec().maxUnavailable;
     if (limit == 0) {
         return true;
--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -38,6 +38,7 @@
     std::string failureDomain = "d";
     Resources capacity{16'000, 64'000, 0};
     WorkerCondition condition = WorkerCondition::Ready;
+    std::int64_t leavesInMs = 2000; ///< while it is draining
     std::int64_t clockOffsetMs = 0;
     std::uint64_t fence = 0;
     TimePoint leaseUntil{};
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -386,7 +386,7 @@
         it.failureDomain = worker.failureDomain;
         it.condition = worker.condition;
         it.capacity = worker.capacity;
-        it.leavesInMs = 2000;
+        it.leavesInMs = worker.leavesInMs;
         return it;
     }
 
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -537,6 +537,82 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+namespace {
+
+void submitLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks, std::int64_t cpuMillis)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].need.cpuMillis = cpuMillis;
+    spec.steps[0].isLongRunning = true;
+    rig.fleet.longRunningJobs.insert(key);
+    rig.submit(rig.leader(), spec);
+    rig.run(300ms);
+}
+
+/** Kills the leader; its successor cannot reach @p worker, so it may start no task of the known jobs. */
+RigNode &takeOverWithout(Rig &rig, const WorkerId &worker)
+{
+    const int former = rig.leader();
+    RigNode &successor = *rig.nodes[static_cast<std::size_t>(1 - former)];
+    successor.port.unreachableWorkers = {worker};
+    rig.kill(former);
+    rig.run(3s);
+    EXPECT_EQ(rig.leader(), 1 - former);
+    return successor;
+}
+
+} // namespace
+
+// After an unclear takeover no task of a known job may be started until each worker has been read or outwaited. A task
+// that is stopped meanwhile would serve nobody for many seconds.
+TEST(Workflow, newLeaderLeavesTasksOnADrainingWorkerUntilTheyMayStartElsewhere)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 6, 5000);
+    ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 3U);
+    ASSERT_EQ(rig.fleet.workers["w1"].running.size(), 3U);
+    RigNode &leader = takeOverWithout(rig, "w2");
+    rig.fleet.workers["w1"].condition = WorkerCondition::Draining;
+    rig.fleet.workers["w1"].leavesInMs = 30'000;
+    rig.backend.write("workers/w1", "2");
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 3U);
+    leader.port.unreachableWorkers.clear();
+    rig.run(5s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 0U) << "every worker has been read";
+    EXPECT_EQ(rig.fleet.runningTasks(), 6U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+TEST(Workflow, newLeaderEvictsNoTaskThatItMayNotStartElsewhere)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    for (const char *worker : {"first", "second"}) { // fills one worker, then the other
+        submitLongRunning(rig, std::string(worker) + "-goes", 1, 6000);
+        submitLongRunning(rig, std::string(worker) + "-stays", 1, 6000);
+        submitLongRunning(rig, std::string(worker) + "-small", 1, 4000);
+    }
+    submitLongRunning(rig, "third", 1, 12'000);
+    rig.cancel(rig.leader(), "first-goes");
+    rig.cancel(rig.leader(), "second-goes");
+    rig.run(500ms);
+    WorkerId third;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        third = !worker.running.empty() && worker.running[0].run.task.job == "third" ? id : third;
+    }
+    RigNode &leader = takeOverWithout(rig, third);
+    submitLongRunning(rig, "large", 1, 8000);
+    rig.run(2s);
+    const std::size_t reached = rig.fleet.runningTasks() - rig.fleet.workers[third].running.size();
+    EXPECT_EQ(reached, 4U) << "nothing was stopped for the large one";
+    leader.port.unreachableWorkers.clear();
+    rig.run(6s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 6U) << "a small one has moved";
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 TEST(Workflow, restartedWorkerIsReadAgain)
 {
     Rig rig(1, 2);
