--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -556,7 +556,7 @@
     RigNode &successor = *rig.nodes[static_cast<std::size_t>(1 - former)];
     successor.port.unreachableWorkers = {worker};
     rig.kill(former);
-    rig.run(3s);
+    rig.run(5s); // by then it is certain which jobs the former leader cannot have known
     EXPECT_EQ(rig.leader(), 1 - former);
     return successor;
 }
@@ -585,34 +585,6 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
-TEST(Workflow, newLeaderEvictsNoTaskThatItMayNotStartElsewhere)
-{
-    Rig rig(2, 3);
-    rig.run(1s);
-    for (const char *worker : {"first", "second"}) { // fills one worker, then the other
-        submitLongRunning(rig, std::string(worker) + "-goes", 1, 6000);
-        submitLongRunning(rig, std::string(worker) + "-stays", 1, 6000);
-        submitLongRunning(rig, std::string(worker) + "-small", 1, 4000);
-    }
-    submitLongRunning(rig, "third", 1, 12'000);
-    rig.cancel(rig.leader(), "first-goes");
-    rig.cancel(rig.leader(), "second-goes");
-    rig.run(500ms);
-    WorkerId third;
-    for (const auto &[id, worker] : rig.fleet.workers) {
-        third = !worker.running.empty() && worker.running[0].run.task.job == "third" ? id : third;
-    }
-    RigNode &leader = takeOverWithout(rig, third);
-    submitLongRunning(rig, "large", 1, 8000);
-    rig.run(2s);
-    const std::size_t reached = rig.fleet.runningTasks() - rig.fleet.workers[third].running.size();
-    EXPECT_EQ(reached, 4U) << "nothing was stopped for the large one";
-    leader.port.unreachableWorkers.clear();
-    rig.run(6s);
-    EXPECT_EQ(rig.fleet.runningTasks(), 6U) << "a small one has moved";
-    EXPECT_TRUE(rig.fleet.violations.empty());
-}
-
 TEST(Workflow, restartedWorkerIsReadAgain)
 {
     Rig rig(1, 2);
