--- a/bench/pressure.cpp
+++ b/bench/pressure.cpp
@@ -102,7 +102,7 @@
     std::vector<ServingStep> steps;
     std::vector<Worker> workers;
     std::vector<RunningTask> waiting;
-    std::vector<int> order;   ///< in which this shard first sees the images
+    std::vector<int> order; ///< in which this shard first sees the images
 };
 
 class Play
@@ -112,6 +112,7 @@
         : m_fleet(fleet)
         , m_variant(variant)
         , m_random(seed)
+        , m_bestEffortImages(static_cast<std::size_t>(fleet.bestEffort))
     {
         drawEffects();
         const int shards = std::max(1, fleet.workers / WorkersPerShard);
@@ -170,7 +171,7 @@
 
     double effectOf(int service, int neighbour) const
     {
-        return m_effects[static_cast<std::size_t>(service * m_fleet.bestEffort + neighbour)];
+        return m_effects[static_cast<std::size_t>(service) * m_bestEffortImages + static_cast<std::size_t>(neighbour)];
     }
 
     void addShard(int number, int workers)
@@ -181,9 +182,10 @@
         }
         std::shuffle(shard.order.begin(), shard.order.end(), m_random);
         const int tasks = workers * ServingPerWorker;
+        const int groups = std::max(1, m_fleet.serving * WorkersPerShard / m_fleet.workers); // images of a shard
         for (int i = 0; i < tasks / ServingPerStep; ++i) {
-            const int groups = std::max(1, m_fleet.serving * WorkersPerShard / m_fleet.workers); // images of a shard
-            const int image = m_variant.gathersImages ? (number * groups + i % groups) % m_fleet.serving : i % m_fleet.serving;
+            const int image
+                = m_variant.gathersImages ? (number * groups + i % groups) % m_fleet.serving : i % m_fleet.serving;
             shard.steps.push_back({image, SwingSeconds * unit(), {}});
         }
         shard.workers.resize(static_cast<std::size_t>(workers));
@@ -452,6 +454,7 @@
     const Fleet &m_fleet;
     const Variant &m_variant;
     std::mt19937 m_random;
+    std::size_t m_bestEffortImages;
     std::vector<double> m_effects; ///< by serving image, then best-effort image
     std::vector<Shard> m_shards;
     Duration m_time{};
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -155,6 +155,8 @@
     m_log.write(write->isCancel ? "cancel_answered" : "job_answered",
                 "job",
                 write->key,
+                "shard",
+                write->shard ? std::to_string(*write->shard) : "none",
                 "outcome",
                 static_cast<int>(outcome),
                 "repeated",
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -65,6 +65,7 @@
         addIncrease("runs_total", {{"shard", name}, {"end", "lost"}}, counters.lost, before.lost);
         addIncrease("stops_total", {{"shard", name}}, counters.stops, before.stops);
         addIncrease("throttles_total", {{"shard", name}}, counters.throttles, before.throttles);
+        addIncrease("untracked_images_total", {{"shard", name}}, counters.untrackedImages, before.untrackedImages);
         addIncrease("writes_total", {{"shard", name}}, counters.writes, before.writes);
     }
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -91,6 +91,7 @@
     std::uint64_t stops = 0;
     std::uint64_t writes = 0;
     std::uint64_t throttles = 0;
+    std::uint64_t untrackedImages = 0; ///< images beyond the limit of the pressure model
 };
 
 class WorkflowScheduler
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -255,6 +255,7 @@
             const std::string &image = job->accepted.spec.steps[s].image;
             occurrence.steps[s].image = m_pressure.classOf(image);
             if (occurrence.steps[s].image == UntrackedClass && m_untrackedImages.insert(image).second) {
+                ++m_counters.untrackedImages;
                 m_log.write("image_untracked", "image", image, "limit", MaxClasses);
             }
         }
