--- a/bench/pressure.cpp
+++ b/bench/pressure.cpp
@@ -10,7 +10,7 @@
  *
  * Columns: share of the offered best-effort work that was done; share of the time that serving tasks were over target;
  * share of all strong and mild neighbours of a service that are ranked rightly after 5, 10 and 20 s; processor time of
- * a report; heap and stored size of a shard's model.
+ * a report; stored size of a shard's model.
  */
 #include "usage.h"
 
