Say what long-running tasks and takeovers wait for

What: long_running_tasks_wait (every 5 s a step, with the reason), takeover_waits (unread workers by name, the longest wait left), worker_outwaited, takeover_resolved; the gauge quetzalrock_waiting_long_running_tasks by reason.

--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -44,13 +44,13 @@
         family->Add(labels).Increment(static_cast<double>(value >= before ? value - before : value));
     }
 
-    void set(const std::string &name, double value)
+    void set(const std::string &name, double value, const Labels &labels = {})
     {
         auto &family = gauges[name];
         if (family == nullptr) {
             family = &prometheus::BuildGauge().Name("quetzalrock_" + name).Register(registry);
         }
-        family->Add({}).Set(value);
+        family->Add(labels).Set(value);
     }
 
     void addIncreases(ShardId shard, const WorkflowCounters &counters)
@@ -98,10 +98,13 @@
     Impl &it = *m_impl;
     std::map<ShardId, WorkflowCounters> current;
     std::size_t activeJobs = 0;
+    WaitingTasks waiting;
     for (const WorkflowScheduler *scheduler : node.schedulers()) {
         it.addIncreases(scheduler->shard(), scheduler->counters());
         current[scheduler->shard()] = scheduler->counters();
         activeJobs += scheduler->activeJobs();
+        waiting.forUnreadWorkers += scheduler->waitingTasks().forUnreadWorkers;
+        waiting.forRoom += scheduler->waitingTasks().forRoom;
     }
     it.lastCounters = std::move(current);
     const IntakeCounters &intake = node.intakeCounters();
@@ -115,6 +118,8 @@
     it.set("led_shards", static_cast<double>(it.lastCounters.size()));
     it.set("ready", node.isReady(now) ? 1 : 0);
     it.set("active_jobs", static_cast<double>(activeJobs));
+    it.set("waiting_long_running_tasks", waiting.forUnreadWorkers, {{"why", "unread_workers"}});
+    it.set("waiting_long_running_tasks", waiting.forRoom, {{"why", "no_room"}});
     it.set("catalog_version", static_cast<double>(node.catalog().version));
 }
 
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -93,7 +93,8 @@
     const WorkflowSpec &spec = job.accepted.spec;
     OccurrenceState occurrence;
     for (const StepSpec &it : spec.steps) {
-        occurrence.steps.push_back({std::vector<TaskState>(it.taskCount), 0, 0, {}});
+        occurrence.steps.emplace_back();
+        occurrence.steps.back().tasks.resize(it.taskCount);
     }
     job.occurrences.assign(std::max<std::uint32_t>(1, spec.repeatCount), occurrence);
 }
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -90,12 +90,20 @@
     std::vector<std::uint64_t> failedAttempts;
 };
 
+/** Why a long-running task waits. */
+enum class WaitReason : std::uint8_t {
+    UnreadWorkers, ///< it may run on a worker that the new leader has not read yet
+    NoRoom,
+};
+
 struct StepState
 {
     std::vector<TaskState> tasks;
     std::uint32_t doneCount = 0;
-    std::uint16_t image = 0; ///< ClassIndex of the step's image in the pressure model
-    StepLoad load;           ///< steps of serving tasks: their own load
+    std::uint16_t image = 0;                        ///< ClassIndex of the step's image in the pressure model
+    StepLoad load;                                  ///< steps of serving tasks: their own load
+    WaitReason reportedReason = WaitReason::NoRoom; ///< of the last log line on waiting tasks
+    TimePoint nextWaitReportAt{};                   ///< earliest next line with the same reason
 };
 
 struct OccurrenceState
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -5,6 +5,7 @@
  * Index of this file
  *   WorkflowSettings     times and limits
  *   WorkflowCounters     exported as metrics
+ *   WaitingTasks         exported as metrics
  *   WorkflowScheduler    exists for one term of leadership; driven by tick() on one thread
  *
  * Stored state
@@ -94,6 +95,13 @@
     std::uint64_t untrackedImages = 0; ///< images beyond the limit of the pressure model
 };
 
+/** Long-running tasks that have waited for seconds, by what they wait for. */
+struct WaitingTasks
+{
+    std::uint32_t forUnreadWorkers = 0; ///< a former leader may have started them on a worker not read yet
+    std::uint32_t forRoom = 0;          ///< no worker that they may use has enough free resources
+};
+
 class WorkflowScheduler
 {
 public:
@@ -126,6 +134,7 @@
 
     ShardId shard() const;
     const WorkflowCounters &counters() const;
+    const WaitingTasks &waitingTasks() const;
     std::size_t activeJobs() const;
 
 private:
@@ -153,6 +162,7 @@
     void onCancel(const JobKey &key);
     bool mayBeRunningElsewhere(const JobState &job) const;
     void resolveUnreadWorkers(TimePoint now);
+    void logTakeoverProgress(TimePoint now);
     void checkFormerLeaderRestart(TimePoint now);
     TimePoint formerLeasesExpiry() const;
 
@@ -207,6 +217,10 @@
     bool canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const;
     bool canBeEvicted(const TaskRef &ref) const; ///< within the step's maxUnavailable
 
+    // Reports on long-running tasks that wait (waiting.cpp)
+    void reportWaitingTasks(TimePoint now);
+    void reportWaitingStep(JobState &job, std::uint32_t step, TimePoint now);
+
     // Protecting serving tasks from best-effort tasks (pressureguard.cpp)
     void observePressure(WorkerIndex index);
     void updateThrottles(WorkerIndex index);
@@ -256,6 +270,11 @@
         Inbox,
         Done
     };
+    enum class TakeoverLog : std::uint8_t { ///< what has been logged about the workers to be read
+        Nothing,
+        Waiting,
+        Resolved
+    };
     LoadStage m_loadStage = LoadStage::Workers;
     bool m_isLoading = false;
     TimePoint m_nextLoadAt{}; ///< earliest retry of a failed load
@@ -267,6 +286,8 @@
     bool m_isFormerLeaderGone = false; ///< the former leader certainly sends no more orders ...
     TimePoint m_formerLeaderGoneAt{};  ///< ... since this time at the latest
     TimePoint m_nextFormerLeaderCheckAt{};
+    std::size_t m_outwaitedWorkerCount = 0; ///< workers that were resolved without having reported
+    TakeoverLog m_takeoverLog = TakeoverLog::Nothing;
     std::uint64_t m_maxFormerRevision = 0; ///< former leaders may know jobs created up to it; 0: not determined yet
 
     // Workers
@@ -307,6 +328,8 @@
     TimePoint m_nextStatusAt{};        ///< earliest next write of ShardStatus
     TimePoint m_nextPressureStoreAt{}; ///< earliest next write of the pressure model
     WorkflowCounters m_counters;
+    WaitingTasks m_waitingTasks;
+    TimePoint m_nextWaitCheckAt{};
     WorkflowObserver *m_observer = nullptr;
 };
 
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -8,7 +8,9 @@
 namespace {
 
 constexpr Duration LoadRetryDelay = std::chrono::milliseconds(200);
-constexpr Duration LeaseMargin = std::chrono::milliseconds(100);               ///< for orders in transit
+constexpr Duration LeaseMargin = std::chrono::milliseconds(100); ///< for orders in transit
+constexpr Duration TakeoverLogDelay = std::chrono::seconds(1);   ///< most takeovers are complete by then
+constexpr std::size_t MaxLoggedWorkers = 8;
 constexpr Duration FormerLeaderCheckInterval = std::chrono::milliseconds(700); ///< while a worker has not reported
 
 } // namespace
@@ -102,6 +104,7 @@
     if (now >= m_nextPlacementAt) {
         placeJobs(now);
     }
+    reportWaitingTasks(now);
     storeProgress(now);
     removeExpiredJobs(now);
 }
@@ -316,18 +319,66 @@
     std::size_t unread = 0;
     for (const auto &it : m_workers) {
         if (it->mayRunFormerOrders && (it->hasReported || now >= allExpired)) {
-            m_log.write("worker_resolved", "worker", it->record.id, "read", it->hasReported);
+            if (!it->hasReported) {
+                ++m_outwaitedWorkerCount;
+                m_log.write("worker_outwaited", "worker", it->record.id, "registered", it->isRegistered);
+            }
             it->mayRunFormerOrders = false;
             m_isPlacementDue = true;
         }
         unread += it->mayRunFormerOrders ? 1 : 0;
     }
     m_unreadWorkerCount = unread;
+    logTakeoverProgress(now);
     if (unread > 0 && !m_isFormerLeaderGone && now >= m_nextFormerLeaderCheckAt) {
         checkFormerLeaderRestart(now);
     }
 }
 
+/** One line while workers are still unread, with a few of them, and one when the takeover is complete. */
+void WorkflowScheduler::logTakeoverProgress(TimePoint now)
+{
+    const auto milliseconds
+        = [](Duration it) { return std::chrono::duration_cast<std::chrono::milliseconds>(it).count(); };
+    if (m_unreadWorkerCount == 0 && m_takeoverLog != TakeoverLog::Resolved) {
+        m_takeoverLog = TakeoverLog::Resolved;
+        m_log.write("takeover_resolved",
+                    "shard",
+                    m_shard,
+                    "epoch",
+                    m_term.epoch,
+                    "after_ms",
+                    milliseconds(now - m_electedAt),
+                    "outwaited",
+                    m_outwaitedWorkerCount);
+    } else if (m_unreadWorkerCount > 0 && m_takeoverLog == TakeoverLog::Nothing
+               && now >= m_electedAt + TakeoverLogDelay) {
+        m_takeoverLog = TakeoverLog::Waiting;
+        std::string names;
+        std::size_t n = 0;
+        for (const auto &it : m_workers) {
+            if (it->mayRunFormerOrders && n++ < MaxLoggedWorkers) {
+                names += (names.empty() ? "" : ",") + it->record.id;
+            }
+        }
+        m_log.write("takeover_waits",
+                    "shard",
+                    m_shard,
+                    "epoch",
+                    m_term.epoch,
+                    "former",
+                    m_term.previous.node,
+                    "former_gone",
+                    m_isFormerLeaderGone,
+                    "unread",
+                    m_unreadWorkerCount,
+                    "workers",
+                    names,
+                    "at_most_ms",
+                    milliseconds(formerLeasesExpiry() - now));
+    }
+}
+
 TimePoint WorkflowScheduler::formerLeasesExpiry() const
 {
     const double lease = static_cast<double>(m_settings.workerLease.count()) / MinWorkerClockRate;
