--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -80,4 +80,154 @@
     EXPECT_GE(waiting().forUnreadWorkers, 2U);
 }
 
+// Guards against LOST: a long-running task that a new leader took off a draining worker waited until workers that the
+// former leader had used were outwaited, although the new leader itself had read the task's only run.
+TEST(Takeover, taskStoppedByTheNewLeaderNeedNotWaitForUnreadWorkers)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 6, 5000);
+    ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 3U);
+    ASSERT_EQ(rig.fleet.workers["w1"].running.size(), 3U);
+    rig.cancel(rig.leader(), "a");
+    rig.run(500ms);
+    submitLongRunning(rig, "b", 2, 5000);
+    WorkerId used;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        used = worker.running.empty() ? used : id;
+    }
+    takeOverWithout(rig, {used == "w2" ? "w1" : "w2"});
+    startDraining(rig, used, 2000);
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.workers[used].running.size(), 0U);
+    EXPECT_EQ(runningTasksOf(rig, "b"), 2U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against jobs that stand still after a takeover: their running tasks ended, and the next step waited for workers
+// that could not have started it.
+TEST(Takeover, nextStepNeedNotWaitForUnreadWorkers)
+{
+    Rig rig(2, 3);
+    rig.fleet.workTime = 6s;
+    rig.run(1s);
+    rig.submit(rig.leader(), Rig::makeJob("a", 2, 2));
+    rig.run(1s);
+    ASSERT_TRUE(rig.fleet.workers["w2"].running.empty());
+    takeOverWithout(rig, {"w2"});
+    rig.run(3s); // the tasks of the first step end 6 s after their start
+    EXPECT_EQ(rig.fleet.starts, 4U);
+    EXPECT_EQ(rig.fleet.runningTasks(), 2U);
+    rig.run(8s);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Completed);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against LOST: a worker that had left for good stayed in the list of workers that a successor has to read, so
+// that the successor outwaited it before it started any task of a known job.
+TEST(Takeover, workerThatHasLeftIsNotWaitedFor)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "fills", 9, 5000);
+    ASSERT_EQ(rig.fleet.runningTasks(), 9U);
+    submitLongRunning(rig, "waits", 1, 5000);
+    startDraining(rig, "w2", 2000);
+    rig.run(2s);
+    ASSERT_EQ(rig.fleet.workers["w2"].running.size(), 0U);
+    leave(rig, "w2");
+    rig.run(500ms);
+    takeOverWithout(rig, {});
+    rig.cancel(rig.leader(), "fills");
+    rig.run(1s);
+    EXPECT_EQ(runningTasksOf(rig, "waits"), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against LOST: runs read from a worker that then left were held for the longest lease that workers accept, not
+// for the one that leaders give.
+TEST(Takeover, runOnAWorkerThatLeftIsHeldForTheLeaseThatLeadersGive)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 2, 5000);
+    WorkerId used;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        used = worker.running.empty() ? used : id;
+    }
+    ASSERT_EQ(rig.fleet.workers[used].running.size(), 2U);
+    const int former = rig.leader();
+    rig.kill(former);
+    // The worker leaves as soon as the successor has read it, before it can renew the lease.
+    const std::uint64_t fence = rig.fleet.workers[used].fence;
+    for (int i = 0; i < 500 && rig.fleet.workers[used].fence == fence; ++i) {
+        rig.run(StepTime);
+    }
+    ASSERT_NE(rig.fleet.workers[used].fence, fence);
+    leave(rig, used);
+    rig.run(6500ms);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 2U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against LOST: a node that lost its leadership in a store outage and was elected again waited for the grace
+// period of its own former term, which had ended with it.
+TEST(Takeover, leaderDoesNotWaitForItsOwnFormerTerm)
+{
+    Rig rig(1, 2);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    ASSERT_EQ(rig.fleet.runningTasks(), 4U);
+    for (const char *it : {"w0", "w1"}) {
+        if (rig.fleet.workers[it].running.size() < 3) {
+            rig.fleet.workers[it].isReachable = false;
+        }
+    }
+    ++rig.backend.revision;
+    rig.backend.remove("ctl/board/leader/0");
+    rig.run(8s); // the lease of the worker that cannot be read expires after 5.1 s
+    EXPECT_EQ(rig.leader(), 0);
+    rig.run(1s);
+    EXPECT_GE(rig.fleet.runningTasks(), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against TWICE: a leader followed one that had resigned, but the one before that was still in its grace period
+// and renewed the lease of a worker that its successors could not reach.
+TEST(Takeover, leadersBeforeTheFormerOneAreWaitedForToo)
+{
+    Rig rig(3, 3);
+    rig.fleet.workTime = 60s;
+    rig.run(1s);
+    submitLongRunning(rig, "a", 2, 5000);
+    WorkerId used;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        used = worker.running.empty() ? used : id;
+    }
+    const int first = rig.leader();
+    for (int i = 0; i < 3; ++i) {
+        if (i != first) {
+            rig.nodes[static_cast<std::size_t>(i)]->port.unreachableWorkers = {used};
+        }
+    }
+    RigNode &cutOff = *rig.nodes[static_cast<std::size_t>(first)];
+    cutOff.store.isSilent = true;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        if (id != used) {
+            cutOff.port.unreachableWorkers.insert(id);
+        }
+    }
+    int second = -1;
+    for (int i = 0; i < 500 && (second < 0 || second == first); ++i) {
+        rig.run(StepTime);
+        second = rig.leader();
+    }
+    ASSERT_GE(second, 0);
+    ASSERT_NE(second, first);
+    rig.nodes[static_cast<std::size_t>(second)]->node->beginDrain();
+    rig.run(30s);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+    EXPECT_EQ(runningTasksOf(rig, "a"), 2U) << "the leases that the first leader gave have expired";
+}
+
 } // namespace QuetzalRock::Workflow
