A leader in its grace period concludes nothing from a worker's restart

What could happen: a leader cut off from the store notices that a worker has restarted, takes its runs for lost and starts their tasks on a worker that only it reaches, while its successor, which had read those runs, does the same. Two runs of a task.

Cause: leases were treated as expired under full authority only, but restarts and replaced workers were not.

Given up: in an outage of the store the runs of a restarted worker wait until it is over.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -163,6 +163,10 @@
         worker.nextRenewAt = now + m_settings.callRetryDelay;
         return;
     case OrderStatus::WrongIncarnation:
+        if (m_authority != Authority::Full) {
+            worker.nextRenewAt = now + m_settings.renewInterval; // see resolveUnlistedRuns()
+            return;
+        }
         m_log.write("worker_replaced", "worker", worker.record.id, "address", worker.record.address);
         requeueLostRuns(index, "another worker replies at its address");
         worker.mayRunFormerOrders = false;
@@ -441,10 +445,16 @@
     m_isPlacementDue = true;
 }
 
-/** Handles runs that the report does not list: undecided until a later report, never started, or lost. */
+/**
+ * Handles runs that the report does not list: undecided until a later report, never started, or lost. Only under full
+ * authority are runs lost by a restart: a successor may have read them, and their ends, before the worker restarted.
+ */
 void WorkflowScheduler::resolveUnlistedRuns(WorkerIndex index, std::int64_t clockMs, bool isComplete, TimePoint sentAt)
 {
     WorkerState &worker = *m_workers[index];
+    if (worker.isNewIncarnation && m_authority != Authority::Full) {
+        return;
+    }
     const bool isNewIncarnation = std::exchange(worker.isNewIncarnation, false);
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -192,6 +192,40 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against TWICE: a leader in its grace period, whose successor had read a run, concluded from a restart of the
+// worker that the run was gone, and started the task on a worker that only it could reach.
+TEST(Takeover, leaderInGraceKeepsRunsOfARestartedWorker)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 1, 5000);
+    WorkerId used;
+    std::set<WorkerId> unused;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        used = worker.running.empty() ? used : id;
+        if (worker.running.empty()) {
+            unused.insert(id);
+        }
+    }
+    const int former = rig.leader();
+    RigNode &cutOff = *rig.nodes[static_cast<std::size_t>(former)];
+    RigNode &successor = *rig.nodes[static_cast<std::size_t>(1 - former)];
+    successor.port.unreachableWorkers = {*unused.begin()};
+    cutOff.port.unreachableWorkers = {*unused.rbegin()};
+    cutOff.store.isSilent = true;
+    rig.fleet.workers[used].isReachable = false; // restarts while the successor is being elected
+    rig.run(2500ms);
+    ASSERT_EQ(rig.leader(), 1 - former);
+    rig.fleet.restartWorker(used);
+    successor.port.unreachableWorkers.insert(used);
+    rig.fleet.workers[used].isReachable = true;
+    rig.run(1s);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 0U) << "the former leader must not start it: its successor may have done so";
+    rig.run(20s);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // Guards against TWICE: a leader followed one that had resigned, but the one before that was still in its grace period
 // and renewed the lease of a worker that its successors could not reach.
 TEST(Takeover, leadersBeforeTheFormerOneAreWaitedForToo)
--- a/spec/workflow.pml
+++ b/spec/workflow.pml
@@ -9,6 +9,7 @@
  *              lost       an end that a worker was told to forget has been stored
  *              next       if a leader learned the end of a run that it accounts for, no former leader learns of that end: it
  *                         cannot start what depends on the task
+ *              With UNCHECKED_FINISHED, finished and next are not checked.
  * Faults       Each flag removes one mechanism; an invariant must then fail.
  *              NO_FENCE     workers accept orders of former leaders
  *              NO_BARRIER   a new leader places the task before every worker is resolved (see Leader.resolved)
