After a takeover only what a former leader may have started waits for unread workers

What callers saw (LOST): long-running tasks that a new leader itself took off draining workers, or whose runs failed under it, did not run for up to 15 s; jobs in the middle stood still as long.

Cause: one barrier for all tasks of all jobs that the former leader may have known, until each worker of its list was read or outwaited. But a task whose run the new leader has read cannot be started by a former one: the worker rejects that leader's orders from then on, so it never learns how the run ends, nor that what depends on it may start. The barrier is now one for each task (TaskState::isAccountedFor). Class of the fault: a wait for the slowest member of a group, where the question concerns one member.

Tasks with failed runs still wait: unread workers may list more failures, and their number is limited.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -13,9 +13,10 @@
 constexpr unsigned FenceRestartBits = 16;     ///< low bits of a fencing token: restart count; above them: epoch
 constexpr std::size_t MaxEndsPerReport = 500; ///< a report with this many ends may be truncated
 constexpr std::uint32_t MaxUnansweredBeforeReadOnly = 1; ///< then renewals no longer extend the lease
-constexpr Duration EndBatchDelay = 25ms;      ///< delays the renewal after a report with ends until these are stored
-constexpr Duration StorePendingDelay = 150ms; ///< between renewals while ends wait to be stored: workers reply at once
-constexpr std::int64_t ClockMarginMs = 50;    ///< added to a start's validity before the start counts as void
+constexpr Duration EndBatchDelay = 25ms;       ///< delays the renewal after a report with ends until these are stored
+constexpr Duration StorePendingDelay = 150ms;  ///< between renewals while ends wait to be stored: workers reply at once
+constexpr Duration EvacuationInterval = 100ms; ///< between two checks of a draining worker's runs
+constexpr std::int64_t ClockMarginMs = 50;     ///< added to a start's validity before the start counts as void
 
 } // namespace
 
@@ -312,6 +313,7 @@
         // Started by a former leader, or by us and the reply was lost.
         TaskState &task = ref->task();
         task.attempt = entry.run.attempt;
+        task.isAccountedFor = true;
         task.startedAt = m_now;
         reserveResources(*ref, index);
         ++worker.adoptedRuns;
@@ -504,26 +506,36 @@
     m_isPlacementDue = true;
 }
 
-/**
- * Stops the tasks that should move to another worker. Long-running ones move at once, unless they may not be started
- * again yet: then they serve their users where they are for as long as the worker stays.
- */
+/** Stops the tasks that should move to another worker. */
 void WorkflowScheduler::evacuateDrainingWorker(WorkerIndex index, TimePoint now)
 {
     WorkerState &worker = *m_workers[index];
-    const TimePoint leavesAt = worker.drainSeenAt + std::chrono::milliseconds(worker.record.leavesInMs);
+    if (now < worker.nextEvacuationAt) {
+        return;
+    }
+    worker.nextEvacuationAt = now + EvacuationInterval;
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
-        const bool isRunning = ref.task().phase == TaskPhase::Running;
-        const bool leavesSoon = now + m_settings.drainMargin >= leavesAt;
-        const bool mustMove = ref.spec().isLongRunning ? leavesSoon || !mayBeRunningElsewhere(*ref.job)
-                                                       : leavesSoon && ref.spec().isCheckpointed;
-        if (isRunning && mustMove) {
+        if (ref.task().phase == TaskPhase::Running && mustLeaveDrainingWorker(ref, index, now)) {
             stopTask(ref, "the worker is draining");
         }
     }
 }
 
+/**
+ * Long-running tasks leave as soon as another worker can take them: until then they serve their users where they are.
+ * Shortly before the worker shuts down, every task that loses nothing by a stop leaves.
+ */
+bool WorkflowScheduler::mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const
+{
+    const WorkerState &worker = *m_workers[index];
+    const TimePoint leavesAt = worker.drainSeenAt + std::chrono::milliseconds(worker.record.leavesInMs);
+    if (now + m_settings.drainMargin >= leavesAt) {
+        return ref.spec().isLongRunning || ref.spec().isCheckpointed;
+    }
+    return ref.spec().isLongRunning && canRunElsewhere(ref, index, now);
+}
+
 void WorkflowScheduler::updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now)
 {
     if (hasSucceeded) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -58,7 +58,7 @@
     sortJobs(now);
     for (JobState *job : m_jobOrder) {
         const bool isNewInGrace = m_authority != Authority::Full && job->learnedAt > m_lastFullAuthorityAt;
-        if (!job->isCancelled && !isNewInGrace && !mayBeRunningElsewhere(*job)) {
+        if (!job->isCancelled && !isNewInGrace) {
             placeJob(*job, now);
         }
     }
@@ -120,7 +120,7 @@
     for (std::uint32_t i = 0; i < n; ++i) {
         const TaskRef ref{&job, occurrence, step, i};
         TaskState &task = ref.task();
-        if (task.phase != TaskPhase::Waiting || now < task.retryAt) {
+        if (task.phase != TaskPhase::Waiting || now < task.retryAt || mayBeRunningElsewhere(ref)) {
             continue;
         }
         const WorkerIndex worker = chooseWorker(ref, now);
@@ -156,8 +156,9 @@
     auto &tasks = job.occurrences[occurrence].steps[step].tasks;
     std::uint64_t attempt = 0;
     std::string checkpoint;
-    for (TaskState &it : tasks) {
-        if (it.phase != TaskPhase::Waiting || now < it.retryAt) {
+    for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        const TaskState &it = tasks[i];
+        if (it.phase != TaskPhase::Waiting || now < it.retryAt || mayBeRunningElsewhere({&job, occurrence, step, i})) {
             return;
         }
         attempt = std::max(attempt, nextAttempt(it));
@@ -310,6 +311,7 @@
     WorkerState &worker = *m_workers[index];
     TaskState &task = ref.task();
     task.attempt = attempt;
+    task.isAccountedFor = true;
     task.isAcknowledged = false;
     task.isStopAcknowledged = false;
     task.orderedAt = now;
@@ -441,6 +443,11 @@
     OccurrenceState &occurrence = ref.job->occurrences[ref.occurrence];
     StepState &step = occurrence.steps[ref.step];
     auto &tasks = step.tasks;
+    // A former leader has not learned of the end of a run that this leader accounts for, so it cannot have started what
+    // depends on the step. In a gang the end of any member that is not accounted for would tell it.
+    const auto isAccountedFor = [](const TaskState &it) { return it.isAccountedFor; };
+    step.isCompletionOurs
+        |= ref.spec().isGang ? std::all_of(tasks.begin(), tasks.end(), isAccountedFor) : isAccountedFor(ref.task());
     // The end of one gang member completes all. The others keep their resources until their own ends are reported.
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         if (i == ref.index || ref.spec().isGang) {
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -91,6 +91,7 @@
     bool isNewIncarnation = false;   ///< has restarted and not reported since
     std::uint32_t restartCount = 0;  ///< restarts seen in this term; part of the fencing token
     TimePoint drainSeenAt{};         ///< when its entry first said that it is draining
+    TimePoint nextEvacuationAt{};    ///< draining: next check which of its runs must leave
 
     // Contact
     WorkerClock clock;
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -198,7 +198,7 @@
         }
         const bool isStalled
             = task.stalledSince != TimePoint{} && m_now - task.stalledSince >= m_settings.pressure.maxStallTime;
-        const bool canMove = runs[i].spec().isCheckpointed && !mayBeRunningElsewhere(*runs[i].job);
+        const bool canMove = runs[i].spec().isCheckpointed && !mayBeRunningElsewhere(runs[i]);
         if (isStalled && canMove && chooseWorker(runs[i], m_now) != NoWorker) {
             runs[i].task().avoidedWorker = index;
             stopTask(runs[i], "would slow down a serving task on the same worker");
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -70,7 +70,8 @@
 struct TaskState
 {
     TaskPhase phase = TaskPhase::Waiting;
-    bool isAcknowledged = false;     ///< Starting: the worker has accepted the order
+    bool isAccountedFor = false; ///< this leader has read a run of it or started one, so no former leader can start it
+    bool isAcknowledged = false; ///< Starting: the worker has accepted the order
     bool isStopAcknowledged = false; ///< Stopping: the worker has accepted the order; if the run is not listed after
                                      ///< that, it never started
     WorkerIndex worker = NoWorker;
@@ -101,8 +102,9 @@
 {
     std::vector<TaskState> tasks;
     std::uint32_t doneCount = 0;
-    std::uint16_t image = 0;                        ///< ClassIndex of the step's image in the pressure model
-    StepLoad load;                                  ///< steps of serving tasks: their own load
+    bool isCompletionOurs = false; ///< no former leader can know that all its tasks are done; see finishTask()
+    std::uint16_t image = 0;       ///< ClassIndex of the step's image in the pressure model
+    StepLoad load;                 ///< steps of serving tasks: their own load
     WaitReason reportedReason = WaitReason::NoRoom; ///< of the last log line on waiting tasks
     TimePoint nextWaitReportAt{};                   ///< earliest next line with the same reason
 };
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -124,7 +124,7 @@
 
 bool WorkflowScheduler::canBeEvicted(const TaskRef &ref) const
 {
-    if (mayBeRunningElsewhere(*ref.job)) {
+    if (mayBeRunningElsewhere(ref)) {
         return false; // could not be started again yet
     }
     const std::uint32_t limit = ref.spec().maxUnavailable;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -17,8 +17,10 @@
  *   - Each order carries a fencing token derived from the epoch. A new leader first renews the lease of each worker
  *     with its own token. From then on the worker rejects orders of former leaders, and its reports list all
  *     their runs.
- *   - A job that a former leader may have known is not placed until every worker that this leader used has reported, or
- *     can no longer run its tasks: its lease has expired, or another worker replies at its address.
+ *   - A task that a former leader may have started is not placed until every worker that this leader used has reported,
+ *     or can no longer run its tasks: its lease has expired, or another worker replies at its address. That a former
+ *     leader cannot start it any more is certain once the new leader has read its run: the worker then rejects the former
+ *     leader's orders, so that leader never learns how the run ends.
  *   - An unreachable worker keeps its tasks until its lease has expired, allowing for a slow worker clock.
  *   - The task of an unanswered start is not placed again until the worker has confirmed a stop, which bars the
  *     attempt, or the validity of the start has passed on the worker's clock.
@@ -163,7 +165,7 @@
     void onInboxItem(const StoreItem &item);
     void addJob(const StoreItem &item);
     void onCancel(const JobKey &key);
-    bool mayBeRunningElsewhere(const JobState &job) const;
+    bool mayBeRunningElsewhere(const TaskRef &ref) const;
     void resolveUnreadWorkers(TimePoint now);
     void logTakeoverProgress(TimePoint now);
     void checkFormerLeaderRestart(TimePoint now);
@@ -185,6 +187,7 @@
     void requeueLostRuns(WorkerIndex index, std::string_view why);
     void beginIncarnation(WorkerIndex index, const WorkerRecord &record);
     void evacuateDrainingWorker(WorkerIndex index, TimePoint now);
+    bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const;
     void updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now);
     void acknowledgeDurableEnds(WorkerState &worker);
     WorkerTarget target(const WorkerState &worker) const;
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -3,6 +3,8 @@
 
 #include <base/errors.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -308,9 +310,22 @@
 // Runs of former leaders
 // ---------------------------------------------------------------------------------------------------------------------
 
-bool WorkflowScheduler::mayBeRunningElsewhere(const JobState &job) const
+/**
+ * Whether a former leader may have started the task, or may still start it, on a worker that has not been read. A task
+ * with failed runs waits as well: unread workers may list more failures, and their number is limited.
+ */
+bool WorkflowScheduler::mayBeRunningElsewhere(const TaskRef &ref) const
 {
-    return m_unreadWorkerCount > 0 && (m_maxFormerRevision == 0 || job.createdRevision <= m_maxFormerRevision);
+    const bool isNewerJob = m_maxFormerRevision != 0 && ref.job->createdRevision > m_maxFormerRevision;
+    if (m_unreadWorkerCount == 0 || isNewerJob) {
+        return false;
+    }
+    if (ref.task().isAccountedFor) {
+        return !ref.task().failedAttempts.empty();
+    }
+    const auto &steps = ref.job->occurrences[ref.occurrence].steps;
+    const auto &after = ref.spec().after;
+    return std::none_of(after.begin(), after.end(), [&steps](std::uint32_t it) { return steps[it].isCompletionOurs; });
 }
 
 /** Counts the workers that may still run a former leader's tasks, and determines which jobs it cannot have known. */
--- a/packages/workflow/waiting.cpp
+++ b/packages/workflow/waiting.cpp
@@ -43,14 +43,17 @@
 void WorkflowScheduler::reportWaitingStep(JobState &job, std::uint32_t step, TimePoint now)
 {
     StepState &state = job.occurrences.front().steps[step];
-    const WaitReason reason = mayBeRunningElsewhere(job) ? WaitReason::UnreadWorkers : WaitReason::NoRoom;
+    WaitReason reason = WaitReason::NoRoom; // of the first waiting task
     std::uint32_t waiting = 0;
     std::uint32_t first = 0;
     Duration longest{};
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
         const Duration waited = now - std::max(job.learnedAt, state.tasks[i].retryAt);
         if (state.tasks[i].phase == TaskPhase::Waiting && waited >= ReportedWait) {
-            first = waiting == 0 ? i : first;
+            if (waiting == 0) {
+                first = i;
+                reason = mayBeRunningElsewhere({&job, 0, step, i}) ? WaitReason::UnreadWorkers : WaitReason::NoRoom;
+            }
             longest = std::max(longest, waited);
             ++waiting;
         }
