Take a leaving worker off the stored list as soon as nothing runs there

Cause: a worker that drained empty and left stayed in ctl/workers until the lease had passed that it no longer needed, 5 s after its last renewal. The successor cannot reach it, so it waited the longest time there is.

Now a draining or unregistered worker goes off the list once nothing runs there and all its ends are stored; from then on it gets no starts unless it is listed again.

Cost: one write for each worker that leaves.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -64,7 +64,7 @@
         m_log.write(
             "worker_draining", "worker", record.id, "leaves_in_ms", record.leavesInMs, "runs", worker.runs.size());
     }
-    if (!m_storedWorkers.contains(record.id)) {
+    if (!worker.isLeaving() && !m_storedWorkers.contains(record.id)) {
         m_workersDirty = true;
     }
 }
@@ -115,11 +115,7 @@
         if (!worker.runs.empty() && hasLeaseExpired && m_authority == Authority::Full) {
             requeueLostRuns(i, "lease expired");
         }
-        const bool isUnused
-            = !worker.isRegistered && !worker.mayRunFormerOrders && worker.runs.empty() && now >= worker.leaseEndsBy;
-        if (isUnused && m_authority == Authority::Full && m_storedWorkers.erase(worker.record.id) > 0) {
-            m_workersDirty = true; // a successor need not read it
-        }
+        dropFromStoredWorkers(worker);
         const bool isNeeded = worker.isRegistered || worker.mayRunFormerOrders || !worker.runs.empty();
         if (isNeeded && !worker.isRenewing && now >= worker.nextRenewAt && !worker.record.address.empty()) {
             renewWorkerLease(i, now);
@@ -130,6 +126,19 @@
     }
 }
 
+/** Takes a worker that leaves, and that runs nothing, off the stored list: a successor need not read it. */
+void WorkflowScheduler::dropFromStoredWorkers(WorkerState &worker)
+{
+    if (!worker.isLeaving() || m_authority != Authority::Full || !m_storedWorkers.contains(worker.record.id)) {
+        return;
+    }
+    acknowledgeDurableEnds(worker);
+    if (!worker.mustBeRead()) {
+        m_storedWorkers.erase(worker.record.id); // from now on it gets no starts
+        m_workersDirty = true;
+    }
+}
+
 void WorkflowScheduler::renewWorkerLease(WorkerIndex index, TimePoint now)
 {
     WorkerState &worker = *m_workers[index];
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -133,6 +133,16 @@
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
     }
+    /** Gets no more starts. */
+    bool isLeaving() const
+    {
+        return !isRegistered || record.condition == WorkerCondition::Draining;
+    }
+    /** Whether a successor has to read it: it may run something, or list ends that are not stored yet. */
+    bool mustBeRead() const
+    {
+        return mayRunFormerOrders || !runs.empty() || !unknownRuns.empty() || !unacknowledgedEnds.empty();
+    }
     Resources freeResources() const
     {
         return record.capacity - reserved;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -176,6 +176,7 @@
     WorkerState &findOrAddWorker(const WorkerId &id);
     void renewWorkerLeases(TimePoint now);
     void renewWorkerLease(WorkerIndex index, TimePoint now);
+    void dropFromStoredWorkers(WorkerState &worker);
     void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt);
     void onRenewFailed(WorkerIndex index, OrderStatus status, TimePoint now);
     void processReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -179,13 +179,16 @@
     return status;
 }
 
-/** Stores the list of workers before the first order to a new one, so that a successor knows which workers to read. */
+/**
+ * Stores the list of workers that a successor has to read: new ones before the first order to them, leaving ones until
+ * nothing runs there any more.
+ */
 void WorkflowScheduler::storeWorkers()
 {
     std::vector<KnownWorker> knownWorkers;
     std::set<WorkerId> ids;
     for (const auto &it : m_workers) {
-        if (it->isRegistered || it->mayRunFormerOrders || !it->runs.empty()) {
+        if (!it->isLeaving() || it->mustBeRead()) {
             knownWorkers.push_back({it->record.id, it->record.startedAtMs, it->record.address, it->record.pool});
             ids.insert(it->record.id);
         }
