Hold runs of a worker that left for the lease that leaders grant

Cause: adopted runs were held for the longest lease that workers accept (10 s), although every leader grants 5 s, and the wait for workers that were not read counts on just that. Ruled out: that a former leader may have granted more; WorkflowSettings::grantedLease is the one length for all (worker_lease_ms has to be the same on all nodes, as before), and a worker rejects renewals of former leaders once it has been read.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -150,9 +150,9 @@
     const bool canExtendLease
         = worker.hasReported && worker.clock.isKnown() && worker.unansweredRenewals < MaxUnansweredBeforeReadOnly;
     if (canExtendLease) {
-        order.leaseUntilMs = worker.clock.workerTimeAfter(m_settings.workerLease, now);
+        order.leaseUntilMs = worker.clock.workerTimeAfter(m_settings.grantedLease(), now);
         worker.leaseEndsBy
-            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.workerLease, now));
+            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
     if (worker.hasReported && worker.unansweredRenewals == 0 && worker.unacknowledgedEnds.empty()) {
         order.wait = m_settings.renewInterval;
@@ -232,9 +232,9 @@
     }
     worker.clock.update(reply.report.clockMs, now);
     if (!worker.hasReported && !reply.report.running.empty()) {
-        // A former leader may have granted it the longest lease just now.
+        // A former leader may have renewed its lease just now.
         worker.leaseEndsBy
-            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.maxWorkerLease, now));
+            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
     worker.hasReported = true;
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -46,7 +46,8 @@
 {
     // Workers
     Duration renewInterval = std::chrono::milliseconds(1000); ///< longest time between two renewals of a worker
-    Duration workerLease = std::chrono::seconds(5);           ///< lease time; longer than an election and a takeover
+    /** Lease time; longer than an election and a takeover. The same on all nodes, see grantedLease(). */
+    Duration workerLease = std::chrono::seconds(5);
     Duration maxWorkerLease = std::chrono::seconds(10);       ///< workers cut any longer lease to this
     Duration orderValidity = std::chrono::milliseconds(2500); ///< a worker rejects a start that arrives later than this
 
@@ -81,6 +82,12 @@
     Duration drainMargin = std::chrono::milliseconds(1500);
     PlacementWeights placement;
     PressureSettings pressure;
+
+    /** The lease that each leader grants, hence the longest that a former one can have granted. */
+    Duration grantedLease() const
+    {
+        return std::min(workerLease, maxWorkerLease);
+    }
 };
 
 struct WorkflowCounters
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -401,7 +401,7 @@
 
 TimePoint WorkflowScheduler::formerLeasesExpiry() const
 {
-    const double lease = static_cast<double>(m_settings.workerLease.count()) / MinWorkerClockRate;
+    const double lease = static_cast<double>(m_settings.grantedLease().count()) / MinWorkerClockRate;
     const TimePoint lastOrder
         = m_formerLeaders.empty() ? m_formerLeadersGoneAt : m_electedAt + m_settings.formerLeaderOrderTime;
     return lastOrder + Duration(static_cast<Duration::rep>(lease)) + LeaseMargin;
