Tests' rig: never read the ports of a daemon's former process

What users saw: the test domains failed once of five runs, "ready without settings: expected '503', got '000'".

Cause: start_daemon of rig.sh started the daemon in the background with its log as output, and then looked for "serves callers" in that log. The background command opens and so empties the log itself, now and then after the first look; what is read then is the log of the process that was killed, and its ports. Nothing listens there, which curl says by 000. The daemon is not at fault.

Now the log is emptied before the daemon is started, and the daemon appends to it, so the line can only be its own.

--- a/packages/daemon/tests/rig.sh
+++ b/packages/daemon/tests/rig.sh
@@ -101,7 +101,10 @@
 }
 
 start_daemon() { # start_daemon NAME: sets daemon (pid), requests and admin (URLs)
-    "$build"/daemon/quetzalrockd --config "$work/$1.ini" >"$work/$1.log" 2>&1 &
+    # The log of a former process of this name is emptied here: the background command opens its log later than the
+    # loop below first reads it, now and then.
+    : >"$work/$1.log"
+    "$build"/daemon/quetzalrockd --config "$work/$1.ini" >>"$work/$1.log" 2>&1 &
     daemon=$!
     pids+=("$daemon")
     eventually grep -q 'serves callers' "$work/$1.log"
