--- a/packages/daemon/daemon.cpp
+++ b/packages/daemon/daemon.cpp
@@ -1,5 +1,6 @@
 #include <daemon/daemon.h>
 
+#include <base/startfailure.h>
 #include <daemon/webcodec.h>
 
 #include <glog/logging.h>
@@ -111,12 +112,28 @@
 
 void Daemon::start()
 {
+    // What callers send until the request path starts waits in its ring.
+    startWith("[peers] listen = " + m_settings.peers.listen, [this] { m_member.listen(); });
+    startWith("[listen] requests = " + m_settings.listen.requests, [this] { m_front.start(); });
+    startAdminServer();
     m_member.start();
     m_requests.start();
     m_upstreamThread = std::thread([this] { pollUpstreams(); });
-    m_front.start();
-    m_adminServer = std::make_unique<WebServer>(adminServerSettings(m_settings.listen),
-                                                [this](const WebRequest &request) { return handleAdmin(request); });
+}
+
+void Daemon::startAdminServer()
+{
+    const ListenSection &listen = m_settings.listen;
+    const auto handler = [this](const WebRequest &request) { return handleAdmin(request); };
+    const std::string address = "[listen] admin = " + listen.admin;
+    const std::string certificate = "[listen] certificate = " + listen.certificateFile + ", key = " + listen.keyFile;
+    try {
+        m_adminServer = std::make_unique<WebServer>(adminServerSettings(listen), handler);
+    } catch (const InvalidArgument &error) {
+        throw startFailure(certificate, error.what());
+    } catch (const std::exception &error) {
+        throw startFailure(address, error.what());
+    }
 }
 
 bool Daemon::drain()
@@ -138,7 +155,9 @@
         m_isStopping = true;
     }
     m_wake.notify_all();
-    m_upstreamThread.join();
+    if (m_upstreamThread.joinable()) {
+        m_upstreamThread.join();
+    }
     m_adminServer->stop();
     return isClean;
 }
--- a/packages/daemon/daemon.h
+++ b/packages/daemon/daemon.h
@@ -39,6 +39,7 @@
     Daemon(const DaemonSettings &settings, Clock &clock);
     ~Daemon() override;
 
+    /** Opens every address first. If one fails, throws an Error that names its setting; nothing has begun then. */
     void start();
 
     /**
@@ -58,6 +59,7 @@
     std::vector<DomainRollout> settingsInForce(std::uint64_t version) override;
 
 private:
+    void startAdminServer();
     bool isReady() const;
     WebResponse handleAdmin(const WebRequest &request);
     WebResponse forwardToOwner(const WebRequest &request);
--- a/packages/daemon/memberservice.cpp
+++ b/packages/daemon/memberservice.cpp
@@ -154,13 +154,17 @@
     return m_client;
 }
 
-void MemberService::start()
+void MemberService::listen()
 {
     PeerServerSettings server;
     server.listen = m_settings.peers.listen;
     server.advertised = m_settings.peers.advertised;
     server.threads = 4;
     m_server = std::make_unique<PeerServer>(m_auth, m_router, server);
+}
+
+void MemberService::start()
+{
     m_threads.emplace_back([this] { run([this] { m_membership.step(); }); });
     m_threads.emplace_back([this] { run([this] { m_registry.step(WatchTimeout); }); });
     m_threads.emplace_back([this] {
@@ -193,11 +197,12 @@
     for (std::thread &it : m_threads) {
         it.join();
     }
-    m_threads.clear();
-    if (m_server) {
+    // A process that has only listened is not registered. The name may be in use by another process, which stays.
+    if (!m_threads.empty()) {
         m_registry.unregister();
-        m_server.reset();
     }
+    m_threads.clear();
+    m_server.reset();
 }
 
 bool MemberService::isReady() const
--- a/packages/daemon/memberservice.h
+++ b/packages/daemon/memberservice.h
@@ -47,10 +47,11 @@
         const DaemonSettings &settings, KeyValueService &service, VmList &vms, ShardTable &shards, Clock &clock);
     ~MemberService();
 
-    PeerRouter &router(); ///< add handlers before start()
+    PeerRouter &router(); ///< add handlers before listen()
     PeerTransport &transport();
 
-    void start();
+    void listen();        ///< opens the address for peers and serves them; throws if that fails
+    void start();         ///< after listen(): becomes a member
     void beginShutdown(); ///< releases every shard and announces it; peers are still served
     void stop();
 
@@ -76,7 +77,7 @@
     MemberRegistry m_registry;
     Ownership m_ownership;
     SettingsPropagation m_propagation;
-    std::unique_ptr<PeerServer> m_server; ///< exists from start() to stop()
+    std::unique_ptr<PeerServer> m_server; ///< exists from listen() to stop()
 
     mutable std::mutex m_mutex; ///< guards m_isStopping
     std::condition_variable m_wake;
--- a/packages/requests/httpfront.cpp
+++ b/packages/requests/httpfront.cpp
@@ -343,7 +343,7 @@
 {
     const RequestSettings &settings = m_impl->state->settings;
     const Pistache::Address address(settings.listenAddress, Pistache::Port(settings.listenPort));
-    m_impl->endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
+    auto endpoint = std::make_unique<Pistache::Http::Endpoint>(address);
     auto options = Pistache::Http::Endpoint::options();
     options.threads(settings.frontThreads).threadsName("front");
     options.flags(Pistache::Flags<Pistache::Tcp::Options>(Pistache::Tcp::Options::ReuseAddr)
@@ -353,9 +353,10 @@
     // Pistache's timeouts would also end connections whose request is in progress, with 408. closeStaleConnections()
     // replaces them.
     options.headerTimeout(NoTimeout).bodyTimeout(NoTimeout).keepaliveTimeout(NoTimeout);
-    m_impl->endpoint->init(options);
-    m_impl->endpoint->setHandler(std::make_shared<FrontHandler>(m_impl->state));
-    m_impl->endpoint->serveThreaded();
+    endpoint->init(options);
+    endpoint->setHandler(std::make_shared<FrontHandler>(m_impl->state));
+    endpoint->serveThreaded();
+    m_impl->endpoint = std::move(endpoint);
     m_impl->staleConnectionThread = std::thread([this] { m_impl->closeStaleConnectionsPeriodically(); });
 }
 
--- a/packages/requests/httpfront.h
+++ b/packages/requests/httpfront.h
@@ -58,7 +58,7 @@
     HttpFront &operator=(const HttpFront &) = delete;
 
     void addRoute(std::string_view method, std::string_view path, Route route);
-    void start();
+    void start();               ///< throws the system's error if it cannot listen; stop() has no effect then
     std::uint16_t port() const; ///< after start()
     void closeAfterAnswers();   ///< from now on a connection closes after its next answer; any thread
     void stop();                ///< closes all connections; drain first, see RequestPath::isDrained()
--- a/packages/web/web.h
+++ b/packages/web/web.h
@@ -60,7 +60,10 @@
     std::string keyFile;                 ///< PEM; private key of certificateFile
 };
 
-/** Serves from construction until stop(). Handlers run on its threads; their exceptions become JSON error responses. */
+/**
+ * Serves from construction until stop(). The constructor throws InvalidArgument for field "certificate" if it cannot use
+ * the certificate or its key, and the system's error if it cannot listen. Handlers run on its threads; their exceptions become JSON error responses.
+ */
 class WebServer
 {
 public:
--- a/packages/web/webserver.cpp
+++ b/packages/web/webserver.cpp
@@ -3,8 +3,11 @@
 #include <nlohmann/json.hpp>
 #include <pistache/endpoint.h>
 
+#include <cerrno>
 #include <charconv>
 #include <condition_variable>
+#include <cstring>
+#include <fstream>
 
 namespace QuetzalRock {
 
@@ -124,7 +127,7 @@
         options.flags(Pistache::Tcp::Options::ReuseAddr);
         m_endpoint.init(options);
         if (!settings.certificateFile.empty()) {
-            m_endpoint.useSSL(settings.certificateFile, settings.keyFile);
+            useCertificate(settings);
         }
         m_endpoint.setHandler(std::make_shared<Adapter>(this));
         m_endpoint.serveThreaded();
@@ -172,6 +175,20 @@
     }
 
 private:
+    void useCertificate(const WebServerSettings &settings)
+    {
+        for (const std::string &it : {settings.certificateFile, settings.keyFile}) {
+            if (!std::ifstream(it)) { // the library's own message names no file and several source lines
+                throw InvalidArgument("certificate", "cannot open " + it + ": " + std::strerror(errno));
+            }
+        }
+        try {
+            m_endpoint.useSSL(settings.certificateFile, settings.keyFile);
+        } catch (const std::exception &error) {
+            throw InvalidArgument("certificate", error.what());
+        }
+    }
+
     class Adapter final : public Pistache::Http::Handler
     {
     public:
