--- a/packages/admin/jobjson.cpp
+++ b/packages/admin/jobjson.cpp
@@ -73,6 +73,17 @@
     json["waits_for"] = pendingReason;
 }
 
+Json toJson(const EndedAttempt &end)
+{
+    return {{"attempt", end.attempt.number},
+            {"worker", end.worker},
+            {"state", attemptStateName(end.state)},
+            {"cause", end.cause == EndCause::VmGone ? "vm_gone" : "worker_report"},
+            {"error", end.error},
+            {"assigned_at_ms", end.assignedAt.count()},
+            {"ended_at_ms", end.endedAt.count()}};
+}
+
 } // namespace
 
 std::string_view kindName(WorkloadKind kind)
@@ -153,7 +164,8 @@
             {"worker", task.worker},
             {"progress", task.progress},
             {"failures", task.failures},
-            {"reason", task.reason}};
+            {"reason", task.reason},
+            {"last_end", task.lastEnd ? toJson(*task.lastEnd) : Json()}};
 }
 
 Json toJson(const JobStatus &job, bool includesTasks)
--- a/packages/admin/tests/adminapitest.cpp
+++ b/packages/admin/tests/adminapitest.cpp
@@ -240,3 +240,25 @@
     EXPECT_EQ(response.retryAfter, 2s);
     EXPECT_EQ(Json::parse(response.body)["error"], "not_run");
 }
+
+TEST(JobJson, taskShowsItsLatestEndIfThereIsOne)
+{
+    TaskStatus task;
+    EXPECT_TRUE(toJson(task).at("last_end").is_null());
+    EndedAttempt end;
+    end.attempt = {{7, 1}, 3};
+    end.worker = "w2";
+    end.state = AttemptState::Failed;
+    end.error = "exit code 1";
+    end.assignedAt = WallTime(1000);
+    end.endedAt = WallTime(2500);
+    task.lastEnd = end;
+    const Json expected{{"attempt", 3},
+                        {"worker", "w2"},
+                        {"state", "failed"},
+                        {"cause", "worker_report"},
+                        {"error", "exit code 1"},
+                        {"assigned_at_ms", 1000},
+                        {"ended_at_ms", 2500}};
+    EXPECT_EQ(toJson(task).at("last_end"), expected);
+}
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -7,6 +7,7 @@
 #include <web/web.h>
 
 #include <array>
+#include <ctime>
 #include <iomanip>
 #include <sstream>
 
@@ -159,6 +160,40 @@
     return Ok;
 }
 
+/** Converts milliseconds since 1970 to UTC, such as "2026-12-04T07:08:09Z". */
+std::string formatTime(std::int64_t wallTimeMs)
+{
+    const std::time_t time = wallTimeMs / 1000;
+    std::tm utc{};
+    gmtime_r(&time, &utc);
+    std::ostringstream text;
+    text << std::put_time(&utc, "%Y-%m-%dT%H:%M:%SZ");
+    return text.str();
+}
+
+/** How the attempt ended: its state, and its error or the loss of its VM. */
+std::string formatEnd(const Json &end)
+{
+    const std::string error = end.at("error");
+    const std::string cause = end.at("cause") == "vm_gone" ? "the VM is gone" : error;
+    return end.at("state").get<std::string>() + (cause.empty() ? "" : ": " + cause);
+}
+
+/** A task that will not run again shows the worker, time and kind of its last end. */
+void addTaskRow(Table &table, const Json &task)
+{
+    const bool isOver = task.at("phase") == "done" || task.at("phase") == "ended";
+    const Json lastEnd = isOver ? task.value("last_end", Json()) : Json();
+    const bool hasEnd = lastEnd.is_object();
+    table.addRow({task.at("task"),
+                  task.at("attempt").dump(),
+                  task.at("phase"),
+                  hasEnd ? lastEnd.at("worker") : task.at("worker"),
+                  formatPercent(task.at("progress").get<double>()),
+                  hasEnd ? formatTime(lastEnd.at("ended_at_ms")) : "",
+                  hasEnd ? formatEnd(lastEnd) : task.at("reason").get<std::string>()});
+}
+
 int showWork(const Command &command, std::vector<std::string> arguments, Console &console)
 {
     CommandLine line(command);
@@ -175,14 +210,9 @@
         console.out << " (" << reason << ")";
     }
     console.out << "\n";
-    Table table({"TASK", "ATTEMPT", "PHASE", "WORKER", "PROGRESS", "WHY"});
+    Table table({"TASK", "ATTEMPT", "PHASE", "WORKER", "PROGRESS", "ENDED", "WHY"});
     for (const Json &it : job.at("tasks")) {
-        table.addRow({it.at("task"),
-                      it.at("attempt").dump(),
-                      it.at("phase"),
-                      it.at("worker"),
-                      formatPercent(it.at("progress").get<double>()),
-                      it.at("reason")});
+        addTaskRow(table, it);
     }
     table.print(console.out);
     return Ok;
--- a/packages/cli/tests/clitest.cpp
+++ b/packages/cli/tests/clitest.cpp
@@ -110,3 +110,32 @@
     EXPECT_EQ(outcome.exitCode, 5);
     EXPECT_NE(outcome.err.find("[root] note: a -> b"), std::string::npos);
 }
+
+TEST(CommandLine, finishedJobShowsEachTasksLastAttempt)
+{
+    const FixedResponseServer server({200,
+                                      "application/json",
+                                      R"({"phase":"failed","reason":"task 7-1/1: too many failures","tasks":[
+        {"task":"7-1/0","attempt":1,"phase":"done","worker":"","progress":1.0,"failures":0,"reason":"",
+         "last_end":{"attempt":1,"worker":"w4","state":"finished","cause":"worker_report","error":"",
+                     "assigned_at_ms":1796367600000,"ended_at_ms":1796367689000}},
+        {"task":"7-1/1","attempt":3,"phase":"ended","worker":"","progress":0.5,"failures":3,"reason":"",
+         "last_end":{"attempt":3,"worker":"w2","state":"failed","cause":"worker_report","error":"exit code 1",
+                     "assigned_at_ms":1796367600000,"ended_at_ms":1796367690000}},
+        {"task":"7-1/2","attempt":0,"phase":"ended","worker":"","progress":0.0,"failures":0,
+         "reason":"no attempt in the history","last_end":null}]})",
+                                      0s});
+    const Outcome outcome = run({"job", "show", "coop/x", "--server", server.url()});
+    EXPECT_EQ(outcome.exitCode, 0) << outcome.err;
+    std::istringstream lines(outcome.out);
+    std::vector<std::string> rows;
+    for (std::string line; std::getline(lines, line);) {
+        rows.push_back(line);
+    }
+    ASSERT_EQ(rows.size(), 5U) << outcome.out;
+    EXPECT_NE(rows[2].find("w4"), std::string::npos) << rows[2];
+    EXPECT_NE(rows[2].find("2026-12-04T07:01:29Z  finished"), std::string::npos) << rows[2];
+    EXPECT_NE(rows[3].find("w2"), std::string::npos) << rows[3];
+    EXPECT_NE(rows[3].find("2026-12-04T07:01:30Z  failed: exit code 1"), std::string::npos) << rows[3];
+    EXPECT_NE(rows[4].find("no attempt in the history"), std::string::npos) << rows[4];
+}
--- a/packages/daemon/tests/e2e.sh
+++ b/packages/daemon/tests/e2e.sh
@@ -43,6 +43,8 @@
 eventually running watch coop/tide
 succeeded() { "$cli" job show coop/manifest --json | grep -q '"phase":"succeeded"'; }
 eventually succeeded
+"$cli" job show coop/manifest | grep -Eq 'done +muuga-w[0-9]+ .*Z +finished' || fail "a finished job does not show its tasks' last attempts"
+"$cli" job show coop/manifest --json | grep -q '"last_end":{.*"worker":"muuga-w' || fail "a finished job's JSON lacks its tasks' last attempts"
 "$cli" service show coop/slots | grep -q 'muuga-w' || fail "the service's status does not show its workers"
 "$cli" workers | grep -q 'muuga-w1' || fail "workers are not shown"
 "$cli" service cancel coop/slots || fail "cancel failed"
--- a/packages/scheduler/scheduler.h
+++ b/packages/scheduler/scheduler.h
@@ -51,6 +51,7 @@
 #include <functional>
 #include <future>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 
@@ -92,6 +93,7 @@
     Unreachable = 4, ///< the worker does not respond: the task may be running, so no replacement is started
     Ending = 5,      ///< ended, but the end is not durable yet
     Done = 6,        ///< finished successfully
+    Ended = 7,       ///< not finished, but its job has ended; no further attempt starts
 };
 
 std::string_view phaseName(TaskPhase phase);
@@ -101,10 +103,11 @@
     TaskId task;
     std::uint32_t attempt = 0; ///< 0: none yet
     TaskPhase phase = TaskPhase::Pending;
-    WorkerId worker; ///< empty while pending or done
+    WorkerId worker; ///< empty while pending, done or ended; that of an ended attempt: lastEnd
     double progress = 0;
     std::uint32_t failures = 0;
-    std::string reason; ///< human-readable cause of the placement, the stop or the wait
+    std::string reason;                  ///< human-readable cause of the placement, the stop or the wait
+    std::optional<EndedAttempt> lastEnd; ///< the latest attempt that has ended; empty: none in the history
 };
 
 struct JobStatus
@@ -114,7 +117,7 @@
     std::string reason;
     WallTime submittedAt{};
     WallTime endedAt{};
-    std::vector<TaskStatus> tasks; ///< empty if the job is in the history
+    std::vector<TaskStatus> tasks; ///< of a job in the history as well, from the attempts that the history keeps
 };
 
 struct WorkerStatus
@@ -413,7 +416,9 @@
     // Status (status.cpp)
     ShardStatus buildStatus() const;
     JobStatus buildJobStatus(JobId job) const;
+    JobStatus buildEndedJobStatus(const EndedJob &job) const;
     TaskStatus buildTaskStatus(const JobState &job, std::uint32_t index) const;
+    void addLastEnds(JobStatus &status) const;
     std::vector<TransferOffer> buildOffers() const;
 
     SchedulerSettings m_settings;
--- a/packages/scheduler/status.cpp
+++ b/packages/scheduler/status.cpp
@@ -21,6 +21,8 @@
         return "ending";
     case TaskPhase::Done:
         return "done";
+    case TaskPhase::Ended:
+        return "ended";
     }
     return "unknown";
 }
@@ -80,6 +82,7 @@
         for (std::uint32_t i = 0; i < job->tasks.size(); ++i) {
             status.tasks.push_back(buildTaskStatus(*job, i));
         }
+        addLastEnds(status);
         return status;
     }
     const auto isRequestedJob = [id](const EndedJob &it) { return it.spec.id == id; };
@@ -87,14 +90,45 @@
     if (it == m_state.endedJobs.rend()) {
         throw NotFound("no job " + std::to_string(id));
     }
-    status.spec = it->spec;
-    status.phase = it->phase;
-    status.reason = it->reason;
-    status.submittedAt = it->submittedAt;
-    status.endedAt = it->endedAt;
+    return buildEndedJobStatus(*it);
+}
+
+JobStatus ShardScheduler::buildEndedJobStatus(const EndedJob &job) const
+{
+    JobStatus status;
+    status.spec = job.spec;
+    status.phase = job.phase;
+    status.reason = job.reason;
+    status.submittedAt = job.submittedAt;
+    status.endedAt = job.endedAt;
+    status.tasks.resize(job.spec.taskCount);
+    addLastEnds(status);
+    for (std::uint32_t i = 0; i < job.spec.taskCount; ++i) {
+        TaskStatus &task = status.tasks[i];
+        const bool hasFinished = task.lastEnd && task.lastEnd->state == AttemptState::Finished;
+        task.task = {job.spec.id, i};
+        task.phase = job.phase == JobPhase::Succeeded || hasFinished ? TaskPhase::Done : TaskPhase::Ended;
+        if (task.lastEnd) {
+            task.attempt = task.lastEnd->attempt.number;
+            task.progress = task.lastEnd->progress;
+        } else {
+            task.reason = "no attempt in the history";
+        }
+    }
     return status;
 }
 
+/** Sets the latest end of each task, from the attempts that the history keeps, which are ordered by their ends. */
+void ShardScheduler::addLastEnds(JobStatus &status) const
+{
+    for (const EndedAttempt &it : m_state.endedAttempts) {
+        const TaskId &task = it.attempt.task;
+        if (task.job == status.spec.id && task.index < status.tasks.size()) {
+            status.tasks[task.index].lastEnd = it;
+        }
+    }
+}
+
 TaskStatus ShardScheduler::buildTaskStatus(const JobState &job, std::uint32_t index) const
 {
     const TaskState &task = job.tasks[index];
--- a/packages/scheduler/tests/schedulertest.cpp
+++ b/packages/scheduler/tests/schedulertest.cpp
@@ -14,6 +14,62 @@
     EXPECT_EQ(job >> 48, 7U);
 }
 
+TEST_F(SchedulerTest, finishedJobKeepsEachTasksLastAttempt)
+{
+    const JobId job = submit(batchJob("a", "run 20", 2));
+    runFor(2s);
+    const std::vector<WorkerId> ranOn{taskStatus(job, 0).worker, taskStatus(job, 1).worker};
+    runFor(30s);
+    replaceOwner(); // the history is part of the state that the next owner reads
+    const JobStatus status = await(owner->scheduler.describe(job));
+    ASSERT_EQ(status.phase, JobPhase::Succeeded);
+    ASSERT_EQ(status.tasks.size(), 2U);
+    for (std::uint32_t i = 0; i < 2; ++i) {
+        const TaskStatus &task = status.tasks[i];
+        EXPECT_EQ(task.task, (TaskId{job, i}));
+        EXPECT_EQ(task.phase, TaskPhase::Done);
+        EXPECT_EQ(task.attempt, 1U);
+        ASSERT_TRUE(task.lastEnd);
+        EXPECT_EQ(task.lastEnd->worker, ranOn[i]);
+        EXPECT_EQ(task.lastEnd->state, AttemptState::Finished);
+        EXPECT_GT(task.lastEnd->endedAt, task.lastEnd->assignedAt);
+    }
+}
+
+TEST_F(SchedulerTest, cancelledJobShowsWhichAttemptsWereStopped)
+{
+    const JobId job = submit(batchJob("a", "run 600", 5)); // four fit
+    runFor(2s);
+    std::future<void> cancelled = owner->scheduler.cancel(job);
+    runFor(30s);
+    cancelled.get();
+    const JobStatus status = await(owner->scheduler.describe(job));
+    ASSERT_EQ(status.phase, JobPhase::Cancelled);
+    ASSERT_EQ(status.tasks.size(), 5U);
+    std::size_t stopped = 0;
+    for (const TaskStatus &it : status.tasks) {
+        EXPECT_EQ(it.phase, TaskPhase::Ended);
+        stopped += it.lastEnd && it.lastEnd->state == AttemptState::Stopped ? 1 : 0;
+        EXPECT_EQ(it.reason.empty(), it.lastEnd.has_value());
+    }
+    EXPECT_EQ(stopped, 4U);
+}
+
+TEST_F(SchedulerTest, finishedJobIsShownWithoutAttemptsThatTheHistoryDropped)
+{
+    settings.history.endedAttempts = 1;
+    replaceOwner();
+    const JobId job = submit(batchJob("a", "run 20", 2));
+    runFor(30s);
+    const JobStatus status = await(owner->scheduler.describe(job));
+    ASSERT_EQ(status.tasks.size(), 2U);
+    EXPECT_NE(status.tasks[0].lastEnd.has_value(), status.tasks[1].lastEnd.has_value());
+    for (const TaskStatus &it : status.tasks) {
+        EXPECT_EQ(it.phase, TaskPhase::Done);
+        EXPECT_EQ(it.reason.empty(), it.lastEnd.has_value());
+    }
+}
+
 TEST_F(SchedulerTest, renewsLeasesOfServicesAndWatches)
 {
     const JobId service = submit(serviceJob("booking"));
