Placement: a gang never waits for a learned size that it cannot have at once

What users saw: a batch job whose tasks start together, and which had been stopped once, could wait for good on an idle shard.

Cause: a job that used more than it had declared is started again with the size learned. Whether that size can be had was only asked for one task: does it fit on an empty worker, and in the quota. For a gang it has to be had for all tasks together. If not, nothing runs, so nothing is measured, and the size stays.

The new test GangWhoseLearnedSizeCannotBeHadAtOnceStartsWithItsDeclaredSize failed in each of its three cases before: too few workers hold one task each ("there is not enough free capacity for all"), more than the processors left to batch work ("reserved for urgent work"), more than the quota ("has used its quota").

Now a gang requests its learned size only if all its tasks could start with it on the open, healthy workers when they are idle, within the quota and beside the headroom; else its declared one, which is checked when the job is submitted. Single tasks are treated as before. A gang whose learned size can be had still reserves it (GangReservesItsLearnedSizeIfThatCanBeHadAtOnce, passes before and after).

--- a/packages/placement/enginestarts.cpp
+++ b/packages/placement/enginestarts.cpp
@@ -332,19 +332,49 @@
         const double factor = job.memoryRatio * m_settings.overuseMargin;
         grown.memoryMib = static_cast<std::int64_t>(static_cast<double>(declared.memoryMib) * factor);
     }
-    const bool isUsable
-        = grown == declared || (m_ledger.fitsSomeEmptyWorker(grown) && grown.fitsIn(m_tenants[job.tenant].quota.limit));
+    const bool isUsable = grown == declared
+                          || (m_ledger.fitsSomeEmptyWorker(grown) && grown.fitsIn(m_tenants[job.tenant].quota.limit)
+                              && (!job.spec.gang || canHaveAtOnce(job, grown)));
     return isUsable ? grown : declared;
 }
 
+/** True if the unfinished tasks of a gang, of the size @p need each, can start together once nothing else runs. */
+bool PlacementEngine::canHaveAtOnce(const Job &job, const Resources &need) const
+{
+    const std::int64_t n = std::max<std::int64_t>(1, job.unfinished - job.active);
+    const Resources total = multiplied(need, n);
+    return total.fitsIn(m_tenants[job.tenant].quota.limit)
+           && (job.band != BatchBand || total.cpuMillis <= headroomLimit()) && countIdleStarts(need, n) >= n;
+}
+
+/** Number of tasks of @p need that open, healthy workers would start at once if they were idle; stops at @p enough. */
+std::int64_t PlacementEngine::countIdleStarts(const Resources &need, std::int64_t enough) const
+{
+    const auto burst = static_cast<std::int64_t>(m_settings.workerStartBurst);
+    std::int64_t n = 0;
+    for (WorkerIndex it = 0; it < m_ledger.size() && n < enough; ++it) {
+        const WorkerSlot &worker = m_ledger.worker(it);
+        const bool isOpen = worker.state == VmState::Live && !worker.isQuarantined;
+        n += isOpen && m_health.health(it) == WorkerHealth::Healthy
+                 ? std::min(burst, countFitting(need, worker.capacity))
+                 : 0;
+    }
+    return n;
+}
+
 bool PlacementEngine::fitsHeadroom(const Job &job, const Resources &need) const
 {
     if (job.band != BatchBand) {
         return true;
     }
-    const std::int64_t limit = m_ledger.openCapacity().cpuMillis / 1000 * (1000 - m_settings.headroomPermille);
     const std::int64_t otherHeldCpu = m_heldCpuMillis - job.heldCpuMillis;
-    return m_ledger.openReserved().cpuMillis + otherHeldCpu + need.cpuMillis <= limit;
+    return m_ledger.openReserved().cpuMillis + otherHeldCpu + need.cpuMillis <= headroomLimit();
+}
+
+/** Processors that batch work may reserve on the open workers. */
+std::int64_t PlacementEngine::headroomLimit() const
+{
+    return m_ledger.openCapacity().cpuMillis / 1000 * (1000 - m_settings.headroomPermille);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -248,6 +248,9 @@
     void countTasksPerWorker(const Job &job);
     Resources requestedResources(const Job &job) const;
     bool fitsHeadroom(const Job &job, const Resources &need) const;
+    std::int64_t headroomLimit() const;
+    bool canHaveAtOnce(const Job &job, const Resources &need) const;
+    std::int64_t countIdleStarts(const Resources &need, std::int64_t enough) const;
     StartOutcome markOverQuota(JobSlot slot);
     void refillTokens(WorkerIndex worker, TimePoint now);
     void refillShardTokens(TimePoint now);
--- a/packages/placement/tests/admissiontest.cpp
+++ b/packages/placement/tests/admissiontest.cpp
@@ -16,6 +16,24 @@
     return engine;
 }
 
+/** Starts job 1, reports for 20 s that each task uses @p millis, stops it, and returns how many tasks start again. */
+std::size_t startsAfterUse(PlacementEngine &engine, std::int64_t millis)
+{
+    Placements placements;
+    recordStarts(engine.decide(at(0)), placements);
+    for (int second = 5; second < 25; ++second) {
+        for (const auto &[task, worker] : placements) {
+            WorkerReport report = makeReport(worker, second, second);
+            report.attempts.push_back(makeEntry(task, millis));
+            engine.observe(report, at(second));
+        }
+    }
+    for (const auto &[task, worker] : placements) {
+        engine.endAttempt(task, AttemptState::Stopped, 0, at(30));
+    }
+    return engine.decide(at(31)).starts.size();
+}
+
 } // namespace
 
 TEST(Admission, CapacityIsFreedOnlyWhenTheAttemptEnds)
@@ -152,6 +170,31 @@
     EXPECT_EQ(engine.decide(at(2)).starts.size(), 2U);
 }
 
+TEST(Admission, GangWhoseLearnedSizeCannotBeHadAtOnceStartsWithItsDeclaredSize)
+{
+    // Declared are six processors in all. Learned are about 25, of which one task's fit on each of the four workers; 46,
+    // of 32 that there are; and ten, of a quota of eight.
+    const std::vector<std::pair<std::int64_t, std::int64_t>> cases{{4000, Unlimited}, {7000, Unlimited}, {1600, 8000}};
+    for (const auto &[usedMillis, quotaMillis] : cases) {
+        PlacementEngine engine = makeEngine(4);
+        engine.setTenants(std::vector<TenantShardQuota>{{"crew", 1, {quotaMillis, Unlimited, Unlimited}}});
+        JobSpec gang = makeJob(1, 6, 1);
+        gang.gang = true;
+        engine.addJob(gang, at(0));
+        EXPECT_EQ(startsAfterUse(engine, usedMillis), 6U) << usedMillis << ": " << engine.explain({1, 0});
+    }
+}
+
+TEST(Admission, GangReservesItsLearnedSizeIfThatCanBeHadAtOnce)
+{
+    PlacementEngine engine = makeEngine(4);
+    JobSpec gang = makeJob(1, 4, 1);
+    gang.gang = true;
+    engine.addJob(gang, at(0));
+    ASSERT_EQ(startsAfterUse(engine, 4000), 4U);
+    EXPECT_GT(engine.ledger().openReserved().cpuMillis, 4 * 4000);
+}
+
 TEST(Admission, SmallTasksDoNotDelayABlockedEarlierJob)
 {
     PlacementEngine engine = makeEngine(1);
