Soak: several leaders in a row, workers that leave, long-running jobs, changes of the configuration

Cause: the soak signalled nodes one by one, and only nodes that ran undisturbed; all its jobs were short, and no worker left for good.

Now signals also reach nodes that are suspended or exit, and follow the leader key from one leader to the next; workers drain and leave while spare ones join; queues are added meanwhile; up to eight jobs are long-running. Callers keep to a node over open connections until they find it gone. Checked in addition: long-running tasks run again in time after the last fault, no connection ends unanswered because its node got SIGTERM, each queue takes jobs.

--- a/soak/test/soak.cpp
+++ b/soak/test/soak.cpp
@@ -2,6 +2,7 @@
 
 #include <standin/standinwire.h>
 #include <wire.h>
+#include <workflow/shards.h>
 
 #include <nlohmann/json.hpp>
 
@@ -17,21 +18,27 @@
 namespace {
 
 using namespace std::chrono_literals;
+using Adapter::HttpCall;
 using Adapter::HttpOutcome;
 using Adapter::HttpReply;
 using Adapter::StandInState;
 using nlohmann::json;
 
-constexpr std::string_view QueuePrefix = "/q/";
 constexpr Duration CallTimeout = 3500ms;
 constexpr Duration ExitTimeout = 6s; ///< from SIGTERM to a node's exit, as the platform allows
 constexpr Duration PollInterval = 10ms;
-constexpr int ActionIntervalMs = 250; ///< mean interval between actions: a new job or a fault
+constexpr Duration LossSlack
+    = 200ms; ///< a connection that ends so soon after a request may have ended before it was read
+constexpr Duration DisturbanceTime = 1s;      ///< after a signal other than SIGTERM a connection may end at any time
+constexpr int SpareWorkerDivisor = 2;         ///< for every so many workers one more may join
+constexpr std::size_t MaxLongRunningJobs = 8; ///< so that there is always room for all of them
+constexpr int NotFoundStatus = 404;           ///< a node does not know the queue yet
+constexpr int ActionIntervalMs = 250;         ///< mean interval between actions: a new job or a fault
 
 Adapter::StandInSettings platformSettings(const SoakSettings &settings)
 {
     Adapter::StandInSettings it;
-    it.workers = settings.workers;
+    it.workers = settings.workers + std::max(1, settings.workers / SpareWorkerDivisor);
     it.workersPerRack = 2;
     return it;
 }
@@ -77,6 +84,16 @@
         performAction();
     }
     endAllFaults();
+    const TimePoint restartBy = m_clock.now() + m_settings.restartTimeout;
+    while (!stoppedLongRunningJobs().empty() && m_clock.now() < restartBy) {
+        pollFor(100ms);
+    }
+    for (const std::string &it : stoppedLongRunningJobs()) {
+        addViolation(it + " has long-running tasks that do not run again");
+    }
+    for (const auto &it : m_jobs) {
+        it->shouldCancel = it->shouldCancel || it->isLongRunning;
+    }
     const TimePoint settleBy = m_clock.now() + m_settings.settleTimeout;
     while (!isSettled() && m_clock.now() < settleBy) {
         pollFor(100ms);
@@ -88,12 +105,17 @@
 void SoakRun::setUp()
 {
     m_platform.start();
-    m_platform.addQueue("queue", std::string(QueuePrefix));
+    addQueue();
     for (const auto &[id, address] : m_platform.workerAddresses()) {
         m_links.push_back(m_proxy.addLink(portOf(address)));
         const std::string proxied = "127.0.0.1:" + std::to_string(m_proxy.port(m_links.back()));
         m_platform.withState(
             [&worker = id, &proxied](StandInState &state) { state.advertisedAddresses[worker] = proxied; });
+        const bool isSpare = std::stoi(id.substr(1)) >= m_settings.workers;
+        (isSpare ? m_spareWorkers : m_workers).push_back(id);
+        if (isSpare) {
+            m_platform.withState([&worker = id](StandInState &state) { state.unregisteredWorkers.insert(worker); });
+        }
     }
     for (int i = 0; i < m_settings.nodes; ++i) {
         Node node;
@@ -115,42 +137,90 @@
 
 void SoakRun::performAction()
 {
-    const std::uint32_t action = randomBelow(10);
-    if (action < 4) {
+    const std::uint32_t action = randomBelow(24);
+    if (action < 9) {
         createJob();
         return;
     }
     ++m_result.faults;
-    if (action < 6) {
+    if (action < 12) {
         injectNodeFault();
-    } else if (action < 8) {
+    } else if (action < 14) {
+        injectLeaderFaults();
+    } else if (action < 18) {
         injectLinkFault();
-    } else {
+    } else if (action < 21) {
         injectWorkerFault();
+    } else if (action < 23) {
+        drainWorker(randomWorker());
+    } else {
+        addQueue();
     }
 }
 
 void SoakRun::injectNodeFault()
 {
+    if (randomBelow(12) > 0) {
+        disturbNode(randomNode());
+        return;
+    }
+    for (Node &it : m_nodes) {
+        killNode(it);
+    }
+}
+
+/** Signals several leaders in a row, or one of them several times. */
+void SoakRun::injectLeaderFaults()
+{
+    TimePoint at = m_clock.now();
+    for (std::uint32_t n = 2 + randomBelow(4); n > 0; --n) {
+        m_dueActions.push_back({at, [this] { disturbNode(leader()); }});
+        at += randomDuration(20, 2500);
+    }
+}
+
+std::size_t SoakRun::leader()
+{
+    const std::string name = m_platform.withState([](StandInState &state) {
+        const auto found = state.store.items.find(Workflow::makeShardKeys(0).leader);
+        return found == state.store.items.end() ? "" : found->second.value.substr(0, found->second.value.find(' '));
+    });
+    const auto found
+        = std::find_if(m_nodes.begin(), m_nodes.end(), [&name](const Node &it) { return it.process->name() == name; });
+    return found == m_nodes.end() ? randomNode() : static_cast<std::size_t>(found - m_nodes.begin());
+}
+
+void SoakRun::killNode(Node &node)
+{
+    node.process->signal(SIGKILL);
+    node.state = NodeState::Down;
+    node.isSuspended = false;
+    node.startAt = m_clock.now() + randomDuration(50, 3000);
+    node.lastDisturbedAt = m_clock.now();
+}
+
+void SoakRun::disturbNode(std::size_t index)
+{
+    Node &node = m_nodes[index];
+    if (node.state == NodeState::Down) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
     const std::uint32_t fault = randomBelow(8);
-    const bool affectsAllNodes = fault == 0 && randomBelow(4) == 0;
-    const std::size_t chosen = randomBelow(static_cast<std::uint32_t>(m_nodes.size()));
-    for (std::size_t i = 0; i < m_nodes.size(); ++i) {
-        Node &node = m_nodes[i];
-        if ((!affectsAllNodes && i != chosen) || node.state != NodeState::Up) {
-            continue;
-        }
-        node.changeAt = m_clock.now() + randomDuration(50, 3000);
-        if (fault < 3) {
-            node.process->signal(SIGKILL);
-            node.state = NodeState::Down;
-        } else if (fault < 6) {
-            node.process->signal(SIGSTOP);
-            node.state = NodeState::Suspended;
-        } else {
-            node.process->signal(SIGTERM);
+    if (fault < 3) {
+        killNode(node);
+    } else if (fault < 6) {
+        node.process->signal(SIGSTOP);
+        node.isSuspended = true;
+        node.continueAt = now + randomDuration(50, fault == 5 ? 12'000 : 3000);
+        node.exitDeadline = node.continueAt + ExitTimeout;
+        node.lastDisturbedAt = now;
+    } else {
+        node.process->signal(SIGTERM);
+        if (node.state == NodeState::Up) {
             node.state = NodeState::Terminating;
-            node.exitDeadline = m_clock.now() + ExitTimeout;
+            node.exitDeadline = (node.isSuspended ? node.continueAt : now) + ExitTimeout;
+            node.startAt = now + randomDuration(50, 3000);
         }
     }
 }
@@ -173,7 +243,7 @@
 
 void SoakRun::injectWorkerFault()
 {
-    const std::string id = "w" + std::to_string(randomBelow(static_cast<std::uint32_t>(m_settings.workers)));
+    const std::string id = randomWorker();
     const std::uint32_t fault = randomBelow(5);
     m_hadFailingWorkers = m_hadFailingWorkers || fault == 0;
     if (fault == 1) {
@@ -200,6 +270,59 @@
     });
 }
 
+/** The worker drains, then leaves for good. A spare worker joins before or after that. */
+void SoakRun::drainWorker(const std::string &id)
+{
+    if (m_spareWorkers.empty()) {
+        return;
+    }
+    const std::string joining = m_spareWorkers.back();
+    m_spareWorkers.pop_back();
+    m_dueActions.push_back({m_clock.now() + randomDuration(0, 4000), [this, joining] {
+                                m_platform.withState(
+                                    [&joining](StandInState &state) { state.unregisteredWorkers.erase(joining); });
+                                m_workers.push_back(joining);
+                            }});
+    const std::int64_t leavesInMs = randomBelow(4) == 0 ? 0 : 300 + randomBelow(4000);
+    m_platform.withState([&id, leavesInMs](StandInState &state) {
+        state.fleet.workers[id].condition = Workflow::WorkerCondition::Draining;
+        state.fleet.workers[id].leavesInMs = leavesInMs;
+    });
+    std::erase(m_workers, id);
+    m_dueActions.push_back({m_clock.now() + std::chrono::milliseconds(leavesInMs), [this, id] { removeWorker(id); }});
+}
+
+/** Its registry entry goes later. */
+void SoakRun::removeWorker(const std::string &id)
+{
+    m_restartingWorkers.erase(id);
+    m_platform.withState([&id](StandInState &state) { state.fleet.removeWorker(id, false); });
+    m_dueActions.push_back(
+        {m_clock.now() + randomDuration(0, 3000),
+         [this, id] { m_platform.withState([&id](StandInState &state) { state.unregisteredWorkers.insert(id); }); }});
+}
+
+void SoakRun::addQueue()
+{
+    const std::string name = "q" + std::to_string(m_queues.size());
+    m_queues.push_back("/" + name + "/");
+    m_platform.addQueue(name, m_queues.back());
+}
+
+void SoakRun::runDueActions(bool all)
+{
+    const TimePoint now = m_clock.now();
+    for (std::size_t i = 0; i < m_dueActions.size();) { // by index: actions add others
+        if (!all && now < m_dueActions[i].at) {
+            ++i;
+            continue;
+        }
+        const auto act = std::move(m_dueActions[i].act);
+        m_dueActions.erase(m_dueActions.begin() + static_cast<std::ptrdiff_t>(i));
+        act();
+    }
+}
+
 /** Reaps and checks nodes that have exited, and continues or restarts nodes whose time has come. */
 void SoakRun::superviseNodes()
 {
@@ -216,18 +339,21 @@
             addViolation(it.process->name() + " exited unexpectedly with wait status " + std::to_string(*exitStatus));
             it.state = NodeState::Down;
         }
-        if (it.state == NodeState::Terminating && now >= it.exitDeadline) {
+        if (it.state == NodeState::Terminating && !it.isSuspended && now >= it.exitDeadline) {
             addViolation(it.process->name() + " did not exit in time after SIGTERM");
             it.process->signal(SIGKILL);
             it.state = NodeState::Down;
         }
-        if (it.state == NodeState::Suspended && now >= it.changeAt) {
+        if (it.isSuspended && now >= it.continueAt) {
             it.process->signal(SIGCONT);
-            it.state = NodeState::Up;
-        } else if (it.state == NodeState::Down && now >= it.changeAt && !it.process->isRunning()) {
+            it.isSuspended = false;
+            it.lastDisturbedAt = now;
+        } else if (it.state == NodeState::Down && now >= it.startAt && !it.process->isRunning()) {
             it.process->takeExitStatus();
             it.process->start();
             it.state = NodeState::Up;
+            it.isSuspended = false;
+            it.lastDisturbedAt = now;
         }
     }
 }
@@ -257,13 +383,17 @@
 
 void SoakRun::endAllFaults()
 {
+    runDueActions(true);
     restoreLinks(true);
     restoreWorkers(true);
     for (Node &it : m_nodes) {
-        it.changeAt = m_clock.now();
+        it.startAt = m_clock.now();
+        it.continueAt = m_clock.now();
     }
-    m_platform.withState([](StandInState &state) {
-        state.unregisteredWorkers.clear();
+    m_platform.withState([this](StandInState &state) {
+        for (const std::string &it : m_workers) {
+            state.unregisteredWorkers.erase(it);
+        }
         for (auto &[id, worker] : state.fleet.workers) {
             worker.failsAll = false;
         }
@@ -283,11 +413,15 @@
     job->key = key.data();
     Workflow::WorkflowSpec spec;
     spec.payload = "soak";
-    const std::uint32_t steps = 1 + randomBelow(3);
+    const auto longRunning
+        = std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto &it) { return it->isLongRunning; });
+    job->isLongRunning = randomBelow(3) == 0 && static_cast<std::size_t>(longRunning) < MaxLongRunningJobs;
+    const std::uint32_t steps = job->isLongRunning ? 1 : 1 + randomBelow(3);
     for (std::uint32_t i = 0; i < steps; ++i) {
         Workflow::StepSpec step;
-        step.taskCount = 1 + randomBelow(6);
-        step.need = {1000 + randomBelow(3000), 500, 0};
+        step.isLongRunning = job->isLongRunning;
+        step.taskCount = 1 + randomBelow(step.isLongRunning ? 3 : 6);
+        step.need = {1000 + randomBelow(step.isLongRunning ? 1000 : 3000), 500, 0};
         step.estimateMs = 300;
         step.isCheckpointed = true;
         if (i > 0) {
@@ -298,12 +432,53 @@
     }
     job->body = Adapter::jobBody(spec);
     job->shouldCancel = randomBelow(8) == 0;
+    job->path = m_queues[randomBelow(static_cast<std::uint32_t>(m_queues.size()))] + job->key;
+    job->node = randomNode();
+    if (job->isLongRunning) {
+        m_platform.withState([&job](StandInState &state) { state.fleet.longRunningJobs.insert(job->key); });
+    }
     m_jobs.push_back(std::move(job));
 }
 
-std::string SoakRun::randomNodeAddress()
+std::size_t SoakRun::randomNode()
+{
+    return randomBelow(static_cast<std::uint32_t>(m_nodes.size()));
+}
+
+std::string SoakRun::randomWorker()
+{
+    return m_workers[randomBelow(static_cast<std::uint32_t>(m_workers.size()))];
+}
+
+/** Sends a call about a job to the node that its caller keeps to, or from then on to another one if that is gone. */
+void SoakRun::send(Job &job, std::string method, std::string body, std::function<void(const HttpReply &)> done)
+{
+    const Node &node = m_nodes[job.node];
+    HttpCall call{std::move(method), node.process->address(), job.path, std::move(body), {}};
+    if (call.method != "GET") {
+        call.headers = {{Adapter::CallerDeadlineHeader, "3000"}};
+    }
+    const auto onReply = [this, &job, &node, sentAt = m_clock.now(), done = std::move(done)](const HttpReply &reply) {
+        job.hasCallInFlight = false;
+        if (reply.outcome != HttpOutcome::Answered) {
+            checkConnectionLoss(job, node, sentAt, reply);
+            job.node = randomNode();
+        }
+        done(reply);
+    };
+    m_calls.send(std::move(call), CallTimeout, onReply);
+}
+
+/** A node that is only asked to exit answers each request that it has read. */
+void SoakRun::checkConnectionLoss(const Job &job, const Node &node, TimePoint sentAt, const HttpReply &reply)
 {
-    return m_nodes[randomBelow(static_cast<std::uint32_t>(m_nodes.size()))].process->address();
+    const Duration time = m_clock.now() - sentAt;
+    const bool isDisturbed = node.isSuspended || node.lastDisturbedAt >= sentAt - DisturbanceTime;
+    if (reply.outcome == HttpOutcome::Unanswered && !isDisturbed && time > LossSlack
+        && time < CallTimeout - LossSlack) {
+        addViolation("a call about " + job.key + " was broken off by " + node.process->name() + " after "
+                     + std::to_string(time / 1ms) + " ms");
+    }
 }
 
 void SoakRun::sendDueCalls()
@@ -328,39 +503,28 @@
 
 void SoakRun::submitJob(Job &job)
 {
-    m_calls.send({"POST",
-                  randomNodeAddress(),
-                  std::string(QueuePrefix) + job.key,
-                  job.body,
-                  {{Adapter::CallerDeadlineHeader, "3000"}}},
-                 CallTimeout,
-                 [this, &job](const HttpReply &reply) {
-                     job.hasCallInFlight = false;
-                     job.nextCallAt = m_clock.now() + randomDuration(100, 500);
-                     if (reply.outcome == HttpOutcome::Answered && reply.status == 200) {
-                         job.isAccepted = true;
-                     } else if (reply.outcome == HttpOutcome::Answered
-                                && (reply.status == 503 || reply.status == 429)) {
-                         job.isRefused = true;
-                     } else if (reply.outcome != HttpOutcome::NotSent) {
-                         job.mayBeStored = true; // submit the same job again, to any node
-                     }
-                 });
+    send(job, "POST", job.body, [this, &job](const HttpReply &reply) {
+        job.nextCallAt = m_clock.now() + randomDuration(100, 500);
+        if (reply.outcome == HttpOutcome::Answered && reply.status == 200) {
+            job.isAccepted = true;
+        } else if (reply.outcome == HttpOutcome::Answered && (reply.status == 503 || reply.status == 429)) {
+            job.isRefused = true;
+        } else if (reply.outcome != HttpOutcome::NotSent && reply.status != NotFoundStatus) {
+            job.mayBeStored = true; // submit the same job again, to any node
+        }
+    });
 }
 
 void SoakRun::queryJob(Job &job)
 {
-    m_calls.send({"GET", randomNodeAddress(), std::string(QueuePrefix) + job.key, {}, {}},
-                 CallTimeout,
-                 [this, &job](const HttpReply &reply) {
-                     job.hasCallInFlight = false;
-                     job.nextCallAt = m_clock.now() + randomDuration(200, 800);
-                     if (reply.outcome == HttpOutcome::Answered && reply.status == 410) {
-                         addViolation(job.key + " was accepted, but a node answers that it does not exist");
-                     } else if (reply.outcome == HttpOutcome::Answered && reply.status == 200) {
-                         checkReportedState(job, reply.body);
-                     }
-                 });
+    send(job, "GET", {}, [this, &job](const HttpReply &reply) {
+        job.nextCallAt = m_clock.now() + randomDuration(200, 800);
+        if (reply.outcome == HttpOutcome::Answered && reply.status == 410) {
+            addViolation(job.key + " was accepted, but a node answers that it does not exist");
+        } else if (reply.outcome == HttpOutcome::Answered && reply.status == 200) {
+            checkReportedState(job, reply.body);
+        }
+    });
 }
 
 void SoakRun::checkReportedState(Job &job, const std::string &text)
@@ -386,20 +550,13 @@
 
 void SoakRun::cancelJob(Job &job)
 {
-    m_calls.send({"DELETE",
-                  randomNodeAddress(),
-                  std::string(QueuePrefix) + job.key,
-                  {},
-                  {{Adapter::CallerDeadlineHeader, "3000"}}},
-                 CallTimeout,
-                 [this, &job](const HttpReply &reply) {
-                     job.hasCallInFlight = false;
-                     job.nextCallAt = m_clock.now() + randomDuration(100, 500);
-                     job.isCancelled = reply.outcome == HttpOutcome::Answered && reply.status == 200;
-                     if (reply.outcome == HttpOutcome::Answered && reply.status == 410) {
-                         addViolation(job.key + " was accepted, but its cancellation was answered with 410");
-                     }
-                 });
+    send(job, "DELETE", {}, [this, &job](const HttpReply &reply) {
+        job.nextCallAt = m_clock.now() + randomDuration(100, 500);
+        job.isCancelled = reply.outcome == HttpOutcome::Answered && reply.status == 200;
+        if (reply.outcome == HttpOutcome::Answered && reply.status == 410) {
+            addViolation(job.key + " was accepted, but its cancellation was answered with 410");
+        }
+    });
 }
 
 void SoakRun::pollFor(Duration time)
@@ -407,6 +564,7 @@
     const TimePoint until = m_clock.now() + time;
     while (m_clock.now() < until) {
         m_calls.poll(PollInterval);
+        runDueActions(false);
         superviseNodes();
         restoreLinks(false);
         restoreWorkers(false);
@@ -418,6 +576,25 @@
 // Final checks
 // ---------------------------------------------------------------------------------------------------------------------
 
+std::vector<std::string> SoakRun::stoppedLongRunningJobs()
+{
+    std::map<std::string, int> running;
+    m_platform.withState([&running](StandInState &state) {
+        for (const auto &[id, worker] : state.fleet.workers) {
+            for (const auto &it : worker.running) {
+                ++running[it.run.task.job];
+            }
+        }
+    });
+    std::vector<std::string> list;
+    for (const auto &it : m_jobs) {
+        if (it->isLongRunning && it->isAccepted && !it->shouldCancel && running[it->key] < it->taskCount) {
+            list.push_back(it->key);
+        }
+    }
+    return list;
+}
+
 bool SoakRun::isSettled()
 {
     const bool areJobsFinished = std::all_of(m_jobs.begin(), m_jobs.end(), [](const auto &it) {
@@ -437,6 +614,9 @@
             m_result.accepted += it->isAccepted ? 1 : 0;
             const bool wasRefused = !it->isAccepted && !it->mayBeStored && it->isRefused;
             m_result.refused += wasRefused ? 1 : 0;
+            if (!it->isAccepted && !wasRefused) {
+                addViolation(it->key + " was neither accepted nor refused in the settle time");
+            }
             if (wasRefused && state.fleet.startedJobs.contains(it->key)) {
                 addViolation(it->key + " was started, although every submission was refused");
             }
@@ -454,7 +634,7 @@
         it.process->signal(SIGTERM);
         it.state = NodeState::Terminating;
         it.exitDeadline = m_clock.now() + ExitTimeout;
-        it.changeAt = TimePoint::max();
+        it.startAt = TimePoint::max();
     }
     const auto isRunning = [](Node &it) { return it.process->isRunning(); };
     while (std::any_of(m_nodes.begin(), m_nodes.end(), isRunning)) {
--- a/soak/test/soak.h
+++ b/soak/test/soak.h
@@ -10,8 +10,14 @@
  * Faults, which may overlap
  *   links      one link, or the links of all nodes to the store: delayed, reset, or replies or all data discarded
  *   nodes      one is killed, suspended and continued, or gets SIGTERM, or all are killed at once; then started again
- *   workers    restart, fail the tasks that they start, or vanish from the registry
+ *              signals follow one another on the same node, also while it is suspended or exits
+ *   leaders    several in a row get one of these signals
+ *   workers    restart, fail the tasks that they start, vanish from the registry, or drain and leave for good while
+ *              others join
  *   store      drops its history
+ *   operator   adds queues to the configuration
+ *
+ * Callers keep to a node, over open connections, until they find it gone.
  *
  * Guarantees
  *   tasks      no task runs twice at a time, or again after it has completed
@@ -19,6 +25,9 @@
  *              a job of which every submission was refused never starts
  *              a job is reported as completed only after all of its tasks have completed
  *              no task of a cancelled job keeps running
+ *              in time after the last fault every long-running task runs whose job is not to be cancelled
+ *              a queue of the configuration takes jobs
+ *   callers    no connection ends with a request unanswered because its node got SIGTERM
  *   nodes      a node that gets SIGTERM exits in time and with status 0
  *              no node exits unless it is killed or gets SIGTERM
  */
@@ -32,6 +41,7 @@
 #include <requests/curltransport.h>
 #include <standin/standinplatform.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -45,6 +55,9 @@
     int workers = 8;
     Duration faultTime = std::chrono::seconds(12); ///< duration of fault injection
 
+    /** Time without faults after that, in which all long-running tasks have to run. */
+    Duration restartTimeout = std::chrono::seconds(25);
+
     /** Time without faults after that, in which every job has to end. Longer than the sum of all leases. */
     Duration settleTimeout = std::chrono::seconds(60);
     NodeFiles files;
@@ -69,7 +82,6 @@
 private:
     enum class NodeState : std::uint8_t {
         Up,
-        Suspended,   ///< stopped with SIGSTOP
         Terminating, ///< has received SIGTERM
         Down,        ///< killed or exited
     };
@@ -78,14 +90,20 @@
         std::unique_ptr<NodeProcess> process;
         std::size_t storeLink = 0;
         NodeState state = NodeState::Down;
-        TimePoint changeAt{};     ///< when it is continued, or started again
-        TimePoint exitDeadline{}; ///< while Terminating
+        bool isSuspended = false;    ///< stopped with SIGSTOP
+        TimePoint continueAt{};      ///< while it is suspended
+        TimePoint startAt{};         ///< earliest next start
+        TimePoint exitDeadline{};    ///< while Terminating
+        TimePoint lastDisturbedAt{}; ///< when it was last killed, suspended, continued or started
     };
     struct Job
     {
         std::string key;
+        std::string path; ///< with the prefix of its queue
         std::string body;
-        int taskCount = 0; ///< of all steps
+        std::size_t node = 0;       ///< which its caller keeps to
+        int taskCount = 0;          ///< of all steps
+        bool isLongRunning = false; ///< its only step runs until the job is cancelled
         bool isAccepted = false;
         bool mayBeStored = false; ///< a submission was sent and neither accepted nor refused: it may be stored
         bool isRefused = false;   ///< a submission was answered 503 or 429
@@ -95,6 +113,12 @@
         std::string state;         ///< as last reported by a node
         TimePoint nextCallAt{};    ///< earliest time of the next call about it
     };
+    /** An action at a later time. */
+    struct DueAction
+    {
+        TimePoint at;
+        std::function<void()> act;
+    };
     /** When a link's fault ends. */
     struct LinkRestoration
     {
@@ -105,8 +129,16 @@
     void setUp();
     void performAction(); ///< creates a job or injects a fault
     void injectNodeFault();
+    void injectLeaderFaults();
+    void disturbNode(std::size_t index); ///< sends it one of the signals that it can get in its state
+    void killNode(Node &node);
+    std::size_t leader(); ///< the node whose name the leader key holds, or else any
     void injectLinkFault();
     void injectWorkerFault();
+    void drainWorker(const std::string &id);
+    void removeWorker(const std::string &id);
+    void addQueue();
+    void runDueActions(bool all);
     void superviseNodes();
     void restoreLinks(bool all);
     void restoreWorkers(bool all);
@@ -117,11 +149,15 @@
     void queryJob(Job &job);
     void cancelJob(Job &job);
     void checkReportedState(Job &job, const std::string &text);
-    bool isSettled(); ///< every job has ended and no task runs
+    void send(Job &job, std::string method, std::string body, std::function<void(const Adapter::HttpReply &)> done);
+    void checkConnectionLoss(const Job &job, const Node &node, TimePoint sentAt, const Adapter::HttpReply &reply);
+    std::vector<std::string> stoppedLongRunningJobs(); ///< accepted, not to be cancelled, and not all of its tasks run
+    bool isSettled();                                  ///< every job has ended and no task runs
     void checkFinalState();
     void pollFor(Duration time); ///< runs calls, nodes, links and workers for @p time
     void addViolation(const std::string &text);
-    std::string randomNodeAddress();
+    std::size_t randomNode();
+    std::string randomWorker();
     std::uint32_t randomBelow(std::uint32_t n);
     Duration randomDuration(std::int64_t minMs, std::int64_t maxMs);
 
@@ -134,6 +170,10 @@
     std::vector<Node> m_nodes;
     std::vector<LinkRestoration> m_linkRestorations;
     std::map<std::string, TimePoint> m_restartingWorkers; ///< restarting workers, and when each is reachable again
+    std::vector<DueAction> m_dueActions;
+    std::vector<std::string> m_workers;      ///< those that have joined and not left
+    std::vector<std::string> m_spareWorkers; ///< those that have not joined yet
+    std::vector<std::string> m_queues;       ///< prefixes of the queues' paths
     std::vector<std::unique_ptr<Job>> m_jobs;
     bool m_hadFailingWorkers = false; ///< a worker has failed its tasks on purpose, so jobs may fail
     RequestSettings m_requestSettings;
