--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -91,6 +91,7 @@
     bool isNewIncarnation = false;   ///< has restarted and not reported since
     std::uint32_t restartCount = 0;  ///< restarts seen in this term; part of the fencing token
     TimePoint drainSeenAt{};         ///< when its entry first said that it is draining
+    TimePoint nextEvacuationAt{};    ///< draining: next check which of its runs must leave
 
     // Contact
     WorkerClock clock;
@@ -132,6 +133,16 @@
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
     }
+    /** Gets no more starts. */
+    bool isLeaving() const
+    {
+        return !isRegistered || record.condition == WorkerCondition::Draining;
+    }
+    /** Whether a successor has to read it: it may run something, or list ends that are not stored yet. */
+    bool mustBeRead() const
+    {
+        return mayRunFormerOrders || !runs.empty() || !unknownRuns.empty() || !unacknowledgedEnds.empty();
+    }
     Resources freeResources() const
     {
         return record.capacity - reserved;
--- a/soak/test/soak.cpp
+++ b/soak/test/soak.cpp
@@ -72,7 +72,9 @@
 
 void SoakRun::addViolation(const std::string &text)
 {
-    m_result.violations.push_back(text);
+    if (std::find(m_result.violations.begin(), m_result.violations.end(), text) == m_result.violations.end()) {
+        m_result.violations.push_back(text);
+    }
 }
 
 SoakResult SoakRun::run()
--- a/soak/test/soak.h
+++ b/soak/test/soak.h
@@ -65,7 +65,7 @@
 
 struct SoakResult
 {
-    std::vector<std::string> violations; ///< one text for each violated guarantee
+    std::vector<std::string> violations; ///< texts, each one once
     std::size_t accepted = 0;            ///< jobs
     std::size_t refused = 0;             ///< jobs of which every submission was refused
     std::uint64_t starts = 0;            ///< of tasks
