--- a/soak/test/soak.cpp
+++ b/soak/test/soak.cpp
@@ -239,6 +239,9 @@
         if (affectsStoreLinks ? isStoreLink : it == chosen) {
             m_proxy.setMode(it, mode, randomDuration(20, 400));
             m_linkRestorations.push_back({restoreAt, it});
+            for (Node &node : m_nodes) {
+                node.lastDisturbedAt = node.storeLink == it ? restoreAt : node.lastDisturbedAt;
+            }
         }
     }
 }
