Take the lease of a worker that restarted and left for run out

What could happen (LOST): a worker restarts, and leaves for good before it has reported again. Its leader then held the worker's runs for good: their tasks did not run until the leader changed.

Cause: a restart makes the leader forget the worker's clock, and without that clock no lease was taken for run out.

After a restart the lease counts from the moment at which the restart is seen: the time in which an order is valid, plus the longest lease that workers accept, on a slow clock, 12.8 s. By what clock the new incarnation measures is not known, but it cuts every order that may still reach it. As before, only under full authority.

Ruled out: giving up at once what the former incarnation had listed. The registry's entry that shows the restart may be older than the report that the leader knows, so that the runs may still be there.

Not model-checked.

Given up: 12.8 s are longer than needed where the worker's clock goes on over its restart.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -93,6 +93,10 @@
     worker.isConfirmed = false;
     worker.isNewIncarnation = true;
     worker.clock.reset();
+    // By what clock the new incarnation measures leases is not known. It cuts each order that may still reach it.
+    const auto longestLease = static_cast<double>((m_settings.orderValidity + m_settings.maxWorkerLease).count());
+    const Duration localTime(static_cast<Duration::rep>(longestLease / MinWorkerClockRate));
+    worker.leaseEndsBy = std::max(worker.leaseEndsBy, m_clock.now() + localTime);
     worker.processedSequence = 0;
     worker.durableSequence = 0;
     worker.unacknowledgedEnds.clear();
@@ -111,7 +115,7 @@
         WorkerState &worker = *m_workers[i];
         // Only under full authority is it certain that no other leader has extended the lease. The reply to a pending
         // renewal may report ends from before the lease expired, so it is awaited first.
-        const bool hasLeaseExpired = worker.clock.isKnown() && !worker.isRenewing && now >= worker.leaseEndsBy;
+        const bool hasLeaseExpired = !worker.isRenewing && now >= worker.leaseEndsBy;
         if (!worker.runs.empty() && hasLeaseExpired && m_authority == Authority::Full) {
             requeueLostRuns(i, "lease expired");
         }
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -208,6 +208,32 @@
     EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
 }
 
+// Guards against LOST: a worker restarted and left before it had reported again. Its runs were held for good, as the
+// clock by which their lease is measured was not known any more.
+TEST(Workflow, runsOfAWorkerThatRestartedAndLeftAreNotHeldForGood)
+{
+    Rig rig(1, 2);
+    rig.fleet.workTime = 60s;
+    rig.run(2s);
+    rig.submit(0, Rig::makeJob("a", 1));
+    rig.run(500ms);
+    WorkerId used;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        used = worker.running.empty() ? used : id;
+    }
+    ASSERT_EQ(rig.fleet.runningTasks(), 1U);
+    rig.nodes[0]->port.unreachableWorkers = {used};
+    rig.fleet.restartWorker(used);
+    rig.backend.write("workers/" + used, "restarted");
+    rig.run(1s);
+    rig.fleet.removeWorker(used, false);
+    ++rig.backend.revision;
+    rig.backend.remove("workers/" + used);
+    rig.run(15s); // the longest lease that its last process may have got, and the time for an order to arrive there
+    EXPECT_EQ(rig.fleet.runningTasks(), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // A new leader reads a worker whose registry entry is missing. The worker then restarts before its entry is back; the
 // restart must still be detected, or ends of the new incarnation are dropped as already processed.
 TEST(Workflow, workerRestartIsDetectedWhileItsEntryIsMissing)
