A worker that is not on the stored list gets no starts

What could happen (TWICE): a leader in its grace period wrote the list of workers without one whose registry entry had lapsed, went on counting it as listed, and started tasks there when the entry was back. A successor would not have read that worker.

Cause: the written list and the leader's note of it were changed in two places under different conditions. Now what is written decides.

Evidence: Takeover.onlyListedWorkersGetStarts failed before (the worker ran tasks and was not listed) and passes.

--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -191,6 +191,8 @@
         if (!it->isLeaving() || it->mustBeRead()) {
             knownWorkers.push_back({it->record.id, it->record.startedAtMs, it->record.address, it->record.pool});
             ids.insert(it->record.id);
+        } else {
+            m_storedWorkers.erase(it->record.id); // gets no starts until it is listed again
         }
     }
     StoreChange change;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -92,6 +92,7 @@
 
     bool isRefusing = false;                           ///< every call fails as NotTaken
     bool isSilent = false;                             ///< calls are neither executed nor answered
+    bool isLosingRenewalReplies = false;               ///< renewals of leases are executed and not answered
     int lostChangeReplies = 0;                         ///< number of changes to be executed without a reply
     Duration lostChangeDelay{};                        ///< delay of the execution of these changes
     std::function<void(const StoreChange &)> onChange; ///< called for each change that was executed
@@ -159,7 +160,9 @@
 
     void renewLease(std::uint64_t lease, StoreDone done) override
     {
-        reply(done, [this, lease] {
+        const StoreDone lost
+            = [this, done](const StoreReply &) { m_replies.schedule(CallTimeout, [done] { done({}); }); };
+        reply(isLosingRenewalReplies ? lost : done, [this, lease] {
             StoreReply it;
             const auto found = m_backend.leases.find(lease);
             it.status = found == m_backend.leases.end() ? StoreStatus::NotFound : StoreStatus::Ok;
--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -244,6 +244,63 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against LOST: nodes that were written down as leaders by campaigns whose replies they never got were waited for.
+TEST(Takeover, campaignWithoutAReplyIsNotWaitedFor)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const int first = rig.leader();
+    FakeStore &store = rig.nodes[static_cast<std::size_t>(1 - first)]->store;
+    store.onChange = [&store](const StoreChange &) { store.isSilent = true; }; // the campaign's write is its last call
+    store.lostChangeReplies = 1;
+    rig.kill(first);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        worker.isReachable = worker.running.size() != 1; // three tasks fill one worker; the fourth runs on another
+    }
+    rig.run(1500ms);
+    ASSERT_TRUE(store.isSilent);
+    rig.boot(first);
+    rig.run(2s);
+    ASSERT_EQ(rig.leader(), first);
+    store.onChange = nullptr;
+    store.isSilent = false;
+    rig.run(8s); // no lease is granted after that; one may have been given 5.1 s before
+    EXPECT_EQ(rig.fleet.runningTasks(), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against TWICE: a worker that was missing from the registry while the list of workers was written, by a leader in
+// its grace period, got tasks later although a successor would not have read it.
+TEST(Takeover, onlyListedWorkersGetStarts)
+{
+    Rig rig(1, 2);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 1, 5000);
+    const WorkerId unused = rig.fleet.workers["w0"].running.empty() ? "w0" : "w1";
+    FakeStore &store = rig.nodes[0]->store;
+    store.isLosingRenewalReplies = true;
+    rig.run(2500ms);
+    ASSERT_EQ(rig.leader(), -1) << "grace authority";
+    ++rig.backend.revision;
+    rig.backend.remove("workers/" + unused);
+    rig.run(500ms);
+    rig.addWorker("w9", "r0", "d0");
+    rig.run(1s);
+    rig.backend.write("workers/" + unused, "back");
+    rig.run(1s);
+    store.isLosingRenewalReplies = false;
+    rig.run(1s);
+    submitLongRunning(rig, "b", 8, 5000);
+    rig.run(1s);
+    std::set<WorkerId> listed;
+    for (const KnownWorker &it : decodeWorkers(rig.backend.items.at("ctl/workers/0").value)) {
+        listed.insert(it.id);
+    }
+    EXPECT_EQ(rig.fleet.runningTasks(), 9U);
+    EXPECT_EQ(listed, (std::set<WorkerId>{"w0", "w1", "w9"}));
+}
+
 // Guards against needless waits: once a leader has read every worker, later ones need not wait for those before it.
 TEST(Takeover, leadersBeforeACompleteTakeoverAreNotWaitedFor)
 {
