A campaign that nobody led is not waited for; a term that has ended is not taken up again

Cause: only a term that had begun was reported as ended. Now a node that sees its unanswered campaign superseded reports that too. Found by review beside it: a node that had ended its term could find its own key again, through a late event or a campaign executed late, and lead the same epoch once more or one that the record does not name. Late events of earlier keys no longer end a term, an earlier campaign is not recognised as the current one, and an ended epoch is not taken up again. A resignation is stored on another's behalf never: only while there is no leader key.

--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -75,7 +75,7 @@
     if (m_term.epoch != 0 && !m_isSettledStored && now >= m_storeSettledAt) {
         storeSettled();
     }
-    if (m_endedEpoch != 0 && m_term.epoch == 0 && now >= m_reportEndedTermAt) {
+    if (m_unreportedEpoch != 0 && m_term.epoch == 0 && now >= m_reportEndedTermAt) {
         reportEndedTerm();
     }
     if (m_stage == Stage::Idle && now >= m_nextActionAt) {
@@ -185,6 +185,7 @@
 {
     m_leaderName.clear();
     endTerm("the leader key does not exist");
+    endUnansweredCampaign();
     if (m_hasResigned) {
         scheduleRetry();
     } else if (m_campaignDelay > Duration::zero() && !m_hasWaited) {
@@ -204,12 +205,16 @@
         m_log.write("leader_seen", "shard", m_shard, "leader", name, "revision", item.revision);
         m_leaderName = name;
     }
-    if (item.value == m_ownValue && m_term.epoch == 0 && m_campaignEpoch != 0 && !m_hasResigned) {
+    const bool isOwnCampaign = item.value == m_ownValue && m_campaignEpoch > m_lastEndedEpoch;
+    if (isOwnCampaign && m_term.epoch == 0 && !m_hasResigned) {
+        m_isCampaignUnanswered = false;
         m_term = {m_campaignEpoch, item.revision, m_former}; // the campaign succeeded, but its reply was lost
         m_validUntil = m_leaseSentAt + m_settings.leaseDuration;
         m_log.write("leader_elected", "shard", m_shard, "epoch", m_term.epoch, "revision", m_term.keyRevision);
     } else if (m_term.epoch != 0 && item.revision != m_term.keyRevision) {
         endTerm("another node leads");
+    } else if (!isOwnCampaign) {
+        endUnansweredCampaign();
     }
     m_needsKeyCheck = false;
 }
@@ -218,13 +223,28 @@
 {
     if (m_term.epoch != 0) {
         m_log.write("leader_deposed", "shard", m_shard, "epoch", m_term.epoch, "why", reason);
-        m_endedEpoch = m_term.epoch;
-        m_reportEndedTermAt = m_clock.now() + EndedTermDelay;
+        markEnded(m_term.epoch);
         m_term = {};
     }
     m_needsKeyCheck = false;
 }
 
+void Election::markEnded(std::uint64_t epoch)
+{
+    m_lastEndedEpoch = epoch;
+    m_unreportedEpoch = epoch;
+    m_reportEndedTermAt = m_clock.now() + EndedTermDelay;
+}
+
+/** The leader key shows that the last campaign, whose reply was lost, has not made this node leader, or no longer does. */
+void Election::endUnansweredCampaign()
+{
+    if (m_isCampaignUnanswered && m_term.epoch == 0) {
+        m_isCampaignUnanswered = false;
+        markEnded(m_campaignEpoch);
+    }
+}
+
 /** Takes this process off the leaders that may still send orders, unless it leads again meanwhile. */
 void Election::reportEndedTerm()
 {
@@ -234,28 +254,31 @@
 
 void Election::onEndedTermRead(const StoreReply &reply)
 {
-    if (reply.status != StoreStatus::Ok || reply.items.empty() || m_endedEpoch == 0 || m_term.epoch != 0) {
+    if (reply.status != StoreStatus::Ok || reply.items.empty() || m_unreportedEpoch == 0 || m_term.epoch != 0) {
         return; // repeated, unless this process leads again: then its new term covers the ended one
     }
     try {
         EpochRecord record = decodeEpoch(reply.items.front().value);
-        const bool isLast = record.epoch == m_endedEpoch && !record.hasResigned;
+        const bool isLast = record.epoch == m_unreportedEpoch && !record.hasResigned;
         const std::size_t removed = std::erase_if(record.earlier, [this](const FormerLeader &it) {
-            return it.node == m_node && it.bootId == m_bootId && it.epoch <= m_endedEpoch;
+            return it.node == m_node && it.bootId == m_bootId && it.epoch <= m_unreportedEpoch;
         });
         if (!isLast && removed == 0) {
-            m_endedEpoch = 0; // stored, or nobody waits for this process
+            m_unreportedEpoch = 0; // stored, or nobody waits for this process
             return;
         }
         record.hasResigned = record.hasResigned || isLast;
-        m_log.write("ended_term_reported", "shard", m_shard, "epoch", m_endedEpoch, "last_epoch", record.epoch);
+        m_log.write("ended_term_reported", "shard", m_shard, "epoch", m_unreportedEpoch, "last_epoch", record.epoch);
         StoreChange change;
         change.conditions = {{m_keys.epoch, reply.items.front().revision}};
+        if (isLast) {
+            change.conditions.push_back({m_keys.leader, 0});
+        }
         change.puts = {{m_keys.epoch, encodeEpoch(record), 0}};
         m_store.change(std::move(change), [](const StoreReply &) {}); // the next read shows whether it succeeded
     } catch (const Error &error) {
         m_log.write("epoch_unreadable", "error", error.what());
-        m_endedEpoch = 0;
+        m_unreportedEpoch = 0;
     }
 }
 
@@ -263,7 +286,8 @@
 {
     if (item.isDeleted) {
         onLeaderKeyDeleted(item);
-    } else if (m_stage == Stage::Following && item.revision > m_deletedRevision) {
+    } else if (m_stage == Stage::Following && item.revision > m_deletedRevision
+               && item.revision >= m_term.keyRevision) {
         applyLeaderKey(item);
     }
 }
@@ -302,6 +326,7 @@
         scheduleRetry();
         return;
     }
+    m_ownValue.clear(); // an earlier campaign that is executed only now is not taken for this one
     const bool isFirst = reply.status == StoreStatus::NotFound || reply.items.empty();
     EpochRecord previous;
     try {
@@ -314,6 +339,10 @@
     }
     m_campaignEpoch = previous.epoch + 1;
     m_former = remainingLeaders(previous, m_node);
+    if (m_lastEndedEpoch >= m_campaignEpoch) { // an unanswered campaign was not executed
+        m_lastEndedEpoch = m_campaignEpoch - 1;
+        m_unreportedEpoch = 0;
+    }
     m_isSettledStored = true;
     m_campaignEpochRevision = isFirst ? 0 : reply.items.front().revision;
     m_leaseSentAt = m_clock.now();
@@ -342,6 +371,7 @@
     m_nextActionAt = m_clock.now();
     if (reply.status != StoreStatus::Ok) {
         // Another node won, or the reply was lost: reading the key shows which.
+        m_isCampaignUnanswered = reply.status == StoreStatus::Unknown;
         m_nextActionAt += reply.status == StoreStatus::Conflict ? Duration::zero() : KeyReadRetryDelay;
         return;
     }
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -106,6 +106,8 @@
     void onLeaderKeyWritten(const StoreReply &reply);
     EpochRecord epochRecord(bool hasResigned) const; ///< of the current term
     void storeSettled();
+    void markEnded(std::uint64_t epoch);
+    void endUnansweredCampaign();
     void reportEndedTerm();
     void onEndedTermRead(const StoreReply &reply);
     void renew(TimePoint now);
@@ -147,9 +149,11 @@
     bool m_isSettledStored = true; ///< the stored epoch record lists m_former
     TimePoint m_storeSettledAt{};  ///< earliest next attempt to store it
 
-    std::uint64_t m_endedEpoch = 0;  ///< of a term of this process whose end is not stored yet; 0: none
-    TimePoint m_reportEndedTermAt{}; ///< earliest next attempt to store it
-    bool m_needsKeyCheck = false;    ///< the leader key must be read again before authority is full
+    bool m_isCampaignUnanswered = false; ///< the outcome of the last campaign is unknown
+    std::uint64_t m_lastEndedEpoch = 0;  ///< terms up to this one have ended and are not taken up again
+    std::uint64_t m_unreportedEpoch = 0; ///< of a term of this process whose end is not stored yet; 0: none
+    TimePoint m_reportEndedTermAt{};     ///< earliest next attempt to store it
+    bool m_needsKeyCheck = false;        ///< the leader key must be read again before authority is full
     TimePoint m_renewAt{};
 };
 
