Only the end of the run that a leader accounts for opens the next step early

What could happen (TWICE): a leader reads a task's second run on one worker, and on another the end of its first run, which a former leader may have seen too and followed by the next step.

Cause: finishTask() took any end as the one that no former leader can know. The model requires the end of the run itself (workflow.pml, readLists). Now so does the code. No test of its own: the random histories with changes of leaders cover the path, without having shown the fault.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -438,7 +438,7 @@
             if (!isCurrent && task.phase != TaskPhase::Waiting) {
                 stopTask(ref, "an earlier run has completed the task");
             }
-            finishTask(ref);
+            finishTask(ref, isCurrent);
         }
         break;
     case RunEnd::Failed:
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -438,7 +438,7 @@
                 }));
 }
 
-void WorkflowScheduler::finishTask(const TaskRef &ref)
+void WorkflowScheduler::finishTask(const TaskRef &ref, bool isCurrentRun)
 {
     OccurrenceState &occurrence = ref.job->occurrences[ref.occurrence];
     StepState &step = occurrence.steps[ref.step];
@@ -446,8 +446,9 @@
     // A former leader has not learned of the end of a run that this leader accounts for, so it cannot have started what
     // depends on the step. In a gang the end of any member that is not accounted for would tell it.
     const auto isAccountedFor = [](const TaskState &it) { return it.isAccountedFor; };
-    step.isCompletionOurs
-        |= ref.spec().isGang ? std::all_of(tasks.begin(), tasks.end(), isAccountedFor) : isAccountedFor(ref.task());
+    const bool isOurs
+        = ref.spec().isGang ? std::all_of(tasks.begin(), tasks.end(), isAccountedFor) : isAccountedFor(ref.task());
+    step.isCompletionOurs = step.isCompletionOurs || (isCurrentRun && isOurs);
     // The end of one gang member completes all. The others keep their resources until their own ends are reported.
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         if (i == ref.index || ref.spec().isGang) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -222,7 +222,7 @@
     void requeueTask(const TaskRef &ref, Duration delay);
     void releaseAndRequeue(const TaskRef &ref); ///< releaseResources(); requeues the task unless it is done
     std::uint64_t nextAttempt(const TaskState &task) const;
-    void finishTask(const TaskRef &ref);
+    void finishTask(const TaskRef &ref, bool isCurrentRun);
     void failJob(JobState &job, std::string_view why);
     void finishJob(JobState &job, WorkflowState state);
     Duration jobAge(const JobState &job) const; ///< since its acceptance; compares the wall clocks of two nodes
