A node campaigns only once its boot ID is stored, and only over the one it has read

What could happen (TWICE): the write of a new process's boot ID was lost and not repeated, or an earlier process's write was executed after it. The process then led under a boot ID that the store did not show, and its successor took it for restarted, while it was in its grace period.

Cause: an unknown outcome counted as stored, and the write had no condition. Cost: one read at the start of a process.

--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -26,6 +26,8 @@
 // within two seconds.
 constexpr Duration RegistryBatchDelay = 250ms;
 
+constexpr Duration BootIdRetryInterval = 300ms; ///< also the time allowed for a reply
+
 constexpr Duration MapUpdateInterval = 2s; ///< between two checks of the map, hence between two writes of it
 constexpr double WeightTolerance = 0.2;    ///< relative error of a shard's weight above which the map is written again
 
@@ -149,8 +151,8 @@
 {
     m_operatorItems.tick(now);
     m_clusterState.tick(now);
-    if (!m_hasStoredBootId) {
-        storeBootId();
+    if (!m_hasStoredBootId && now >= m_storeBootIdAt) {
+        storeBootId(now);
     }
     for (std::size_t i = 0; i < m_localShards.size(); ++i) { // by index: the vector may grow meanwhile
         tickShard(*m_localShards[i], now);
@@ -162,17 +164,38 @@
 }
 
 /**
- * Stores this node's boot ID, which shows later leaders that no earlier process of this node leads any more. That
- * speeds up takeovers, so a failed write is repeated.
+ * Stores this node's boot ID, which shows other leaders that no earlier process of this node leads any more. Before that
+ * is certain this process does not campaign: its own boot ID would be mistaken for an outdated one. The condition keeps
+ * a late write of an earlier process from replacing it.
  */
-void Node::storeBootId()
+void Node::storeBootId(TimePoint now)
+{
+    m_storeBootIdAt = now + BootIdRetryInterval;
+    m_store.get(std::string(BootPrefix) + m_settings.name,
+                [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+                    if (!alive.expired()) {
+                        onBootIdRead(reply);
+                    }
+                });
+}
+
+void Node::onBootIdRead(const StoreReply &reply)
 {
-    m_hasStoredBootId = true;
+    if (reply.status != StoreStatus::Ok && reply.status != StoreStatus::NotFound) {
+        return; // repeated
+    }
+    const bool exists = reply.status == StoreStatus::Ok && !reply.items.empty();
+    if (exists && reply.items.front().value == m_settings.bootId) {
+        m_hasStoredBootId = true;
+        return;
+    }
     StoreChange change;
-    change.puts = {{std::string(BootPrefix) + m_settings.name, m_settings.bootId, 0}};
-    m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+    const std::string key = std::string(BootPrefix) + m_settings.name;
+    change.conditions = {{key, exists ? reply.items.front().revision : 0}};
+    change.puts = {{key, m_settings.bootId, 0}};
+    m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &it) {
         if (!alive.expired()) {
-            m_hasStoredBootId = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
+            m_hasStoredBootId = m_hasStoredBootId || it.status == StoreStatus::Ok;
         }
     });
 }
@@ -198,7 +221,7 @@
 
 void Node::tickShard(LocalShard &local, TimePoint now)
 {
-    if (m_catalog.version > 0) {
+    if (m_catalog.version > 0 && m_hasStoredBootId) {
         local.election.setCampaignDelay(campaignDelay(local));
         local.election.tick(now);
     }
