Placement: a gang returns to workers where it failed if the others are too few

What users saw: a job whose tasks start together waited for good on an idle shard after it had failed on some workers.

A job avoids workers where it failed as long as there is any other worker. The list of failed workers is never emptied, so nothing changed this.

Now a gang avoids them only if the other open, healthy workers could hold all its tasks when they are idle. Single tasks avoid them as before. Faulty workers are kept from starts by quarantine, which counts failures of several jobs; this is only a preference.

Evidence: GangReturnsToWorkersWhereItFailedIfTheOthersAreTooFew failed before (0 starts of 2, "not enough free capacity for all"); GangAvoidsWorkersWhereItFailedIfTheOthersAreEnough passes before and after.

--- a/packages/placement/enginestarts.cpp
+++ b/packages/placement/enginestarts.cpp
@@ -43,6 +43,11 @@
            || (shortfall.accelerators > 0 && need.accelerators > 0);
 }
 
+bool hasFailedOn(const Job &job, WorkerIndex worker)
+{
+    return std::find(job.failedWorkers.begin(), job.failedWorkers.end(), worker) != job.failedWorkers.end();
+}
+
 std::string describe(const Resources &it)
 {
     return std::to_string(it.cpuMillis) + " CPU millis, " + std::to_string(it.memoryMib) + " MiB, "
@@ -201,6 +206,7 @@
         return markBlocked(slot, WaitReason::Headroom);
     }
     prepareSpreadCounts(job);
+    job.avoidsFailedWorkers = job.failedWorkers.size() < m_ledger.openWorkers();
     WorkerChoice choice = chooseHeldWorker(slot, need, now);
     WaitReason knownReason = WaitReason::None;
     if (choice.worker == NoWorker && isKnownRefusal(job, need, knownReason)) {
@@ -258,6 +264,7 @@
         return markBlocked(slot, WaitReason::RateLimit);
     }
     prepareSpreadCounts(job);
+    job.avoidsFailedWorkers = !job.failedWorkers.empty() && countIdleStarts(job, need, n, false) >= n;
     if (!hasCapacityForGang(slot, need, n, now)) {
         holdWorkersForGang(slot, need, n);
         return markBlocked(slot, WaitReason::Gang);
@@ -344,20 +351,24 @@
     const std::int64_t n = std::max<std::int64_t>(1, job.unfinished - job.active);
     const Resources total = multiplied(need, n);
     return total.fitsIn(m_tenants[job.tenant].quota.limit)
-           && (job.band != BatchBand || total.cpuMillis <= headroomLimit()) && countIdleStarts(need, n) >= n;
+           && (job.band != BatchBand || total.cpuMillis <= headroomLimit()) && countIdleStarts(job, need, n, true) >= n;
 }
 
-/** Number of tasks of @p need that open, healthy workers would start at once if they were idle; stops at @p enough. */
-std::int64_t PlacementEngine::countIdleStarts(const Resources &need, std::int64_t enough) const
+/**
+ * Number of tasks of @p need that open, healthy workers would start at once if they were idle; stops at @p enough.
+ * @p onFailedWorkers: counts those where the job has failed as well.
+ */
+std::int64_t
+PlacementEngine::countIdleStarts(const Job &job, const Resources &need, std::int64_t enough, bool onFailedWorkers) const
 {
     const auto burst = static_cast<std::int64_t>(m_settings.workerStartBurst);
     std::int64_t n = 0;
     for (WorkerIndex it = 0; it < m_ledger.size() && n < enough; ++it) {
         const WorkerSlot &worker = m_ledger.worker(it);
         const bool isOpen = worker.state == VmState::Live && !worker.isQuarantined;
-        n += isOpen && m_health.health(it) == WorkerHealth::Healthy
-                 ? std::min(burst, countFitting(need, worker.capacity))
-                 : 0;
+        const bool isCounted
+            = isOpen && m_health.health(it) == WorkerHealth::Healthy && (onFailedWorkers || !hasFailedOn(job, it));
+        n += isCounted ? std::min(burst, countFitting(need, worker.capacity)) : 0;
     }
     return n;
 }
@@ -439,8 +450,7 @@
     if (view.holdingJob != detail::NoJob && view.holdingJob != slot) {
         return WaitReason::Capacity;
     }
-    if (!job.failedWorkers.empty() && job.failedWorkers.size() < m_ledger.openWorkers()
-        && std::find(job.failedWorkers.begin(), job.failedWorkers.end(), worker) != job.failedWorkers.end()) {
+    if (job.avoidsFailedWorkers && hasFailedOn(job, worker)) {
         return WaitReason::Capacity;
     }
     if (m_health.health(worker) == WorkerHealth::Probation) {
--- a/packages/placement/jobs.h
+++ b/packages/placement/jobs.h
@@ -96,6 +96,7 @@
     std::uint32_t unfinished = 0;           ///< tasks that are neither Finished nor Removed
     std::uint32_t active = 0;               ///< tasks that are Active
     std::vector<WorkerIndex> failedWorkers; ///< distinct workers on which an attempt failed
+    bool avoidsFailedWorkers = false;       ///< as decided when its start was last tried: the others are enough
     std::vector<WorkerIndex> heldWorkers;   ///< workers that accept no other job until this one starts
     std::int64_t heldCpuMillis = 0;         ///< free processors on heldWorkers that count as used in the headroom check
     TimePoint addedAt{};
--- a/packages/placement/placementengine.h
+++ b/packages/placement/placementengine.h
@@ -250,7 +250,8 @@
     bool fitsHeadroom(const Job &job, const Resources &need) const;
     std::int64_t headroomLimit() const;
     bool canHaveAtOnce(const Job &job, const Resources &need) const;
-    std::int64_t countIdleStarts(const Resources &need, std::int64_t enough) const;
+    std::int64_t
+    countIdleStarts(const Job &job, const Resources &need, std::int64_t enough, bool onFailedWorkers) const;
     StartOutcome markOverQuota(JobSlot slot);
     void refillTokens(WorkerIndex worker, TimePoint now);
     void refillShardTokens(TimePoint now);
--- a/packages/placement/tests/admissiontest.cpp
+++ b/packages/placement/tests/admissiontest.cpp
@@ -195,6 +195,44 @@
     EXPECT_GT(engine.ledger().openReserved().cpuMillis, 4 * 4000);
 }
 
+TEST(Admission, GangReturnsToWorkersWhereItFailedIfTheOthersAreTooFew)
+{
+    PlacementSettings settings = unlimitedSettings();
+    settings.faultyJobWorkers = 1000;
+    PlacementEngine engine = makeEngine(3, settings);
+    JobSpec gang = makeJob(1, 2, 8);
+    gang.gang = true;
+    engine.addJob(gang, at(0));
+    Placements placements;
+    recordStarts(engine.decide(at(0)), placements);
+    ASSERT_EQ(placements.size(), 2U);
+    for (const auto &[task, worker] : placements) {
+        engine.endAttempt(task, AttemptState::Failed, 0, at(1));
+    }
+    EXPECT_EQ(engine.decide(at(10)).starts.size(), 2U) << engine.explain({1, 0});
+}
+
+TEST(Admission, GangAvoidsWorkersWhereItFailedIfTheOthersAreEnough)
+{
+    PlacementEngine engine = makeEngine(4);
+    JobSpec gang = makeJob(1, 2, 8);
+    gang.gang = true;
+    engine.addJob(gang, at(0));
+    Placements before;
+    recordStarts(engine.decide(at(0)), before);
+    ASSERT_EQ(before.size(), 2U);
+    for (const auto &[task, worker] : before) {
+        engine.endAttempt(task, AttemptState::Failed, 0, at(1));
+    }
+    Placements after;
+    recordStarts(engine.decide(at(10)), after);
+    ASSERT_EQ(after.size(), 2U);
+    for (const auto &[task, worker] : after) {
+        EXPECT_NE(worker, (before[{1, 0}])) << toString(task);
+        EXPECT_NE(worker, (before[{1, 1}])) << toString(task);
+    }
+}
+
 TEST(Admission, SmallTasksDoNotDelayABlockedEarlierJob)
 {
     PlacementEngine engine = makeEngine(1);
