--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -117,6 +117,7 @@
 {
     const auto n = static_cast<std::uint32_t>(job.occurrences[occurrence].steps[step].tasks.size());
     std::uint32_t placed = 0;
+    bool isWithoutRoom = false;
     for (std::uint32_t i = 0; i < n; ++i) {
         const TaskRef ref{&job, occurrence, step, i};
         TaskState &task = ref.task();
@@ -125,6 +126,7 @@
         }
         const WorkerIndex worker = chooseWorker(ref, now);
         if (worker == NoWorker) {
+            isWithoutRoom = true;
             if (hasExceededPlacementTimeout(job, ref.spec(), task, now)) {
                 reserveWorkerFor(ref, now);
             }
@@ -133,6 +135,8 @@
         startTask(ref, worker, nextAttempt(task), now);
         ++placed;
     }
+    TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
+    noRoomSince = !isWithoutRoom ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
     if (placed > 0) {
         m_log.write("tasks_started",
                     "job",
@@ -249,7 +253,7 @@
 
 std::uint64_t WorkflowScheduler::nextAttempt(const TaskState &task) const
 {
-    return std::max(task.attempt, (m_term.epoch - 1) * AttemptsPerEpoch) + 1;
+    return std::max(task.attempt, task.attemptBase + (m_term.epoch - 1) * AttemptsPerEpoch) + 1;
 }
 
 void WorkflowScheduler::reserveResources(const TaskRef &ref, WorkerIndex index)
@@ -484,7 +488,7 @@
 
 void WorkflowScheduler::finishJob(JobState &job, WorkflowState state)
 {
-    if (m_observer != nullptr) {
+    if (m_observer != nullptr && !job.isGuest) {
         m_observer->onFinal(job.accepted.queue, state, jobAge(job));
     }
     m_log.write("job_final",
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -83,7 +83,9 @@
     write->deadline = deadline;
     write->done = done;
     try {
-        write->shard = decodeRegistration(reply.items.front().value);
+        const Registration registration = decodeRegistration(reply.items.front().value);
+        write->shard = registration.shard;
+        write->guestOf = registration.guestOf;
     } catch (const Error &error) {
         m_log.write("registration_unreadable", "job", key, "error", error.what());
         done(notAcceptedReply());
@@ -108,10 +110,14 @@
     if (write->isCancel) {
         change.conditions = {{registration, write->jobRevision}};
         change.puts = {{makeShardKeys(*write->shard).cancels + write->key, {}, 0}};
+        for (const ShardId it : write->guestOf) {
+            change.puts.push_back({makeShardKeys(it).cancels + write->key, {}, 0});
+        }
     } else {
         const std::string inbox = write->shard ? makeShardKeys(*write->shard).jobs : std::string(UnassignedPrefix);
         change.conditions = {{registration, 0}};
-        change.puts = {{registration, encodeRegistration(write->shard), 0}, {inbox + write->key, write->value, 0}};
+        change.puts
+            = {{registration, encodeRegistration({write->shard, {}}), 0}, {inbox + write->key, write->value, 0}};
     }
     write->isInFlight = true;
     m_store.change(std::move(change), [this, write](const StoreReply &reply) { onWriteReply(write, reply); });
@@ -128,9 +134,15 @@
         finish(write, IntakeOutcome::Ok);
         return;
     case StoreStatus::Conflict:
-        // Submission: the key is already registered, so this very job is stored. Cancel: the job was removed, which
-        // happens long after its end.
-        finish(write, write->isCancel ? IntakeOutcome::NoSuchJob : IntakeOutcome::Ok);
+        // Submission: the key is already registered, so this very job is stored. Cancel: a task was given to another
+        // shard meanwhile, or the job was removed, which happens long after its end.
+        if (!write->isCancel) {
+            finish(write, IntakeOutcome::Ok);
+        } else if (!updateCancel(write, reply)) {
+            finish(write, IntakeOutcome::NoSuchJob);
+        } else {
+            send(write);
+        }
         return;
     case StoreStatus::NotExecuted:
     case StoreStatus::NotFound:
@@ -146,6 +158,25 @@
     write->retryAt = m_clock.now() + m_settings.retryInterval;
 }
 
+/** Takes the shards of the job's current registration; false if there is none. */
+bool Intake::updateCancel(const WritePtr &write, const StoreReply &conflict)
+{
+    if (conflict.items.empty()) {
+        return false;
+    }
+    const StoreItem &item = conflict.items.front();
+    try {
+        const Registration registration = decodeRegistration(item.value);
+        write->shard = registration.shard;
+        write->guestOf = registration.guestOf;
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "job", write->key, "error", error.what());
+        return false;
+    }
+    write->jobRevision = item.revision;
+    return write->shard.has_value();
+}
+
 void Intake::finish(const WritePtr &write, IntakeOutcome outcome)
 {
     std::erase(m_writes, write);
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -82,6 +82,7 @@
     {
         JobKey key;
         std::optional<ShardId> shard;
+        std::set<ShardId> guestOf; ///< cancels: other shards that have tasks of the job
         bool isCancel = false;
         std::string value;
         std::uint64_t jobRevision = 0; ///< cancels: revision of the job's registration
@@ -104,6 +105,7 @@
 
     void send(const WritePtr &write);
     void onWriteReply(const WritePtr &write, const StoreReply &reply);
+    bool updateCancel(const WritePtr &write, const StoreReply &conflict);
     void finish(const WritePtr &write, IntakeOutcome outcome);
     IntakeReply notAcceptedReply() const;
     void checkRegistration(const JobKey &key, const Done &done);
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -66,6 +66,8 @@
         addIncrease("stops_total", {{"shard", name}}, counters.stops, before.stops);
         addIncrease("throttles_total", {{"shard", name}}, counters.throttles, before.throttles);
         addIncrease("untracked_images_total", {{"shard", name}}, counters.untrackedImages, before.untrackedImages);
+        addIncrease("tasks_given_total", {{"shard", name}}, counters.tasksGiven, before.tasksGiven);
+        addIncrease("tasks_taken_total", {{"shard", name}}, counters.tasksTaken, before.tasksTaken);
         addIncrease("writes_total", {{"shard", name}}, counters.writes, before.writes);
     }
 
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -204,7 +204,7 @@
     }
     updateScheduler(local);
     if (local.scheduler) {
-        local.scheduler->setHasOtherShards(m_map.shards.size() > 1);
+        local.scheduler->setShardMap(m_map);
         local.scheduler->tick(now, local.election.authority(now));
         if (local.scheduler->isDeposed()) {
             local.election.depose();
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -56,6 +56,11 @@
     return task.phase == TaskPhase::Done || !task.failedAttempts.empty() || !task.checkpoint.empty();
 }
 
+std::vector<std::uint8_t> binaryOf(const std::string &bytes)
+{
+    return {bytes.begin(), bytes.end()};
+}
+
 void readTask(const json &row, JobState &job)
 {
     auto &steps = job.occurrences.at(row.at(0).get<std::size_t>()).steps;
@@ -151,30 +156,77 @@
     }
 }
 
-std::string encodeRegistration(std::optional<ShardId> shard)
+std::string encodeRegistration(const Registration &registration)
 {
-    return packRecord(json::array({StoredVersion, shard ? json(*shard) : json()}));
+    const json shard = registration.shard ? json(*registration.shard) : json();
+    return packRecord(json::array({StoredVersion, shard, registration.guestOf}));
 }
 
-std::optional<ShardId> decodeRegistration(std::string_view bytes)
+Registration decodeRegistration(std::string_view bytes)
 {
     const json value = unpackRecord(bytes);
     try {
-        return value.at(1).is_null() ? std::nullopt : std::optional(value.at(1).get<ShardId>());
+        Registration it;
+        it.shard = value.at(1).is_null() ? std::nullopt : std::optional(value.at(1).get<ShardId>());
+        if (value.size() > 2) { // older versions wrote none
+            it.guestOf = value.at(2).get<std::set<ShardId>>();
+        }
+        return it;
     } catch (const json::exception &error) {
         throw InvalidArgument("registration", error.what());
     }
 }
 
+std::string givenTaskKey(const ShardKeys &shard, const JobKey &key, std::uint32_t step, std::uint32_t index)
+{
+    return shard.taken + std::to_string(step) + "." + std::to_string(index) + "/" + key;
+}
+
+std::string encodeGivenTask(const GivenTask &task)
+{
+    return packRecord(json::array({StoredVersion,
+                                   json::binary(binaryOf(encodeAccepted(task.accepted))),
+                                   task.step,
+                                   task.index,
+                                   task.attemptBase,
+                                   task.checkpoint,
+                                   task.moves}));
+}
+
+GivenTask decodeGivenTask(std::string_view bytes)
+{
+    const json value = unpackRecord(bytes);
+    try {
+        const auto &accepted = value.at(1).get_binary();
+        GivenTask it;
+        it.accepted = decodeAccepted(std::string(accepted.begin(), accepted.end()));
+        it.step = value.at(2);
+        it.index = value.at(3);
+        it.attemptBase = value.at(4);
+        it.checkpoint = value.at(5);
+        it.moves = value.at(6);
+        if (it.step >= it.accepted.spec.steps.size() || it.index >= it.accepted.spec.steps[it.step].taskCount) {
+            throw InvalidArgument("given task", "no such task");
+        }
+        return it;
+    } catch (const json::exception &error) {
+        throw InvalidArgument("given task", error.what());
+    }
+}
+
 std::string encodeProgress(const JobState &job)
 {
     json rows = json::array();
+    json given = json::array();
     const bool needsTasks = !isFinal(job.state);
     for (std::size_t k = 0; needsTasks && k < job.occurrences.size(); ++k) {
         const auto &steps = job.occurrences[k].steps;
         for (std::size_t s = 0; s < steps.size(); ++s) {
             for (std::size_t i = 0; i < steps[s].tasks.size(); ++i) {
                 const TaskState &it = steps[s].tasks[i];
+                if (it.isGivenAway) {
+                    given.push_back(json::array({k, s, i}));
+                }
                 if (hasProgress(it)) {
                     const bool isDone = it.phase == TaskPhase::Done;
                     rows.push_back(
@@ -183,7 +235,7 @@
             }
         }
     }
-    return packRecord(json::array({StoredVersion, static_cast<int>(job.state), std::move(rows)}));
+    return packRecord(json::array({StoredVersion, static_cast<int>(job.state), std::move(rows), std::move(given)}));
 }
 
 void decodeProgress(std::string_view bytes, JobState &job)
@@ -194,6 +246,13 @@
         for (const json &it : value.at(2)) {
             readTask(it, job);
         }
+        for (std::size_t i = 0; value.size() > 3 && i < value.at(3).size(); ++i) { // older versions wrote none
+            const json &row = value.at(3).at(i);
+            auto &steps = job.occurrences.at(row.at(0).get<std::size_t>()).steps;
+            TaskState &task = steps.at(row.at(1).get<std::size_t>()).tasks.at(row.at(2).get<std::size_t>());
+            task.isGivenAway = true;
+            task.phase = TaskPhase::Foreign;
+        }
     } catch (const std::exception &error) {
         throw InvalidArgument("progress", error.what());
     }
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -3,16 +3,18 @@
  *
  * Index of this file
  *   AcceptedJob                      written once, by the node that accepts the job
+ *   Registration, GivenTask          which shards concern a job; a task given to another shard (transfer.cpp)
  *   TaskPhase, TaskState, JobState   in memory; part of it is stored as the job's progress
  *   EpochRecord, KnownWorker         records of leaders
  *   encode..., decode...             to and from MessagePack; decode throws InvalidArgument for unreadable records
  *
  * Stored keys (N: number of a shard, see shards.h)
- *   job/KEY              registration: the job's shard, or none yet; created once, so a key identifies one job
+ *   job/KEY              Registration: the job's shard, or none yet; created once, so a key identifies one job
  *   in/spread/KEY        AcceptedJob without a shard (shardassigner.h)
  *   in/N/j/KEY           AcceptedJob; created on acceptance or when the job is assigned; never changed
  *   in/N/c/KEY           exists if the caller has cancelled the job
- *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints
+ *   in/N/t/STEP.TASK/KEY GivenTask; exists while the task belongs to shard N by a transfer
+ *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints, tasks given to other shards
  *   ctl/board/leader/N   leader key, under a lease (election.h)
  *   ctl/board/shards     ShardMap
  *   ctl/epoch/N          EpochRecord: the last epoch, its leader, and whether that leader has resigned
@@ -29,6 +31,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 
 namespace QuetzalRock::Workflow {
 
@@ -64,6 +67,7 @@
     Running = 2,
     Stopping = 3, ///< stop ordered; keeps its reservation until the worker reports the end
     Done = 4,
+    Foreign = 5, ///< belongs to another shard, or is being given to one
 };
 
 struct TaskState
@@ -88,6 +92,13 @@
     std::uint8_t percent = 100;         ///< throttle last ordered: share of its CPU that the run may use
     std::string checkpoint;
     std::vector<std::uint64_t> failedAttempts;
+
+    // Transfers between shards
+    bool isGivenAway = false;         ///< the job's progress says that it was given to another shard
+    bool hasRecord = false;           ///< belongs to this shard by a GivenTask
+    std::uint32_t moves = 0;          ///< number of transfers so far
+    std::uint64_t recordRevision = 0; ///< of the last GivenTask seen
+    std::uint64_t attemptBase = 0;    ///< attempts of earlier shards are not higher than that
 };
 
 /** Why a long-running task waits. */
@@ -104,6 +115,8 @@
     StepLoad load;                                  ///< steps of serving tasks: their own load
     WaitReason reportedReason = WaitReason::NoRoom; ///< of the last log line on waiting tasks
     TimePoint nextWaitReportAt{};                   ///< earliest next line with the same reason
+    TimePoint noRoomSince{};                        ///< since then a task has found no worker; zero: none waits so
+    TimePoint nextTransferAt{};                     ///< earliest next attempt to give tasks to another shard
 };
 
 struct OccurrenceState
@@ -119,6 +132,7 @@
     TimePoint learnedAt{}; ///< when this leader first saw the job
     WorkflowState state = WorkflowState::Queued;
     bool isCancelled = false;        ///< no more starts; running tasks are stopped
+    bool isGuest = false;            ///< another shard's job, some of whose tasks were given to this one
     std::uint32_t heldTasks = 0;     ///< tasks that are starting, running or stopping
     std::uint64_t version = 0;       ///< incremented at each change of what is to be stored
     std::uint64_t storedVersion = 0; ///< last version that is durable
@@ -142,13 +156,36 @@
 std::string encodeAccepted(const AcceptedJob &job);
 AcceptedJob decodeAccepted(std::string_view bytes);
 
-/** The content of job/KEY: the job's shard; none while it is unassigned. */
-std::string encodeRegistration(std::optional<ShardId> shard);
-std::optional<ShardId> decodeRegistration(std::string_view bytes);
+/** The content of job/KEY. */
+struct Registration
+{
+    std::optional<ShardId> shard; ///< of the job; none while it is unassigned
+    std::set<ShardId> guestOf; ///< shards to which some of its tasks were given; a cancel is written to these as well
+};
+
+std::string encodeRegistration(const Registration &registration);
+Registration decodeRegistration(std::string_view bytes);
+
+/** A task that was given to another shard, as that shard's inbox holds it. Ends with the job, or with the next transfer. */
+struct GivenTask
+{
+    AcceptedJob accepted;
+    std::uint32_t step = 0;
+    std::uint32_t index = 0;
+    std::uint64_t attemptBase = 0;
+    std::string checkpoint;
+    std::uint32_t moves = 0;
+};
+
+/** The key of a GivenTask. */
+std::string givenTaskKey(const ShardKeys &shard, const JobKey &key, std::uint32_t step, std::uint32_t index);
+
+std::string encodeGivenTask(const GivenTask &task);
+GivenTask decodeGivenTask(std::string_view bytes);
 
 std::string encodeProgress(const JobState &job);
 
-/** Sets the state, finished tasks, failed attempts and checkpoints of @p job; call resetTasks() before. */
+/** Sets the state, finished and given tasks, failed attempts and checkpoints of @p job; call resetTasks() before. */
 void decodeProgress(std::string_view bytes, JobState &job);
 
 /** Decodes only the job's state from its progress. */
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -79,6 +79,11 @@
     Duration drainMargin = std::chrono::milliseconds(1500);
     PlacementWeights placement;
     PressureSettings pressure;
+
+    // Transfers to other shards
+    Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
+                                                      ///< doubles with each of its transfers, at most three times
+    Duration transferInterval = std::chrono::milliseconds(200); ///< least time between two transfers
 };
 
 struct WorkflowCounters
@@ -92,6 +97,8 @@
     std::uint64_t stops = 0;
     std::uint64_t writes = 0;
     std::uint64_t throttles = 0;
+    std::uint64_t tasksGiven = 0;      ///< to other shards
+    std::uint64_t tasksTaken = 0;      ///< from other shards
     std::uint64_t untrackedImages = 0; ///< images beyond the limit of the pressure model
 };
 
@@ -123,8 +130,11 @@
     /** True once a worker or the store has shown that a later leader was elected. */
     bool isDeposed() const;
 
-    /** If there are other shards, their pressure models are used as well. */
-    void setHasOtherShards(bool hasOtherShards);
+    /**
+     * If there are other shards, their pressure models are used as well, and long-running tasks without room here may be
+     * given to them. @p map is kept up to date by the caller and outlives the scheduler.
+     */
+    void setShardMap(const ShardMap &map);
 
     /** Adds or updates a worker; called when its registry entry is new or has changed. */
     void setWorker(const WorkerRecord &record);
@@ -147,6 +157,37 @@
         std::int64_t bestEffort = 0; ///< of tasks that use spare CPU
     };
 
+    /** Tasks of a step are to be given away once no other write is in flight. */
+    struct PreparedTransfer
+    {
+        JobKey key;
+        std::uint32_t step = 0;
+        StoreItem registration;
+    };
+
+    /** A write that gives tasks of one job to another shard. No other write is sent until its outcome is known. */
+    struct Transfer
+    {
+        ShardId to = 0;
+        std::vector<TaskRef> tasks;
+        std::vector<std::uint64_t> recordRevisions; ///< of the tasks at the start of the transfer
+        StoreChange change;
+        std::string progress;      ///< of the job, as written; empty: the tasks belonged here by records
+        std::uint64_t version = 0; ///< of the job in that progress
+        bool isInFlight = false;
+        bool mayBeStored = false; ///< an earlier copy got no answer
+        TimePoint retryAt{};
+    };
+
+    /** Given tasks that the other shard's status may not include yet. */
+    struct GivenCpu
+    {
+        ShardId shard = 0;
+        std::string image;
+        std::int64_t cpuMillis = 0;
+        std::uint64_t revision = 0; ///< of the write
+    };
+
     // Takeover (takeover.cpp)
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
@@ -158,6 +199,7 @@
     void onProgressPage(const StoreReply &reply);
     void retryLoad(std::string_view what);
     void onInboxItem(const StoreItem &item);
+    JobPtr makeJob(AcceptedJob accepted, std::uint64_t createdRevision);
     void addJob(const StoreItem &item);
     void onCancel(const JobKey &key);
     bool mayBeRunningElsewhere(const JobState &job) const;
@@ -221,6 +263,22 @@
     void reportWaitingTasks(TimePoint now);
     void reportWaitingStep(JobState &job, std::uint32_t step, TimePoint now);
 
+    // Transfers of long-running tasks to other shards (transfer.cpp)
+    void giveWaitingTasks(TimePoint now);
+    std::vector<TaskRef> tasksWithoutRoom(JobState &job, std::uint32_t step, TimePoint now) const;
+    std::optional<TaskRef> findTaskWithoutRoom(TimePoint now) const;
+    void readStatuses(const TaskRef &first);
+    void onStatusesRead(const StoreReply &reply);
+    void readRegistration(const JobKey &key, std::uint32_t step);
+    void chooseDestination(const PreparedTransfer &prepared, TimePoint now);
+    void beginTransfer(JobState &job, std::vector<TaskRef> tasks, ShardId to, const StoreItem &registration);
+    void sendTransfer();
+    void onTransferReply(const StoreReply &reply);
+    bool wasExecuted(const StoreReply &conflict);
+    void endTransfer(bool isExecuted, std::uint64_t revision);
+    std::map<ShardId, CpuByImage> recentlyGivenCpu();
+    void takeTask(const StoreItem &item);
+
     // Protecting serving tasks from best-effort tasks (pressureguard.cpp)
     void observePressure(WorkerIndex index);
     void updateThrottles(WorkerIndex index);
@@ -243,6 +301,8 @@
                   const StoreReply &reply);
     void storeWorkers();
     void removeExpiredJobs(TimePoint now);
+    std::vector<std::string> recordsOf(const JobKey &key);
+    void forgetRecords(const JobKey &key, const std::vector<std::string> &records);
     void addQueuedWork(const JobState &job, QueuedWork &sums) const;
     ShardStatus shardStatus() const;
     JobState *findJob(const JobKey &key);
@@ -319,6 +379,16 @@
     Authority m_authority = Authority::None;
     bool m_isDeposed = false;
 
+    // Transfers
+    const ShardMap *m_shardMap = nullptr;
+    ShardStatuses m_statuses; ///< of all shards, read while tasks find no room
+    TimePoint m_statusesReadAt{};
+    TimePoint m_nextTransferAt{};
+    bool m_isPreparingTransfer = false; ///< reads of the statuses or of a registration are in flight
+    std::optional<PreparedTransfer> m_preparedTransfer;
+    std::optional<Transfer> m_transfer; ///< while its write is in flight or has an unknown outcome
+    std::vector<GivenCpu> m_givenCpu;
+
     // Persistence
     std::deque<JobKey> m_dirtyQueue; ///< jobs to be stored, in order
     std::set<JobKey> m_dirtyKeys;    ///< the same keys
--- a/packages/workflow/shardassigner.cpp
+++ b/packages/workflow/shardassigner.cpp
@@ -74,7 +74,7 @@
         return;
     }
     try {
-        if (!decodeRegistration(reply.items.front().value)) {
+        if (!decodeRegistration(reply.items.front().value).shard) {
             assign(key, reply.items.front().revision);
         } else {
             m_waiting.erase(key); // already assigned: the reply to that write was lost
@@ -96,7 +96,7 @@
     m_recent[key] = std::move(recent);
     StoreChange change;
     change.conditions = {{makeShardKeys(0).leader, m_term.keyRevision}, {registration, registrationRevision}};
-    change.puts = {{registration, encodeRegistration(shard), 0}, {makeShardKeys(shard).jobs + key, value, 0}};
+    change.puts = {{registration, encodeRegistration({shard, {}}), 0}, {makeShardKeys(shard).jobs + key, value, 0}};
     change.removals = {std::string(UnassignedPrefix) + key};
     m_store.change(std::move(change), [this, key, shard, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
         if (!alive.expired()) {
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -191,6 +191,18 @@
     return std::max(percent, 1) / 100.0;
 }
 
+/** The number of tasks of @p step that fit in the pieces of room of a shard, less @p assignedMillis. */
+std::int64_t countSlots(const ShardStatus &status, std::int64_t assignedMillis, const StepSpec &step)
+{
+    const std::int64_t need = std::max<std::int64_t>(1, step.need.cpuMillis);
+    std::int64_t slots = -(assignedMillis + need - 1) / need;
+    for (const auto &[cores, workers] : status.workersByFreeCores) {
+        const std::int64_t fitting = cores * 1000 / need;
+        slots += workers * (step.maxPerWorker > 0 ? std::min<std::int64_t>(fitting, step.maxPerWorker) : fitting);
+    }
+    return slots;
+}
+
 /** Whether the pieces of room in a shard, less @p assignedMillis, suffice for each long-running step of @p spec. */
 bool hasRoomFor(const ShardStatus &status, std::int64_t assignedMillis, const WorkflowSpec &spec)
 {
@@ -198,12 +210,7 @@
         if (!it.isLongRunning || it.need.cpuMillis <= 0) {
             return true;
         }
-        std::int64_t slots = -assignedMillis / it.need.cpuMillis;
-        for (const auto &[cores, workers] : status.workersByFreeCores) {
-            const std::int64_t fitting = cores * 1000 / it.need.cpuMillis;
-            slots += workers * (it.maxPerWorker > 0 ? std::min<std::int64_t>(fitting, it.maxPerWorker) : fitting);
-        }
-        return static_cast<double>(slots) >= SpareSlots * it.taskCount;
+        return static_cast<double>(countSlots(status, assignedMillis, it)) >= SpareSlots * it.taskCount;
     });
 }
 
@@ -234,6 +241,7 @@
     it.inbox = "in/" + id + "/";
     it.jobs = it.inbox + "j/";
     it.cancels = it.inbox + "c/";
+    it.taken = it.inbox + "t/"; // after the jobs: a load reports a shard's own jobs before tasks given back to it
     it.leader = std::string(LeaderPrefix) + id;
     it.epoch = "ctl/epoch/" + id;
     it.workers = "ctl/workers/" + id;
@@ -345,18 +353,46 @@
     return best;
 }
 
-bool hasLongRunningStep(const WorkflowSpec &spec)
+std::optional<TaskDestination> chooseShardForTasks(const ShardMap &map,
+                                                   const ShardStatuses &statuses,
+                                                   const std::map<ShardId, CpuByImage> &assigned,
+                                                   std::string_view pool,
+                                                   const WorkflowSpec &spec,
+                                                   std::uint32_t step,
+                                                   std::uint32_t tasks,
+                                                   ShardId from)
 {
-    return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.isLongRunning; });
+    const std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    const StepSpec &stepSpec = spec.steps[step];
+    const CpuByImage own = {{stepSpec.image, stepSpec.need.cpuMillis * tasks}};
+    std::optional<TaskDestination> best;
+    double minCost = std::numeric_limits<double>::infinity();
+    for (const auto &[shard, status] : statuses) {
+        const bool isPossible = shard != from && shard < weights.size() && weights[shard] > 0;
+        if (!isPossible || !canRun(map, map.shards[shard], spec)) {
+            continue;
+        }
+        CpuByImage present = status.longRunningByImage;
+        std::int64_t assignedMillis = 0;
+        if (const auto recent = assigned.find(shard); recent != assigned.end()) {
+            for (const auto &[image, millis] : recent->second) {
+                present[image] += millis;
+                assignedMillis += millis;
+            }
+        }
+        const std::int64_t slots = countSlots(status, assignedMillis, stepSpec);
+        const double cost = costOfLongRunning(present, own, weights[shard]);
+        if (slots > 0 && cost < minCost) {
+            best = {shard, static_cast<std::uint32_t>(std::min<std::int64_t>(tasks, (slots + 1) / 2))};
+            minCost = cost;
+        }
+    }
+    return best;
 }
 
-std::int64_t longRunningCpuMillisOf(const WorkflowSpec &spec)
+bool hasLongRunningStep(const WorkflowSpec &spec)
 {
-    std::int64_t millis = 0;
-    for (const StepSpec &it : spec.steps) {
-        millis += it.isLongRunning ? it.taskCount * it.need.cpuMillis : 0;
-    }
-    return millis;
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.isLongRunning; });
 }
 
 void addLongRunningCpu(CpuByImage &sums, const WorkflowSpec &spec)
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -10,10 +10,11 @@
  *   planShards()              assigns new racks to shards
  *   chooseShard()             chooses the shard of a new job
  *   chooseLongRunningShard()  chooses the shard of a job with long-running tasks
+ *   chooseShardForTasks()     chooses the shard to which waiting long-running tasks are given
  *
  * A rack never changes its shard. So a worker only ever sees the epochs of one shard, and a task only ever runs on
- * workers of its job's shard: fencing and the guarantee that no task runs twice hold within each shard independently of
- * the others.
+ * workers of the shard to which it belongs: fencing and the guarantee that no task runs twice hold within each shard
+ * independently of the others. A task changes its shard only by a transfer, see transfer.cpp.
  */
 #pragma once
 
@@ -45,6 +46,7 @@
     std::string inbox;    ///< common prefix of jobs and cancels
     std::string jobs;     ///< prefix: AcceptedJob by job key
     std::string cancels;  ///< prefix: one item per cancelled job key
+    std::string taken;    ///< prefix: GivenTask, one item per task that another shard has given to this one
     std::string leader;   ///< leader key; see election.h
     std::string epoch;    ///< EpochRecord
     std::string workers;  ///< every worker to which the current leader may have sent an order
@@ -140,8 +142,27 @@
                                std::string_view pool,
                                const WorkflowSpec &spec);
 
+struct TaskDestination
+{
+    ShardId shard = 0;
+    std::uint32_t tasks = 0; ///< number of tasks to give it
+};
+
+/**
+ * Chooses the shard to which up to @p tasks waiting tasks of a long-running step are given: of those that can run the
+ * job and have pieces of room for the step's tasks, the one with the least cost (as for a new job). Takes at most half of
+ * the pieces, as other shards may choose the same one. @p assigned counts tasks that a status may not include yet.
+ */
+std::optional<TaskDestination> chooseShardForTasks(const ShardMap &map,
+                                                   const ShardStatuses &statuses,
+                                                   const std::map<ShardId, CpuByImage> &assigned,
+                                                   std::string_view pool,
+                                                   const WorkflowSpec &spec,
+                                                   std::uint32_t step,
+                                                   std::uint32_t tasks,
+                                                   ShardId from);
+
 bool hasLongRunningStep(const WorkflowSpec &spec);
-std::int64_t longRunningCpuMillisOf(const WorkflowSpec &spec); ///< CPU declared by its long-running tasks
 void addLongRunningCpu(CpuByImage &sums, const WorkflowSpec &spec);
 
 std::string encodeShardMap(const ShardMap &map);
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -10,7 +10,21 @@
 constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2;        ///< each job takes a condition and a put
 constexpr std::int64_t BacklogResolutionMs = 100;                        ///< smaller changes do not cause a write
 constexpr Duration StatusCheckInterval = std::chrono::milliseconds(100); ///< while the status does not change
-constexpr std::size_t RemovedJobsPerChange = 7;                          ///< each job takes four removals
+constexpr std::size_t MaxRemovals = MaxChangeEntries - 1;                ///< beside the condition on the leader key
+
+/** Adds the CPU declared by the long-running tasks of @p job that belong to this shard. */
+void addOwnLongRunningCpu(const JobState &job, CpuByImage &sums)
+{
+    for (std::size_t s = 0; s < job.accepted.spec.steps.size(); ++s) {
+        const StepSpec &spec = job.accepted.spec.steps[s];
+        const auto &tasks = job.occurrences.front().steps[s].tasks;
+        const auto own = std::count_if(
+            tasks.begin(), tasks.end(), [](const TaskState &it) { return it.phase != TaskPhase::Foreign; });
+        if (spec.isLongRunning && own > 0) {
+            sums[spec.image] += own * spec.need.cpuMillis;
+        }
+    }
+}
 
 } // namespace
 
@@ -22,6 +36,9 @@
 
 void WorkflowScheduler::markDirty(JobState &job)
 {
+    if (job.isGuest) {
+        return; // its progress is its own shard's
+    }
     ++job.version;
     if (m_dirtyKeys.insert(job.key()).second) {
         m_dirtyQueue.push_back(job.key());
@@ -166,10 +183,12 @@
         if (job->state == WorkflowState::Queued && job->heldTasks == 0) {
             ++status.pending[job->accepted.queue];
         }
-        status.longRunningCpuMillis += longRunningCpuMillisOf(job->accepted.spec);
-        addLongRunningCpu(status.longRunningByImage, job->accepted.spec);
+        addOwnLongRunningCpu(*job, status.longRunningByImage);
         addQueuedWork(*job, queued);
     }
+    for (const auto &[image, millis] : status.longRunningByImage) {
+        status.longRunningCpuMillis += millis;
+    }
     const std::int64_t resolution = BacklogResolutionMs * std::max<std::int64_t>(1, capacityMillis);
     status.backlogMs = queued.reserved / resolution * BacklogResolutionMs;
     status.bestEffortBacklogMs = queued.bestEffort / resolution * BacklogResolutionMs;
@@ -215,6 +234,28 @@
                    }));
 }
 
+/** The stored records of a job that has ended, in the order in which they may be removed. */
+std::vector<std::string> WorkflowScheduler::recordsOf(const JobKey &key)
+{
+    std::vector<std::string> records;
+    const JobState *job = findJob(key);
+    for (std::uint32_t s = 0; job != nullptr && s < job->accepted.spec.steps.size(); ++s) {
+        const auto &tasks = job->occurrences.front().steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            if (tasks[i].hasRecord) {
+                records.push_back(givenTaskKey(m_keys, key, s, i));
+            }
+        }
+    }
+    records.push_back(m_keys.cancels + key);
+    if (job == nullptr || !job->isGuest) {
+        for (const std::string &prefix : {std::string(RegistrationPrefix), m_keys.jobs, std::string(ProgressPrefix)}) {
+            records.push_back(prefix + key);
+        }
+    }
+    return records;
+}
+
 /** Removes jobs that ended more than finalJobRetention ago, a few at a time and only while no write is pending. */
 void WorkflowScheduler::removeExpiredJobs(TimePoint now)
 {
@@ -224,26 +265,36 @@
     StoreChange change;
     change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     std::vector<JobKey> keys;
-    while (!m_finalJobs.empty() && keys.size() < RemovedJobsPerChange
-           && now >= m_finalJobs.front().first + m_settings.finalJobRetention) {
+    JobKey partlyRemoved;
+    while (!m_finalJobs.empty() && now >= m_finalJobs.front().first + m_settings.finalJobRetention) {
         const JobKey key = m_finalJobs.front().second;
         const JobState *job = findJob(key);
         if (job != nullptr && job->heldTasks > 0) {
             break;
         }
+        const std::vector<std::string> removals = recordsOf(key);
+        if (change.removals.size() + removals.size() > MaxRemovals) {
+            // More tasks than one change can remove: the first ones, while the cancel is still stored.
+            if (keys.empty()) {
+                change.removals.assign(removals.begin(), removals.begin() + MaxRemovals);
+                partlyRemoved = key;
+            }
+            break;
+        }
         m_finalJobs.pop_front();
         keys.push_back(key);
-        for (const std::string &prefix :
-             {std::string(RegistrationPrefix), m_keys.jobs, m_keys.cancels, std::string(ProgressPrefix)}) {
-            change.removals.push_back(prefix + key);
-        }
+        change.removals.insert(change.removals.end(), removals.begin(), removals.end());
     }
-    if (keys.empty()) {
+    if (change.removals.empty()) {
         return;
     }
     m_isStoring = true;
-    m_store.change(std::move(change), ifAlive([this, keys](const StoreReply &reply) {
+    const std::vector<std::string> removed = change.removals;
+    m_store.change(std::move(change), ifAlive([this, keys, partlyRemoved, removed](const StoreReply &reply) {
                        m_isStoring = false;
+                       if (reply.status == StoreStatus::Ok) {
+                           forgetRecords(partlyRemoved, removed);
+                       }
                        m_log.write("expired_jobs_removed", "jobs", keys.size(), "ok", reply.status == StoreStatus::Ok);
                        for (const JobKey &key : keys) {
                            if (reply.status == StoreStatus::Ok) {
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -105,6 +105,7 @@
         placeJobs(now);
     }
     reportWaitingTasks(now);
+    giveWaitingTasks(now);
     storeProgress(now);
     removeExpiredJobs(now);
 }
@@ -160,9 +161,10 @@
                 }));
 }
 
-void WorkflowScheduler::setHasOtherShards(bool hasOtherShards)
+void WorkflowScheduler::setShardMap(const ShardMap &map)
 {
-    m_hasOtherShards = hasOtherShards;
+    m_shardMap = &map;
+    m_hasOtherShards = map.shards.size() > 1;
 }
 
 /** Reads the other shards' models: one shard sees few pairs of images, all shards together see most within seconds. */
@@ -233,24 +235,27 @@
 void WorkflowScheduler::onInboxItem(const StoreItem &item)
 {
     if (item.isDeleted) {
-        return; // only leaders remove jobs, long after the jobs have ended
+        return; // only leaders remove jobs, long after the jobs have ended, and tasks, when they give them on
     }
     try {
         if (item.key.starts_with(m_keys.jobs)) {
             addJob(item);
         } else if (item.key.starts_with(m_keys.cancels)) {
             onCancel(item.key.substr(m_keys.cancels.size()));
+        } else if (item.key.starts_with(m_keys.taken)) {
+            takeTask(item);
         }
     } catch (const Error &error) {
         m_log.write("job_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
     }
 }
 
-void WorkflowScheduler::addJob(const StoreItem &item)
+/** A job whose tasks all wait; not added to m_jobs yet. */
+WorkflowScheduler::JobPtr WorkflowScheduler::makeJob(AcceptedJob accepted, std::uint64_t createdRevision)
 {
     auto job = std::make_unique<JobState>();
-    job->accepted = decodeAccepted(item.value);
-    job->createdRevision = item.created;
+    job->accepted = std::move(accepted);
+    job->createdRevision = createdRevision;
     job->learnedAt = m_clock.now();
     resetTasks(*job);
     for (OccurrenceState &occurrence : job->occurrences) {
@@ -263,6 +268,12 @@
             }
         }
     }
+    return job;
+}
+
+void WorkflowScheduler::addJob(const StoreItem &item)
+{
+    JobPtr job = makeJob(decodeAccepted(item.value), item.created);
     const JobKey key = job->key();
     if (m_jobs.contains(key)) {
         return;
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -1,7 +1,8 @@
 /**
  * Randomised fault injection: nodes crash, freeze, or lose the store or some workers; workers restart; replies are lost
  * and orders arrive late. Checks after each scenario that no task ran twice at the same time or after its acknowledged
- * end, that every accepted job has ended, and that no rejected job was stored.
+ * end, that every accepted job has ended, that no rejected job was stored, and that each long-running task belongs to one
+ * shard. With several shards, some long-running tasks are so large that they find room in another shard only.
  *
  * The environment variables WORKFLOW_SEED (first seed) and WORKFLOW_RUNS (number of scenarios) override the defaults.
  */
@@ -18,8 +19,9 @@
 constexpr int EventsPerScenario = 60;
 constexpr int Nodes = 3;
 constexpr int Workers = 4;
-constexpr std::uint32_t WorkersPerShard = 2; ///< with odd seeds; even seeds use one shard
-constexpr Duration RecoveryTime = 60s;       ///< longer than all leases and grace periods together
+constexpr std::uint32_t WorkersPerShard = 2;   ///< with odd seeds; even seeds use one shard
+constexpr std::int64_t LargeTaskMillis = 9000; ///< of a long-running task: a worker has room for one
+constexpr Duration RecoveryTime = 60s;         ///< longer than all leases and grace periods together
 
 std::uint64_t readEnvironment(const char *name, std::uint64_t fallback)
 {
@@ -38,6 +40,9 @@
 
     void run()
     {
+        for (const auto &it : m_rig.nodes) {
+            it->store.onChange = [this](const StoreChange &change) { countTransfers(change); };
+        }
         m_rig.run(1s);
         for (int i = 0; i < EventsPerScenario; ++i) {
             applyRandomEvent();
@@ -45,6 +50,7 @@
         }
         clearFaults();
         m_rig.run(5s); // until all delayed writes have been executed
+        checkShardsOfTasks();
         for (const JobKey &it : m_rig.fleet.longRunningJobs) {
             m_cancelled.insert(it);
             m_rig.cancel(0, it);
@@ -53,7 +59,37 @@
         checkGuarantees();
     }
 
+    /** Number of transfers of a task between shards. */
+    int transfers() const
+    {
+        return m_transfers;
+    }
+
 private:
+    void countTransfers(const StoreChange &change)
+    {
+        for (const StorePut &it : change.puts) {
+            m_transfers += it.key.starts_with("in/") && it.key.find("/t/") != std::string::npos ? 1 : 0;
+        }
+    }
+
+    void checkShardsOfTasks()
+    {
+        for (const JobKey &key : m_rig.fleet.longRunningJobs) {
+            const auto state = m_rig.state(key);
+            if (state && isFinal(*state)) {
+                continue; // the progress of a job that has ended names no tasks
+            }
+            const auto registration = m_rig.backend.items.find(std::string(RegistrationPrefix) + key);
+            if (registration == m_rig.backend.items.end() || !decodeRegistration(registration->second.value).shard) {
+                continue;
+            }
+            for (std::uint32_t i = 0; i < m_taskCounts[key]; ++i) {
+                EXPECT_EQ(m_rig.shardsOfTask(key, 0, i).size(), 1U) << key << ", task " << i;
+            }
+        }
+    }
+
     std::uint32_t randomBelow(std::uint32_t n)
     {
         return m_random() % n;
@@ -154,7 +190,9 @@
         if (randomBelow(5) == 0) {
             spec.steps.resize(1);
             spec.steps[0].isLongRunning = true;
+            spec.steps[0].need.cpuMillis = randomBelow(2) == 0 ? LargeTaskMillis : spec.steps[0].need.cpuMillis;
             m_rig.fleet.longRunningJobs.insert(key);
+            m_taskCounts[key] = spec.steps[0].taskCount;
         }
         m_rig.submit(i, spec, &m_outcomes[key]);
     }
@@ -205,6 +243,8 @@
     Rig m_rig;
     std::vector<JobKey> m_keys;
     std::set<JobKey> m_cancelled;
+    std::map<JobKey, std::uint32_t> m_taskCounts; ///< of long-running jobs
+    int m_transfers = 0;
     std::map<JobKey, std::optional<IntakeOutcome>> m_outcomes;
 };
 
@@ -214,12 +254,17 @@
 {
     const std::uint64_t first = readEnvironment("WORKFLOW_SEED", DefaultFirstSeed);
     const std::uint64_t n = readEnvironment("WORKFLOW_RUNS", DefaultScenarios);
+    int transfers = 0;
     for (std::uint64_t seed = first; seed < first + n; ++seed) {
-        FaultScenario(seed).run();
+        FaultScenario scenario(seed);
+        scenario.run();
+        transfers += scenario.transfers();
         if (::testing::Test::HasFailure()) {
             FAIL() << "seed " << seed << ": run again with WORKFLOW_SEED=" << seed << " WORKFLOW_RUNS=1";
         }
     }
+    RecordProperty("transfers", transfers);
+    EXPECT_TRUE(transfers > 0 || n < DefaultScenarios) << "no task was given to another shard";
 }
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -460,6 +460,7 @@
         settings.name = "n" + std::to_string(i);
         settings.bootId = std::to_string(++m_boots);
         settings.shards = shards;
+        settings.scheduler = scheduler;
         it.node = std::make_unique<Node>(settings, it.store, it.port, decoder, clock, it.log);
     }
 
@@ -542,6 +543,34 @@
         return it == backend.items.end() ? std::nullopt : std::optional(decodeState(it->second.value));
     }
 
+    /** The shards to which a task of the first occurrence belongs according to the store. */
+    std::vector<ShardId> shardsOfTask(const JobKey &key, std::uint32_t step, std::uint32_t index) const
+    {
+        std::vector<ShardId> owners;
+        const auto registration = backend.items.find(std::string(RegistrationPrefix) + key);
+        if (registration == backend.items.end()) {
+            return owners;
+        }
+        const Registration shards = decodeRegistration(registration->second.value);
+        if (shards.shard) {
+            JobState job;
+            job.accepted = decodeAccepted(backend.items.at(makeShardKeys(*shards.shard).jobs + key).value);
+            resetTasks(job);
+            if (const auto it = backend.items.find(std::string(ProgressPrefix) + key); it != backend.items.end()) {
+                decodeProgress(it->second.value, job);
+            }
+            if (!job.occurrences[0].steps[step].tasks[index].isGivenAway) {
+                owners.push_back(*shards.shard);
+            }
+        }
+        for (ShardId i = 0; i < shardMap().shards.size(); ++i) {
+            if (backend.items.contains(givenTaskKey(makeShardKeys(i), key, step, index))) {
+                owners.push_back(i);
+            }
+        }
+        return owners;
+    }
+
     /** The stored shard map. */
     ShardMap shardMap() const
     {
@@ -554,6 +583,7 @@
     FakeFleet fleet;
     FakeDecoder decoder;
     ShardSettings shards{80, 40, Duration::zero()};
+    WorkflowSettings scheduler; ///< of nodes that boot from now on
     std::vector<std::unique_ptr<RigNode>> nodes;
 
 private:
--- /dev/null
+++ b/packages/workflow/tests/transfertest.cpp
@@ -0,0 +1,405 @@
+/** Tests of transfers: a long-running task that finds no room in its shard is given to another shard. */
+#include "rig.h"
+
+#include <workflow/records.h>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+constexpr std::uint32_t Tasks = 8;
+constexpr std::int64_t TaskMillis = 4000; ///< the job fills its shard of two workers
+constexpr Duration TransferTime = 4s;     ///< from the loss of room until the tasks are at work in another shard
+constexpr Duration CancelTime = 3s;
+
+/** Four shards of two workers each; a job of Tasks long-running tasks fills one of them. */
+class TransferRig : public Rig
+{
+public:
+    TransferRig()
+        : Rig(3, 8, 2)
+    {
+        run(3s);
+        WorkflowSpec spec = makeJob("a", Tasks);
+        spec.steps[0].isLongRunning = true;
+        spec.steps[0].need.cpuMillis = TaskMillis;
+        fleet.longRunningJobs.insert("a");
+        submit(0, spec);
+        run(2s);
+        home = homeShard();
+    }
+
+    ShardId homeShard() const
+    {
+        return decodeRegistration(backend.items.at(std::string(RegistrationPrefix) + "a").value).shard.value();
+    }
+
+    ShardId shardOf(const FakeWorker &worker) const
+    {
+        return shardMap().shardOfRack.at(worker.rack);
+    }
+
+    void drain(FakeWorker &worker)
+    {
+        worker.condition = WorkerCondition::Draining;
+        worker.leavesInMs = 30'000;
+        backend.write("workers/" + worker.id, "draining");
+    }
+
+    void endDrains()
+    {
+        for (auto &[id, worker] : fleet.workers) {
+            if (worker.condition == WorkerCondition::Draining) {
+                worker.condition = WorkerCondition::Ready;
+                backend.write("workers/" + id, "back");
+            }
+        }
+    }
+
+    /** Drains one worker of @p shard. */
+    void drainHalfOf(ShardId shard)
+    {
+        for (auto &[id, worker] : fleet.workers) {
+            if (shardOf(worker) == shard && worker.condition == WorkerCondition::Ready) {
+                drain(worker);
+                return;
+            }
+        }
+    }
+
+    std::size_t runsIn(ShardId shard) const
+    {
+        std::size_t n = 0;
+        for (const auto &[id, worker] : fleet.workers) {
+            n += shardOf(worker) == shard ? worker.running.size() : 0;
+        }
+        return n;
+    }
+
+    /** The shard that has given tasks. */
+    ShardId guestShard() const
+    {
+        for (ShardId i = 0; i < shardMap().shards.size(); ++i) {
+            if (i != home && runsIn(i) > 0) {
+                return i;
+            }
+        }
+        return home;
+    }
+
+    void expectAllRunOnce()
+    {
+        EXPECT_EQ(fleet.runningTasks(), Tasks);
+        expectOneShardEach();
+    }
+
+    void expectOneShardEach()
+    {
+        for (std::uint32_t i = 0; i < Tasks; ++i) {
+            EXPECT_EQ(shardsOfTask("a", 0, i).size(), 1U) << "task " << i;
+        }
+        for (const std::string &it : fleet.violations) {
+            ADD_FAILURE() << it;
+        }
+    }
+
+    /** The number of stored items of the job, apart from the shards' own records. */
+    std::size_t itemsOfJob() const
+    {
+        std::size_t n = 0;
+        for (const auto &[key, item] : backend.items) {
+            n += key.ends_with("/a") ? 1 : 0;
+        }
+        return n;
+    }
+
+    ShardId home = 0;
+};
+
+} // namespace
+
+TEST(Transfer, taskWithoutRoomRunsInAnotherShard)
+{
+    TransferRig rig;
+    ASSERT_EQ(rig.runsIn(rig.home), Tasks);
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    EXPECT_EQ(rig.runsIn(rig.home), Tasks / 2);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Running);
+    rig.expectAllRunOnce();
+}
+
+TEST(Transfer, taskWithRoomStaysInItsShard)
+{
+    TransferRig rig;
+    rig.run(10s);
+    EXPECT_EQ(rig.runsIn(rig.home), Tasks);
+    EXPECT_EQ(rig.itemsOfJob(), 3U) << "registration, job and progress";
+}
+
+// Load: three tasks, of which each needs a whole worker, are assigned to a shard of two.
+TEST(Transfer, taskThatNeverRanIsGivenAsWell)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    WorkflowSpec spec = Rig::makeJob("a", 3);
+    spec.steps[0].isLongRunning = true;
+    spec.steps[0].need.cpuMillis = 16'000;
+    rig.fleet.longRunningJobs.insert("a");
+    rig.submit(1, spec);
+    rig.run(1s + TransferTime);
+    EXPECT_EQ(rig.fleet.runningTasks(), 3U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+TEST(Transfer, cancelReachesGivenTasks)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    ASSERT_EQ(rig.runsIn(rig.home), Tasks / 2);
+    ASSERT_EQ(rig.fleet.runningTasks(), Tasks);
+    rig.cancel(0, "a");
+    rig.run(CancelTime);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Cancelled);
+}
+
+// Load: the cancel arrives at any moment around the transfer.
+TEST(Transfer, cancelDuringTheTransferIsNotLost)
+{
+    for (Duration at = 2000ms; at < 2600ms; at += 20ms) {
+        TransferRig rig;
+        rig.drainHalfOf(rig.home);
+        rig.run(at);
+        rig.cancel(0, "a");
+        rig.run(CancelTime);
+        EXPECT_EQ(rig.fleet.runningTasks(), 0U) << at.count();
+        rig.run(10s);
+        EXPECT_EQ(rig.fleet.runningTasks(), 0U) << at.count();
+        EXPECT_EQ(rig.state("a"), WorkflowState::Cancelled) << at.count();
+    }
+}
+
+TEST(Transfer, leaderOfEitherShardMayFailAfterwards)
+{
+    for (const bool isHome : {true, false}) {
+        TransferRig rig;
+        rig.drainHalfOf(rig.home);
+        rig.run(TransferTime);
+        const int failed = rig.leader(isHome ? rig.home : rig.guestShard());
+        rig.kill(failed);
+        rig.run(20s);
+        rig.expectAllRunOnce();
+        rig.cancel((failed + 1) % 3, "a");
+        rig.run(CancelTime);
+        EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+    }
+}
+
+// Load: the leader of the task's shard fails at any moment around the transfer.
+TEST(Transfer, leaderMayFailDuringTheTransfer)
+{
+    for (Duration at = 2000ms; at < 2600ms; at += 20ms) {
+        TransferRig rig;
+        rig.drainHalfOf(rig.home);
+        rig.run(at);
+        rig.kill(rig.leader(rig.home));
+        rig.run(25s);
+        rig.expectAllRunOnce();
+        ASSERT_FALSE(::testing::Test::HasFailure()) << "killed after " << at.count();
+    }
+}
+
+// Load: no reply to the leader's writes for a while; they are executed late. Meanwhile the shard may have room again.
+TEST(Transfer, lateWriteWithoutReplyGivesATaskOnce)
+{
+    for (const Duration delay : {Duration::zero(), Duration(300ms), Duration(700ms), Duration(2s)}) {
+        for (int i = 0; i < 8; ++i) {
+            const int lost = 1 + i / 2;
+            const bool hasRoomAgain = i % 2 == 1;
+            TransferRig rig;
+            rig.drainHalfOf(rig.home);
+            rig.run(2s);
+            FakeStore &store = rig.nodes[static_cast<std::size_t>(rig.leader(rig.home))]->store;
+            store.lostChangeDelay = delay;
+            store.lostChangeReplies = lost;
+            rig.run(300ms);
+            if (hasRoomAgain) {
+                rig.endDrains();
+            }
+            rig.run(20s);
+            rig.expectAllRunOnce();
+            ASSERT_FALSE(::testing::Test::HasFailure())
+                << lost << " lost, late by " << delay.count() << (hasRoomAgain ? ", room again" : "");
+        }
+    }
+}
+
+// Load: the shard that took the tasks loses its room as well, and the job's own shard has some again.
+TEST(Transfer, takenTaskIsGivenOnAndBack)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    const ShardId guest = rig.guestShard();
+    ASSERT_NE(guest, rig.home);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        if (rig.shardOf(worker) == rig.home) { // has room again
+            worker.condition = WorkerCondition::Ready;
+            rig.backend.write("workers/" + id, "back");
+        } else {
+            rig.drain(worker);
+        }
+    }
+    rig.run(10s);
+    EXPECT_EQ(rig.runsIn(rig.home), Tasks);
+    rig.expectAllRunOnce();
+    rig.kill(rig.leader(rig.home));
+    rig.run(20s);
+    rig.expectAllRunOnce();
+    for (int i = 0; i < 3; ++i) {
+        if (rig.nodes[static_cast<std::size_t>(i)]->node) {
+            rig.cancel(i, "a");
+        }
+    }
+    rig.run(CancelTime);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+}
+
+TEST(Transfer, attemptNumbersRiseAcrossShards)
+{
+    TransferRig rig;
+    rig.kill(rig.leader(rig.home)); // a later epoch than the other shards'
+    rig.run(20s);
+    std::map<TaskName, std::pair<WorkerId, std::uint64_t>> last;
+    const auto checkAttempts = [&rig, &last] {
+        for (const auto &[id, worker] : rig.fleet.workers) {
+            for (const FakeRun &it : worker.running) {
+                auto &[lastWorker, lastAttempt] = last[it.run.task];
+                EXPECT_TRUE(lastWorker == id || it.run.attempt > lastAttempt)
+                    << it.run.attempt << " after " << lastAttempt;
+                lastWorker = id;
+                lastAttempt = it.run.attempt;
+            }
+        }
+    };
+    checkAttempts();
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    checkAttempts();
+    const ShardId guest = rig.guestShard();
+    rig.kill(rig.leader(guest));
+    rig.run(20s);
+    checkAttempts();
+    rig.drainHalfOf(guest);
+    rig.drainHalfOf(guest);
+    rig.run(10s);
+    checkAttempts();
+    rig.expectAllRunOnce();
+}
+
+TEST(Transfer, recordsAreRemovedWithTheJob)
+{
+    Rig rig(0, 8, 2);
+    rig.scheduler.finalJobRetention = 5s;
+    for (int i = 0; i < 3; ++i) {
+        rig.nodes.push_back(std::make_unique<RigNode>(rig.backend, rig.fleet, rig.clock));
+        rig.boot(i);
+    }
+    rig.run(3s);
+    WorkflowSpec spec = Rig::makeJob("a", 64); // half of it needs more entries than one change may have
+    spec.steps[0].isLongRunning = true;
+    spec.steps[0].need.cpuMillis = 500;
+    rig.fleet.longRunningJobs.insert("a");
+    rig.submit(0, spec);
+    rig.run(2s);
+    const auto countItems = [&rig] {
+        return std::count_if(rig.backend.items.begin(), rig.backend.items.end(), [](const auto &it) {
+            return it.first.ends_with("/a");
+        });
+    };
+    const auto registration = rig.backend.items.at(std::string(RegistrationPrefix) + "a");
+    const ShardId home = decodeRegistration(registration.value).shard.value();
+    for (auto &[id, worker] : rig.fleet.workers) {
+        if (rig.shardMap().shardOfRack.at(worker.rack) == home) {
+            worker.condition = WorkerCondition::Draining;
+            rig.backend.write("workers/" + id, "draining");
+        }
+    }
+    rig.run(10s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 64U);
+    EXPECT_EQ(countItems(), 64 + 3);
+    rig.cancel(1, "a");
+    rig.run(20s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+    EXPECT_EQ(countItems(), 0);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Records and choice
+// ---------------------------------------------------------------------------------------------------------------------
+
+TEST(Transfer, recordsAreReadBackAndOlderOnesAreUnderstood)
+{
+    GivenTask given;
+    given.accepted.spec = Rig::makeJob("a", 3, 2);
+    given.accepted.pool = "pool";
+    given.step = 1;
+    given.index = 2;
+    given.attemptBase = 7000;
+    given.checkpoint = std::string("\x00\xff", 2);
+    given.moves = 3;
+    GivenTask read = decodeGivenTask(encodeGivenTask(given));
+    EXPECT_EQ(read.accepted.pool, "pool");
+    EXPECT_EQ(read.step, 1U);
+    EXPECT_EQ(read.index, 2U);
+    EXPECT_EQ(read.attemptBase, 7000U);
+    EXPECT_EQ(read.moves, 3U);
+    const Registration registration = decodeRegistration(encodeRegistration({2, {4, 5}}));
+    EXPECT_EQ(registration.shard, 2U);
+    EXPECT_EQ(registration.guestOf, (std::set<ShardId>{4, 5}));
+    const Registration older = decodeRegistration(packRecord(nlohmann::json::array({StoredVersion, 2})));
+    EXPECT_EQ(older.shard, 2U);
+    EXPECT_TRUE(older.guestOf.empty());
+}
+
+TEST(Transfer, givenTaskRecordOfAMissingTaskIsRefused)
+{
+    GivenTask given;
+    given.accepted.spec = Rig::makeJob("a", 3);
+    given.index = 3;
+    EXPECT_THROW(decodeGivenTask(encodeGivenTask(given)), std::exception);
+}
+
+TEST(Transfer, destinationIsTheLeastUsedShardWithPiecesOfRoom)
+{
+    ShardMap map;
+    for (int i = 0; i < 4; ++i) {
+        map.shards.push_back({"d", {{"pool", 32'000}}, {}});
+    }
+    WorkflowSpec spec = Rig::makeJob("a", 6);
+    spec.steps[0].isLongRunning = true;
+    spec.steps[0].need.cpuMillis = 4000;
+    ShardStatuses statuses;
+    statuses[0].workersByFreeCores[16] = 2; // the tasks' own shard
+    statuses[1].workersByFreeCores[3] = 2;  // its pieces are too small
+    statuses[2].workersByFreeCores[8] = 2;
+    statuses[2].longRunningByImage[""] = 16'000;
+    statuses[3].workersByFreeCores[4] = 1;
+    statuses[3].longRunningByImage[""] = 28'000;
+    const auto choose = [&](const std::map<ShardId, CpuByImage> &assigned) {
+        return chooseShardForTasks(map, statuses, assigned, "pool", spec, 0, 6, 0);
+    };
+    ASSERT_TRUE(choose({}).has_value());
+    EXPECT_EQ(choose({})->shard, 2U);
+    EXPECT_EQ(choose({})->tasks, 2U) << "half of its four pieces";
+    EXPECT_EQ(choose({{2, {{"", 16'000}}}})->shard, 3U) << "what was given already counts";
+    EXPECT_EQ(choose({{2, {{"", 16'000}}}})->tasks, 1U);
+    EXPECT_FALSE(choose({{2, {{"", 16'000}}}, {3, {{"", 4000}}}}).has_value());
+    spec.steps[0].requiredLabel = "special";
+    EXPECT_FALSE(choose({}).has_value());
+}
+
+} // namespace QuetzalRock::Workflow
--- /dev/null
+++ b/packages/workflow/transfer.cpp
@@ -0,0 +1,403 @@
+/**
+ * WorkflowScheduler: gives long-running tasks that find no room in their shard to another shard, and takes such tasks.
+ *
+ * A task belongs to its job's shard unless the job's progress says that it was given away, and to the shard whose inbox
+ * has a GivenTask of it. One write gives a task: it changes both, under the leader key, under the revisions of what it
+ * takes the task from, while the job is not cancelled. It also adds the other shard to the job's registration, so that a
+ * cancel, which has the registration's revision as a condition, is written to every shard concerned (spec/transfer.pml).
+ *
+ * The leader gives only tasks that it could start here, so it knows that they run nowhere. It starts none of them until
+ * the outcome of the write is known.
+ */
+#include <workflow/scheduler.h>
+
+#include <base/errors.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Duration StatusMaxAge = 500ms;         ///< of the other shards' statuses
+constexpr Duration NoDestinationRetryDelay = 1s; ///< while no other shard has room
+constexpr Duration WriteRetryDelay = 200ms;      ///< of a transfer with unknown outcome
+constexpr std::uint32_t MaxDelayDoublings = 3;   ///< of WorkflowSettings::transferDelay
+constexpr std::size_t MaxTasksFromProgress = 20; ///< in one transfer; each takes one entry beside six others
+constexpr std::size_t MaxTasksFromRecords = 8;   ///< each takes three entries beside four others
+constexpr std::size_t MaxGuestShards = 24;       ///< of one job; a cancel takes an entry for each
+
+/** Whether the job consists of independent long-running tasks only, so that nothing but a cancel ends it. */
+bool canGiveTasksOf(const JobState &job)
+{
+    const WorkflowSpec &spec = job.accepted.spec;
+    return spec.repeatCount == 0 && !job.isCancelled && !isFinal(job.state)
+           && std::all_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) {
+                  return it.isLongRunning && !it.isGang && it.after.empty();
+              });
+}
+
+} // namespace
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Choosing
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkflowScheduler::giveWaitingTasks(TimePoint now)
+{
+    if (m_transfer) {
+        if (!m_transfer->isInFlight && now >= m_transfer->retryAt) {
+            sendTransfer();
+        }
+        return;
+    }
+    if (m_preparedTransfer) {
+        if (!m_isStoring) {
+            chooseDestination(*std::exchange(m_preparedTransfer, std::nullopt), now);
+        }
+        return;
+    }
+    if (!m_hasOtherShards || m_isPreparingTransfer || m_authority != Authority::Full || now < m_nextTransferAt) {
+        return;
+    }
+    m_nextTransferAt = now + m_settings.transferInterval;
+    const std::optional<TaskRef> first = findTaskWithoutRoom(now);
+    if (!first) {
+        return;
+    }
+    m_isPreparingTransfer = true;
+    if (now >= m_statusesReadAt + StatusMaxAge) {
+        readStatuses(*first);
+    } else {
+        readRegistration(first->job->key(), first->step);
+    }
+}
+
+/** The tasks of a step that have found no worker for WorkflowSettings::transferDelay, and run nowhere. */
+std::vector<TaskRef> WorkflowScheduler::tasksWithoutRoom(JobState &job, std::uint32_t step, TimePoint now) const
+{
+    std::vector<TaskRef> refs;
+    const StepState &state = job.occurrences.front().steps[step];
+    if (state.noRoomSince == TimePoint{} || !canGiveTasksOf(job) || mayBeRunningElsewhere(job)) {
+        return refs;
+    }
+    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
+        const TaskState &task = state.tasks[i];
+        const Duration delay = m_settings.transferDelay * (1U << std::min(task.moves, MaxDelayDoublings));
+        if (task.phase == TaskPhase::Waiting && now >= std::max(state.noRoomSince, task.retryAt) + delay) {
+            refs.push_back({&job, 0, step, i});
+        }
+    }
+    return refs;
+}
+
+std::optional<TaskRef> WorkflowScheduler::findTaskWithoutRoom(TimePoint now) const
+{
+    for (const auto &[key, job] : m_activeJobs) {
+        for (std::uint32_t s = 0; s < job->accepted.spec.steps.size(); ++s) {
+            if (now < job->occurrences.front().steps[s].nextTransferAt) {
+                continue;
+            }
+            if (const std::vector<TaskRef> refs = tasksWithoutRoom(*job, s, now); !refs.empty()) {
+                return refs.front();
+            }
+        }
+    }
+    return std::nullopt;
+}
+
+void WorkflowScheduler::readStatuses(const TaskRef &first)
+{
+    m_store.range(StatusPrefix, {}, ifAlive([this, key = first.job->key(), step = first.step](const StoreReply &reply) {
+                      if (reply.status != StoreStatus::Ok) {
+                          m_isPreparingTransfer = false;
+                          return;
+                      }
+                      onStatusesRead(reply);
+                      readRegistration(key, step);
+                  }));
+}
+
+void WorkflowScheduler::onStatusesRead(const StoreReply &reply)
+{
+    m_statuses.clear();
+    m_statusesReadAt = m_clock.now();
+    for (const StoreItem &it : reply.items) {
+        try {
+            if (const auto shard = shardOfKey(it.key, StatusPrefix)) {
+                m_statuses[*shard] = decodeStatus(it.value);
+            }
+        } catch (const Error &error) {
+            m_log.write("status_unreadable", "key", it.key, "revision", it.revision, "error", error.what());
+        }
+    }
+}
+
+void WorkflowScheduler::readRegistration(const JobKey &key, std::uint32_t step)
+{
+    m_store.get(std::string(RegistrationPrefix) + key, ifAlive([this, key, step](const StoreReply &reply) {
+                    m_isPreparingTransfer = false;
+                    if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
+                        m_preparedTransfer = PreparedTransfer{key, step, reply.items.front()};
+                    }
+                }));
+}
+
+/** Chooses the other shard, and begins the transfer if the tasks still wait. */
+void WorkflowScheduler::chooseDestination(const PreparedTransfer &prepared, TimePoint now)
+{
+    JobState *job = findJob(prepared.key);
+    const std::uint32_t step = prepared.step;
+    if (job == nullptr || m_authority != Authority::Full) {
+        return;
+    }
+    std::vector<TaskRef> tasks = tasksWithoutRoom(*job, step, now);
+    if (tasks.empty()) {
+        return;
+    }
+    const bool isFromRecord = tasks.front().task().hasRecord;
+    std::erase_if(tasks, [isFromRecord](const TaskRef &it) { return it.task().hasRecord != isFromRecord; });
+    tasks.resize(std::min(tasks.size(), isFromRecord ? MaxTasksFromRecords : MaxTasksFromProgress));
+    const auto destination = chooseShardForTasks(*m_shardMap,
+                                                 m_statuses,
+                                                 recentlyGivenCpu(),
+                                                 job->accepted.pool,
+                                                 job->accepted.spec,
+                                                 step,
+                                                 static_cast<std::uint32_t>(tasks.size()),
+                                                 m_shard);
+    if (!destination) {
+        job->occurrences.front().steps[step].nextTransferAt = now + NoDestinationRetryDelay;
+        return;
+    }
+    tasks.resize(destination->tasks);
+    try {
+        beginTransfer(*job, std::move(tasks), destination->shard, prepared.registration);
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "job", prepared.key, "error", error.what());
+    }
+}
+
+/** What this leader has given to each shard and the shard's status does not include yet. */
+std::map<ShardId, CpuByImage> WorkflowScheduler::recentlyGivenCpu()
+{
+    std::erase_if(m_givenCpu, [this](const GivenCpu &it) {
+        const auto status = m_statuses.find(it.shard);
+        return status != m_statuses.end() && status->second.inboxRevision >= it.revision;
+    });
+    std::map<ShardId, CpuByImage> sums;
+    for (const GivenCpu &it : m_givenCpu) {
+        sums[it.shard][it.image] += it.cpuMillis;
+    }
+    return sums;
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Giving
+// ---------------------------------------------------------------------------------------------------------------------
+
+void WorkflowScheduler::beginTransfer(JobState &job,
+                                      std::vector<TaskRef> tasks,
+                                      ShardId to,
+                                      const StoreItem &registration)
+{
+    Registration shards = decodeRegistration(registration.value);
+    if (to != shards.shard) {
+        shards.guestOf.insert(to);
+    }
+    if (shards.guestOf.size() > MaxGuestShards) {
+        return;
+    }
+    const JobKey &key = job.key();
+    const ShardKeys toKeys = makeShardKeys(to);
+    Transfer transfer;
+    transfer.to = to;
+    StoreChange &change = transfer.change;
+    change.conditions
+        = {{m_keys.leader, m_term.keyRevision}, {registration.key, registration.revision}, {m_keys.cancels + key, 0}};
+    change.puts = {{registration.key, encodeRegistration(shards), 0}};
+    const bool isFromRecord = tasks.front().task().hasRecord;
+    for (const TaskRef &it : tasks) {
+        TaskState &task = it.task();
+        GivenTask given;
+        given.accepted = job.accepted;
+        given.step = it.step;
+        given.index = it.index;
+        given.attemptBase = nextAttempt(task) - 1;
+        given.checkpoint = task.checkpoint;
+        given.moves = task.moves + 1;
+        change.puts.push_back({givenTaskKey(toKeys, key, it.step, it.index), encodeGivenTask(given), 0});
+        if (isFromRecord) {
+            const std::string record = givenTaskKey(m_keys, key, it.step, it.index);
+            change.conditions.push_back({record, task.recordRevision});
+            change.removals.push_back(record);
+        } else {
+            task.isGivenAway = true;
+        }
+        task.phase = TaskPhase::Foreign;
+        transfer.recordRevisions.push_back(task.recordRevision);
+    }
+    if (!isFromRecord) {
+        const std::string stored = std::string(ProgressPrefix) + key;
+        const WorkflowState state = std::exchange(job.state, WorkflowState::Running);
+        transfer.progress = encodeProgress(job);
+        transfer.version = job.version;
+        job.state = state;
+        change.conditions.push_back({stored, m_storedRevisions[key]});
+        change.puts.push_back({stored, transfer.progress, 0});
+    }
+    transfer.tasks = std::move(tasks);
+    m_transfer = std::move(transfer);
+    m_isStoring = true;
+    sendTransfer();
+}
+
+void WorkflowScheduler::sendTransfer()
+{
+    m_transfer->isInFlight = true;
+    ++m_counters.writes;
+    m_store.change(m_transfer->change, ifAlive([this](const StoreReply &reply) { onTransferReply(reply); }));
+}
+
+void WorkflowScheduler::onTransferReply(const StoreReply &reply)
+{
+    m_transfer->isInFlight = false;
+    switch (reply.status) {
+    case StoreStatus::Ok:
+        endTransfer(true, reply.revision);
+        return;
+    case StoreStatus::Conflict:
+        // No copy of this write can succeed any more. An earlier one may have.
+        endTransfer(wasExecuted(reply), 0);
+        return;
+    case StoreStatus::NotExecuted:
+    case StoreStatus::NotFound:
+        if (!m_transfer->mayBeStored) {
+            endTransfer(false, 0);
+            return;
+        }
+        break;
+    case StoreStatus::Unknown:
+        m_transfer->mayBeStored = true;
+        break;
+    }
+    m_transfer->retryAt = m_clock.now() + WriteRetryDelay;
+}
+
+/** Whether a copy of the transfer was executed before the one that met @p conflict. */
+bool WorkflowScheduler::wasExecuted(const StoreReply &conflict)
+{
+    const auto find = [&conflict](const std::string &key) -> const StoreItem * {
+        const auto it = std::find_if(
+            conflict.items.begin(), conflict.items.end(), [&key](const StoreItem &item) { return item.key == key; });
+        return it == conflict.items.end() ? nullptr : &*it;
+    };
+    const StoreItem *leader = find(m_keys.leader);
+    m_isDeposed = m_isDeposed || leader == nullptr || leader->revision != m_term.keyRevision;
+    const TaskRef &first = m_transfer->tasks.front();
+    const JobKey &key = first.job->key();
+    if (m_transfer->progress.empty()) {
+        const StoreItem *record = find(givenTaskKey(m_keys, key, first.step, first.index));
+        return record == nullptr || record->revision != m_transfer->recordRevisions.front();
+    }
+    const StoreItem *progress = find(std::string(ProgressPrefix) + key);
+    if (progress != nullptr) {
+        m_storedRevisions[key] = progress->revision; // only this leader writes it
+    }
+    return progress != nullptr && progress->value == m_transfer->progress;
+}
+
+void WorkflowScheduler::endTransfer(bool isExecuted, std::uint64_t revision)
+{
+    const Transfer transfer = std::move(*m_transfer);
+    m_transfer.reset();
+    m_isStoring = false;
+    m_isPlacementDue = true;
+    JobState &job = *transfer.tasks.front().job;
+    const bool isFromRecord = transfer.progress.empty();
+    if (isExecuted && !isFromRecord) {
+        job.state = job.state == WorkflowState::Queued ? WorkflowState::Running : job.state;
+        job.storedVersion = std::max(job.storedVersion, transfer.version);
+        m_storedRevisions[job.key()] = revision != 0 ? revision : m_storedRevisions[job.key()];
+    }
+    for (std::size_t i = 0; i < transfer.tasks.size(); ++i) {
+        const TaskRef &ref = transfer.tasks[i];
+        TaskState &task = ref.task();
+        if (!isExecuted) {
+            task.phase = TaskPhase::Waiting;
+            task.isGivenAway = !isFromRecord ? false : task.isGivenAway;
+            continue;
+        }
+        ++m_counters.tasksGiven;
+        m_givenCpu.push_back({transfer.to, ref.spec().image, ref.spec().need.cpuMillis, revision});
+        logTaskEvent("task_given", ref, "to", transfer.to, "moves", task.moves + 1);
+        if (task.recordRevision == transfer.recordRevisions[i]) { // otherwise it has come back meanwhile
+            task.hasRecord = false;
+        }
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Taking
+// ---------------------------------------------------------------------------------------------------------------------
+
+/** A task was given to this shard. */
+void WorkflowScheduler::takeTask(const StoreItem &item)
+{
+    GivenTask given = decodeGivenTask(item.value);
+    const JobKey key = given.accepted.spec.key;
+    JobState *job = findJob(key);
+    if (job == nullptr) {
+        JobPtr guest = makeJob(std::move(given.accepted), item.created);
+        guest->isGuest = true;
+        guest->state = WorkflowState::Running;
+        for (StepState &step : guest->occurrences.front().steps) {
+            for (TaskState &it : step.tasks) {
+                it.phase = TaskPhase::Foreign;
+            }
+        }
+        job = m_jobs.emplace(key, std::move(guest)).first->second.get();
+        m_activeJobs.emplace(key, job);
+    }
+    // A former leader may know the job if it may know one of its tasks.
+    job->createdRevision = std::min(job->createdRevision, item.created);
+    const TaskRef ref{job, 0, given.step, given.index};
+    TaskState &task = ref.task();
+    if (item.revision <= task.recordRevision) {
+        return;
+    }
+    task.recordRevision = item.revision;
+    task.hasRecord = true;
+    if (!isFinal(job->state) && task.phase == TaskPhase::Foreign) {
+        task.phase = TaskPhase::Waiting;
+        task.attemptBase = given.attemptBase;
+        task.checkpoint = given.checkpoint;
+        task.moves = given.moves;
+        task.retryAt = m_clock.now();
+        m_isPlacementDue = true;
+        ++m_counters.tasksTaken;
+        logTaskEvent("task_taken", ref, "attempt_base", task.attemptBase, "moves", task.moves);
+    }
+    if (m_earlyCancels.erase(key) > 0) {
+        onCancel(key);
+    }
+}
+
+/** The records of given tasks in @p records were removed from the store. */
+void WorkflowScheduler::forgetRecords(const JobKey &key, const std::vector<std::string> &records)
+{
+    JobState *job = findJob(key);
+    for (std::uint32_t s = 0; job != nullptr && s < job->accepted.spec.steps.size(); ++s) {
+        auto &tasks = job->occurrences.front().steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            if (std::find(records.begin(), records.end(), givenTaskKey(m_keys, key, s, i)) != records.end()) {
+                tasks[i].hasRecord = false;
+            }
+        }
+    }
+}
+
+} // namespace QuetzalRock::Workflow
