--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -13,9 +13,10 @@
 constexpr unsigned FenceRestartBits = 16;     ///< low bits of a fencing token: restart count; above them: epoch
 constexpr std::size_t MaxEndsPerReport = 500; ///< a report with this many ends may be truncated
 constexpr std::uint32_t MaxUnansweredBeforeReadOnly = 1; ///< then renewals no longer extend the lease
-constexpr Duration EndBatchDelay = 25ms;      ///< delays the renewal after a report with ends until these are stored
-constexpr Duration StorePendingDelay = 150ms; ///< between renewals while ends wait to be stored: workers reply at once
-constexpr std::int64_t ClockMarginMs = 50;    ///< added to a start's validity before the start counts as void
+constexpr Duration EndBatchDelay = 25ms;       ///< delays the renewal after a report with ends until these are stored
+constexpr Duration StorePendingDelay = 150ms;  ///< between renewals while ends wait to be stored: workers reply at once
+constexpr Duration EvacuationInterval = 100ms; ///< between two checks of a draining worker's runs
+constexpr std::int64_t ClockMarginMs = 50;     ///< added to a start's validity before the start counts as void
 
 } // namespace
 
@@ -63,7 +64,7 @@
         m_log.write(
             "worker_draining", "worker", record.id, "leaves_in_ms", record.leavesInMs, "runs", worker.runs.size());
     }
-    if (!m_storedWorkers.contains(record.id)) {
+    if (!worker.isLeaving() && !m_storedWorkers.contains(record.id)) {
         m_workersDirty = true;
     }
 }
@@ -114,11 +115,7 @@
         if (!worker.runs.empty() && hasLeaseExpired && m_authority == Authority::Full) {
             requeueLostRuns(i, "lease expired");
         }
-        const bool isUnused
-            = !worker.isRegistered && !worker.mayRunFormerOrders && worker.runs.empty() && now >= worker.leaseEndsBy;
-        if (isUnused && m_authority == Authority::Full && m_storedWorkers.erase(worker.record.id) > 0) {
-            m_workersDirty = true; // a successor need not read it
-        }
+        dropFromStoredWorkers(worker);
         const bool isNeeded = worker.isRegistered || worker.mayRunFormerOrders || !worker.runs.empty();
         if (isNeeded && !worker.isRenewing && now >= worker.nextRenewAt && !worker.record.address.empty()) {
             renewWorkerLease(i, now);
@@ -129,6 +126,19 @@
     }
 }
 
+/** Takes a worker that leaves, and that runs nothing, off the stored list: a successor need not read it. */
+void WorkflowScheduler::dropFromStoredWorkers(WorkerState &worker)
+{
+    if (!worker.isLeaving() || m_authority != Authority::Full || !m_storedWorkers.contains(worker.record.id)) {
+        return;
+    }
+    acknowledgeDurableEnds(worker);
+    if (!worker.mustBeRead()) {
+        m_storedWorkers.erase(worker.record.id); // from now on it gets no starts
+        m_workersDirty = true;
+    }
+}
+
 void WorkflowScheduler::renewWorkerLease(WorkerIndex index, TimePoint now)
 {
     WorkerState &worker = *m_workers[index];
@@ -140,9 +150,9 @@
     const bool canExtendLease
         = worker.hasReported && worker.clock.isKnown() && worker.unansweredRenewals < MaxUnansweredBeforeReadOnly;
     if (canExtendLease) {
-        order.leaseUntilMs = worker.clock.workerTimeAfter(m_settings.workerLease, now);
+        order.leaseUntilMs = worker.clock.workerTimeAfter(m_settings.grantedLease(), now);
         worker.leaseEndsBy
-            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.workerLease, now));
+            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
     if (worker.hasReported && worker.unansweredRenewals == 0 && worker.unacknowledgedEnds.empty()) {
         order.wait = m_settings.renewInterval;
@@ -163,6 +173,10 @@
         worker.nextRenewAt = now + m_settings.callRetryDelay;
         return;
     case OrderStatus::WrongIncarnation:
+        if (m_authority != Authority::Full) {
+            worker.nextRenewAt = now + m_settings.renewInterval; // see resolveUnlistedRuns()
+            return;
+        }
         m_log.write("worker_replaced", "worker", worker.record.id, "address", worker.record.address);
         requeueLostRuns(index, "another worker replies at its address");
         worker.mayRunFormerOrders = false;
@@ -218,9 +232,9 @@
     }
     worker.clock.update(reply.report.clockMs, now);
     if (!worker.hasReported && !reply.report.running.empty()) {
-        // A former leader may have granted it the longest lease just now.
+        // A former leader may have renewed its lease just now.
         worker.leaseEndsBy
-            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.maxWorkerLease, now));
+            = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
     worker.hasReported = true;
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
@@ -308,6 +322,7 @@
         // Started by a former leader, or by us and the reply was lost.
         TaskState &task = ref->task();
         task.attempt = entry.run.attempt;
+        task.isAccountedFor = true;
         task.startedAt = m_now;
         reserveResources(*ref, index);
         ++worker.adoptedRuns;
@@ -441,10 +456,16 @@
     m_isPlacementDue = true;
 }
 
-/** Handles runs that the report does not list: undecided until a later report, never started, or lost. */
+/**
+ * Handles runs that the report does not list: undecided until a later report, never started, or lost. Only under full
+ * authority are runs lost by a restart: a successor may have read them, and their ends, before the worker restarted.
+ */
 void WorkflowScheduler::resolveUnlistedRuns(WorkerIndex index, std::int64_t clockMs, bool isComplete, TimePoint sentAt)
 {
     WorkerState &worker = *m_workers[index];
+    if (worker.isNewIncarnation && m_authority != Authority::Full) {
+        return;
+    }
     const bool isNewIncarnation = std::exchange(worker.isNewIncarnation, false);
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
@@ -494,26 +515,36 @@
     m_isPlacementDue = true;
 }
 
-/**
- * Stops the tasks that should move to another worker. Long-running ones move at once, unless they may not be started
- * again yet: then they serve their users where they are for as long as the worker stays.
- */
+/** Stops the tasks that should move to another worker. */
 void WorkflowScheduler::evacuateDrainingWorker(WorkerIndex index, TimePoint now)
 {
     WorkerState &worker = *m_workers[index];
-    const TimePoint leavesAt = worker.drainSeenAt + std::chrono::milliseconds(worker.record.leavesInMs);
+    if (now < worker.nextEvacuationAt) {
+        return;
+    }
+    worker.nextEvacuationAt = now + EvacuationInterval;
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
-        const bool isRunning = ref.task().phase == TaskPhase::Running;
-        const bool leavesSoon = now + m_settings.drainMargin >= leavesAt;
-        const bool mustMove = ref.spec().isLongRunning ? leavesSoon || !mayBeRunningElsewhere(*ref.job)
-                                                       : leavesSoon && ref.spec().isCheckpointed;
-        if (isRunning && mustMove) {
+        if (ref.task().phase == TaskPhase::Running && mustLeaveDrainingWorker(ref, index, now)) {
             stopTask(ref, "the worker is draining");
         }
     }
 }
 
+/**
+ * Long-running tasks leave as soon as another worker can take them: until then they serve their users where they are.
+ * Shortly before the worker shuts down, every task that loses nothing by a stop leaves.
+ */
+bool WorkflowScheduler::mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const
+{
+    const WorkerState &worker = *m_workers[index];
+    const TimePoint leavesAt = worker.drainSeenAt + std::chrono::milliseconds(worker.record.leavesInMs);
+    if (now + m_settings.drainMargin >= leavesAt) {
+        return ref.spec().isLongRunning || ref.spec().isCheckpointed;
+    }
+    return ref.spec().isLongRunning && canRunElsewhere(ref, index, now);
+}
+
 void WorkflowScheduler::updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now)
 {
     if (hasSucceeded) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -17,8 +17,10 @@
  *   - Each order carries a fencing token derived from the epoch. A new leader first renews the lease of each worker
  *     with its own token. From then on the worker rejects orders of former leaders, and its reports list all
  *     their runs.
- *   - A job that a former leader may have known is not placed until every worker that this leader used has reported, or
- *     can no longer run its tasks: its lease has expired, or another worker replies at its address.
+ *   - A task that a former leader may have started is not placed until every worker that this leader used has reported,
+ *     or can no longer run its tasks: its lease has expired, or another worker replies at its address. That a former
+ *     leader cannot start it any more is certain once the new leader has read its run: the worker then rejects the former
+ *     leader's orders, so that leader never learns how the run ends.
  *   - An unreachable worker keeps its tasks until its lease has expired, allowing for a slow worker clock.
  *   - The task of an unanswered start is not placed again until the worker has confirmed a stop, which bars the
  *     attempt, or the validity of the start has passed on the worker's clock.
@@ -44,7 +46,8 @@
 {
     // Workers
     Duration renewInterval = std::chrono::milliseconds(1000); ///< longest time between two renewals of a worker
-    Duration workerLease = std::chrono::seconds(5);           ///< lease time; longer than an election and a takeover
+    /** Lease time; longer than an election and a takeover. The same on all nodes, see grantedLease(). */
+    Duration workerLease = std::chrono::seconds(5);
     Duration maxWorkerLease = std::chrono::seconds(10);       ///< workers cut any longer lease to this
     Duration orderValidity = std::chrono::milliseconds(2500); ///< a worker rejects a start that arrives later than this
 
@@ -84,6 +87,12 @@
     Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
                                                       ///< doubles with each of its transfers, at most three times
     Duration transferInterval = std::chrono::milliseconds(200); ///< least time between two transfers
+
+    /** The lease that each leader grants, hence the longest that a former one can have granted. */
+    Duration grantedLease() const
+    {
+        return std::min(workerLease, maxWorkerLease);
+    }
 };
 
 struct WorkflowCounters
@@ -136,6 +145,9 @@
      */
     void setShardMap(const ShardMap &map);
 
+    /** True once no order of a former leader can take effect any more. */
+    bool isTakeoverComplete() const;
+
     /** Adds or updates a worker; called when its registry entry is new or has changed. */
     void setWorker(const WorkerRecord &record);
 
@@ -202,16 +214,18 @@
     JobPtr makeJob(AcceptedJob accepted, std::uint64_t createdRevision);
     void addJob(const StoreItem &item);
     void onCancel(const JobKey &key);
-    bool mayBeRunningElsewhere(const JobState &job) const;
+    bool mayBeRunningElsewhere(const TaskRef &ref) const;
     void resolveUnreadWorkers(TimePoint now);
     void logTakeoverProgress(TimePoint now);
     void checkFormerLeaderRestart(TimePoint now);
+    void onFormerLeaderBootRead(const FormerLeader &leader, const StoreReply &reply);
     TimePoint formerLeasesExpiry() const;
 
     // Workers (contact.cpp)
     WorkerState &findOrAddWorker(const WorkerId &id);
     void renewWorkerLeases(TimePoint now);
     void renewWorkerLease(WorkerIndex index, TimePoint now);
+    void dropFromStoredWorkers(WorkerState &worker);
     void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt);
     void onRenewFailed(WorkerIndex index, OrderStatus status, TimePoint now);
     void processReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
@@ -223,6 +237,7 @@
     void requeueLostRuns(WorkerIndex index, std::string_view why);
     void beginIncarnation(WorkerIndex index, const WorkerRecord &record);
     void evacuateDrainingWorker(WorkerIndex index, TimePoint now);
+    bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const;
     void updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now);
     void acknowledgeDurableEnds(WorkerState &worker);
     WorkerTarget target(const WorkerState &worker) const;
@@ -343,8 +358,8 @@
     std::map<JobKey, std::uint64_t> m_storedRevisions; ///< of out/KEY
     std::set<JobKey> m_earlyCancels;                   ///< cancels received before their job
     PrefixMirror m_inbox;
-    bool m_isFormerLeaderGone = false; ///< the former leader certainly sends no more orders ...
-    TimePoint m_formerLeaderGoneAt{};  ///< ... since this time at the latest
+    std::vector<FormerLeader> m_formerLeaders; ///< those that may still send orders
+    TimePoint m_formerLeadersGoneAt{};         ///< if there are none: since this time at the latest
     TimePoint m_nextFormerLeaderCheckAt{};
     std::size_t m_outwaitedWorkerCount = 0; ///< workers that were resolved without having reported
     TakeoverLog m_takeoverLog = TakeoverLog::Nothing;
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -81,14 +81,16 @@
 {
     std::vector<TaskRef> refs;
     const StepState &state = job.occurrences.front().steps[step];
-    if (state.noRoomSince == TimePoint{} || !canGiveTasksOf(job) || mayBeRunningElsewhere(job)) {
+    if (state.noRoomSince == TimePoint{} || !canGiveTasksOf(job)) {
         return refs;
     }
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
         const TaskState &task = state.tasks[i];
         const Duration delay = m_settings.transferDelay * (1U << std::min(task.moves, MaxDelayDoublings));
-        if (task.phase == TaskPhase::Waiting && now >= std::max(state.noRoomSince, task.retryAt) + delay) {
-            refs.push_back({&job, 0, step, i});
+        const TaskRef ref{&job, 0, step, i};
+        if (task.phase == TaskPhase::Waiting && now >= std::max(state.noRoomSince, task.retryAt) + delay
+            && !mayBeRunningElsewhere(ref)) {
+            refs.push_back(ref);
         }
     }
     return refs;
@@ -336,6 +338,7 @@
         logTaskEvent("task_given", ref, "to", transfer.to, "moves", task.moves + 1);
         if (task.recordRevision == transfer.recordRevisions[i]) { // otherwise it has come back meanwhile
             task.hasRecord = false;
+            task.isAccountedFor = false;
         }
     }
 }
@@ -371,6 +374,7 @@
     }
     task.recordRevision = item.revision;
     task.hasRecord = true;
+    job->learnedAt = m_clock.now(); // not placed in a grace period that has begun: a successor may know the task too
     if (!isFinal(job->state) && task.phase == TaskPhase::Foreign) {
         task.phase = TaskPhase::Waiting;
         task.attemptBase = given.attemptBase;
