--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -710,7 +710,7 @@
             FAIL() << "seed " << seed << ": run again with WORKFLOW_SEED=" << seed << " WORKFLOW_RUNS=1";
         }
     }
-    RecordProperty("transfers", transfers);
+    ::testing::Test::RecordProperty("transfers", transfers);
     EXPECT_TRUE(transfers > 0 || n < static_cast<std::uint64_t>(defaultHistories))
         << "no task was given to another shard";
 }
