--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -19,6 +19,7 @@
  * Checks
  *   at any time      no task runs twice at the same time, or again after its acknowledged end
  *   in calm times    every long-running task runs that has room
+ *   in calm times    every long-running task belongs to one shard
  *   at the end       every accepted job has ended, no rejected job was stored, nothing runs
  *
  * The environment variables WORKFLOW_SEED (first seed) and WORKFLOW_RUNS (number of histories) override the defaults of
@@ -40,6 +41,7 @@
 constexpr Duration LongRunningRestartTime = 20s; ///< for long-running tasks; includes the wait for workers that left
 constexpr Duration RecoveryTime = 60s;           ///< longer than all leases and grace periods together
 constexpr std::uint32_t WorkersPerShard = 2;     ///< with odd seeds; even seeds use one shard
+constexpr std::int64_t LargeTaskMillis = 9000;   ///< of a long-running task: a worker has room for one
 
 struct HistorySettings
 {
@@ -91,6 +93,9 @@
 
     void run()
     {
+        for (const auto &it : m_rig.nodes) {
+            it->store.onChange = [this](const StoreChange &change) { countTransfers(change); };
+        }
         advance(1s);
         for (int burst = 0; burst < m_settings.bursts; ++burst) {
             m_hasUnreadableWorkers = false;
@@ -100,6 +105,7 @@
             }
             clearFaults();
             advance(DelayedOrderTime + PromptRestartTime);
+            checkShardsOfTasks();
             if (!m_hasUnreadableWorkers) {
                 checkLongRunningTasks();
             }
@@ -114,7 +120,37 @@
         checkGuarantees();
     }
 
+    /** Number of transfers of a task between shards. */
+    int transfers() const
+    {
+        return m_transfers;
+    }
+
 private:
+    void countTransfers(const StoreChange &change)
+    {
+        for (const StorePut &it : change.puts) {
+            m_transfers += it.key.starts_with("in/") && it.key.find("/t/") != std::string::npos ? 1 : 0;
+        }
+    }
+
+    void checkShardsOfTasks()
+    {
+        for (const JobKey &key : m_rig.fleet.longRunningJobs) {
+            const auto state = m_rig.state(key);
+            if (state && isFinal(*state)) {
+                continue; // the progress of a job that has ended names no tasks
+            }
+            const auto registration = m_rig.backend.items.find(std::string(RegistrationPrefix) + key);
+            if (registration == m_rig.backend.items.end() || !decodeRegistration(registration->second.value).shard) {
+                continue;
+            }
+            for (std::uint32_t i = 0; i < m_taskCounts[key]; ++i) {
+                EXPECT_EQ(m_rig.shardsOfTask(key, 0, i).size(), 1U) << key << ", task " << i;
+            }
+        }
+    }
+
     std::uint32_t randomBelow(std::uint32_t n)
     {
         return m_random() % n;
@@ -255,8 +291,12 @@
         if (randomBelow(m_settings.hasLeaderChanges ? 2 : 5) == 0) {
             spec.steps.resize(1);
             spec.steps[0].isLongRunning = true;
-            spec.steps[0].need.cpuMillis *= m_settings.hasLeaderChanges ? 1 + randomBelow(4) : 1;
+            spec.steps[0].need.cpuMillis = m_settings.hasLeaderChanges
+                                               ? spec.steps[0].need.cpuMillis * (1 + randomBelow(4))
+                                           : randomBelow(2) == 0 ? LargeTaskMillis
+                                                                 : spec.steps[0].need.cpuMillis;
             m_rig.fleet.longRunningJobs.insert(key);
+            m_taskCounts[key] = spec.steps[0].taskCount;
         }
         m_specs[key] = spec;
         m_rig.submit(i, spec, &m_outcomes[key]);
@@ -591,20 +631,15 @@
     }
 
     /** Whether a worker that the job may use has twice the resources free that @p need names. */
-    bool hasRoom(const JobKey &key, const Resources &need) const
+    bool hasRoom(const Resources &need) const
     {
-        const std::string &registration = m_rig.backend.items.at(std::string(RegistrationPrefix) + key).value;
-        const std::optional<ShardId> shard = decodeRegistration(registration);
-        const ShardMap map = m_rig.shardMap();
         return std::any_of(m_workers.begin(), m_workers.end(), [&](const WorkerId &id) {
             const FakeWorker &worker = m_rig.fleet.workers.at(id);
-            const auto shardOfWorker = map.shardOfRack.find(worker.rack);
             Resources free = worker.capacity;
             for (const FakeRun &it : worker.running) {
                 free -= m_specs.at(it.run.task.job).steps[it.run.task.step].need;
             }
-            return (!shard || (shardOfWorker != map.shardOfRack.end() && shardOfWorker->second == *shard))
-                   && worker.condition == WorkerCondition::Ready && (need + need).fitsIn(free);
+            return worker.condition == WorkerCondition::Ready && (need + need).fitsIn(free);
         });
     }
 
@@ -617,7 +652,7 @@
             }
             const StepSpec &step = m_specs.at(key).steps.front();
             for (std::uint32_t i = 0; i < step.taskCount; ++i) {
-                EXPECT_TRUE(isRunning({key, 0, 0, i}) || !hasRoom(key, step.need))
+                EXPECT_TRUE(isRunning({key, 0, 0, i}) || !hasRoom(step.need))
                     << key << " task " << i << " does not run at " << m_rig.clock.now().time_since_epoch() / 1ms;
             }
         }
@@ -656,6 +691,8 @@
     std::vector<JobKey> m_keys;
     std::map<JobKey, WorkflowSpec> m_specs;
     std::set<JobKey> m_cancelled;
+    std::map<JobKey, std::uint32_t> m_taskCounts; ///< of long-running jobs
+    int m_transfers = 0;
     std::map<JobKey, std::optional<IntakeOutcome>> m_outcomes;
 };
 
@@ -664,12 +701,18 @@
 {
     const std::uint64_t first = readEnvironment("WORKFLOW_SEED", DefaultFirstSeed);
     const std::uint64_t n = readEnvironment("WORKFLOW_RUNS", static_cast<std::uint64_t>(defaultHistories));
+    int transfers = 0;
     for (std::uint64_t seed = first; seed < first + n; ++seed) {
-        FaultScenario(seed, settingsOf(seed)).run();
+        FaultScenario scenario(seed, settingsOf(seed));
+        scenario.run();
+        transfers += scenario.transfers();
         if (::testing::Test::HasFailure()) {
             FAIL() << "seed " << seed << ": run again with WORKFLOW_SEED=" << seed << " WORKFLOW_RUNS=1";
         }
     }
+    ::testing::Test::RecordProperty("transfers", transfers);
+    EXPECT_TRUE(transfers > 0 || n < static_cast<std::uint64_t>(defaultHistories))
+        << "no task was given to another shard";
 }
 
 void runLeaderHistory(std::uint64_t seed)
