--- a/soak/test/nodeprocess.cpp
+++ b/soak/test/nodeprocess.cpp
@@ -4,6 +4,7 @@
 
 #include <csignal>
 #include <fstream>
+#include <random>
 #include <utility>
 
 #include <arpa/inet.h>
@@ -19,21 +20,33 @@
 
 namespace {
 
-/** Returns a port that is free at the moment of the call; nothing reserves it. */
-std::uint16_t findFreePort()
+/** Ports below those of outgoing connections, which could take a node's port while the node is down. */
+constexpr std::uint32_t FirstPort = 16'000;
+constexpr std::uint32_t PortCount = 16'000;
+
+bool isFree(std::uint16_t port)
 {
     const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     sockaddr_in address{};
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof address;
-    const bool isBound = bind(fd, reinterpret_cast<sockaddr *>(&address), size) == 0
-                         && getsockname(fd, reinterpret_cast<sockaddr *>(&address), &size) == 0;
+    address.sin_port = htons(port);
+    const bool isBound = bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
     ::close(fd);
-    if (!isBound) {
-        throw Unavailable("cannot bind a port on loopback");
+    return isBound;
+}
+
+/** Returns a random port that is free at the moment of the call; nothing reserves it. */
+std::uint16_t findFreePort()
+{
+    std::random_device random; // not of the run's seed: runs beside each other use different ports
+    for (int attempts = 0; attempts < 100; ++attempts) {
+        const auto port = static_cast<std::uint16_t>(FirstPort + random() % PortCount);
+        if (isFree(port)) {
+            return port;
+        }
     }
-    return ntohs(address.sin_port);
+    throw Unavailable("cannot find a free port on loopback");
 }
 
 } // namespace
