Say that a port is in use instead of ending on a thread that was never started

Cause: HttpFront::start() threw for a port in use, and the destructor then joined the thread that start() had not started yet. The process ended with "terminate called after throwing an instance of 'std::system_error', what(): Invalid argument".

Conclusion: the fault concerned only the message and the kind of end; the daemon could not have served either way.

--- a/packages/requests/httpfront.cpp
+++ b/packages/requests/httpfront.cpp
@@ -1,6 +1,8 @@
 #include <requests/callerconnection.h>
 #include <requests/httpfront.h>
 
+#include <base/errors.h>
+
 #include <algorithm>
 #include <atomic>
 #include <cassert>
@@ -355,7 +357,13 @@
     options.headerTimeout(NoTimeout).bodyTimeout(NoTimeout).keepaliveTimeout(NoTimeout);
     m_impl->endpoint->init(options);
     m_impl->endpoint->setHandler(std::make_shared<FrontHandler>(m_impl->state));
-    m_impl->endpoint->serveThreaded();
+    try {
+        m_impl->endpoint->serveThreaded();
+    } catch (const std::exception &error) {
+        m_impl->endpoint.reset(); // nothing to stop
+        throw Unavailable("cannot listen on " + settings.listenAddress + ":" + std::to_string(settings.listenPort)
+                          + ": " + error.what());
+    }
     m_impl->staleConnectionThread = std::thread([this] { m_impl->closeStaleConnectionsPeriodically(); });
 }
 
--- a/packages/requests/tests/faulttest.cpp
+++ b/packages/requests/tests/faulttest.cpp
@@ -428,6 +428,16 @@
     EXPECT_EQ(held.get().body, "b1 /book hold");
 }
 
+// Guards against a misleading end: a front whose port was in use ended the process on a thread that was never started.
+TEST(Callers, PortInUseIsReported)
+{
+    PathRig rig(1);
+    RequestSettings settings = rig.settings;
+    settings.listenPort = rig.front.port();
+    HttpFront second(settings, rig.clock, rig.path);
+    EXPECT_THROW(second.start(), Unavailable);
+}
+
 TEST(Drain, CompletesRequestsInFlight)
 {
     PathRig rig(1);
