--- a/soak/test/soak.h
+++ b/soak/test/soak.h
@@ -90,10 +90,11 @@
         std::unique_ptr<NodeProcess> process;
         std::size_t storeLink = 0;
         NodeState state = NodeState::Down;
-        bool isSuspended = false;    ///< stopped with SIGSTOP
-        TimePoint continueAt{};      ///< while it is suspended
-        TimePoint startAt{};         ///< earliest next start
-        TimePoint exitDeadline{};    ///< while Terminating
+        bool isSuspended = false; ///< stopped with SIGSTOP
+        TimePoint continueAt{};   ///< while it is suspended
+        TimePoint startAt{};      ///< earliest next start
+        TimePoint exitDeadline{}; ///< while Terminating
+        TimePoint startedAt{};
         TimePoint lastDisturbedAt{}; ///< when it was last killed, suspended, continued or started, or regains the store
     };
     struct Job
