Three more seeds of random histories that fail: a late boot ID, and starts that arrive at a restarted worker

Cause of the search: the histories now execute what was in transit although its sender has died.

- 71103, TWICE.
Traced with each renewal: epoch 5 renews until 3643.20 s, but at 3641.38 s epoch 6 logs former_leader_gone for it and starts job13 at 3646.85 s, while the lease ends at 3646.86 s.
The boot ID under which epoch 5 was elected is not the stored one: a write of the node's former process was executed late.
That write has no condition.
- 61757, a start after an acknowledged end.
Traced with each start: x2 confirms the stop of attempt 7001, restarts at 3649.99 s and executes the start of 7001 at 3650.14 s; the task had ended as 7002.
- 61877, TWICE.
Traced likewise: w0 restarts at 3608.01 s and executes epoch 1's starts of attempts 2 and 3 at 3608.09 s and 3608.80 s; epoch 2 had read w0 at 3606.88 s and started attempt 1001 on w1.

Ruled out for the last two: that the worker kept its fencing token or its bar, which it forgets in a restart. They need an order that outlives the worker's process, such as a connection attempt that is repeated until the next process listens.

The first is a fault of the scheduler and comes first.

--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -712,4 +712,25 @@
     runLeaderHistory(30134);
 }
 
+// Guards against TWICE (b8174bc): the boot ID of a node's former process was written late, after that of its present one, so
+// that the present one, which led in its grace period, was taken for gone.
+TEST(HistoryThatFailed, seed71103)
+{
+    runLeaderHistory(71103);
+}
+
+// Guards against a second start (b8174bc): a start arrived late at a worker that had restarted after it had confirmed the
+// stop of this start.
+TEST(HistoryThatFailed, seed61757)
+{
+    runLeaderHistory(61757);
+}
+
+// Guards against TWICE (b8174bc): a former leader's start arrived late at a worker that had restarted after its successor had
+// read it.
+TEST(HistoryThatFailed, seed61877)
+{
+    runLeaderHistory(61877);
+}
+
 } // namespace QuetzalRock::Workflow
