A node campaigns only once its boot ID is stored, and no late write of an earlier process replaces it

What could happen (TWICE): a leader whose boot ID is not the stored one counts as gone, and its successor waits only for the leases granted until then. But the stored one could be that of an earlier process of the node: its write had no condition and could be executed after that of the present process, and a write with an unknown outcome counted as done, so that the present one's might never have been executed.

Now the node reads the key first and writes under the revision that it has read, reads again after an unknown outcome or a conflict, and does not campaign before its own boot ID is known to be stored. A later write of an earlier process then finds another revision.

Ruled out: writing the boot ID together with the leader key only, as the boot ID also has to show that a node which does not lead any more has started anew.

Given up: a node's first campaign comes after one more read and write of the store.

--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -149,7 +149,7 @@
 {
     m_operatorItems.tick(now);
     m_clusterState.tick(now);
-    if (!m_hasStoredBootId) {
+    if (!m_hasStoredBootId && !m_isStoringBootId) {
         storeBootId();
     }
     for (std::size_t i = 0; i < m_localShards.size(); ++i) { // by index: the vector may grow meanwhile
@@ -162,17 +162,37 @@
 }
 
 /**
- * Stores this node's boot ID, which shows later leaders that no earlier process of this node leads any more. That
- * speeds up takeovers, so a failed write is repeated.
+ * Stores this node's boot ID, which shows later leaders that no earlier process of this node leads any more. The node
+ * campaigns only after that, and the write depends on the revision read before, so that no delayed write of an earlier
+ * process can replace it: a leader whose boot ID is not the stored one counts as gone.
  */
 void Node::storeBootId()
 {
-    m_hasStoredBootId = true;
+    m_isStoringBootId = true;
+    m_store.get(std::string(BootPrefix) + m_settings.name,
+                [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+                    if (!alive.expired()) {
+                        onBootIdRead(reply);
+                    }
+                });
+}
+
+void Node::onBootIdRead(const StoreReply &reply)
+{
+    const bool isRead = reply.status == StoreStatus::Ok || reply.status == StoreStatus::NotFound;
+    m_hasStoredBootId = isRead && !reply.items.empty() && reply.items.front().value == m_settings.bootId;
+    if (!isRead || m_hasStoredBootId) {
+        m_isStoringBootId = false;
+        return;
+    }
+    const std::string key = std::string(BootPrefix) + m_settings.name;
     StoreChange change;
-    change.puts = {{std::string(BootPrefix) + m_settings.name, m_settings.bootId, 0}};
-    m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &reply) {
+    change.conditions = {{key, reply.items.empty() ? 0 : reply.items.front().revision}};
+    change.puts = {{key, m_settings.bootId, 0}};
+    m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &written) {
         if (!alive.expired()) {
-            m_hasStoredBootId = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Unknown;
+            m_isStoringBootId = false;
+            m_hasStoredBootId = written.status == StoreStatus::Ok; // otherwise it is read again
         }
     });
 }
@@ -198,7 +218,7 @@
 
 void Node::tickShard(LocalShard &local, TimePoint now)
 {
-    if (m_catalog.version > 0) {
+    if (m_catalog.version > 0 && m_hasStoredBootId) {
         local.election.setCampaignDelay(campaignDelay(local));
         local.election.tick(now);
     }
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -79,6 +79,7 @@
     void onClusterStateItem(const StoreItem &item);
     void onRegistryItem(const StoreItem &item);
     void storeBootId();
+    void onBootIdRead(const StoreReply &reply);
     void createLocalShards();
     void tickShard(LocalShard &local, TimePoint now);
     void updateScheduler(LocalShard &local);
@@ -103,7 +104,8 @@
     WorkflowObserver *m_observer = nullptr;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< lets callbacks detect that this object is destroyed
     bool m_isDraining = false;
-    bool m_hasStoredBootId = false; ///< stored, or the write is in flight or has an unknown outcome
+    bool m_hasStoredBootId = false; ///< it is in the store; the node does not campaign before
+    bool m_isStoringBootId = false; ///< a read or write of it is under way
 
     // Shards
     std::vector<std::unique_ptr<LocalShard>> m_localShards; ///< by ShardId
