--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -216,7 +216,8 @@
     void onCancel(const JobKey &key);
     bool mayBeRunningElsewhere(const TaskRef &ref) const;
     void resolveUnreadWorkers(TimePoint now);
-    void logTakeoverProgress(TimePoint now);
+    void updateTakeoverStage(TimePoint now);
+    void logUnreadWorkers(TimePoint now);
     void checkFormerLeaders(TimePoint now);
     void onEpochRecordRead(const StoreReply &reply);
     void onFormerLeaderBootRead(const FormerLeader &leader, const StoreReply &reply);
@@ -347,10 +348,10 @@
         Inbox,
         Done
     };
-    enum class TakeoverLog : std::uint8_t { ///< what has been logged about the workers to be read
-        Nothing,
-        Waiting,
-        Resolved
+    enum class TakeoverStage : std::uint8_t {
+        Reading,
+        Waiting, ///< for workers that have not been read after TakeoverLogDelay
+        Complete
     };
     LoadStage m_loadStage = LoadStage::Workers;
     bool m_isLoading = false;
@@ -364,7 +365,7 @@
     TimePoint m_formerLeadersGoneAt{};         ///< if there are none: since this time at the latest
     TimePoint m_nextFormerLeaderCheckAt{};
     std::size_t m_outwaitedWorkerCount = 0; ///< workers that were resolved without having reported
-    TakeoverLog m_takeoverLog = TakeoverLog::Nothing;
+    TakeoverStage m_takeoverStage = TakeoverStage::Reading;
     std::uint64_t m_maxFormerRevision = 0; ///< former leaders may know jobs created up to it; 0: not determined yet
 
     // Workers
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -51,7 +51,7 @@
 
 bool WorkflowScheduler::isTakeoverComplete() const
 {
-    return m_takeoverLog == TakeoverLog::Resolved;
+    return m_takeoverStage == TakeoverStage::Complete;
 }
 
 ShardId WorkflowScheduler::shard() const
@@ -360,54 +360,57 @@
         unread += it->mayRunFormerOrders ? 1 : 0;
     }
     m_unreadWorkerCount = unread;
-    logTakeoverProgress(now);
+    updateTakeoverStage(now);
     if (unread > 0 && !m_formerLeaders.empty() && now >= m_nextFormerLeaderCheckAt) {
         checkFormerLeaders(now);
     }
 }
 
-/** One line while workers are still unread, with a few of them, and one when the takeover is complete. */
-void WorkflowScheduler::logTakeoverProgress(TimePoint now)
+void WorkflowScheduler::updateTakeoverStage(TimePoint now)
 {
-    const auto milliseconds
-        = [](Duration it) { return std::chrono::duration_cast<std::chrono::milliseconds>(it).count(); };
-    if (m_unreadWorkerCount == 0 && m_takeoverLog != TakeoverLog::Resolved) {
-        m_takeoverLog = TakeoverLog::Resolved;
+    if (m_unreadWorkerCount == 0 && m_takeoverStage != TakeoverStage::Complete) {
+        m_takeoverStage = TakeoverStage::Complete;
         m_log.write("takeover_resolved",
                     "shard",
                     m_shard,
                     "epoch",
                     m_term.epoch,
                     "after_ms",
-                    milliseconds(now - m_electedAt),
+                    std::chrono::duration_cast<std::chrono::milliseconds>(now - m_electedAt).count(),
                     "outwaited",
                     m_outwaitedWorkerCount);
-    } else if (m_unreadWorkerCount > 0 && m_takeoverLog == TakeoverLog::Nothing
+    } else if (m_unreadWorkerCount > 0 && m_takeoverStage == TakeoverStage::Reading
                && now >= m_electedAt + TakeoverLogDelay) {
-        m_takeoverLog = TakeoverLog::Waiting;
-        std::string names;
-        std::size_t n = 0;
-        for (const auto &it : m_workers) {
-            if (it->mayRunFormerOrders && n++ < MaxLoggedWorkers) {
-                names += (names.empty() ? "" : ",") + it->record.id;
-            }
+        m_takeoverStage = TakeoverStage::Waiting;
+        logUnreadWorkers(now);
+    }
+}
+
+/** Logs who has to be waited for, with a few of the workers by name. */
+void WorkflowScheduler::logUnreadWorkers(TimePoint now)
+{
+    std::string names;
+    std::size_t n = 0;
+    for (const auto &it : m_workers) {
+        if (it->mayRunFormerOrders && n++ < MaxLoggedWorkers) {
+            names += (names.empty() ? "" : ",") + it->record.id;
         }
-        m_log.write("takeover_waits",
-                    "shard",
-                    m_shard,
-                    "epoch",
-                    m_term.epoch,
-                    "former",
-                    m_formerLeaders.empty() ? std::string() : m_formerLeaders.back().node,
-                    "former_leaders",
-                    m_formerLeaders.size(),
-                    "unread",
-                    m_unreadWorkerCount,
-                    "workers",
-                    names,
-                    "at_most_ms",
-                    milliseconds(formerLeasesExpiry() - now));
     }
+    m_log.write("takeover_waits",
+                "shard",
+                m_shard,
+                "epoch",
+                m_term.epoch,
+                "former",
+                m_formerLeaders.empty() ? std::string() : m_formerLeaders.back().node,
+                "former_leaders",
+                m_formerLeaders.size(),
+                "unread",
+                m_unreadWorkerCount,
+                "workers",
+                names,
+                "at_most_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(formerLeasesExpiry() - now).count());
 }
 
 TimePoint WorkflowScheduler::formerLeasesExpiry() const
