--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -221,7 +221,7 @@
     void checkFormerLeaders(TimePoint now);
     void onEpochRecordRead(const StoreReply &reply);
     void onFormerLeaderBootRead(const FormerLeader &leader, const StoreReply &reply);
-    void removeFormerLeader(FormerLeader leader, std::string_view why);
+    void removeFormerLeader(const FormerLeader &leader, std::string_view why);
     TimePoint formerLeasesExpiry() const;
 
     // Workers (contact.cpp)
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -458,7 +458,7 @@
     }
 }
 
-void WorkflowScheduler::removeFormerLeader(FormerLeader leader, std::string_view why)
+void WorkflowScheduler::removeFormerLeader(const FormerLeader &leader, std::string_view why)
 {
     if (std::erase(m_formerLeaders, leader) > 0) {
         m_formerLeadersGoneAt = m_clock.now();
