Logs and metrics tell a call without an answer from one whose answer can't be used

The hypotheses of the incident predict different ends of the watch: no answer for its whole time, a lost connection, or an answer that is too large. No behaviour changes.

--- a/packages/base/clock.h
+++ b/packages/base/clock.h
@@ -2,7 +2,7 @@
  * Clocks and time units.
  *
  * Index of this file
- *   Duration, TimePoint, WallTime   time units
+ *   Duration, TimePoint, WallTime   time units; toMilliseconds()
  *   Clock                           interface through which all modules read the time
  *   SystemClock                     the clocks of the operating system
  *   ManualClock                     a clock for tests that only changes when advanced
@@ -21,6 +21,11 @@
 using TimePoint = std::chrono::time_point<std::chrono::steady_clock, Duration>; ///< monotonic, of this process only
 using WallTime = std::chrono::milliseconds; ///< since the Unix epoch; for display and history only, never for decisions
 
+inline std::int64_t toMilliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
 /** A source of time. Thread-safe. */
 class Clock
 {
--- a/packages/web/webclient.cpp
+++ b/packages/web/webclient.cpp
@@ -29,11 +29,6 @@
            || ec == CURLE_SSL_CONNECT_ERROR || ec == CURLE_PEER_FAILED_VERIFICATION;
 }
 
-long toMilliseconds(Duration duration)
-{
-    return static_cast<long>(std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
-}
-
 } // namespace
 
 std::string encodeUrl(std::string_view text)
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -123,6 +123,7 @@
     it.set("waiting_long_running_tasks", waiting.forUnreadWorkers, {{"why", "unread_workers"}});
     it.set("waiting_long_running_tasks", waiting.forRoom, {{"why", "no_room"}});
     it.set("catalog_version", static_cast<double>(node.catalog().version));
+    it.set("catalog_age_seconds", toSeconds(now - node.catalogConfirmedAt()));
 }
 
 std::string NodeMetrics::text() const
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -13,8 +13,9 @@
  *                                     all with {shard}: counted while this node led the shard
  *   intake_total{outcome}, questions_total
  *                                     callers' writes by outcome ("accepted" counts submissions only), and queries
- *   led_shards, ready, active_jobs, catalog_version
- *                                     gauges; active_jobs covers the shards that this node leads
+ *   led_shards, ready, active_jobs, catalog_version, catalog_age_seconds
+ *                                     gauges; active_jobs covers the shards that this node leads; the age is the time
+ *                                     since the store confirmed that the catalog is the newest
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
 #pragma once
--- a/packages/workflow/mirror.cpp
+++ b/packages/workflow/mirror.cpp
@@ -31,12 +31,18 @@
     return m_lastReplyAt;
 }
 
+TimePoint PrefixMirror::confirmedAt() const
+{
+    return m_confirmedAt;
+}
+
 void PrefixMirror::tick(TimePoint now)
 {
     if (m_isCallInFlight || now < m_nextCallAt) {
         return;
     }
     m_isCallInFlight = true;
+    m_callSentAt = now;
     if (m_mustLoad) {
         m_loadedKeys.clear();
         m_loadRevision = 0;
@@ -89,6 +95,7 @@
     m_revision = m_loadRevision;
     m_mustLoad = false;
     m_isLoaded = true;
+    m_confirmedAt = std::max(m_confirmedAt, m_callSentAt);
     onCallSucceeded();
 }
 
@@ -118,10 +125,19 @@
         reportIfNew(it);
     }
     m_revision = std::max(m_revision, reply.revision);
+    m_confirmedAt = std::max(m_confirmedAt, timeOfReading(reply));
     onCallSucceeded();
     m_nextCallAt = reply.items.empty() ? m_nextCallAt : m_clock.now() + m_settings.batchDelay;
 }
 
+/** The earliest time at which the store may have read what the watch in flight returned. */
+TimePoint PrefixMirror::timeOfReading(const StoreReply &reply) const
+{
+    // Without changes the store reads when the wait is over; a reply before that is from a watch that was cut short.
+    const TimePoint waitEndsAt = m_callSentAt + m_settings.watchTimeout;
+    return reply.items.empty() && m_clock.now() >= waitEndsAt ? waitEndsAt : m_callSentAt;
+}
+
 void PrefixMirror::reportIfNew(const StoreItem &item)
 {
     const auto it = m_knownRevisions.find(item.key);
@@ -144,7 +160,15 @@
     m_isCallInFlight = false;
     m_nextCallAt = m_clock.now() + m_retryDelay;
     m_retryDelay = std::min(m_settings.maxRetryDelay, m_retryDelay * 2);
-    m_log.write("mirror_call_failed", "prefix", m_prefix, "call", call, "revision", m_revision);
+    m_log.write("mirror_call_failed",
+                "prefix",
+                m_prefix,
+                "call",
+                call,
+                "revision",
+                m_revision,
+                "after_ms",
+                toMilliseconds(m_clock.now() - m_callSentAt));
 }
 
 void PrefixMirror::onCallSucceeded()
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -48,11 +48,15 @@
     std::uint64_t revision() const; ///< all changes up to this revision have been reported
     TimePoint lastReplyAt() const;  ///< when the store last answered
 
+    /** All changes before this time have been reported. A lower bound: when the store read, not when its reply came. */
+    TimePoint confirmedAt() const;
+
 private:
     void load(const std::string &afterKey);
     void onPage(const StoreReply &reply);
     void watch();
     void onEvents(const StoreReply &reply);
+    TimePoint timeOfReading(const StoreReply &reply) const;
     void reportIfNew(const StoreItem &item);
     void onCallFailed(std::string_view call);
     void onCallSucceeded();
@@ -72,7 +76,9 @@
     std::set<std::string> m_loadedKeys;                    ///< by the load in progress
     std::map<std::string, std::uint64_t> m_knownRevisions; ///< last reported revision of each existing key
     TimePoint m_nextCallAt{};                              ///< earliest time of the next call
+    TimePoint m_callSentAt{};                              ///< of the last call; of a load: of its first page
     TimePoint m_lastReplyAt{};
+    TimePoint m_confirmedAt{};
     Duration m_retryDelay{};
 };
 
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -77,6 +77,11 @@
     return m_catalog;
 }
 
+TimePoint Node::catalogConfirmedAt() const
+{
+    return m_operatorItems.confirmedAt();
+}
+
 Intake &Node::intake()
 {
     return m_intake;
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -53,7 +53,8 @@
     /** The queue with the longest path prefix that matches @p host and @p path; null if there is none. */
     const Queue *findQueue(std::string_view host, std::string_view path) const;
 
-    const Catalog &catalog() const; ///< version 0: none yet
+    const Catalog &catalog() const;       ///< version 0: none yet
+    TimePoint catalogConfirmedAt() const; ///< no newer catalog was stored before this time
     /** Submits a job to a shard chosen by load; a job with long-running steps is left to the ShardAssigner. */
     void submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Intake::Done done);
     Intake &intake();
