--- a/packages/workflow/ports.h
+++ b/packages/workflow/ports.h
@@ -78,6 +78,11 @@
 
 using StoreDone = std::function<void(const StoreReply &)>;
 
+constexpr Duration DefaultStoreCallTimeout
+    = std::chrono::milliseconds(1500); ///< a call without an answer; a slow store takes up to 0.3 s
+constexpr Duration WatchReplyTimeout
+    = std::chrono::milliseconds(1500); ///< a watch without an answer, after its own wait is over
+
 class RecordStore
 {
 public:
@@ -86,7 +91,10 @@
     virtual void get(std::string_view key, StoreDone done) = 0;
     virtual void range(std::string_view prefix, std::string_view afterKey, StoreDone done) = 0;
 
-    /** Long poll: waits up to @p wait for changes under @p prefix after revision @p after. */
+    /**
+     * Long poll: waits up to @p wait for changes under @p prefix after revision @p after. Ends as Unknown without an
+     * answer WatchReplyTimeout after that.
+     */
     virtual void watch(std::string_view prefix, std::uint64_t after, Duration wait, StoreDone done) = 0;
     virtual void change(StoreChange change, StoreDone done) = 0;
     virtual void grantLease(Duration lifetime, StoreDone done) = 0;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -9,7 +9,7 @@
  *   RigNode, Rig   nodes, store and fleet; Rig::run() advances time in small steps
  *
  * Replies are delivered in the step after the call. A call without a reply completes after CallTimeout, as Unknown
- * (store) or Unanswered (workers).
+ * (store) or Unanswered (workers); a watch completes WatchReplyTimeout after its own wait.
  */
 #pragma once
 
@@ -90,11 +90,12 @@
     {
     }
 
-    bool isRefusing = false;                           ///< every call fails as NotTaken
-    bool isSilent = false;                             ///< calls are neither executed nor answered
-    bool isLosingRenewalReplies = false;               ///< renewals of leases are executed and not answered
-    int lostChangeReplies = 0;                         ///< number of changes to be executed without a reply
-    Duration lostChangeDelay{};                        ///< delay of the execution of these changes
+    bool isRefusing = false;             ///< every call fails as NotTaken
+    bool isSilent = false;               ///< calls are neither executed nor answered, also those that have been waiting
+    Duration callTimeout = CallTimeout;  ///< of calls without an answer, except watches
+    bool isLosingRenewalReplies = false; ///< renewals of leases are executed and not answered
+    int lostChangeReplies = 0;           ///< number of changes to be executed without a reply
+    Duration lostChangeDelay{};          ///< delay of the execution of these changes
     std::function<void(const StoreChange &)> onChange; ///< called for each change that was executed
 
     void get(std::string_view key, StoreDone done) override
@@ -132,7 +133,7 @@
 
     void watch(std::string_view prefix, std::uint64_t after, Duration wait, StoreDone done) override
     {
-        m_watches.push_back({std::string(prefix), after, m_clock.now() + wait, std::move(done)});
+        m_watches.push_back({std::string(prefix), after, m_clock.now() + wait, std::move(done), isSilent});
     }
 
     void change(StoreChange change, StoreDone done) override
@@ -214,13 +215,14 @@
         std::uint64_t after;
         TimePoint until;
         StoreDone done;
+        bool isLost; ///< has met a silent store: stays without an answer
     };
 
     template<typename Execute>
     void reply(const StoreDone &done, Execute executeCall)
     {
         if (isSilent) {
-            m_replies.schedule(CallTimeout, [done] { done({}); });
+            m_replies.schedule(callTimeout, [done] { done({}); });
         } else if (isRefusing) {
             m_replies.schedule(Duration::zero(), [done] {
                 StoreReply it;
@@ -246,8 +248,9 @@
     void pollWatch(Watch &watch)
     {
         StoreReply it;
-        if (isSilent || isRefusing) {
-            if (m_clock.now() < watch.until && !isRefusing) {
+        watch.isLost = watch.isLost || isSilent;
+        if (watch.isLost || isRefusing) {
+            if (m_clock.now() < watch.until + WatchReplyTimeout && !isRefusing) {
                 m_watches.push_back(std::move(watch));
                 return;
             }
