A mirror that has lost a watch notices within 1.5 s and loads

Cause: a long poll had its own wait (1.5 s) and a margin as long as that, and a retry delay came on top (up to 0.8 s): a watch sent to a silent store cost 3.0 to 3.8 s, whatever the store did meanwhile. A retry after a failed watch was the next watch, which again needed 3 s to fail.

Fix: a watch waits 1.0 s and is lost 0.5 s after that; after a failed watch the mirror loads, since a load is answered at once or never; retry delays count from when the failed call was sent. Worst case after the store's return: one call's timeout, 1.5 s, and a round trip. It holds for every mirror: operator's keys, leader keys, registry, inbox, jobs without a shard. A load does not return each version that was missed, so that a reply which is too large or unreadable is not asked for again and again.

--- a/packages/workflow/mirror.cpp
+++ b/packages/workflow/mirror.cpp
@@ -64,7 +64,7 @@
 void PrefixMirror::onPage(const StoreReply &reply)
 {
     if (reply.status != StoreStatus::Ok) {
-        onCallFailed("load");
+        onLoadFailed();
         return;
     }
     // Pages are read at different revisions. The watch starts at the first page's revision, so that it delivers every
@@ -118,7 +118,7 @@
         return;
     }
     if (reply.status != StoreStatus::Ok) {
-        onCallFailed("watch");
+        onWatchFailed();
         return;
     }
     for (const StoreItem &it : reply.items) {
@@ -155,16 +155,28 @@
     m_onItem(item);
 }
 
-void PrefixMirror::onCallFailed(std::string_view call)
+void PrefixMirror::onLoadFailed()
+{
+    scheduleRetry("load");
+}
+
+void PrefixMirror::onWatchFailed()
+{
+    m_mustLoad = true;
+    scheduleRetry("watch");
+}
+
+void PrefixMirror::scheduleRetry(std::string_view failedCall)
 {
     m_isCallInFlight = false;
-    m_nextCallAt = m_clock.now() + m_retryDelay;
+    // Counted from when the call was sent: a call that timed out has already taken longer than the delay.
+    m_nextCallAt = m_callSentAt + m_retryDelay;
     m_retryDelay = std::min(m_settings.maxRetryDelay, m_retryDelay * 2);
     m_log.write("mirror_call_failed",
                 "prefix",
                 m_prefix,
                 "call",
-                call,
+                failedCall,
                 "revision",
                 m_revision,
                 "after_ms",
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -1,7 +1,8 @@
 /**
  * Reports every change of the items under a key prefix of the store: loads all of them, then watches for changes. If
  * the store has compacted the history since the last watch, it loads again and reports items deleted meanwhile as
- * deleted.
+ * deleted. It also loads after a watch has failed: a load is answered at once or not at all, so that it shows within
+ * one call's timeout whether the store is back, and its answer doesn't grow with what was missed.
  *
  * Use
  *   PrefixMirror mirror(store, clock, log, "operator/", [](const StoreItem &it) { ... it.isDeleted ... });
@@ -22,10 +23,11 @@
 struct MirrorSettings
 {
     Duration watchTimeout
-        = std::chrono::milliseconds(1500); ///< of one long poll; with the client's margin, the time until a dead
+        = std::chrono::milliseconds(1000); ///< of one long poll; with WatchReplyTimeout, the time until a dead
                                            ///< connection is noticed. Must be shorter than the time within which
                                            ///< a new configuration has to be in force
-    Duration minRetryDelay = std::chrono::milliseconds(200); ///< after a failed call; doubles up to maxRetryDelay
+    Duration minRetryDelay
+        = std::chrono::milliseconds(200); ///< from one failed call to the next; doubles up to maxRetryDelay
     Duration maxRetryDelay = std::chrono::milliseconds(800);
     Duration batchDelay{}; ///< pause after changes, so that the next call returns several; zero: none
 };
@@ -58,7 +60,9 @@
     void onEvents(const StoreReply &reply);
     TimePoint timeOfReading(const StoreReply &reply) const;
     void reportIfNew(const StoreItem &item);
-    void onCallFailed(std::string_view call);
+    void onLoadFailed();
+    void onWatchFailed();
+    void scheduleRetry(std::string_view failedCall);
     void onCallSucceeded();
 
     RecordStore &m_store;
--- a/packages/workflow/ports.h
+++ b/packages/workflow/ports.h
@@ -81,7 +81,7 @@
 constexpr Duration DefaultStoreCallTimeout
     = std::chrono::milliseconds(1500); ///< a call without an answer; a slow store takes up to 0.3 s
 constexpr Duration WatchReplyTimeout
-    = std::chrono::milliseconds(1500); ///< a watch without an answer, after its own wait is over
+    = std::chrono::milliseconds(500); ///< a watch without an answer, after its own wait is over
 
 class RecordStore
 {
