A request is decided only by a configuration that the store has confirmed shortly before

Cause: the absence of news was taken for the news that nothing has changed. Class: a cached value without an age.

Fix: confirmedAt() is a lower bound of when the store read what the mirror holds. A request that arrives more than max_catalog_age_ms (the platform's own bound for a new configuration) after it waits for a read of the configuration beside the mirror's call; without an answer in 0.5 s it gets 503 with Retry-After, at once while reads go unanswered.

Cost: no call while the mirror is up to date; else at most four reads a second and node, only while callers wait.

--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -26,6 +26,8 @@
 // within two seconds.
 constexpr Duration RegistryBatchDelay = 250ms;
 
+constexpr Duration CatalogReadInterval = 250ms; ///< between reads of the catalog while requests wait for one
+
 constexpr Duration BootIdRetryInterval = 300ms; ///< also the time allowed for a reply
 
 constexpr Duration MapUpdateInterval = 2s; ///< between two checks of the map, hence between two writes of it
@@ -79,7 +81,7 @@
 
 TimePoint Node::catalogConfirmedAt() const
 {
-    return m_operatorItems.confirmedAt();
+    return std::max(m_operatorItems.confirmedAt(), m_catalogReadAt);
 }
 
 Intake &Node::intake()
@@ -156,6 +158,7 @@
 {
     m_operatorItems.tick(now);
     m_clusterState.tick(now);
+    endCatalogWaits(now);
     if (!m_hasStoredBootId && now >= m_storeBootIdAt) {
         storeBootId(now);
     }
@@ -414,12 +417,15 @@
 
 void Node::onOperatorItem(const StoreItem &item)
 {
-    if (!m_decoder.isCatalog(item.key) || item.isDeleted) {
+    if (item.key != m_decoder.catalogKey() || item.isDeleted) {
         return;
     }
     try {
         Catalog catalog = m_decoder.parseCatalog(item.value);
-        if (catalog.version <= m_catalog.version) {
+        if (catalog.version == m_catalog.version) {
+            return; // read for a request before the mirror reported it, or the other way round
+        }
+        if (catalog.version < m_catalog.version) {
             m_log.write("catalog_ignored", "version", catalog.version, "in_force", m_catalog.version);
             return;
         }
@@ -436,6 +442,69 @@
     }
 }
 
+bool Node::isCatalogConfirmed(TimePoint arrivedAt) const
+{
+    return arrivedAt <= catalogConfirmedAt() + m_settings.maxCatalogAge;
+}
+
+void Node::confirmCatalog(TimePoint arrivedAt, std::function<void(bool)> done)
+{
+    if (isCatalogConfirmed(arrivedAt)) {
+        done(true);
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    if (now >= m_nextCatalogReadAt) {
+        readCatalog(now);
+    }
+    if (isCatalogUnreadable(now)) {
+        done(false);
+    } else {
+        m_catalogWaits.push_back({arrivedAt, std::move(done)});
+    }
+}
+
+void Node::endCatalogWaits(TimePoint now)
+{
+    std::vector<CatalogWait> waits;
+    waits.swap(m_catalogWaits);
+    for (CatalogWait &it : waits) {
+        if (isCatalogConfirmed(it.arrivedAt)) {
+            it.done(true);
+        } else if (isCatalogUnreadable(now) || now >= it.arrivedAt + m_settings.confirmTimeout) {
+            it.done(false);
+        } else {
+            m_catalogWaits.push_back(std::move(it));
+        }
+    }
+    if (!m_catalogWaits.empty() && now >= m_nextCatalogReadAt) {
+        readCatalog(now);
+    }
+}
+
+/** Reads the catalog beside the mirror, whose own call may have been lost. */
+void Node::readCatalog(TimePoint now)
+{
+    m_nextCatalogReadAt = now + CatalogReadInterval;
+    const bool hasAnsweredSince = m_unansweredReadAt <= m_operatorItems.lastReplyAt();
+    m_unansweredReadAt = hasAnsweredSince ? now : m_unansweredReadAt;
+    m_store.get(m_decoder.catalogKey(), [this, alive = std::weak_ptr(m_alive), now](const StoreReply &reply) {
+        if (alive.expired() || reply.status != StoreStatus::Ok || reply.items.empty()) {
+            return; // repeated while requests wait
+        }
+        onOperatorItem(reply.items.front());
+        m_catalogReadAt = std::max(m_catalogReadAt, now);
+        m_unansweredReadAt = {};
+        endCatalogWaits(m_clock.now());
+    });
+}
+
+/** Whether the store is known not to answer: no read was answered for as long as a request would wait for one. */
+bool Node::isCatalogUnreadable(TimePoint now) const
+{
+    return m_unansweredReadAt > m_operatorItems.lastReplyAt() && now >= m_unansweredReadAt + m_settings.confirmTimeout;
+}
+
 const Queue *Node::findQueue(std::string_view host, std::string_view path) const
 {
     const Queue *best = nullptr;
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -33,6 +33,8 @@
     Duration maxStoreSilence
         = std::chrono::milliseconds(3500); ///< a node is not ready once the store has not answered for this long, as
                                            ///< it could not accept jobs. Must exceed a watch's timeout and margin
+    Duration maxCatalogAge = std::chrono::seconds(2);         ///< see Node::confirmCatalog()
+    Duration confirmTimeout = std::chrono::milliseconds(500); ///< a slow store takes up to 0.3 s
 };
 
 class Node
@@ -55,6 +57,16 @@
 
     const Catalog &catalog() const;       ///< version 0: none yet
     TimePoint catalogConfirmedAt() const; ///< no newer catalog was stored before this time
+
+    /**
+     * Calls @p done with true as soon as no newer catalog can have been stored more than maxCatalogAge before
+     * @p arrivedAt: at once while the mirror is up to date, otherwise after a read. Calls it with false if the store
+     * does not answer within confirmTimeout, and at once while it is known not to answer: a request that arrived then
+     * must not be decided by catalog().
+     */
+    void confirmCatalog(TimePoint arrivedAt, std::function<void(bool)> done);
+    bool isCatalogConfirmed(TimePoint arrivedAt) const;
+
     /** Submits a job to a shard chosen by load; a job with long-running steps is left to the ShardAssigner. */
     void submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Intake::Done done);
     Intake &intake();
@@ -76,7 +88,17 @@
         std::uint64_t epoch = 0;                      ///< term of the scheduler; 0: none
     };
 
+    /** A request that waits until the catalog is confirmed. */
+    struct CatalogWait
+    {
+        TimePoint arrivedAt;
+        std::function<void(bool)> done;
+    };
+
     void onOperatorItem(const StoreItem &item);
+    void endCatalogWaits(TimePoint now);
+    void readCatalog(TimePoint now);
+    bool isCatalogUnreadable(TimePoint now) const;
     void onClusterStateItem(const StoreItem &item);
     void onRegistryItem(const StoreItem &item);
     void storeBootId(TimePoint now);
@@ -98,6 +120,10 @@
     Clock &m_clock;
     EventLog &m_log;
     Catalog m_catalog;
+    std::vector<CatalogWait> m_catalogWaits;
+    TimePoint m_catalogReadAt{};     ///< when the last answered read of the catalog was sent
+    TimePoint m_unansweredReadAt{};  ///< when the first read since then was sent; default: none
+    TimePoint m_nextCatalogReadAt{}; ///< earliest time of the next read
     PrefixMirror m_operatorItems;
     PrefixMirror m_clusterState;
     std::unique_ptr<PrefixMirror> m_registry; ///< while this node leads a shard
--- a/packages/workflow/ports.h
+++ b/packages/workflow/ports.h
@@ -184,7 +184,7 @@
     virtual std::string_view operatorPrefix() const = 0; ///< prefix of the keys that operators write
     virtual std::string_view
     registryPrefix() const = 0; ///< prefix of the workers' registry entries; the rest of the key is the worker's id
-    virtual bool isCatalog(std::string_view key) const = 0;
+    virtual std::string_view catalogKey() const = 0; ///< begins with operatorPrefix()
 
     /** Both throw InvalidArgument if the text cannot be parsed. */
     virtual Catalog parseCatalog(std::string_view text) const = 0;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -422,9 +422,9 @@
     {
         return "workers/";
     }
-    bool isCatalog(std::string_view key) const override
+    std::string_view catalogKey() const override
     {
-        return key == "operator/config";
+        return "operator/config";
     }
     Catalog parseCatalog(std::string_view) const override
     {
