--- a/packages/workflow/mirror.cpp
+++ b/packages/workflow/mirror.cpp
@@ -64,7 +64,7 @@
 void PrefixMirror::onPage(const StoreReply &reply)
 {
     if (reply.status != StoreStatus::Ok) {
-        onLoadFailed();
+        onCallFailed("load");
         return;
     }
     // Pages are read at different revisions. The watch starts at the first page's revision, so that it delivers every
@@ -118,7 +118,8 @@
         return;
     }
     if (reply.status != StoreStatus::Ok) {
-        onWatchFailed();
+        m_mustLoad = true;
+        onCallFailed("watch");
         return;
     }
     for (const StoreItem &it : reply.items) {
@@ -155,18 +156,7 @@
     m_onItem(item);
 }
 
-void PrefixMirror::onLoadFailed()
-{
-    scheduleRetry("load");
-}
-
-void PrefixMirror::onWatchFailed()
-{
-    m_mustLoad = true;
-    scheduleRetry("watch");
-}
-
-void PrefixMirror::scheduleRetry(std::string_view failedCall)
+void PrefixMirror::onCallFailed(std::string_view call)
 {
     m_isCallInFlight = false;
     // Counted from when the call was sent: a call that timed out has already taken longer than the delay.
@@ -176,7 +166,7 @@
                 "prefix",
                 m_prefix,
                 "call",
-                failedCall,
+                call,
                 "revision",
                 m_revision,
                 "after_ms",
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -60,9 +60,7 @@
     void onEvents(const StoreReply &reply);
     TimePoint timeOfReading(const StoreReply &reply) const;
     void reportIfNew(const StoreItem &item);
-    void onLoadFailed();
-    void onWatchFailed();
-    void scheduleRetry(std::string_view failedCall);
+    void onCallFailed(std::string_view call);
     void onCallSucceeded();
 
     RecordStore &m_store;
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -33,8 +33,9 @@
     Duration maxStoreSilence
         = std::chrono::milliseconds(3500); ///< a node is not ready once the store has not answered for this long, as
                                            ///< it could not accept jobs. Must exceed a watch's timeout and margin
-    Duration maxCatalogAge = std::chrono::seconds(2);         ///< see Node::confirmCatalog()
-    Duration confirmTimeout = std::chrono::milliseconds(500); ///< a slow store takes up to 0.3 s
+    Duration maxCatalogAge = std::chrono::seconds(2); ///< within this time a new catalog has to be in force
+    Duration confirmTimeout
+        = std::chrono::milliseconds(500); ///< for which a request waits; a slow store takes up to 0.3 s
 };
 
 class Node
@@ -122,7 +123,7 @@
     Catalog m_catalog;
     std::vector<CatalogWait> m_catalogWaits;
     TimePoint m_catalogReadAt{};     ///< when the last answered read of the catalog was sent
-    TimePoint m_unansweredReadAt{};  ///< when the first read since then was sent; default: none
+    TimePoint m_unansweredReadAt{};  ///< when the first read was sent since the store last answered; default: none
     TimePoint m_nextCatalogReadAt{}; ///< earliest time of the next read
     PrefixMirror m_operatorItems;
     PrefixMirror m_clusterState;
--- a/packages/workflow/tests/catalogtest.cpp
+++ b/packages/workflow/tests/catalogtest.cpp
@@ -104,6 +104,26 @@
     }
 }
 
+// Guards against a catalog that comes back older, or that is taken although it is invalid.
+TEST(Catalog, olderOrUnreadableOneDoesNotReplaceIt)
+{
+    Rig rig(1, 4);
+    rig.decoder.catalog.version = 6;
+    writeCatalog(rig);
+    rig.run(4s);
+    const Node &node = *rig.nodes[0]->node;
+    ASSERT_EQ(node.catalog().version, 7);
+    rig.decoder.catalog.version = 3;
+    writeCatalog(rig);
+    rig.run(2s);
+    EXPECT_EQ(node.catalog().version, 7);
+    rig.decoder.catalog.version = 9;
+    rig.backend.write("operator/config", "unreadable");
+    rig.run(2s);
+    EXPECT_EQ(node.catalog().version, 7);
+    EXPECT_EQ(node.catalog().queues.size(), 1U);
+}
+
 // Guards against watches that wait for a store which was silent when they reached it, and so miss a catalog that was
 // stored after its return (CONFIG on uurea-praam).
 TEST(Catalog, isInForceInTimeAfterASilenceOfTheStore)
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -13,6 +13,7 @@
  */
 #pragma once
 
+#include <base/errors.h>
 #include <workflow/node.h>
 #include <workflow/testing/fakefleet.h>
 #include <workflow/testing/storebackend.h>
@@ -426,8 +427,11 @@
     {
         return "operator/config";
     }
-    Catalog parseCatalog(std::string_view) const override
+    Catalog parseCatalog(std::string_view text) const override
     {
+        if (text == "unreadable") {
+            throw InvalidArgument("config", "unreadable");
+        }
         return catalog;
     }
     WorkerRecord parseWorker(std::string_view id, std::string_view) const override
