A leader in its grace period does not outwait unread workers

What callers saw: tasks that ran twice at the same time (TWICE 45, 78, 89 and 123).

Cause: a leader resigns, its successor is elected 0.4 s before its zone is cut off and loses the store during its takeover. 5.2 s after its election it takes the leases of the workers that it could not read as expired, and starts their tasks again on workers of its own zone. But another leader had been elected at 34.6 s, had read those workers and extended their leases. Class: a conclusion from the absence of news that only full authority allows; the same check guarded expired leases, and not this place.

Test: Takeover.leaderInGraceDoesNotOutwaitUnreadWorkers, two runs at once before, none now.

--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -346,10 +346,11 @@
         && m_inbox.lastReplyAt() >= m_electedAt + m_settings.formerLeaderIntakeTime) {
         m_maxFormerRevision = m_inbox.revision();
     }
-    const TimePoint allExpired = formerLeasesExpiry();
+    // In the grace period a successor may have read a worker and extended its lease.
+    const bool areLeasesExpired = m_authority == Authority::Full && now >= formerLeasesExpiry();
     std::size_t unread = 0;
     for (const auto &it : m_workers) {
-        if (it->mayRunFormerOrders && (it->hasReported || now >= allExpired)) {
+        if (it->mayRunFormerOrders && (it->hasReported || areLeasesExpired)) {
             if (!it->hasReported) {
                 ++m_outwaitedWorkerCount;
                 m_log.write("worker_outwaited", "worker", it->record.id, "registered", it->isRegistered);
--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -224,6 +224,41 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against TWICE: a leader that lost the store during its takeover waited for the leases of unread workers to expire
+// and started their tasks again, while its successor had read these workers and extended the leases.
+TEST(Takeover, leaderInGraceDoesNotOutwaitUnreadWorkers)
+{
+    Rig rig(3, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 1, 5000);
+    WorkerId used;
+    std::set<WorkerId> unused;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        used = worker.running.empty() ? used : id;
+        if (worker.running.empty()) {
+            unused.insert(id);
+        }
+    }
+    const int resigned = rig.leader();
+    for (const auto &it : rig.nodes) {
+        it->port.unreachableWorkers = {used};
+    }
+    rig.nodes[static_cast<std::size_t>(resigned)]->node->beginDrain();
+    for (int i = 0; i < 100 && rig.leader() < 0; ++i) {
+        rig.run(StepTime);
+    }
+    const int cutOff = rig.leader();
+    ASSERT_GE(cutOff, 0);
+    const int successor = 3 - resigned - cutOff;
+    rig.run(200ms); // it loads the jobs and reads the unused workers
+    rig.nodes[static_cast<std::size_t>(cutOff)]->store.isSilent = true;
+    rig.nodes[static_cast<std::size_t>(successor)]->port.unreachableWorkers = unused;
+    rig.run(8s);
+    EXPECT_EQ(rig.leader(), successor);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // Guards against LOST: a leader that was frozen, and that learned on waking that its term was over, was waited for as if it
 // could still send orders.
 TEST(Takeover, leaderThatLearnsOfItsSuccessorIsNotWaitedForAnyLonger)
