--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -59,6 +59,20 @@
     return n;
 }
 
+/** The worker that runs something, of which there must be one, and the others. */
+std::pair<WorkerId, std::set<WorkerId>> splitWorkersByUse(const Rig &rig)
+{
+    std::pair<WorkerId, std::set<WorkerId>> workers;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        if (worker.running.empty()) {
+            workers.second.insert(id);
+        } else {
+            workers.first = id;
+        }
+    }
+    return workers;
+}
+
 } // namespace
 
 // Guards against waits that neither logs nor metrics explain.
@@ -197,14 +211,7 @@
     Rig rig(2, 3);
     rig.run(1s);
     submitLongRunning(rig, "a", 1, 5000);
-    WorkerId used;
-    std::set<WorkerId> unused;
-    for (const auto &[id, worker] : rig.fleet.workers) {
-        used = worker.running.empty() ? used : id;
-        if (worker.running.empty()) {
-            unused.insert(id);
-        }
-    }
+    const auto [used, unused] = splitWorkersByUse(rig);
     const int former = rig.leader();
     RigNode &cutOff = *rig.nodes[static_cast<std::size_t>(former)];
     RigNode &successor = *rig.nodes[static_cast<std::size_t>(1 - former)];
@@ -231,14 +238,7 @@
     Rig rig(3, 3);
     rig.run(1s);
     submitLongRunning(rig, "a", 1, 5000);
-    WorkerId used;
-    std::set<WorkerId> unused;
-    for (const auto &[id, worker] : rig.fleet.workers) {
-        used = worker.running.empty() ? used : id;
-        if (worker.running.empty()) {
-            unused.insert(id);
-        }
-    }
+    const auto [used, unused] = splitWorkersByUse(rig);
     const int resigned = rig.leader();
     for (const auto &it : rig.nodes) {
         it->port.unreachableWorkers = {used};
