Evacuation: nothing is started in a failure domain that an operator evacuates

Change: EvacuationRequests holds what a node knows of the requests; isEligible(), through which each start goes, asks it. A start rests on requests that the store has confirmed recently enough that the order is void before an unknown request binds; a node whose mirror is late reads the requests beside it. New work avoids the shards of an evacuated domain. In force only where the settings have evacuate_ms.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -200,7 +200,7 @@
                           && worker.record.pool == ref.job->accepted.pool && worker.unknownRuns.empty()
                           && worker.unansweredRenewals == 0 && now >= worker.noStartsUntil
                           && now < worker.lastReplyAt + m_settings.contactTimeout
-                          && m_storedWorkers.contains(worker.record.id);
+                          && m_storedWorkers.contains(worker.record.id) && mayStartIn(worker.record.failureDomain, now);
     if (!isUsable || (worker.isQuarantined(now) && !worker.runs.empty()) || worker.isReservedForOther(*ref.job, now)) {
         return false;
     }
@@ -210,6 +210,12 @@
     return step.maxPerWorker == 0 || countRunsOfStep(worker, ref) < step.maxPerWorker;
 }
 
+/** The only guard of evacuations: each start goes through isEligible(). */
+bool WorkflowScheduler::mayStartIn(const std::string &failureDomain, TimePoint now) const
+{
+    return m_evacuations == nullptr || m_evacuations->mayStart(failureDomain, now, m_authority);
+}
+
 WorkerIndex WorkflowScheduler::chooseWorker(const TaskRef &ref, TimePoint now)
 {
     const StepSpec &step = ref.spec();
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -74,6 +74,7 @@
     // Values at the last update
     std::map<ShardId, WorkflowCounters> lastCounters; ///< of the shards that this node leads
     IntakeCounters lastIntake;
+    std::map<std::string, std::uint32_t> lastEvacuatedRuns; ///< by queue
     std::uint64_t lastLeftOut = 0;
 };
 
@@ -100,11 +101,18 @@
     Impl &it = *m_impl;
     std::map<ShardId, WorkflowCounters> current;
     std::size_t activeJobs = 0;
+    std::map<std::string, std::uint32_t> evacuatedRuns = it.lastEvacuatedRuns;
+    for (auto &[queue, runs] : evacuatedRuns) {
+        runs = 0; // a gauge of a queue that has left nothing there returns to 0
+    }
     WaitingTasks waiting;
     for (const WorkflowScheduler *scheduler : node.schedulers()) {
         it.addIncreases(scheduler->shard(), scheduler->counters());
         current[scheduler->shard()] = scheduler->counters();
         activeJobs += scheduler->activeJobs();
+        for (const auto &[queue, runs] : scheduler->runsInEvacuatedDomains()) {
+            evacuatedRuns[queue] += runs;
+        }
         waiting.forUnreadWorkers += scheduler->waitingTasks().forUnreadWorkers;
         waiting.forRoom += scheduler->waitingTasks().forRoom;
     }
@@ -122,6 +130,11 @@
     it.set("active_jobs", static_cast<double>(activeJobs));
     it.set("waiting_long_running_tasks", waiting.forUnreadWorkers, {{"why", "unread_workers"}});
     it.set("waiting_long_running_tasks", waiting.forRoom, {{"why", "no_room"}});
+    it.set("evacuations_requested", static_cast<double>(node.evacuations().domains().size()));
+    for (const auto &[queue, runs] : evacuatedRuns) {
+        it.set("evacuated_domain_runs", runs, {{"queue", queue}});
+    }
+    it.lastEvacuatedRuns = std::move(evacuatedRuns);
     it.set("catalog_version", static_cast<double>(node.catalog().version));
     it.set("catalog_age_seconds", toSeconds(now - node.catalogConfirmedAt()));
 }
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -28,6 +28,8 @@
 
 constexpr Duration CatalogReadInterval = 250ms; ///< between reads of the catalog while requests wait for one
 
+constexpr Duration EvacuationReadInterval = 250ms; ///< between reads of the requests while they are not confirmed
+
 constexpr Duration BootIdRetryInterval = 300ms; ///< also the time allowed for a reply
 
 constexpr Duration MapUpdateInterval = 2s; ///< between two checks of the map, hence between two writes of it
@@ -65,12 +67,14 @@
     , m_decoder(decoder)
     , m_clock(clock)
     , m_log(log)
+    , m_evacuations(settings.evacuation, settings.evacuation.orderValidity(settings.scheduler.orderValidity))
     , m_operatorItems(
           store, clock, log, std::string(decoder.operatorPrefix()), [this](const StoreItem &it) { onOperatorItem(it); })
     , m_clusterState(
           store, clock, log, std::string(ClusterStatePrefix), [this](const StoreItem &it) { onClusterStateItem(it); })
     , m_intake(store, clock, log, settings.intake)
 {
+    m_settings.scheduler.orderValidity = settings.evacuation.orderValidity(settings.scheduler.orderValidity);
     createLocalShards();
 }
 
@@ -100,7 +104,8 @@
     if (m_map.shards.size() > 1) {
         m_intake.refreshStatuses();
         const bool needsAssigner = hasLongRunningStep(spec);
-        shard = needsAssigner ? std::nullopt : std::optional(chooseShard(m_map, m_intake.statuses(), queue.pool, spec));
+        shard = needsAssigner ? std::nullopt
+                              : std::optional(chooseShard(m_availableMap, m_intake.statuses(), queue.pool, spec));
     }
     m_intake.submit(queue, shard, std::move(spec), deadline, std::move(done));
 }
@@ -158,6 +163,7 @@
 {
     m_operatorItems.tick(now);
     m_clusterState.tick(now);
+    tickEvacuations(now);
     endCatalogWaits(now);
     if (!m_hasStoredBootId && now >= m_storeBootIdAt) {
         storeBootId(now);
@@ -235,7 +241,7 @@
     }
     updateScheduler(local);
     if (local.scheduler) {
-        local.scheduler->setShardMap(m_map);
+        local.scheduler->setShardMap(m_availableMap);
         local.scheduler->tick(now, local.election.authority(now));
         if (local.scheduler->isDeposed()) {
             local.election.depose();
@@ -260,6 +266,7 @@
     local.scheduler = std::make_unique<WorkflowScheduler>(
         m_settings.scheduler, m_store, m_workers, m_clock, m_log, local.shard, term);
     local.scheduler->setObserver(m_observer);
+    local.scheduler->setEvacuations(m_evacuations);
     for (const auto &[id, worker] : m_registeredWorkers) {
         forwardWorker(worker);
     }
@@ -296,6 +303,7 @@
         m_log.write(
             "shard_map", "revision", item.revision, "shards", m_map.shards.size(), "racks", m_map.shardOfRack.size());
         createLocalShards();
+        updateAvailableShards();
         for (const auto &[id, worker] : m_registeredWorkers) {
             forwardWorker(worker);
         }
@@ -346,7 +354,8 @@
         return;
     }
     if (!m_shardAssigner || m_shardAssignerEpoch != term.epoch) {
-        m_shardAssigner = std::make_unique<ShardAssigner>(m_store, m_clock, m_log, m_map, m_intake.statuses(), term);
+        m_shardAssigner
+            = std::make_unique<ShardAssigner>(m_store, m_clock, m_log, m_availableMap, m_intake.statuses(), term);
         m_shardAssignerEpoch = term.epoch;
     }
     if (m_shardAssigner->hasWaitingJobs()) {
@@ -417,6 +426,10 @@
 
 void Node::onOperatorItem(const StoreItem &item)
 {
+    if (item.key.starts_with(m_decoder.evacuationPrefix())) {
+        onEvacuationItem(item);
+        return;
+    }
     if (item.key != m_decoder.catalogKey() || item.isDeleted) {
         return;
     }
@@ -442,6 +455,104 @@
     }
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Evacuations
+// ---------------------------------------------------------------------------------------------------------------------
+
+const EvacuationRequests &Node::evacuations() const
+{
+    return m_evacuations;
+}
+
+void Node::onEvacuationItem(const StoreItem &item)
+{
+    const std::string domain = item.key.substr(m_decoder.evacuationPrefix().size());
+    if (!m_evacuations.isEnabled() || domain.empty()) {
+        return;
+    }
+    if (item.isDeleted) {
+        m_evacuations.remove(domain, item.revision);
+        return;
+    }
+    try {
+        m_decoder.checkEvacuation(item.value);
+        m_evacuations.set(domain, item.revision);
+    } catch (const std::exception &error) {
+        if (m_unreadableEvacuations.insert(item.key).second) {
+            m_log.write("evacuation_ignored", "domain", domain, "revision", item.revision, "why", error.what());
+        }
+    }
+}
+
+void Node::tickEvacuations(TimePoint now)
+{
+    if (!m_evacuations.isEnabled()) {
+        return;
+    }
+    m_evacuations.confirm(m_operatorItems.confirmedAt());
+    if (m_evacuations.domains() != m_evacuatedDomains) {
+        updateAvailableShards();
+    }
+    const bool isWaiting = isLeading() && !m_evacuations.isConfirmed(now, Authority::Full);
+    if (isWaiting && now >= m_nextEvacuationReadAt) {
+        readEvacuations(now);
+    }
+    if (isWaiting != m_areStartsWaiting) {
+        m_areStartsWaiting = isWaiting;
+        m_log.write(isWaiting ? "starts_wait_for_confirmation" : "starts_confirmed",
+                    "confirmed_ms_ago",
+                    toMilliseconds(now - m_operatorItems.confirmedAt()));
+    }
+}
+
+/** Reads the requests beside the mirror, whose own call may have been lost. */
+void Node::readEvacuations(TimePoint now)
+{
+    m_nextEvacuationReadAt = now + EvacuationReadInterval;
+    m_store.range(
+        m_decoder.evacuationPrefix(), {}, [this, alive = std::weak_ptr(m_alive), now](const StoreReply &reply) {
+            if (alive.expired() || reply.status != StoreStatus::Ok || reply.hasMore) {
+                return; // repeated while the requests are not confirmed
+            }
+            std::vector<std::string> domains;
+            for (const StoreItem &it : reply.items) {
+                onEvacuationItem(it);
+                domains.push_back(it.key.substr(m_decoder.evacuationPrefix().size()));
+            }
+            m_evacuations.endAllBut(domains, reply.revision);
+            m_evacuations.confirm(now);
+        });
+}
+
+/** Determines the shards that get new work, and logs requests that have begun or ended. */
+void Node::updateAvailableShards()
+{
+    const std::vector<std::string> domains = m_evacuations.domains();
+    const auto logDifference = [this](std::string_view event, const auto &names, const auto &others) {
+        for (const std::string &it : names) {
+            if (!std::binary_search(others.begin(), others.end(), it)) {
+                m_log.write(event, "domain", it);
+            }
+        }
+    };
+    logDifference("evacuation_requested", domains, m_evacuatedDomains);
+    logDifference("evacuation_ended", m_evacuatedDomains, domains);
+    for (const std::string &it : domains) {
+        const bool isKnown = std::any_of(m_map.shards.begin(), m_map.shards.end(), [&it](const ShardInfo &info) {
+            return info.failureDomain == it || info.failureDomain.empty();
+        });
+        if (!isKnown && !m_map.shards.empty() && m_unknownEvacuations.insert(it).second) {
+            m_log.write("evacuation_ignored", "domain", it, "why", "no worker is in this failure domain");
+        }
+    }
+    m_evacuatedDomains = domains;
+    m_availableMap = availableShards(m_map, m_evacuations);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Confirmation of the catalog
+// ---------------------------------------------------------------------------------------------------------------------
+
 bool Node::isCatalogConfirmed(TimePoint arrivedAt) const
 {
     return arrivedAt <= catalogConfirmedAt() + m_settings.maxCatalogAge;
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include <workflow/election.h>
+#include <workflow/evacuation.h>
 #include <workflow/intake.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
@@ -30,6 +31,7 @@
     WorkflowSettings scheduler;
     IntakeSettings intake;
     ShardSettings shards;
+    EvacuationSettings evacuation;
     Duration maxStoreSilence
         = std::chrono::milliseconds(3500); ///< a node is not ready once the store has not answered for this long, as
                                            ///< it could not accept jobs. Must exceed a watch's timeout and margin
@@ -58,6 +60,7 @@
 
     const Catalog &catalog() const;       ///< version 0: none yet
     TimePoint catalogConfirmedAt() const; ///< no newer catalog was stored before this time
+    const EvacuationRequests &evacuations() const;
 
     /**
      * Calls @p done with true as soon as no newer catalog can have been stored more than maxCatalogAge before
@@ -97,6 +100,10 @@
     };
 
     void onOperatorItem(const StoreItem &item);
+    void onEvacuationItem(const StoreItem &item);
+    void tickEvacuations(TimePoint now);
+    void readEvacuations(TimePoint now);
+    void updateAvailableShards();
     void endCatalogWaits(TimePoint now);
     void readCatalog(TimePoint now);
     bool isCatalogUnreadable(TimePoint now) const;
@@ -125,6 +132,12 @@
     TimePoint m_catalogReadAt{};     ///< when the last answered read of the catalog was sent
     TimePoint m_unansweredReadAt{};  ///< when the first read was sent since the store last answered; default: none
     TimePoint m_nextCatalogReadAt{}; ///< earliest time of the next read
+    EvacuationRequests m_evacuations;
+    std::vector<std::string> m_evacuatedDomains;   ///< as last logged
+    std::set<std::string> m_unreadableEvacuations; ///< keys of requests that were logged as unreadable
+    std::set<std::string> m_unknownEvacuations;    ///< failure domains without workers whose evacuation was logged
+    TimePoint m_nextEvacuationReadAt{};            ///< earliest time of the next read
+    bool m_areStartsWaiting = false;               ///< the requests are not confirmed, which was logged
     PrefixMirror m_operatorItems;
     PrefixMirror m_clusterState;
     std::unique_ptr<PrefixMirror> m_registry; ///< while this node leads a shard
@@ -138,6 +151,7 @@
     // Shards
     std::vector<std::unique_ptr<LocalShard>> m_localShards; ///< by ShardId
     ShardMap m_map;
+    ShardMap m_availableMap; ///< m_map without the shards of evacuated failure domains
     std::uint64_t m_mapRevision = 0;
     std::map<WorkerId, WorkerRecord> m_registeredWorkers; ///< the registry, while this node leads a shard
     TimePoint m_lastNewWorkerAt{};
--- a/packages/workflow/ports.h
+++ b/packages/workflow/ports.h
@@ -186,9 +186,13 @@
     registryPrefix() const = 0; ///< prefix of the workers' registry entries; the rest of the key is the worker's id
     virtual std::string_view catalogKey() const = 0; ///< begins with operatorPrefix()
 
-    /** Both throw InvalidArgument if the text cannot be parsed. */
+    /** Prefix of the keys that request evacuations; the rest of the key is the failure domain. Begins with operatorPrefix(). */
+    virtual std::string_view evacuationPrefix() const = 0;
+
+    /** All throw InvalidArgument if the text cannot be parsed. */
     virtual Catalog parseCatalog(std::string_view text) const = 0;
     virtual WorkerRecord parseWorker(std::string_view id, std::string_view text) const = 0;
+    virtual void checkEvacuation(std::string_view text) const = 0; ///< a request has no content beyond its key
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -30,6 +30,7 @@
 #pragma once
 
 #include <workflow/election.h>
+#include <workflow/evacuation.h>
 #include <workflow/joborder.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
@@ -145,6 +146,9 @@
      */
     void setShardMap(const ShardMap &map);
 
+    /** Nothing is started where @p requests does not allow it; kept up to date by the caller and outlives the scheduler. */
+    void setEvacuations(const EvacuationRequests &requests);
+
     /** True once no order of a former leader can take effect any more. */
     bool isTakeoverComplete() const;
 
@@ -157,6 +161,7 @@
     ShardId shard() const;
     const WorkflowCounters &counters() const;
     const WaitingTasks &waitingTasks() const;
+    std::map<std::string, std::uint32_t> runsInEvacuatedDomains() const; ///< number of runs by queue
     std::size_t activeJobs() const;
 
 private:
@@ -255,6 +260,7 @@
     bool arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     WorkerIndex chooseWorker(const TaskRef &ref, TimePoint now);
     bool isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
+    bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
     void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
     void onStartReply(
         const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
@@ -397,6 +403,8 @@
     Authority m_authority = Authority::None;
     bool m_isDeposed = false;
 
+    const EvacuationRequests *m_evacuations = nullptr; ///< null: none are known
+
     // Transfers
     const ShardMap *m_shardMap = nullptr;
     ShardStatuses m_statuses; ///< of all shards, read while tasks find no room
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -49,6 +49,24 @@
     return m_isDeposed;
 }
 
+void WorkflowScheduler::setEvacuations(const EvacuationRequests &requests)
+{
+    m_evacuations = &requests;
+}
+
+std::map<std::string, std::uint32_t> WorkflowScheduler::runsInEvacuatedDomains() const
+{
+    std::map<std::string, std::uint32_t> runs;
+    for (const auto &worker : m_workers) {
+        if (m_evacuations != nullptr && m_evacuations->isRequested(worker->record.failureDomain)) {
+            for (const TaskRef &it : worker->runs) {
+                ++runs[it.job->accepted.queue];
+            }
+        }
+    }
+    return runs;
+}
+
 bool WorkflowScheduler::isTakeoverComplete() const
 {
     return m_takeoverStage == TakeoverStage::Complete;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -427,6 +427,16 @@
     {
         return "operator/config";
     }
+    std::string_view evacuationPrefix() const override
+    {
+        return "operator/evacuate/";
+    }
+    void checkEvacuation(std::string_view text) const override
+    {
+        if (text == "unreadable") {
+            throw InvalidArgument("evacuation", "unreadable");
+        }
+    }
     Catalog parseCatalog(std::string_view text) const override
     {
         if (text == "unreadable") {
@@ -521,6 +531,7 @@
         settings.bootId = std::to_string(++m_boots);
         settings.shards = shards;
         settings.scheduler = scheduler;
+        settings.evacuation = evacuation;
         it.node = std::make_unique<Node>(settings, it.store, it.port, decoder, clock, it.log);
     }
 
@@ -645,7 +656,8 @@
     FakeFleet fleet;
     FakeDecoder decoder;
     ShardSettings shards{80, 40, Duration::zero()};
-    WorkflowSettings scheduler; ///< of nodes that boot from now on
+    WorkflowSettings scheduler;    ///< of nodes that boot from now on
+    EvacuationSettings evacuation; ///< of nodes that boot from now on
     std::vector<std::unique_ptr<RigNode>> nodes;
 
 private:
