--- a/packages/workflow/departure.cpp
+++ b/packages/workflow/departure.cpp
@@ -19,6 +19,8 @@
 constexpr Duration DepartureInterval = 200ms; ///< between two checks; a transfer takes about as long
 constexpr Duration StatusMaxAge = 1s;         ///< of the other shards' statuses, by which places are found
 constexpr std::size_t MaxDepartures = 4;      ///< tasks of a shard that are on their way at a time
+constexpr double MaxDestinationUse = 0.85; ///< of the other shard's CPU by long-running tasks: fuller ones lack CPU for
+                                           ///< other work, and leave room in pieces too small for a task
 
 } // namespace
 
@@ -100,9 +102,20 @@
             assigned[shard][image] += millis; // which shard each will get is not known yet: counted at every one
         }
     }
-    return chooseShardForTasks(
-               *m_shardMap, m_statuses, assigned, ref.job->accepted.pool, ref.job->accepted.spec, ref.step, 1, m_shard)
-        .has_value();
+    const AcceptedJob &job = ref.job->accepted;
+    const auto destination
+        = chooseShardForTasks(*m_shardMap, m_statuses, assigned, job.pool, job.spec, ref.step, 1, m_shard);
+    if (!destination) {
+        return false;
+    }
+    std::int64_t use = m_statuses[destination->shard].longRunningCpuMillis + ref.spec().need.cpuMillis;
+    for (const auto &[image, millis] : assigned[destination->shard]) {
+        use += millis;
+    }
+    const auto &capacity = m_shardMap->shards[destination->shard].poolCpuMillis;
+    const auto found = capacity.find(job.pool);
+    return found != capacity.end()
+           && static_cast<double>(use) <= MaxDestinationUse * static_cast<double>(found->second);
 }
 
 void WorkflowScheduler::refreshStatusesForDepartures(TimePoint now)
