Placement: periodic forecast of the own loads of serving tasks

Cause: best-effort tasks were placed by a fixed utilisation of the serving tasks (0.6) and by a line of 0.6 s through their last loads, although their load swings by half within 10 s: placed in the trough, throttled at the peak, stopped, placed again. Change: PeriodicLoad fits a sine to the samples of a step. With it a best-effort task is placed where the serving tasks tolerate it for its whole run time, by the CPU that they are expected to leave meanwhile, and throttled before a load rises.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -238,6 +238,9 @@
         candidate.reservedMillis = worker.reserved.cpuMillis;
         candidate.longRunningMillis = worker.longRunningCpuMillis;
         candidate.bestEffortMillis = worker.bestEffortCpuMillis;
+        if (step.usesSpareCpu && m_settings.pressure.usesPeriodicForecast) {
+            candidate.longRunningUseMillis = expectedUseMillis(worker, std::chrono::milliseconds(step.estimateMs));
+        }
         candidate.hasSameImage = step.isLongRunning && hasLongRunningImage(worker, ref);
         candidate.hasSameJob = step.isLongRunning && hasTaskOfJob(worker, ref);
         candidate.interference = *interference;
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -10,7 +10,10 @@
 
 std::int64_t expectedIdleMillis(const PlacementWeights &weights, const Candidate &worker)
 {
-    const double idleLongRunning = (1 - weights.longRunningUtilisation) * static_cast<double>(worker.longRunningMillis);
+    const auto reserved = static_cast<double>(worker.longRunningMillis);
+    const double used
+        = worker.longRunningUseMillis >= 0 ? worker.longRunningUseMillis : weights.longRunningUtilisation * reserved;
+    const double idleLongRunning = reserved - used;
     return worker.capacityMillis - worker.reservedMillis + static_cast<std::int64_t>(idleLongRunning)
            - worker.bestEffortMillis;
 }
--- a/packages/workflow/placement.h
+++ b/packages/workflow/placement.h
@@ -38,6 +38,7 @@
     std::int64_t capacityMillis = 0;
     std::int64_t reservedMillis = 0;
     std::int64_t longRunningMillis = 0; ///< reserved by long-running tasks; part of reservedMillis
+    double longRunningUseMillis = -1;   ///< forecast of what they use of it; negative: longRunningUtilisation of it
     std::int64_t bestEffortMillis = 0;  ///< requested by best-effort tasks; not part of reservedMillis
     bool hasSameImage = false; ///< for a long-running task: the worker already has long-running tasks of its image
     bool hasSameJob = false;   ///< for a long-running task: the worker already has tasks of its job
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -35,7 +35,10 @@
 constexpr double DecaySeconds = 0.6;       ///< time in which a sample's weight falls to 1/e; loads swing within 10 s
 constexpr double SlopeDamping = 0.15;      ///< regularises the slope of StepLoad's line towards 0, in seconds squared
 constexpr double MaxSlope = 0.15;          ///< change of load per second; steeper is noise
-constexpr Duration MaxSampleAge = std::chrono::seconds(3); ///< StepLoad is unknown without newer samples
+constexpr Duration LineHorizon
+    = std::chrono::milliseconds(600); ///< a line says nothing of a load's turn, so it isn't extended further
+constexpr Duration ReportCentre = std::chrono::milliseconds(300); ///< age of a report's mean: it covers half a second
+constexpr Duration MaxSampleAge = std::chrono::seconds(3);        ///< StepLoad is unknown without newer samples
 
 PlacementSettings modelSettings()
 {
@@ -78,6 +81,7 @@
         decay(at);
     }
     m_lastSampleAt = at;
+    m_periodic.addSample(load, error, at - ReportCentre);
     const double weight = 1 / (error * error);
     m_weight += weight;
     m_loads += weight * load;
@@ -99,6 +103,11 @@
     return meanLoad + slope * (meanTime + ahead);
 }
 
+const PeriodicLoad &StepLoad::periodic() const
+{
+    return m_periodic;
+}
+
 double StepLoad::standardError() const
 {
     return 1 / std::sqrt(m_weight);
@@ -367,6 +376,14 @@
     return load.isKnown(at) ? std::clamp(load.estimateAt(at), MinLoad, 1.0) : m_images[service].peakLoad;
 }
 
+double PressureModel::expectedPeakLoad(ClassIndex service, const StepLoad &load, TimePoint from, Duration span) const
+{
+    if (load.periodic().isKnown(from)) {
+        return std::clamp(load.periodic().peakWithin(from, span), MinLoad, 1.0);
+    }
+    return expectedLoad(service, load, from + LineHorizon);
+}
+
 double PressureModel::utilisationForTail(ClassIndex service, std::int64_t targetMs) const
 {
     return std::clamp(
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -20,6 +20,8 @@
  */
 #pragma once
 
+#include <workflow/loadforecast.h>
+
 #include <placement/interference.h>
 
 #include <cstdint>
@@ -56,7 +58,12 @@
         = std::chrono::milliseconds(1200); ///< a task stalled for longer is moved, if it has checkpoints and another
                                            ///< worker can take it
     int stalledPercent = 15;               ///< a task throttled to this or less is stalled
-    int percentStep = 20;                  ///< throttles are multiples of this, which saves orders
+    bool usesPeriodicForecast = false; ///< forecasts the turns of own loads, see loadforecast.h; best-effort tasks are
+                                       ///< placed for the time that they need, and throttled before a load rises
+    Duration throttleLookahead
+        = std::chrono::milliseconds(900); ///< with the periodic forecast: until the throttles of the next report apply
+    Duration maxPlacementLookahead = std::chrono::seconds(3); ///< with it: of a best-effort task's run time
+    int percentStep = 20;                                     ///< throttles are multiples of this, which saves orders
 };
 
 /**
@@ -73,6 +80,7 @@
     bool isKnown(TimePoint at) const;        ///< false if the last sample is too old
     double estimateAt(TimePoint when) const; ///< requires isKnown()
     double standardError() const;            ///< approximate
+    const PeriodicLoad &periodic() const;    ///< of the same samples
 
 private:
     void decay(TimePoint at);
@@ -84,6 +92,7 @@
     double m_loads = 0;
     double m_products = 0; ///< of time and load
     TimePoint m_lastSampleAt{};
+    PeriodicLoad m_periodic;
 };
 
 struct BestEffortTask
@@ -134,6 +143,9 @@
     /** Own load expected at @p at; the image's peak load if there are no recent samples in @p load. */
     double expectedLoad(ClassIndex service, const StepLoad &load, TimePoint at) const;
 
+    /** The highest own load expected within @p span from @p from; falls back to expectedLoad() at its end, or its start. */
+    double expectedPeakLoad(ClassIndex service, const StepLoad &load, TimePoint from, Duration span) const;
+
     /** Utilisation at which the tail latency is @p targetMs. */
     double utilisationForTail(ClassIndex service, std::int64_t targetMs) const;
 
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -55,11 +55,17 @@
     return bestEffort;
 }
 
-/** Sum of the neighbours' effects at which @p serving stays @p margin (of utilisation) below its latency target. */
-double WorkflowScheduler::allowedInterference(const TaskRef &serving, double margin) const
+/**
+ * Sum of the neighbours' effects at which @p serving stays @p margin (of utilisation) below its latency target during
+ * @p span from now.
+ */
+double WorkflowScheduler::allowedInterference(const TaskRef &serving, double margin, Duration span) const
 {
     const ClassIndex image = imageOf(serving);
-    const double load = m_pressure.expectedLoad(image, loadOf(serving), m_now + m_settings.pressure.forecastHorizon);
+    const double load
+        = m_settings.pressure.usesPeriodicForecast
+              ? m_pressure.expectedPeakLoad(image, loadOf(serving), m_now, span)
+              : m_pressure.expectedLoad(image, loadOf(serving), m_now + m_settings.pressure.forecastHorizon);
     return (m_pressure.utilisationForTail(image, serving.spec().latencyTargetMs) - margin) / load - 1;
 }
 
@@ -77,18 +83,21 @@
     const std::vector<BestEffortTask> bestEffort = describeBestEffortRuns(worker, bestEffortRuns(worker));
     const double margin = m_settings.pressure.placementMargin;
     if (isServing(ref)) { // never rejected: its neighbours are throttled instead
-        return std::max(0.0, m_pressure.totalEffect(imageOf(ref), bestEffort) - allowedInterference(ref, margin));
+        const double allowed = allowedInterference(ref, margin, m_settings.pressure.throttleLookahead);
+        return std::max(0.0, m_pressure.totalEffect(imageOf(ref), bestEffort) - allowed);
     }
     if (m_now < worker.bestEffortPausedUntil) {
         return std::nullopt;
     }
+    const Duration span = std::min<Duration>(m_settings.pressure.maxPlacementLookahead,
+                                             std::chrono::milliseconds(ref.spec().estimateMs));
     double strongest = 0;
     for (const TaskRef &it : worker.runs) {
         if (!isServing(it)) {
             continue;
         }
         const double ownEffect = m_pressure.effect(imageOf(it), imageOf(ref)) * cpuShareOf(ref, worker);
-        if (m_pressure.totalEffect(imageOf(it), bestEffort) + ownEffect > allowedInterference(it, margin)) {
+        if (m_pressure.totalEffect(imageOf(it), bestEffort) + ownEffect > allowedInterference(it, margin, span)) {
             return std::nullopt;
         }
         strongest = std::max(strongest, ownEffect);
@@ -96,6 +105,22 @@
     return strongest;
 }
 
+/** CPU in millis that the worker's long-running tasks are expected to use on average during @p span from now. */
+double WorkflowScheduler::expectedUseMillis(const WorkerState &worker, Duration span) const
+{
+    double use = 0;
+    for (const TaskRef &it : worker.runs) {
+        if (!it.spec().isLongRunning) {
+            continue;
+        }
+        const PeriodicLoad &load = loadOf(it).periodic();
+        const double share = isServing(it) && load.isKnown(m_now) ? std::clamp(load.meanWithin(m_now, span), 0.0, 1.0)
+                                                                  : m_settings.placement.longRunningUtilisation;
+        use += share * static_cast<double>(it.spec().need.cpuMillis);
+    }
+    return use;
+}
+
 std::map<std::string, int> WorkflowScheduler::bestEffortTolerance() const
 {
     const std::vector<ClassIndex> images = m_pressure.knownNeighbours();
@@ -176,10 +201,15 @@
         if (!isServing(it)) {
             continue;
         }
-        planThrottle(
-            m_pressure, imageOf(it), allowedInterference(it, m_settings.pressure.targetMargin), bestEffort, percents);
+        planThrottle(m_pressure,
+                     imageOf(it),
+                     allowedInterference(it, m_settings.pressure.targetMargin, m_settings.pressure.throttleLookahead),
+                     bestEffort,
+                     percents);
         const double effects = m_pressure.totalEffect(imageOf(it), bestEffort);
-        mustLower = mustLower || effects > allowedInterference(it, m_settings.pressure.throttleMargin);
+        mustLower = mustLower
+                    || effects > allowedInterference(
+                           it, m_settings.pressure.throttleMargin, m_settings.pressure.throttleLookahead);
         const TimePoint overSince = it.task().overTargetSince;
         if (overSince != TimePoint{} && m_now - overSince >= m_settings.pressure.maxTimeOverTarget) {
             worker.bestEffortPausedUntil = m_now + m_settings.pressure.holdTime;
@@ -248,7 +278,7 @@
                 "target_ms",
                 worst->spec().latencyTargetMs,
                 "allowed",
-                allowedInterference(*worst, 0));
+                allowedInterference(*worst, 0, m_settings.pressure.throttleLookahead));
 }
 
 void WorkflowScheduler::throttleTask(const TaskRef &ref, int percent)
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -321,7 +321,8 @@
                             bool mustLower);
     std::vector<TaskRef> bestEffortRuns(const WorkerState &worker) const;
     std::vector<BestEffortTask> describeBestEffortRuns(const WorkerState &worker, std::span<const TaskRef> runs) const;
-    double allowedInterference(const TaskRef &serving, double margin) const;
+    double allowedInterference(const TaskRef &serving, double margin, Duration span) const;
+    double expectedUseMillis(const WorkerState &worker, Duration span) const;
     std::optional<double> interferenceOf(const WorkerState &worker, const TaskRef &ref) const;
     std::map<std::string, int> bestEffortTolerance() const; ///< see ShardStatus::tolerance
 
