--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -19,9 +19,10 @@
     return m_counters;
 }
 
-IntakeReply Intake::notAcceptedReply() const
+/** @p cause is the status of the store call without which the request cannot be accepted; Ok: not such a call. */
+IntakeReply Intake::notAcceptedReply(StoreStatus cause) const
 {
-    return {IntakeOutcome::NotAccepted, m_settings.retryAfter};
+    return {IntakeOutcome::NotAccepted, m_settings.retryAfter, cause == StoreStatus::NotExecuted};
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -73,7 +74,7 @@
     }
     if (reply.status != StoreStatus::Ok || reply.items.empty()) {
         m_log.write("cancel_not_accepted", "job", key);
-        done(notAcceptedReply());
+        done(notAcceptedReply(reply.status));
         return;
     }
     auto write = std::make_shared<PendingWrite>();
@@ -147,7 +148,7 @@
     case StoreStatus::NotExecuted:
     case StoreStatus::NotFound:
         if (!write->mayBeStored) {
-            finish(write, IntakeOutcome::NotAccepted);
+            finish(write, IntakeOutcome::NotAccepted, reply.status);
             return;
         }
         break;
@@ -177,7 +178,7 @@
     return write->shard.has_value();
 }
 
-void Intake::finish(const WritePtr &write, IntakeOutcome outcome)
+void Intake::finish(const WritePtr &write, IntakeOutcome outcome, StoreStatus cause)
 {
     std::erase(m_writes, write);
     m_counters.accepted += outcome == IntakeOutcome::Ok && !write->isCancel ? 1 : 0;
@@ -192,9 +193,7 @@
                 static_cast<int>(outcome),
                 "repeated",
                 write->mayBeStored);
-    IntakeReply reply{outcome};
-    reply.retryAfter = outcome == IntakeOutcome::NotAccepted ? m_settings.retryAfter : Duration{};
-    write->done(reply);
+    write->done(outcome == IntakeOutcome::NotAccepted ? notAcceptedReply(cause) : IntakeReply{outcome});
 }
 
 void Intake::tick(TimePoint now)
@@ -231,7 +230,7 @@
             return;
         }
         if (reply.status != StoreStatus::Ok || reply.items.empty()) {
-            done(notAcceptedReply());
+            done(notAcceptedReply(reply.status));
             return;
         }
         IntakeReply answer;
@@ -253,7 +252,7 @@
         } else if (reply.status == StoreStatus::Ok) {
             done({});
         } else {
-            done(notAcceptedReply());
+            done(notAcceptedReply(reply.status));
         }
     });
 }
@@ -301,7 +300,7 @@
 {
     m_store.range(StatusPrefix, {}, [this, done = std::move(done)](const StoreReply &reply) {
         if (reply.status != StoreStatus::Ok) {
-            done(notAcceptedReply());
+            done(notAcceptedReply(reply.status));
             return;
         }
         try {
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -33,6 +33,8 @@
 {
     IntakeOutcome outcome = IntakeOutcome::Ok;
     Duration retryAfter{};                       ///< set if NotAccepted
+    bool isRefusedByStore = false; ///< NotAccepted because the store did not execute this node's call; may differ at
+                                   ///< another node
     WorkflowState state = WorkflowState::Queued; ///< set by queryState()
     std::uint32_t pending = 0;                   ///< set by countPending()
 };
@@ -106,8 +108,8 @@
     void send(const WritePtr &write);
     void onWriteReply(const WritePtr &write, const StoreReply &reply);
     bool updateCancel(const WritePtr &write, const StoreReply &conflict);
-    void finish(const WritePtr &write, IntakeOutcome outcome);
-    IntakeReply notAcceptedReply() const;
+    void finish(const WritePtr &write, IntakeOutcome outcome, StoreStatus cause = StoreStatus::Ok);
+    IntakeReply notAcceptedReply(StoreStatus cause = StoreStatus::Ok) const;
     void checkRegistration(const JobKey &key, const Done &done);
     void readJobForCancel(const JobKey &key, TimePoint deadline, Done done);
     void onJobReadForCancel(const JobKey &key, TimePoint deadline, const StoreReply &reply, const Done &done);
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -75,6 +75,7 @@
     std::map<ShardId, WorkflowCounters> lastCounters; ///< of the shards that this node leads
     IntakeCounters lastIntake;
     std::map<std::string, std::uint32_t> lastEvacuatedRuns; ///< by queue
+    ForwardCounters lastForwards;
     std::uint64_t lastLeftOut = 0;
 };
 
@@ -123,6 +124,19 @@
     it.addIncrease("intake_total", {{"outcome", "unknown"}}, intake.unknown, it.lastIntake.unknown);
     it.addIncrease("questions_total", {}, intake.queries, it.lastIntake.queries);
     it.lastIntake = intake;
+    if (node.peers().settings().isEnabled) {
+        const ForwardCounters &forwards = node.peers().counters;
+        const ForwardCounters &before = it.lastForwards;
+        it.addIncrease("forwarded_total", {{"outcome", "served"}}, forwards.served, before.served);
+        it.addIncrease("forwarded_total", {{"outcome", "refused"}}, forwards.refused, before.refused);
+        it.addIncrease("forwarded_total", {{"outcome", "not_sent"}}, forwards.notSent, before.notSent);
+        it.addIncrease("forwarded_total", {{"outcome", "unanswered"}}, forwards.unanswered, before.unanswered);
+        it.addIncrease("forwarded_total", {{"outcome", "no_peer"}}, forwards.noPeer, before.noPeer);
+        it.addIncrease("forwards_received_total", {}, forwards.received, before.received);
+        it.lastForwards = forwards;
+        it.set("forwards_in_flight", node.peers().inFlight());
+        it.set("peers", static_cast<double>(node.peers().peers()));
+    }
     it.addIncrease("log_lines_left_out_total", {}, logLinesLeftOut, it.lastLeftOut);
     it.lastLeftOut = logLinesLeftOut;
     it.set("led_shards", static_cast<double>(it.lastCounters.size()));
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -18,6 +18,9 @@
  *                                     since the store confirmed that the catalog is the newest
  *   evacuations_requested             gauge: failure domains that an operator has evacuated
  *   evacuated_domain_runs{queue}      gauge: what still runs there, in the shards that this node leads
+ *   forwarded_total{outcome}, forwards_received_total, forwards_in_flight, peers
+ *                                     requests that this node forwarded to others, by outcome (served, refused, not_sent,
+ *                                     unanswered, no_peer), and requests that it got from others; only if forwarding is on
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
 #pragma once
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -68,6 +68,13 @@
     , m_clock(clock)
     , m_log(log)
     , m_evacuations(settings.evacuation, settings.evacuation.orderValidity(settings.scheduler.orderValidity))
+    , m_peers(clock, log, settings.name, settings.failureDomain, settings.peers)
+    , m_listing(store,
+                clock,
+                log,
+                settings.name,
+                {settings.peers.address, settings.failureDomain, settings.bootId},
+                settings.peers)
     , m_operatorItems(
           store, clock, log, std::string(decoder.operatorPrefix()), [this](const StoreItem &it) { onOperatorItem(it); })
     , m_clusterState(
@@ -88,6 +95,16 @@
     return std::max(m_operatorItems.confirmedAt(), m_catalogReadAt);
 }
 
+PeerDirectory &Node::peers()
+{
+    return m_peers;
+}
+
+const PeerDirectory &Node::peers() const
+{
+    return m_peers;
+}
+
 Intake &Node::intake()
 {
     return m_intake;
@@ -154,6 +171,7 @@
 void Node::beginDrain()
 {
     m_isDraining = true;
+    m_listing.end();
     for (const auto &it : m_localShards) {
         it->election.resign();
     }
@@ -163,6 +181,9 @@
 {
     m_operatorItems.tick(now);
     m_clusterState.tick(now);
+    if (m_settings.peers.isEnabled && (m_catalog.version > 0 || m_isDraining)) {
+        m_listing.tick(now);
+    }
     tickEvacuations(now);
     endCatalogWaits(now);
     if (!m_hasStoredBootId && now >= m_storeBootIdAt) {
@@ -307,6 +328,12 @@
         for (const auto &[id, worker] : m_registeredWorkers) {
             forwardWorker(worker);
         }
+    } else if (item.key.starts_with(NodePrefix)) {
+        if (item.key.substr(NodePrefix.size()) == m_settings.name) {
+            m_listing.onOwnItem(item);
+        } else if (m_settings.peers.isEnabled) {
+            m_peers.onItem(item);
+        }
     } else if (item.key.starts_with(LeaderPrefix)) {
         const auto shard = shardOfKey(item.key, LeaderPrefix);
         if (shard && *shard < m_localShards.size()) {
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -13,6 +13,7 @@
 #include <workflow/intake.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
+#include <workflow/peers.h>
 #include <workflow/scheduler.h>
 #include <workflow/shardassigner.h>
 #include <workflow/shards.h>
@@ -32,6 +33,7 @@
     IntakeSettings intake;
     ShardSettings shards;
     EvacuationSettings evacuation;
+    PeerSettings peers;
     Duration maxStoreSilence
         = std::chrono::milliseconds(3500); ///< a node is not ready once the store has not answered for this long, as
                                            ///< it could not accept jobs. Must exceed a watch's timeout and margin
@@ -61,6 +63,8 @@
     const Catalog &catalog() const;       ///< version 0: none yet
     TimePoint catalogConfirmedAt() const; ///< no newer catalog was stored before this time
     const EvacuationRequests &evacuations() const;
+    PeerDirectory &peers(); ///< empty unless NodeSettings::peers is enabled
+    const PeerDirectory &peers() const;
 
     /**
      * Calls @p done with true as soon as no newer catalog can have been stored more than maxCatalogAge before
@@ -138,6 +142,8 @@
     std::set<std::string> m_unknownEvacuations;    ///< failure domains without workers whose evacuation was logged
     TimePoint m_nextEvacuationReadAt{};            ///< earliest time of the next read
     bool m_areStartsWaiting = false;               ///< the requests are not confirmed, which was logged
+    PeerDirectory m_peers;
+    NodeListing m_listing;
     PrefixMirror m_operatorItems;
     PrefixMirror m_clusterState;
     std::unique_ptr<PrefixMirror> m_registry; ///< while this node leads a shard
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -18,6 +18,7 @@
  *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints, tasks given to other shards
  *   ctl/board/leader/N   leader key, under a lease (election.h)
  *   ctl/board/shards     ShardMap
+ *   ctl/board/node/NAME  PeerRecord: a node that takes forwarded requests, under a lease (peers.h)
  *   ctl/epoch/N          EpochRecord: the last epoch, its leader, and which former leaders may still send orders
  *   ctl/boot/NODE        the node's current boot ID; a leader with another boot ID of this node no longer runs
  *   ctl/workers/N        KnownWorker list: every worker to which the current leader may have sent an order
