Forwarding: peers of untried failure domains first, and tests

Cause: a second attempt preferred the caller's own failure domain, which the store often turns away as a whole. In the pattern 'a third of the nodes rejected' 24 of 6,000 requests met two rejected peers and were answered 503. Change: a further attempt prefers a peer whose last call succeeded, in a domain that is not tried yet.

--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -32,7 +32,7 @@
 struct IntakeReply
 {
     IntakeOutcome outcome = IntakeOutcome::Ok;
-    Duration retryAfter{};                       ///< set if NotAccepted
+    Duration retryAfter{};         ///< set if NotAccepted
     bool isRefusedByStore = false; ///< NotAccepted because the store did not execute this node's call; may differ at
                                    ///< another node
     WorkflowState state = WorkflowState::Queued; ///< set by queryState()
--- a/packages/workflow/peers.cpp
+++ b/packages/workflow/peers.cpp
@@ -53,12 +53,8 @@
 // NodeListing
 // ---------------------------------------------------------------------------------------------------------------------
 
-NodeListing::NodeListing(RecordStore &store,
-                         Clock &clock,
-                         EventLog &log,
-                         std::string node,
-                         PeerRecord record,
-                         const PeerSettings &settings)
+NodeListing::NodeListing(
+    RecordStore &store, Clock &clock, EventLog &log, std::string node, PeerRecord record, const PeerSettings &settings)
     : m_store(store)
     , m_clock(clock)
     , m_log(log)
@@ -284,22 +280,32 @@
     return now >= peer.usableAt && peer.inFlight < limit;
 }
 
-bool PeerDirectory::isBetter(const Peer &a, const Peer &b) const
+std::set<std::string> PeerDirectory::domainsOf(const std::set<std::string> &names) const
 {
-    const auto rank = [this](const Peer &it) {
-        const bool isOtherDomain = it.record.failureDomain != m_failureDomain;
-        return std::tuple(isOtherDomain, it.inFlight, it.chosenAt, it.tieBreak);
-    };
-    return rank(a) < rank(b);
+    std::set<std::string> domains;
+    for (const std::string &it : names) {
+        const auto found = m_peers.find(it);
+        if (found != m_peers.end()) {
+            domains.insert(found->second.record.failureDomain);
+        }
+    }
+    return domains;
 }
 
 std::optional<ChosenPeer> PeerDirectory::choose(const std::set<std::string> &tried)
 {
     const TimePoint now = m_clock.now();
+    const std::set<std::string> triedDomains = domainsOf(tried);
+    const auto rank = [&](const Peer &it) { // the lowest is chosen
+        const bool hasFailed = !tried.empty() && it.backOff > Duration::zero();
+        const bool isDomainTried = triedDomains.contains(it.record.failureDomain);
+        const bool isOtherDomain = it.record.failureDomain != m_failureDomain;
+        return std::tuple(hasFailed, isDomainTried, isOtherDomain, it.inFlight, it.chosenAt, it.tieBreak);
+    };
     auto best = m_peers.end();
     for (auto it = m_peers.begin(); it != m_peers.end() && m_inFlight < m_settings.maxInFlight; ++it) {
         const bool isCandidate = isUsable(it->second, now) && !tried.contains(it->first);
-        if (isCandidate && (best == m_peers.end() || isBetter(it->second, best->second))) {
+        if (isCandidate && (best == m_peers.end() || rank(it->second) < rank(best->second))) {
             best = it;
         }
     }
--- a/packages/workflow/peers.h
+++ b/packages/workflow/peers.h
@@ -49,9 +49,9 @@
     Duration maxBackOff = std::chrono::seconds(5);
 
     // One request
-    int maxAttempts = 2;                                  ///< calls to different peers
-    Duration hopMargin = std::chrono::milliseconds(100);  ///< kept from the peer's time so that its answer still
-                                                          ///< reaches the caller
+    int maxAttempts = 2;                                   ///< calls to different peers
+    Duration hopMargin = std::chrono::milliseconds(100);   ///< kept from the peer's time so that its answer still
+                                                           ///< reaches the caller
     Duration minTimeLeft = std::chrono::milliseconds(400); ///< of the caller's time, to forward at all: hopMargin,
                                                            ///< IntakeSettings::replyMargin and one store call
 };
@@ -148,11 +148,8 @@
 class PeerDirectory
 {
 public:
-    PeerDirectory(Clock &clock,
-                  EventLog &log,
-                  std::string node,
-                  std::string failureDomain,
-                  const PeerSettings &settings);
+    PeerDirectory(
+        Clock &clock, EventLog &log, std::string node, std::string failureDomain, const PeerSettings &settings);
 
     const PeerSettings &settings() const;
 
@@ -161,8 +158,9 @@
 
     /**
      * Chooses a peer that is not in @p tried: of this node's failure domain if possible, with the fewest calls in
-     * flight, then the one chosen longest ago. None if all are backed off or have enough calls in flight. Each chosen
-     * peer must be given back with release().
+     * flight, then the one chosen longest ago. A further attempt goes to a peer whose last call succeeded, in a failure
+     * domain that is not tried yet, if there is one: the store often turns away a whole domain. None if all are backed
+     * off or have enough calls in flight. Each chosen peer must be given back with release().
      */
     std::optional<ChosenPeer> choose(const std::set<std::string> &tried);
 
@@ -185,7 +183,7 @@
     };
 
     bool isUsable(const Peer &peer, TimePoint now) const;
-    bool isBetter(const Peer &a, const Peer &b) const;
+    std::set<std::string> domainsOf(const std::set<std::string> &names) const;
 
     Clock &m_clock;
     EventLog &m_log;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -532,9 +532,20 @@
         settings.shards = shards;
         settings.scheduler = scheduler;
         settings.evacuation = evacuation;
+        settings.peers = peers;
+        if (peers.isEnabled) {
+            settings.peers.address = peerAddress(i);
+            settings.failureDomain = "d" + std::to_string(i / 2);
+        }
         it.node = std::make_unique<Node>(settings, it.store, it.port, decoder, clock, it.log);
     }
 
+    /** The address at which node @p i takes forwarded requests. */
+    static std::string peerAddress(int i)
+    {
+        return "10.0.0." + std::to_string(i) + ":80";
+    }
+
     void kill(int i)
     {
         RigNode &it = *nodes[static_cast<std::size_t>(i)];
@@ -658,6 +669,7 @@
     ShardSettings shards{80, 40, Duration::zero()};
     WorkflowSettings scheduler;    ///< of nodes that boot from now on
     EvacuationSettings evacuation; ///< of nodes that boot from now on
+    PeerSettings peers;            ///< of nodes that boot from now on; their addresses are set by boot()
     std::vector<std::unique_ptr<RigNode>> nodes;
 
 private:
