--- a/packages/workflow/tests/peertest.cpp
+++ b/packages/workflow/tests/peertest.cpp
@@ -46,7 +46,7 @@
 
     explicit ForwardingNodes(int count, int perDomain)
         : log(clock, 0, 0)
-        , replies(clock)
+        , m_replies(clock)
     {
         settings.isEnabled = true;
         for (int i = 0; i < count; ++i) {
@@ -75,7 +75,7 @@
         const int stepsPerRequest = static_cast<int>(1000 / perSecond);
         for (int step = 0; clock.now() < until; ++step) {
             clock.advance(1ms);
-            replies.deliver();
+            m_replies.deliver();
             if (onStep) {
                 onStep();
             }
@@ -87,7 +87,7 @@
             }
         }
         clock.advance(CallerTime);
-        replies.deliverAll();
+        m_replies.deliverAll();
     }
 
     ManualClock clock;
@@ -118,7 +118,7 @@
         to.open += answer == PeerAnswer::Decided ? 1 : 0;
         to.maxOpen = std::max(to.maxOpen, to.open);
         const Duration time = answer == PeerAnswer::Decided ? ServiceTime : RefusalTime;
-        replies.schedule(time, [this, &from, &to, peer = *peer, tried, deadline, answer] {
+        m_replies.schedule(time, [this, &from, &to, peer = *peer, tried, deadline, answer] {
             from.directory->release(peer, answer);
             to.open -= answer == PeerAnswer::Decided ? 1 : 0;
             to.decided += answer == PeerAnswer::Decided ? 1 : 0;
@@ -140,7 +140,7 @@
         });
     }
 
-    DelayedCalls replies;
+    DelayedCalls m_replies;
 };
 
 /** Keys under NodePrefix in the store. */
