An unexpected error ends neither the process nor the work of other parts

Cause: FleetProcess::run(), HttpCalls::poll(), PrefixMirror and the scheduler's callbacks let every exception through, so one error in one decision ended the node's process, and the next leader's after it. A leader that had learned of its successor from a reply also ran one more placement before its term ended. A scheduler whose state may be incomplete after an error ends its term and sends no more orders: a new term reads the state from the store and the workers. A deposed scheduler does nothing more.

--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -60,9 +60,16 @@
 template<typename Handler>
 StoreDone Election::guard(Handler handler)
 {
-    return [alive = std::weak_ptr(m_alive), handler = std::move(handler)](const StoreReply &reply) {
-        if (!alive.expired()) {
+    return [this, alive = std::weak_ptr(m_alive), handler = std::move(handler)](const StoreReply &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        try {
             handler(reply);
+        } catch (const std::exception &error) {
+            m_log.write("election_failed", "shard", m_shard, "error", error.what());
+            endTerm("unexpected error");
+            scheduleRetry();
         }
     };
 }
--- a/packages/workflow/mirror.cpp
+++ b/packages/workflow/mirror.cpp
@@ -153,7 +153,11 @@
     } else {
         m_knownRevisions[item.key] = item.revision;
     }
-    m_onItem(item);
+    try {
+        m_onItem(item);
+    } catch (const std::exception &error) {
+        m_log.write("item_failed", "key", item.key, "revision", item.revision, "error", error.what());
+    }
 }
 
 void PrefixMirror::onCallFailed(std::string_view call)
--- a/packages/workflow/mirror.h
+++ b/packages/workflow/mirror.h
@@ -35,6 +35,7 @@
 class PrefixMirror
 {
 public:
+    /** An item for which it throws an exception is logged and not reported again. */
     using OnItem = std::function<void(const StoreItem &)>;
 
     PrefixMirror(RecordStore &store,
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -161,20 +161,33 @@
 
 void Node::tick(TimePoint now)
 {
-    m_operatorItems.tick(now);
-    m_clusterState.tick(now);
-    tickEvacuations(now);
-    endCatalogWaits(now);
+    runGuarded("mirrors", [this, now] {
+        m_operatorItems.tick(now);
+        m_clusterState.tick(now);
+        tickEvacuations(now);
+        endCatalogWaits(now);
+    });
     if (!m_hasStoredBootId && now >= m_storeBootIdAt) {
         storeBootId(now);
     }
     for (std::size_t i = 0; i < m_localShards.size(); ++i) { // by index: the vector may grow meanwhile
-        tickShard(*m_localShards[i], now);
+        runGuarded("shard", [this, i, now] { tickShard(*m_localShards[i], now); });
+    }
+    runGuarded("registry", [this, now] { tickRegistry(now); });
+    runGuarded("shard_map", [this, now] { updateShardMap(now); });
+    runGuarded("shard_assigner", [this, now] { tickShardAssigner(now); });
+    runGuarded("intake", [this, now] { m_intake.tick(now); });
+}
+
+/** An unexpected error in one part must not keep the others from their work. */
+template<typename Part>
+void Node::runGuarded(std::string_view name, Part part)
+{
+    try {
+        part();
+    } catch (const std::exception &error) {
+        m_log.write("unexpected_error", "in", name, "error", error.what());
     }
-    tickRegistry(now);
-    updateShardMap(now);
-    tickShardAssigner(now);
-    m_intake.tick(now);
 }
 
 /**
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -99,6 +99,8 @@
         std::function<void(bool)> done;
     };
 
+    template<typename Part>
+    void runGuarded(std::string_view name, Part part);
     void onOperatorItem(const StoreItem &item);
     void onEvacuationItem(const StoreItem &item);
     void tickEvacuations(TimePoint now);
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -137,7 +137,10 @@
     /** Performs all work that is due at @p now. @p authority limits what it may do, see Authority. */
     void tick(TimePoint now, Authority authority);
 
-    /** True once a worker or the store has shown that a later leader was elected. */
+    /**
+     * True once a worker or the store has shown that a later leader was elected, and after an unexpected error: the term
+     * then ends, as this state may be incomplete, and a new one reads the state from the store and the workers.
+     */
     bool isDeposed() const;
 
     /**
@@ -205,6 +208,9 @@
         std::uint64_t revision = 0; ///< of the write
     };
 
+    void tickGuarded(TimePoint now, Authority authority);
+    void fail(std::string_view where, const std::exception &error);
+
     // Takeover (takeover.cpp)
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
@@ -438,9 +444,14 @@
 template<typename Handler>
 auto WorkflowScheduler::ifAlive(Handler handler)
 {
-    return [alive = std::weak_ptr(m_alive), handler = std::move(handler)](const auto &reply) {
-        if (!alive.expired()) {
+    return [this, alive = std::weak_ptr(m_alive), handler = std::move(handler)](const auto &reply) {
+        if (alive.expired()) {
+            return;
+        }
+        try {
             handler(reply);
+        } catch (const std::exception &error) {
+            fail("reply", error);
         }
     };
 }
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -88,6 +88,24 @@
 }
 
 void WorkflowScheduler::tick(TimePoint now, Authority authority)
+{
+    if (m_isDeposed) {
+        return; // sends no more orders
+    }
+    try {
+        tickGuarded(now, authority);
+    } catch (const std::exception &error) {
+        fail("tick", error);
+    }
+}
+
+void WorkflowScheduler::fail(std::string_view where, const std::exception &error)
+{
+    m_isDeposed = true;
+    m_log.write("scheduler_failed", "shard", m_shard, "epoch", m_term.epoch, "in", where, "error", error.what());
+}
+
+void WorkflowScheduler::tickGuarded(TimePoint now, Authority authority)
 {
     m_now = now;
     m_authority = authority;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -301,10 +301,14 @@
     int lostOrderReplies = 0;                     ///< number of renewals and stops that get no reply
     Duration lostOrderDelay{};                    ///< delay of the execution of these orders; negative: never executed
     std::map<WorkerId, Duration> renewReplyDelay; ///< additional delay of replies to renewals
+    std::function<void()> beforeStart;            ///< called before each start is sent
 
     void
     start(const WorkerTarget &worker, const StartOrder &order, std::function<void(const OrderReply &)> done) override
     {
+        if (beforeStart) {
+            beforeStart();
+        }
         if (lostStartReplies > 0) {
             --lostStartReplies;
             if (lostStartDelay >= Duration::zero()) {
