Stored records that are impossible are logged and skipped

Cause: a stored job was believed whole. Nested arrays overflowed the stack of the decoder (SIGSEGV), a step after a step that does not exist was read beyond the list, 4 billion tasks were allocated, and a key that is not UTF-8 threw when progress was stored, in each leader in turn. An unreadable job without a shard was read again every 150 ms for good. A shard map with fewer shards than before was taken over, so that the entries of nodes and map no longer matched.

--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -307,7 +307,11 @@
 {
     if (item.key == ShardMapKey && !item.isDeleted) {
         try {
-            m_map = decodeShardMap(item.value);
+            ShardMap map = decodeShardMap(item.value);
+            if (map.shards.size() < m_map.shards.size()) {
+                throw InvalidArgument("shards", "shards are never removed");
+            }
+            m_map = std::move(map);
             m_mapRevision = item.revision;
         } catch (const Error &error) {
             m_log.write("shard_map_unreadable", "revision", item.revision, "error", error.what());
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -1,4 +1,5 @@
 #include <workflow/pressure.h>
+#include <workflow/records.h>
 
 #include <base/errors.h>
 
@@ -125,7 +126,7 @@
 
 SavedPressure decodePressure(std::string_view bytes)
 {
-    const nlohmann::json rows = nlohmann::json::from_msgpack(bytes, true, false);
+    const nlohmann::json rows = decodeMessagePack(bytes);
     if (!rows.is_array() || rows.empty() || rows[0] != SavedVersion) {
         throw InvalidArgument("pressure", "not a stored model of this version");
     }
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -3,6 +3,8 @@
 
 #include <base/errors.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -51,6 +53,39 @@
     return it;
 }
 
+constexpr std::uint64_t MaxStoredTasks = 1'000'000; ///< of a job, over all occurrences; callers get far fewer
+constexpr std::int64_t MaxStoredFigure = 1'000'000'000'000;
+
+/** Throws InvalidArgument if a record of another writer describes a job that cannot be held in memory or placed. */
+void checkSteps(const WorkflowSpec &spec)
+{
+    std::uint64_t tasks = 0;
+    for (std::size_t i = 0; i < spec.steps.size(); ++i) {
+        const StepSpec &it = spec.steps[i];
+        tasks += it.taskCount;
+        const bool isAfterEarlier
+            = std::all_of(it.after.begin(), it.after.end(), [i](std::uint32_t step) { return step < i; });
+        const auto isPossible = [](std::int64_t figure) { return figure >= 0 && figure <= MaxStoredFigure; };
+        if (!isAfterEarlier || !isPossible(it.need.cpuMillis) || !isPossible(it.need.memoryMib)
+            || !isPossible(it.need.accelerators) || !isPossible(it.estimateMs)) {
+            throw InvalidArgument("job", "step " + std::to_string(i) + " is impossible");
+        }
+    }
+    const std::uint64_t occurrences = std::max<std::uint64_t>(1, spec.repeatCount);
+    if (tasks > MaxStoredTasks || occurrences > MaxStoredTasks || tasks * occurrences > MaxStoredTasks) {
+        throw InvalidArgument("job", "too many tasks");
+    }
+}
+
+WorkflowState toState(const json &value)
+{
+    const int state = value.get<int>();
+    if (state < static_cast<int>(WorkflowState::Queued) || state > static_cast<int>(WorkflowState::Cancelled)) {
+        throw InvalidArgument("progress", "unknown state");
+    }
+    return static_cast<WorkflowState>(state);
+}
+
 bool hasProgress(const TaskState &task)
 {
     return task.phase == TaskPhase::Done || !task.failedAttempts.empty() || !task.checkpoint.empty();
@@ -150,6 +185,7 @@
         job.stretch = value.at(13);
         job.slackMs = value.at(14);
         job.acceptedMs = value.at(15);
+        checkSteps(job.spec);
         return job;
     } catch (const json::exception &error) {
         throw InvalidArgument("job", error.what());
@@ -242,7 +278,7 @@
 {
     const json value = unpackRecord(bytes);
     try {
-        job.state = static_cast<WorkflowState>(value.at(1).get<int>());
+        job.state = toState(value.at(1));
         for (const json &it : value.at(2)) {
             readTask(it, job);
         }
@@ -267,7 +303,7 @@
 {
     const json value = unpackRecord(bytes);
     try {
-        return static_cast<WorkflowState>(value.at(1).get<int>());
+        return toState(value.at(1));
     } catch (const json::exception &error) {
         throw InvalidArgument("progress", error.what());
     }
--- a/packages/workflow/records.h
+++ b/packages/workflow/records.h
@@ -12,6 +12,9 @@
 
 std::string packRecord(const nlohmann::json &record);
 
+/** A discarded value if @p bytes are not MessagePack, or are nested so deeply that decoding might overflow the stack. */
+nlohmann::json decodeMessagePack(std::string_view bytes);
+
 /** Throws InvalidArgument if @p bytes are not a record of this version. */
 nlohmann::json unpackRecord(std::string_view bytes);
 
--- a/packages/workflow/shardassigner.cpp
+++ b/packages/workflow/shardassigner.cpp
@@ -49,8 +49,15 @@
     const JobKey key = item.key.substr(UnassignedPrefix.size());
     if (item.isDeleted) {
         m_waiting.erase(key);
-    } else {
+        return;
+    }
+    try {
+        if (decodeAccepted(item.value).spec.key != key) {
+            throw InvalidArgument("job", "is stored under another key");
+        }
         m_waiting[key].value = item.value;
+    } catch (const Error &error) {
+        m_log.write("job_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
     }
 }
 
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -318,6 +318,9 @@
 {
     JobPtr job = makeJob(decodeAccepted(item.value), item.created);
     const JobKey key = job->key();
+    if (item.key != m_keys.jobs + key) {
+        throw InvalidArgument("job", "is stored under another key");
+    }
     if (m_jobs.contains(key)) {
         return;
     }
--- a/packages/workflow/tests/operatorreportstest.cpp
+++ b/packages/workflow/tests/operatorreportstest.cpp
@@ -6,14 +6,52 @@
 
 #include <workflow/records.h>
 
+#include <stdexcept>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
 
 constexpr auto Done = WorkflowState::Completed;
+constexpr Duration StartBound = 5s; ///< of evacuations
+
+void removeEntry(Rig &rig, const WorkerId &id)
+{
+    ++rig.backend.revision;
+    rig.backend.remove("workers/" + id);
+}
+
+WorkflowSpec makeLongRunningJob(Rig &rig, const JobKey &key, std::uint32_t tasks)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].isLongRunning = true;
+    rig.fleet.longRunningJobs.insert(key);
+    return spec;
+}
+
+AcceptedJob makeAccepted(const JobKey &key)
+{
+    AcceptedJob job;
+    job.spec = Rig::makeJob(key, 1, 2);
+    job.queue = "queue";
+    job.pool = "pool";
+    return job;
+}
 
 } // namespace
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Silent workers
+// ---------------------------------------------------------------------------------------------------------------------
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Hand-overs
+// ---------------------------------------------------------------------------------------------------------------------
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Pauses of a process
+// ---------------------------------------------------------------------------------------------------------------------
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Malformed data and unexpected errors
 // ---------------------------------------------------------------------------------------------------------------------
@@ -38,4 +76,72 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against records of another writer that end the process or exhaust its memory: they are logged and skipped.
+TEST(OperatorReports, impossibleJobsAreSkipped)
+{
+    Rig rig(2, 2);
+    rig.run(1s);
+    const ShardKeys keys = makeShardKeys(0);
+    rig.backend.write(keys.jobs + "x1", "not a record");
+    rig.backend.write(keys.jobs + "x2", std::string(200'000, '\x91')); // nested arrays
+    AcceptedJob job = makeAccepted("x3");
+    job.spec.steps[1].after = {7};
+    rig.backend.write(keys.jobs + "x3", encodeAccepted(job));
+    job = makeAccepted("x4");
+    job.spec.steps[0].taskCount = 4'000'000'000;
+    rig.backend.write(keys.jobs + "x4", encodeAccepted(job));
+    job = makeAccepted("x5");
+    job.spec.repeatCount = 4'000'000'000;
+    rig.backend.write(keys.jobs + "x5", encodeAccepted(job));
+    job = makeAccepted("x6");
+    job.spec.steps[0].need.cpuMillis = -1'000'000;
+    rig.backend.write(keys.jobs + "x6", encodeAccepted(job));
+    rig.backend.write(keys.jobs + "x7", encodeAccepted(makeAccepted("\xff\xfe"))); // no JSON can hold this key
+    GivenTask given;
+    given.accepted = makeAccepted("x8");
+    rig.backend.write(keys.taken + "0.0/other", encodeGivenTask(given));
+    rig.submit(0, Rig::makeJob("a", 2));
+    EXPECT_NO_THROW(rig.run(3s));
+    EXPECT_EQ(rig.state("a"), Done);
+    EXPECT_EQ(rig.fleet.startedJobs, std::set<JobKey>{"a"});
+    rig.kill(rig.leader());
+    rig.backend.write(std::string(ProgressPrefix) + "x9", packRecord({StoredVersion, 77, 1}));
+    rig.backend.write(keys.jobs + "x9", encodeAccepted(makeAccepted("x9")));
+    EXPECT_NO_THROW(rig.run(5s));
+    rig.submit(rig.leader(), Rig::makeJob("b", 2));
+    EXPECT_NO_THROW(rig.run(3s));
+    EXPECT_EQ(rig.state("b"), Done) << "the next leader skips them as well";
+    EXPECT_EQ(rig.fleet.startedJobs, (std::set<JobKey>{"a", "b"}));
+}
+
+// Guards against unreadable records of shards: a job that waits for its shard, a map with fewer shards than before.
+TEST(OperatorReports, unreadableRecordsOfShardsAreSkipped)
+{
+    Rig rig(2, 8, 2);
+    rig.run(6s);
+    const ShardMap before = rig.shardMap();
+    ASSERT_GT(before.shards.size(), 2U);
+    rig.backend.write(std::string(UnassignedPrefix) + "x1", "not a record");
+    rig.backend.write(std::string(UnassignedPrefix) + "x2", std::string(200'000, '\x91'));
+    for (const std::string key : {"x1", "x2"}) {
+        rig.backend.write(std::string(RegistrationPrefix) + key, encodeRegistration({}));
+    }
+    ShardMap map;
+    map.shards.push_back(before.shards[0]);
+    map.shards.push_back(before.shards[1]);
+    rig.backend.write(std::string(ShardMapKey), encodeShardMap(map));
+    EXPECT_NO_THROW(rig.run(2s));
+    rig.submit(0, makeLongRunningJob(rig, "a", 2));
+    EXPECT_NO_THROW(rig.run(5s));
+    EXPECT_EQ(rig.fleet.runningTasks(), 2U);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Restarts
+// ---------------------------------------------------------------------------------------------------------------------
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Lost answers
+// ---------------------------------------------------------------------------------------------------------------------
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -40,6 +40,12 @@
               });
 }
 
+bool givenTaskIsUnknown(const JobState &job, const GivenTask &task)
+{
+    const auto &steps = job.occurrences.front().steps;
+    return task.step >= steps.size() || task.index >= steps[task.step].tasks.size();
+}
+
 } // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -353,6 +359,10 @@
     GivenTask given = decodeGivenTask(item.value);
     const JobKey key = given.accepted.spec.key;
     JobState *job = findJob(key);
+    if (item.key != givenTaskKey(m_keys, key, given.step, given.index)
+        || (job != nullptr && givenTaskIsUnknown(*job, given))) {
+        throw InvalidArgument("given task", "does not fit its key or its job");
+    }
     if (job == nullptr) {
         JobPtr guest = makeJob(std::move(given.accepted), item.created);
         guest->isGuest = true;
