Takeover: an unreadable list of workers is outwaited

Cause: decodeWorkers() threw out of the callback, which ended the process of each node that was elected. Change: the list is logged, and a worker without an address stands for those that former leaders may have used: tasks wait as for a worker that cannot be reached. The list is then written anew.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -214,6 +214,7 @@
     // Takeover (takeover.cpp)
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
+    std::vector<KnownWorker> readWorkers(const StoreItem &item);
     void loadPressure();
     void loadSharedPressure(TimePoint now);
     void onSharedPressureLoaded(const StoreReply &reply);
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -177,7 +177,7 @@
     }
     for (const StoreItem &it : reply.items) {
         m_workersRevision = it.revision;
-        for (const KnownWorker &known : decodeWorkers(it.value)) {
+        for (const KnownWorker &known : readWorkers(it)) {
             WorkerState &worker = findOrAddWorker(known.id);
             if (worker.record.address.empty()) {
                 worker.record.address = known.address;
@@ -192,6 +192,21 @@
     loadProgress({});
 }
 
+/**
+ * Decodes the list of workers in use. If it cannot be read, former leaders may have used workers that nobody knows: a
+ * worker without an address, which never answers, stands for them and is outwaited like one that cannot be reached.
+ */
+std::vector<KnownWorker> WorkflowScheduler::readWorkers(const StoreItem &item)
+{
+    try {
+        return decodeWorkers(item.value);
+    } catch (const Error &error) {
+        m_log.write("workers_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
+        m_workersDirty = true;
+        return {{"unreadable list", 0, {}, {}}};
+    }
+}
+
 /** Loads the former leader's pressure model. Nothing waits for it: without it, the model is learned again. */
 void WorkflowScheduler::loadPressure()
 {
--- a/packages/workflow/tests/operatorreportstest.cpp
+++ b/packages/workflow/tests/operatorreportstest.cpp
@@ -76,6 +76,29 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against an unreadable list of workers that ends each process that is elected. Former leaders may have used any
+// worker, so that tasks wait as for a worker that cannot be reached.
+TEST(OperatorReports, unreadableListOfWorkersIsOutwaited)
+{
+    Rig rig(2, 2);
+    rig.fleet.workTime = 60s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 4));
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 4U);
+    rig.backend.write("ctl/workers/0", "not a record");
+    const int former = rig.leader();
+    rig.nodes[static_cast<std::size_t>(1 - former)]->port.unreachableWorkers = {"w0"};
+    const std::uint64_t before = rig.fleet.starts;
+    rig.kill(former);
+    EXPECT_NO_THROW(rig.run(5s));
+    EXPECT_EQ(rig.fleet.starts, before) << "w0 may still run its tasks";
+    EXPECT_NO_THROW(rig.run(20s));
+    EXPECT_EQ(rig.fleet.runningTasks(), 4U);
+    EXPECT_EQ(decodeWorkers(rig.backend.items.at("ctl/workers/0").value).empty(), false);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // Guards against records of another writer that end the process or exhaust its memory: they are logged and skipped.
 TEST(OperatorReports, impossibleJobsAreSkipped)
 {
