Intake: an unreadable status hides no other shard's

Cause: one status that could not be decoded discarded all of them; callers who asked for counts got 503, and jobs were sent to shards by no load at all. Change: it is logged once for each revision and skipped. Measured: OperatorReports.unreadableStatusHidesNoOther fails on the sources before and passes.

--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -3,6 +3,7 @@
 #include <base/errors.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace QuetzalRock::Workflow {
 
@@ -304,13 +305,7 @@
             done(notAcceptedReply());
             return;
         }
-        try {
-            applyStatuses(reply);
-        } catch (const Error &error) {
-            m_log.write("statuses_unreadable", "error", error.what());
-            done(notAcceptedReply());
-            return;
-        }
+        applyStatuses(reply);
         done({});
     });
 }
@@ -319,8 +314,17 @@
 {
     ShardStatuses statuses;
     for (const StoreItem &it : reply.items) {
-        if (const auto shard = shardOfKey(it.key, StatusPrefix)) {
+        const auto shard = shardOfKey(it.key, StatusPrefix);
+        if (!shard) {
+            continue;
+        }
+        try {
             statuses[*shard] = decodeStatus(it.value);
+        } catch (const Error &error) {
+            std::uint64_t &logged = m_unreadableStatuses[*shard];
+            if (std::exchange(logged, it.revision) != it.revision) {
+                m_log.write("status_unreadable", "key", it.key, "revision", it.revision, "error", error.what());
+            }
         }
     }
     m_statuses = std::move(statuses);
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -18,6 +18,7 @@
 
 #include <base/eventlog.h>
 
+#include <map>
 #include <memory>
 
 namespace QuetzalRock::Workflow {
@@ -124,6 +125,7 @@
     ShardStatuses m_statuses;
     TimePoint m_statusesReadAt{}; ///< zero: never
     bool m_isReadingStatuses = false;
+    std::map<ShardId, std::uint64_t> m_unreadableStatuses; ///< revisions that were logged as unreadable
     IntakeCounters m_counters;
 };
 
--- a/packages/workflow/tests/operatorreportstest.cpp
+++ b/packages/workflow/tests/operatorreportstest.cpp
@@ -76,6 +76,26 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against one unreadable status that hides the counts of all other shards from callers.
+TEST(OperatorReports, unreadableStatusHidesNoOther)
+{
+    Rig rig(1, 2);
+    rig.run(1s);
+    WorkflowSpec spec = Rig::makeJob("a", 1);
+    spec.steps[0].need.cpuMillis = 100'000; // fits nowhere
+    rig.submit(0, spec);
+    rig.run(2s);
+    rig.backend.write("ctl/status/7", "not a record");
+    rig.backend.write("ctl/status/8", packRecord({StoredVersion, 1, "x", nullptr}));
+    rig.run(2s);
+    std::optional<IntakeReply> reply;
+    rig.nodes[0]->node->intake().countPending("queue", [&reply](const IntakeReply &it) { reply = it; });
+    rig.run(1s);
+    ASSERT_TRUE(reply.has_value());
+    EXPECT_EQ(reply->outcome, IntakeOutcome::Ok);
+    EXPECT_EQ(reply->pending, 1U);
+}
+
 // Guards against an unreadable list of workers that ends each process that is elected. Former leaders may have used any
 // worker, so that tasks wait as for a worker that cannot be reached.
 TEST(OperatorReports, unreadableListOfWorkersIsOutwaited)
