A silence between two reports does not count as time without CPU use

Cause: a task counted as hung if two reports without CPU use lay 1.5 s apart. Each report covers half a second; if the worker was silent between them, nothing was known of the rest, and running work was stopped and started again. Change: after a gap of contactTimeout (2.2 s) between two reports the time counts anew. Measured: OperatorReports.silenceBetweenTwoReportsDoesNotCountAsIdle (two of two tasks were started again) passes.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -271,6 +271,7 @@
 {
     WorkerState &worker = *m_workers[index];
     ++worker.reportCount;
+    worker.reportGap = m_now - std::exchange(worker.lastReportAt, m_now);
     worker.unknownRuns.clear();
     worker.adoptedRuns = 0;
     for (const RunningEntry &it : report.running) {
@@ -364,8 +365,8 @@
     const bool isIdle = entry.gauge == 0 && task.percent > 0 && !ref->spec().isLongRunning;
     if (!isIdle) {
         task.idleSince = {};
-    } else if (task.idleSince == TimePoint{}) {
-        task.idleSince = m_now;
+    } else if (task.idleSince == TimePoint{} || worker.reportGap >= m_settings.contactTimeout) {
+        task.idleSince = m_now; // a report covers half a second only: nothing is known of a longer silence
     } else if (m_now - task.idleSince >= m_settings.hangTimeout) {
         task.avoidedWorker = index;
         updateHealth(worker, false, m_now);
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -113,6 +113,8 @@
     std::int64_t longRunningCpuMillis = 0; ///< requested by long-running tasks; part of reserved
     std::vector<TaskRef> runs;
     std::set<RunName> unknownRuns;     ///< reported runs that match no task here; their resource use is unknown
+    TimePoint lastReportAt{};          ///< when the last report was processed
+    Duration reportGap{};              ///< time between the last two reports
     std::uint64_t reportCount = 0;     ///< reports processed; stamps the tasks that each report lists
     std::uint32_t adoptedRuns = 0;     ///< number of runs of a former leader adopted from the last report
     TimePoint bestEffortPausedUntil{}; ///< best-effort tasks are throttled to 0 after a serving task missed its target
--- a/packages/workflow/tests/operatorreportstest.cpp
+++ b/packages/workflow/tests/operatorreportstest.cpp
@@ -44,6 +44,28 @@
 // Silent workers
 // ---------------------------------------------------------------------------------------------------------------------
 
+// Guards against a task that is stopped as hung after two reports without CPU use, although nothing is known of the silence
+// between them.
+TEST(OperatorReports, silenceBetweenTwoReportsDoesNotCountAsIdle)
+{
+    Rig rig(1, 1);
+    rig.fleet.workTime = 20s;
+    rig.run(2s);
+    rig.submit(0, Rig::makeJob("a", 2));
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 2U);
+    rig.fleet.gauges["a"] = 0;
+    rig.run(200ms);
+    rig.nodes[0]->port.unreachableWorkers = {"w0"};
+    rig.run(2500ms);
+    rig.nodes[0]->port.unreachableWorkers.clear();
+    rig.run(900ms);
+    rig.fleet.gauges["a"] = 1000;
+    rig.run(5s);
+    EXPECT_EQ(rig.fleet.starts, 2U) << "no task was started again";
+    EXPECT_EQ(rig.fleet.runningTasks(), 2U);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Hand-overs
 // ---------------------------------------------------------------------------------------------------------------------
