--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -88,6 +88,24 @@
 }
 
 void WorkflowScheduler::tick(TimePoint now, Authority authority)
+{
+    if (m_isDeposed) {
+        return; // sends no more orders
+    }
+    try {
+        tickGuarded(now, authority);
+    } catch (const std::exception &error) {
+        fail("tick", error);
+    }
+}
+
+void WorkflowScheduler::fail(std::string_view where, const std::exception &error)
+{
+    m_isDeposed = true;
+    m_log.write("scheduler_failed", "shard", m_shard, "epoch", m_term.epoch, "in", where, "error", error.what());
+}
+
+void WorkflowScheduler::tickGuarded(TimePoint now, Authority authority)
 {
     m_now = now;
     m_authority = authority;
@@ -160,7 +178,7 @@
     }
     for (const StoreItem &it : reply.items) {
         m_workersRevision = it.revision;
-        for (const KnownWorker &known : decodeWorkers(it.value)) {
+        for (const KnownWorker &known : readWorkers(it)) {
             WorkerState &worker = findOrAddWorker(known.id);
             if (worker.record.address.empty()) {
                 worker.record.address = known.address;
@@ -175,6 +193,21 @@
     loadProgress({});
 }
 
+/**
+ * Decodes the list of workers in use. If it cannot be read, former leaders may have used workers that nobody knows: a
+ * worker without an address, which never answers, stands for them and is outwaited like one that cannot be reached.
+ */
+std::vector<KnownWorker> WorkflowScheduler::readWorkers(const StoreItem &item)
+{
+    try {
+        return decodeWorkers(item.value);
+    } catch (const Error &error) {
+        m_log.write("workers_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
+        m_workersDirty = true;
+        return {{"unreadable list", 0, {}, {}}};
+    }
+}
+
 /** Loads the former leader's pressure model. Nothing waits for it: without it, the model is learned again. */
 void WorkflowScheduler::loadPressure()
 {
@@ -301,6 +334,9 @@
 {
     JobPtr job = makeJob(decodeAccepted(item.value), item.created);
     const JobKey key = job->key();
+    if (item.key != m_keys.jobs + key) {
+        throw InvalidArgument("job", "is stored under another key");
+    }
     if (m_jobs.contains(key)) {
         return;
     }
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -30,6 +30,12 @@
 constexpr std::size_t MaxTasksFromRecords = 8;   ///< each takes three entries beside four others
 constexpr std::size_t MaxGuestShards = 24;       ///< of one job; a cancel takes an entry for each
 
+bool givenTaskIsUnknown(const JobState &job, const GivenTask &task)
+{
+    const auto &steps = job.occurrences.front().steps;
+    return task.step >= steps.size() || task.index >= steps[task.step].tasks.size();
+}
+
 } // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -358,6 +364,10 @@
     GivenTask given = decodeGivenTask(item.value);
     const JobKey key = given.accepted.spec.key;
     JobState *job = findJob(key);
+    if (item.key != givenTaskKey(m_keys, key, given.step, given.index)
+        || (job != nullptr && givenTaskIsUnknown(*job, given))) {
+        throw InvalidArgument("given task", "does not fit its key or its job");
+    }
     if (job == nullptr) {
         JobPtr guest = makeJob(std::move(given.accepted), item.created);
         guest->isGuest = true;
