Scarcity: waiting jobs go by what their delay costs, and idle CPU is not shared

First come, first served and earliest deadline make every job late as soon as the load exceeds the room.

Change: [workflow] scarcity = none | least_cost, none by default, which changes nothing. With least_cost, jobs of the same priority go by outlook, then jobs in progress by deadline, then new jobs by worth per core-millisecond of remaining work, weighted by their slack. The largest tenth of a queue's jobs and the fifth below it go first while they are served at less than 0.75 times the rate of the rest. A new job needs a margin of half its critical path to count as in time. Tasks are not placed beyond the idle CPU, except those of one job at a time that would otherwise end after three times its objective.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -75,12 +75,35 @@
     ranks.reserve(m_activeJobs.size());
     for (const auto &[key, job] : m_activeJobs) {
         ranks.emplace_back(rankOf(*job, wallMs, now), job);
+        if (m_settings.scarcity.enabled) {
+            m_scarcityOrder.refineRank(m_settings.scarcity, *job, wallMs, ranks.back().first);
+        }
     }
     std::sort(ranks.begin(), ranks.end());
     m_jobOrder.clear();
     for (const auto &[rank, job] : ranks) {
         m_jobOrder.push_back(job);
     }
+    if (m_settings.scarcity.enabled) {
+        chooseCpuSharingJob(wallMs);
+    }
+}
+
+/**
+ * Under scarcity one job at a time may exceed the idle CPU, so that it does not end too late. Under sustained overload
+ * most late jobs come to that point; if all of them shared, all tasks would be slow.
+ */
+void WorkflowScheduler::chooseCpuSharingJob(std::int64_t wallMs)
+{
+    const auto found = std::find_if(m_jobOrder.begin(), m_jobOrder.end(), [wallMs](const JobState *it) {
+        return !it->isCancelled && mayShareSpareCpu(*it, wallMs);
+    });
+    m_cpuSharingJob = found == m_jobOrder.end() ? nullptr : *found;
+}
+
+bool WorkflowScheduler::canShareSpareCpu(const JobState &job) const
+{
+    return m_settings.scarcity.enabled ? &job == m_cpuSharingJob : jobAge(job) > m_settings.spareCpuShareDelay;
 }
 
 void WorkflowScheduler::placeJob(JobState &job, TimePoint now)
@@ -220,7 +243,7 @@
 {
     const StepSpec &step = ref.spec();
     const TaskState &task = ref.task();
-    const std::int64_t waitedMs = m_clock.wallNow().count() - ref.job->accepted.acceptedMs;
+    const bool canShare = canShareSpareCpu(*ref.job);
     WorkerIndex best = NoWorker;
     double bestScore = 0;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
@@ -243,8 +266,7 @@
         candidate.interference = *interference;
         candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
         candidate.hasRecentFailure = task.avoidedWorker == i || worker.consecutiveFailures > 0;
-        candidate.canShareSpareCpu
-            = waitedMs > std::chrono::duration_cast<std::chrono::milliseconds>(m_settings.spareCpuShareDelay).count();
+        candidate.canShareSpareCpu = canShare;
         const auto score = scoreWorker(m_settings.placement, step, candidate);
         if (score && (best == NoWorker || *score > bestScore)) {
             best = i;
@@ -340,6 +362,7 @@
     worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.orderValidity, now));
     if (ref.job->state == WorkflowState::Queued) {
         ref.job->state = WorkflowState::Running;
+        m_scarcityOrder.addFirstStart(*ref.job, m_clock.wallNow().count());
         if (m_observer != nullptr) {
             m_observer->onFirstStart(ref.job->accepted.queue, jobAge(*ref.job));
         }
@@ -515,6 +538,8 @@
                 "age_ms",
                 m_clock.wallNow().count() - job.accepted.acceptedMs);
     job.state = state;
+    m_scarcityOrder.addEnd(job, m_clock.wallNow().count());
+    m_cpuSharingJob = m_cpuSharingJob == &job ? nullptr : m_cpuSharingJob;
     m_activeJobs.erase(job.key());
     std::erase(m_jobOrder, &job);
     m_finalJobs.emplace_back(m_clock.now(), job.key());
--- a/packages/workflow/joborder.cpp
+++ b/packages/workflow/joborder.cpp
@@ -53,6 +53,12 @@
     });
 }
 
+double latencyObjectiveMs(const AcceptedJob &accepted)
+{
+    return accepted.stretch * static_cast<double>(criticalPathMs(accepted.spec))
+           + static_cast<double>(accepted.slackMs);
+}
+
 bool hasExceededPlacementTimeout(const JobState &job, const StepSpec &step, const TaskState &task, TimePoint now)
 {
     return step.isLongRunning && task.phase == TaskPhase::Waiting
@@ -74,8 +80,7 @@
     if (isLongRunning || isTimed) {
         return rank; // no objective: occurrences count from their own due times, and a long-running task has no end
     }
-    const double objective
-        = accepted.stretch * static_cast<double>(criticalPathMs(accepted.spec)) + static_cast<double>(accepted.slackMs);
+    const double objective = latencyObjectiveMs(accepted);
     const auto endsAfter
         = static_cast<double>(wallMs - accepted.acceptedMs + remainingCriticalPathMs(job, job.occurrences.front()));
     rank.outlook = endsAfter <= objective                   ? DeadlineOutlook::InTime
--- a/packages/workflow/joborder.h
+++ b/packages/workflow/joborder.h
@@ -8,6 +8,7 @@
  *   rankOf()                         the rank of a job at a given time
  *   hasExceededPlacementTimeout()    whether a long-running task has waited too long for a worker
  *   criticalPathMs(), remainingCriticalPathMs()   critical path by declared estimates
+ *   latencyObjectiveMs()             when a job should have ended
  */
 #pragma once
 
@@ -30,6 +31,11 @@
     bool isLongRunning = false;           ///< holds its resources for long: short work of the same priority goes first
     DeadlineOutlook outlook = DeadlineOutlook::InTime;
     bool isNew = true; ///< no task has started: jobs in progress go first, so that their work is not wasted
+
+    // Set by ScarcityOrder; otherwise the same for all jobs, so that the oldest goes first
+    bool isServedEnough = true; ///< false: of a size class whose jobs are served less than its queue promises
+    std::int64_t sequence = 0;  ///< the smallest goes first; new jobs: by cost of delay, others: by deadline
+
     std::int64_t acceptedMs = 0;
     JobKey key;
 
@@ -55,4 +61,7 @@
 /** The same without the steps of @p occurrence that are complete. */
 std::int64_t remainingCriticalPathMs(const JobState &job, const OccurrenceState &occurrence);
 
+/** Latency objective of a job without long-running steps and repetitions, counted from its acceptance. */
+double latencyObjectiveMs(const AcceptedJob &accepted);
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -128,6 +128,14 @@
     std::uint32_t doneSteps = 0;
 };
 
+/** Size of a job by its work, among the recent jobs of its queue; see QueueWork. */
+enum class SizeClass : std::uint8_t {
+    Rest = 0,
+    Large = 1,   ///< the fifth below the largest
+    Largest = 2, ///< the largest tenth
+};
+constexpr std::size_t SizeClassCount = 3;
+
 struct JobState
 {
     AcceptedJob accepted;
@@ -135,6 +143,8 @@
     TimePoint learnedAt{}; ///< when this leader first saw the job
     WorkflowState state = WorkflowState::Queued;
     bool isCancelled = false;        ///< no more starts; running tasks are stopped
+    SizeClass sizeClass = SizeClass::Rest;
+    bool countsAsServed = false; ///< among the jobs of its size class, see ScarcityOrder
     bool isGuest = false;            ///< another shard's job, some of whose tasks were given to this one
     std::uint32_t heldTasks = 0;     ///< tasks that are starting, running or stopping
     std::uint64_t version = 0;       ///< incremented at each change of what is to be stored
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -37,6 +37,7 @@
 #include <workflow/placement.h>
 #include <workflow/pool.h>
 #include <workflow/pressure.h>
+#include <workflow/scarcity.h>
 
 #include <map>
 #include <unordered_map>
@@ -75,7 +76,10 @@
     Duration maxQuarantineTime = std::chrono::seconds(8);      ///< bounds the doubling of consecutive quarantines
     std::uint32_t quarantineAfterFailures = 2;                 ///< consecutive failed runs, over all jobs
     Duration hangTimeout = std::chrono::milliseconds(1500);    ///< a task that uses no CPU for so long counts as hung
-    /** A best-effort task that waits longer may share the idle CPU with others beyond bestEffortOvercommit. */
+    /**
+     * A best-effort task that waits longer may share the idle CPU with others beyond bestEffortOvercommit. Not applied
+     * if scarcity is enabled.
+     */
     Duration spareCpuShareDelay = std::chrono::milliseconds(1500);
     Duration finalJobRetention = std::chrono::minutes(10); ///< how long callers can query a job after its end
 
@@ -83,6 +87,7 @@
     Duration drainMargin = std::chrono::milliseconds(1500);
     PlacementWeights placement;
     PressureSettings pressure;
+    ScarcitySettings scarcity;
 
     // Transfers to other shards
     Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
@@ -254,6 +259,8 @@
     // Placement (dispatch.cpp)
     void placeJobs(TimePoint now);
     void sortJobs(TimePoint now);
+    void chooseCpuSharingJob(std::int64_t wallMs);
+    bool canShareSpareCpu(const JobState &job) const;
     void placeJob(JobState &job, TimePoint now);
     void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
@@ -393,6 +400,8 @@
     std::unordered_map<JobKey, JobPtr> m_jobs;
     std::unordered_map<JobKey, JobState *> m_activeJobs;  ///< not final
     std::vector<JobState *> m_jobOrder;                   ///< the active jobs in placement order, see JobRank
+    ScarcityOrder m_scarcityOrder;
+    const JobState *m_cpuSharingJob = nullptr; ///< under scarcity, the one job that may exceed the idle CPU
     TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
     TimePoint m_nextPlacementAt{};
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -313,6 +313,10 @@
         return;
     }
     m_activeJobs.emplace(key, &it);
+    m_scarcityOrder.addJob(it);
+    if (it.state == WorkflowState::Running) { // started by a former leader; when is not known
+        m_scarcityOrder.addFirstStart(it, it.accepted.acceptedMs);
+    }
     m_isPlacementDue = true;
     if (m_earlyCancels.erase(key) > 0) {
         onCancel(key);
