Scarcity: a job that exceeds the idle CPU keeps others from it until its tasks end

Cause: the one job that may exceed the idle CPU was chosen anew every 100 ms. As soon as its outlook fell to too late it went behind others, and the next one was chosen while its tasks still ran. In an overloaded rig of one worker some ten jobs a second started that way. A job whose tasks all ran could be chosen as well, and then no other was.

Change: only a job with a task that found no room is chosen, and it stays so until none of its tasks is held.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -95,15 +95,21 @@
  */
 void WorkflowScheduler::chooseCpuSharingJob(std::int64_t wallMs)
 {
+    if (m_cpuSharingJob != nullptr && m_cpuSharingJob->heldTasks > 0) {
+        return; // it exceeds the idle CPU until its tasks end, even if it ends too late after all
+    }
     const auto found = std::find_if(m_jobOrder.begin(), m_jobOrder.end(), [wallMs](const JobState *it) {
-        return !it->isCancelled && mayShareSpareCpu(*it, wallMs);
+        return !it->isCancelled && hasBestEffortTaskWithoutRoom(*it) && mayShareSpareCpu(*it, wallMs);
     });
     m_cpuSharingJob = found == m_jobOrder.end() ? nullptr : *found;
 }
 
 bool WorkflowScheduler::canShareSpareCpu(const JobState &job) const
 {
-    return m_settings.scarcity.enabled ? &job == m_cpuSharingJob : jobAge(job) > m_settings.spareCpuShareDelay;
+    if (!m_settings.scarcity.enabled) {
+        return jobAge(job) > m_settings.spareCpuShareDelay;
+    }
+    return &job == m_cpuSharingJob && mayShareSpareCpu(job, m_clock.wallNow().count());
 }
 
 void WorkflowScheduler::placeJob(JobState &job, TimePoint now)
--- a/packages/workflow/scarcity.cpp
+++ b/packages/workflow/scarcity.cpp
@@ -38,11 +38,6 @@
     return *nth;
 }
 
-std::int64_t stepWork(const StepSpec &step, std::uint32_t tasks)
-{
-    return step.isLongRunning ? 0 : tasks * step.need.cpuMillis * step.estimateMs / 1000;
-}
-
 double ageMs(const JobState &job, std::int64_t wallMs)
 {
     return static_cast<double>(wallMs - job.accepted.acceptedMs);
@@ -83,6 +78,11 @@
 
 } // namespace
 
+std::int64_t stepWork(const StepSpec &step, std::uint32_t tasks)
+{
+    return step.isLongRunning ? 0 : tasks * step.need.cpuMillis * step.estimateMs / 1000;
+}
+
 std::int64_t jobWork(const WorkflowSpec &spec)
 {
     std::int64_t sum = 0;
@@ -120,6 +120,17 @@
     return age < lastUsefulMs && age + SharedCpuSlowdown * remaining >= lastUsefulMs;
 }
 
+bool hasBestEffortTaskWithoutRoom(const JobState &job)
+{
+    const auto &steps = job.occurrences.front().steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        if (job.accepted.spec.steps[s].usesSpareCpu && steps[s].noRoomSince != TimePoint{}) {
+            return true;
+        }
+    }
+    return false;
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Size classes
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/scarcity.h
+++ b/packages/workflow/scarcity.h
@@ -9,7 +9,7 @@
  *
  * Index of this file
  *   ScarcitySettings     whether the decisions below are used
- *   jobWork(), remainingWork()     core-milliseconds by declared estimates
+ *   jobWork(), remainingWork(), stepWork()   core-milliseconds by declared estimates
  *   jobWorth()           what a job is worth, relative to the mean of its queue
  *   mayShareSpareCpu()   whether a job may exceed the idle CPU so as not to end too late
  *   QueueWork            how much work the jobs of one queue have, and how well each size class is served
@@ -39,6 +39,7 @@
 
 std::int64_t jobWork(const WorkflowSpec &spec); ///< of one occurrence, without long-running steps
 std::int64_t remainingWork(const JobState &job);
+std::int64_t stepWork(const StepSpec &step, std::uint32_t tasks);
 
 /** Price of a job that ends in time, in multiples of its queue's price. @p meanWork is that of the queue's jobs. */
 double jobWorth(double work, double meanWork);
@@ -49,6 +50,8 @@
  */
 bool mayShareSpareCpu(const JobState &job, std::int64_t wallMs);
 
+bool hasBestEffortTaskWithoutRoom(const JobState &job); ///< as of the last placement
+
 /** The work of the jobs of one queue, as this leader has seen them, and how well each size class is served. */
 class QueueWork
 {
--- a/packages/workflow/tests/admissiontest.cpp
+++ b/packages/workflow/tests/admissiontest.cpp
@@ -74,4 +74,18 @@
     EXPECT_NE(rig.fleet.startedJobs.contains("second"), rig.fleet.startedJobs.contains("third"));
 }
 
+// Load: steady overload, in which late jobs come to that point one after the other. Guards against their sharing at once.
+TEST(SparingCpu, noOtherJobSharesIdleCpuUntilItEnds)
+{
+    ScarceRig rig(true, 2000);
+    for (int i = 0; i < 40; ++i) {
+        const JobKey key = std::to_string(i);
+        rig.fleet.longRunningJobs.insert(key);
+        rig.submit(0, makeBestEffortJob(key));
+        rig.run(200ms);
+    }
+    rig.run(8s);
+    EXPECT_EQ(rig.fleet.startedJobs.size(), 2U) << "one on idle CPU, one beyond it";
+}
+
 } // namespace QuetzalRock::Workflow
