--- a/soak/test/main.cpp
+++ b/soak/test/main.cpp
@@ -22,6 +22,7 @@
         "t", "seconds", "duration of fault injection; up to 60 s more until all jobs end", false, 12, "S", cmd);
     TCLAP::ValueArg<std::string> folder(
         "f", "folder", "folder for settings files and logs", false, "soak-run", "PATH", cmd);
+    TCLAP::SwitchArg forward("", "forward", "nodes forward requests that they cannot decide", cmd);
     TCLAP::UnlabeledValueArg<std::string> program("program", "path of quetzalrockd", true, "", "PATH", cmd);
     cmd.parse(argc, argv);
 
@@ -32,6 +33,7 @@
         settings.nodes = nodes.getValue();
         settings.workers = workers.getValue();
         settings.faultTime = std::chrono::seconds(seconds.getValue());
+        settings.files.forwardsRequests = forward.getValue();
         settings.files.program = program.getValue();
         settings.files.folder = folder.getValue() + "/seed-" + std::to_string(settings.seed);
         std::filesystem::remove_all(settings.files.folder);
--- a/soak/test/nodeprocess.cpp
+++ b/soak/test/nodeprocess.cpp
@@ -61,7 +61,8 @@
     std::ofstream out(m_settingsFile);
     out << "[process]\nname = " << m_name << "\nfailure_domain = d0\n"
         << "[listen]\nrequests = " << address() << "\nready = 127.0.0.1:" << m_readyPort << "\n"
-        << "[platform]\nkind = fleet\nstore = 127.0.0.1:" << storePort << "\n";
+        << "[platform]\nkind = fleet\nstore = 127.0.0.1:" << storePort << "\n"
+        << "[workflow]\nforward_requests = " << (m_files.forwardsRequests ? "yes" : "no") << "\n";
 }
 
 NodeProcess::~NodeProcess()
--- a/soak/test/nodeprocess.h
+++ b/soak/test/nodeprocess.h
@@ -20,8 +20,9 @@
 
 struct NodeFiles
 {
-    std::string program; ///< path of quetzalrockd
-    std::string folder;  ///< holds the settings files and the logs
+    std::string program;           ///< path of quetzalrockd
+    std::string folder;            ///< holds the settings files and the logs
+    bool forwardsRequests = false; ///< [workflow] forward_requests
 };
 
 class NodeProcess
