Replies processed after a pause do not rest on authority that has run out

Cause: on waking, a leader processes the replies that have arrived before the tick that notices that its lease has run out. They were judged by the authority of the last tick before the pause. A renewal that was delayed, and answered after another worker had got the address, made it take a run for lost that its own successor had read and whose end that one had stored; the task was started again, after its acknowledged end, on a worker that the successor could not reach (TWICE). Change: the scheduler knows until when its full authority lasts, and each callback lowers it to grace from then on.

--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -57,6 +57,11 @@
     return now < m_validUntil + m_settings.gracePeriod ? Authority::Grace : Authority::None;
 }
 
+TimePoint Election::fullAuthorityUntil() const
+{
+    return m_validUntil;
+}
+
 template<typename Handler>
 StoreDone Election::guard(Handler handler)
 {
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -74,6 +74,7 @@
     /** The current term; epoch 0 if this node does not lead. Each term has a new epoch. */
     const Leadership &leadership() const;
     Authority authority(TimePoint now) const;
+    TimePoint fullAuthorityUntil() const; ///< unless the lease is renewed
 
     /** Ends the term. To be called when a worker or the store shows that another node leads or has led since. */
     void depose();
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -255,7 +255,7 @@
     updateScheduler(local);
     if (local.scheduler) {
         local.scheduler->setShardMap(m_availableMap);
-        local.scheduler->tick(now, local.election.authority(now));
+        local.scheduler->tick(now, local.election.authority(now), local.election.fullAuthorityUntil());
         if (local.scheduler->isDeposed()) {
             local.election.depose();
         } else if (local.scheduler->isTakeoverComplete()) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -134,8 +134,11 @@
 
     void setObserver(WorkflowObserver *observer); ///< null: none; must outlive the scheduler
 
-    /** Performs all work that is due at @p now. @p authority limits what it may do, see Authority. */
-    void tick(TimePoint now, Authority authority);
+    /**
+     * Performs all work that is due at @p now. @p authority limits what it may do, see Authority. Replies that are
+     * processed before the next tick rest on full authority only until @p fullAuthorityUntil.
+     */
+    void tick(TimePoint now, Authority authority, TimePoint fullAuthorityUntil);
 
     /**
      * True once a worker or the store has shown that a later leader was elected, and after an unexpected error: the term
@@ -210,6 +213,7 @@
 
     void tickGuarded(TimePoint now, Authority authority);
     void fail(std::string_view where, const std::exception &error);
+    void expireAuthority();
 
     // Takeover (takeover.cpp)
     void loadWorkers();
@@ -408,6 +412,7 @@
     TimePoint m_now{};                 ///< of the current tick or callback
     TimePoint m_lastFullAuthorityAt{}; ///< last tick with full authority
     Authority m_authority = Authority::None;
+    TimePoint m_fullAuthorityUntil{}; ///< as of the last tick
     bool m_isDeposed = false;
 
     const EvacuationRequests *m_evacuations = nullptr; ///< null: none are known
@@ -449,6 +454,7 @@
         if (alive.expired()) {
             return;
         }
+        expireAuthority();
         try {
             handler(reply);
         } catch (const std::exception &error) {
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -87,8 +87,9 @@
     return m_activeJobs.size();
 }
 
-void WorkflowScheduler::tick(TimePoint now, Authority authority)
+void WorkflowScheduler::tick(TimePoint now, Authority authority, TimePoint fullAuthorityUntil)
 {
+    m_fullAuthorityUntil = fullAuthorityUntil;
     if (m_isDeposed) {
         return; // sends no more orders
     }
@@ -105,6 +106,14 @@
     m_log.write("scheduler_failed", "shard", m_shard, "epoch", m_term.epoch, "in", where, "error", error.what());
 }
 
+/** After a pause of the process, replies are processed before the tick that would notice that the lease has run out. */
+void WorkflowScheduler::expireAuthority()
+{
+    if (m_authority == Authority::Full && m_clock.now() >= m_fullAuthorityUntil) {
+        m_authority = Authority::Grace;
+    }
+}
+
 void WorkflowScheduler::tickGuarded(TimePoint now, Authority authority)
 {
     m_now = now;
--- a/packages/workflow/tests/operatorreportstest.cpp
+++ b/packages/workflow/tests/operatorreportstest.cpp
@@ -184,6 +184,39 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against TWICE: a leader processed a reply after a pause by the authority that it had before it. It took a run for lost
+// that its successor had read, and started the task once more on a worker that the successor could not reach.
+TEST(OperatorReports, replyProcessedAfterAPauseDoesNotRestOnExpiredAuthority)
+{
+    Rig rig(2, 2);
+    rig.fleet.workTime = 3s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 1));
+    rig.run(500ms);
+    ASSERT_EQ(rig.fleet.runningTasks(), 1U);
+    const WorkerId used = rig.fleet.workers["w0"].running.empty() ? "w1" : "w0";
+    const WorkerId unused = used == "w0" ? "w1" : "w0";
+    const int former = rig.leader();
+    RigNode &paused = *rig.nodes[static_cast<std::size_t>(former)];
+    rig.nodes[static_cast<std::size_t>(1 - former)]->port.unreachableWorkers = {unused};
+    paused.port.renewSendDelay[used] = 3500ms;
+    rig.run(100ms);
+    paused.port.renewReplyDelay[unused] = 3s; // delivered on waking
+    rig.run(100ms);
+    paused.store.isSilent = true;
+    paused.isFrozen = true;
+    rig.run(3s); // the successor reads the run, and its end
+    ASSERT_EQ(rig.leader(), 1 - former);
+    ASSERT_EQ(rig.state("a"), Done);
+    rig.fleet.removeWorker(used, true);
+    rig.run(1s);
+    paused.isFrozen = false;
+    paused.port.renewReplyDelay.clear();
+    rig.run(2s);
+    EXPECT_EQ(rig.fleet.starts, 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // Guards against a leader that acts by the requests that it knew before a pause: the evacuation arrives during the pause.
 TEST(OperatorReports, evacuationThatArrivesDuringAPauseBindsAfterIt)
 {
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -301,6 +301,7 @@
     int lostOrderReplies = 0;                     ///< number of renewals and stops that get no reply
     Duration lostOrderDelay{};                    ///< delay of the execution of these orders; negative: never executed
     std::map<WorkerId, Duration> renewReplyDelay; ///< additional delay of replies to renewals
+    std::map<WorkerId, Duration> renewSendDelay;  ///< delay after which renewals reach the worker
     std::function<void()> beforeStart;            ///< called before each start is sent
 
     void
@@ -337,6 +338,13 @@
     void
     renew(const WorkerTarget &worker, const RenewOrder &order, std::function<void(const RenewReply &)> done) override
     {
+        if (const Duration delay = renewSendDelay[worker.id]; delay > Duration::zero()) {
+            m_inTransit.schedule(delay, [this, worker, order, done = std::move(done)] {
+                const RenewReply reply = m_fleet.renew(worker, order);
+                m_replies.schedule(StepTime, [done, reply] { done(reply); });
+            });
+            return;
+        }
         sendOrder(
             worker,
             [this, worker, order] { return m_fleet.renew(worker, order); },
