--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -491,7 +491,11 @@
     // The end of one gang member completes all. The others keep their resources until their own ends are reported.
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         if (i == ref.index || ref.spec().isGang) {
-            step.doneCount += tasks[i].phase == TaskPhase::Done ? 0 : 1;
+            const bool isNewlyDone = tasks[i].phase != TaskPhase::Done;
+            step.doneCount += isNewlyDone ? 1 : 0;
+            if (isNewlyDone && ref.spec().usesSpareCpu) {
+                m_bestEffortRate.add(stepWork(ref.spec(), 1), m_clock.now());
+            }
             tasks[i].phase = TaskPhase::Done;
         }
     }
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -51,6 +51,21 @@
     send(write);
 }
 
+void Intake::rejectUnlessStored(const JobKey &key, Duration retryAfter, std::function<void()> submit, Done done)
+{
+    m_store.get(std::string(RegistrationPrefix) + key,
+                [this, key, retryAfter, submit = std::move(submit), done = std::move(done)](const StoreReply &reply) {
+                    const bool isBeingWritten = std::any_of(
+                        m_writes.begin(), m_writes.end(), [&key](const WritePtr &it) { return it->key == key; });
+                    if (reply.status != StoreStatus::NotFound || isBeingWritten) {
+                        submit();
+                        return;
+                    }
+                    ++m_counters.noRoom;
+                    done({IntakeOutcome::NoRoom, retryAfter});
+                });
+}
+
 void Intake::cancel(const JobKey &key, TimePoint deadline, Done done)
 {
     ++m_counters.cancels;
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -27,12 +27,13 @@
     NotAccepted = 1, ///< nothing was or will be changed; the caller may retry after IntakeReply::retryAfter
     Unknown = 2,     ///< the store did not answer in time; the caller should repeat the same request
     NoSuchJob = 3,
+    NoRoom = 4, ///< as NotAccepted: the job would end too late, see forecast.h
 };
 
 struct IntakeReply
 {
     IntakeOutcome outcome = IntakeOutcome::Ok;
-    Duration retryAfter{};                       ///< set if NotAccepted
+    Duration retryAfter{};                       ///< set if NotAccepted or NoRoom
     WorkflowState state = WorkflowState::Queued; ///< set by queryState()
     std::uint32_t pending = 0;                   ///< set by countPending()
 };
@@ -52,6 +53,7 @@
     std::uint64_t accepted = 0;
     std::uint64_t notAccepted = 0;
     std::uint64_t unknown = 0;
+    std::uint64_t noRoom = 0;
     std::uint64_t cancels = 0;
     std::uint64_t queries = 0;
 };
@@ -65,6 +67,12 @@
 
     /** Without @p shard the job waits until the ShardAssigner gives it one. */
     void submit(const Queue &queue, std::optional<ShardId> shard, WorkflowSpec spec, TimePoint deadline, Done done);
+    /**
+     * Answers NoRoom unless the job is already stored, or may become so by an earlier submission: then, and if the store
+     * does not tell, @p submit is called instead.
+     */
+    void rejectUnlessStored(const JobKey &key, Duration retryAfter, std::function<void()> submit, Done done);
+
     void cancel(const JobKey &key, TimePoint deadline, Done done);
     void queryState(const JobKey &key, Done done);
     void countPending(const std::string &queue, Done done);
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -75,6 +75,7 @@
     std::map<ShardId, WorkflowCounters> lastCounters; ///< of the shards that this node leads
     IntakeCounters lastIntake;
     std::map<std::string, std::uint32_t> lastEvacuatedRuns; ///< by queue
+    std::map<std::string, std::uint64_t> lastRejected;      ///< by queue
     std::uint64_t lastLeftOut = 0;
 };
 
@@ -121,6 +122,13 @@
     it.addIncrease("intake_total", {{"outcome", "accepted"}}, intake.accepted, it.lastIntake.accepted);
     it.addIncrease("intake_total", {{"outcome", "not_taken"}}, intake.notAccepted, it.lastIntake.notAccepted);
     it.addIncrease("intake_total", {{"outcome", "unknown"}}, intake.unknown, it.lastIntake.unknown);
+    it.addIncrease("intake_total", {{"outcome", "no_room"}}, intake.noRoom, it.lastIntake.noRoom);
+    for (const auto &[queue, state] : node.admission().queues()) {
+        std::uint64_t &before = it.lastRejected[queue];
+        it.addIncrease("rejected_no_room_total", {{"queue", queue}}, state.rejected, before);
+        it.set("forecast_wait_seconds", toSeconds(state.wait), {{"queue", queue}});
+        before = state.rejected;
+    }
     it.addIncrease("questions_total", {}, intake.queries, it.lastIntake.queries);
     it.lastIntake = intake;
     it.addIncrease("log_lines_left_out_total", {}, logLinesLeftOut, it.lastLeftOut);
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -16,6 +16,8 @@
  *   led_shards, ready, active_jobs, catalog_version, catalog_age_seconds
  *                                     gauges; active_jobs covers the shards that this node leads; the age is the time
  *                                     since the store confirmed that the catalog is the newest
+ *   rejected_no_room_total{queue}     jobs rejected because they would have ended too late
+ *   forecast_wait_seconds{queue}      gauge: wait that this node last forecast for a new job
  *   evacuations_requested             gauge: failure domains that an operator has evacuated
  *   evacuated_domain_runs{queue}      gauge: what still runs there, in the shards that this node leads
  *   log_lines_left_out_total          log lines suppressed by the rate limit
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -73,6 +73,7 @@
     , m_clusterState(
           store, clock, log, std::string(ClusterStatePrefix), [this](const StoreItem &it) { onClusterStateItem(it); })
     , m_intake(store, clock, log, settings.intake)
+    , m_admission(settings.scheduler.scarcity, clock, log)
 {
     m_settings.scheduler.orderValidity = settings.evacuation.orderValidity(settings.scheduler.orderValidity);
     createLocalShards();
@@ -93,6 +94,11 @@
     return m_intake;
 }
 
+const AdmissionControl &Node::admission() const
+{
+    return m_admission;
+}
+
 const IntakeCounters &Node::intakeCounters() const
 {
     return m_intake.counters();
@@ -107,7 +113,25 @@
         shard = needsAssigner ? std::nullopt
                               : std::optional(chooseShard(m_availableMap, m_intake.statuses(), queue.pool, spec));
     }
-    m_intake.submit(queue, shard, std::move(spec), deadline, std::move(done));
+    if (!shard || !m_admission.isEnabled()) {
+        m_intake.submit(queue, shard, std::move(spec), deadline, std::move(done));
+        return;
+    }
+    m_intake.refreshStatuses();
+    const Admission admission = m_admission.decide(m_availableMap, m_intake.statuses(), queue, spec, *shard);
+    const JobKey key = spec.key;
+    const auto submitTo = [this, queue, shard = admission.shard, spec = std::move(spec), deadline, done] {
+        m_intake.submit(queue, shard, spec, deadline, done);
+    };
+    if (admission.isAdmitted) {
+        submitTo();
+        return;
+    }
+    m_intake.rejectUnlessStored(
+        key, admission.retryAfter, submitTo, [this, name = queue.name, key, admission, done](const IntakeReply &reply) {
+            m_admission.addRejection(name, key, admission);
+            done(reply);
+        });
 }
 
 void Node::setObserver(WorkflowObserver *observer)
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -10,6 +10,7 @@
 
 #include <workflow/election.h>
 #include <workflow/evacuation.h>
+#include <workflow/forecast.h>
 #include <workflow/intake.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
@@ -71,10 +72,14 @@
     void confirmCatalog(TimePoint arrivedAt, std::function<void(bool)> done);
     bool isCatalogConfirmed(TimePoint arrivedAt) const;
 
-    /** Submits a job to a shard chosen by load; a job with long-running steps is left to the ShardAssigner. */
+    /**
+     * Submits a job to a shard chosen by load; a job with long-running steps is left to the ShardAssigner. Under scarcity
+     * a job that would end too late in each shard is rejected.
+     */
     void submit(const Queue &queue, WorkflowSpec spec, TimePoint deadline, Intake::Done done);
     Intake &intake();
     const IntakeCounters &intakeCounters() const;
+    const AdmissionControl &admission() const;
 
     Authority authority(ShardId shard, TimePoint now) const;
     std::vector<const WorkflowScheduler *> schedulers() const; ///< of the shards that this node leads
@@ -142,6 +147,7 @@
     PrefixMirror m_clusterState;
     std::unique_ptr<PrefixMirror> m_registry; ///< while this node leads a shard
     Intake m_intake;
+    AdmissionControl m_admission;
     WorkflowObserver *m_observer = nullptr;
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< lets callbacks detect that this object is destroyed
     bool m_isDraining = false;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -31,6 +31,7 @@
 
 #include <workflow/election.h>
 #include <workflow/evacuation.h>
+#include <workflow/forecast.h>
 #include <workflow/joborder.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
@@ -336,6 +337,9 @@
     void forgetRecords(const JobKey &key, const std::vector<std::string> &records);
     void addQueuedWork(const JobState &job, QueuedWork &sums) const;
     ShardStatus shardStatus() const;
+    void addScarcityStatus(ShardStatus &status, TimePoint now); ///< what forecasts need, see forecast.h
+    void addUsefulQueuedWork(const JobState &job, std::int64_t wallMs, ShardStatus &status, TimePoint now) const;
+    std::int64_t bestEffortCapacity() const;
     JobState *findJob(const JobKey &key);
     template<typename Handler>
     auto ifAlive(Handler handler); ///< wraps a callback; drops replies that arrive after the scheduler is gone
@@ -398,10 +402,11 @@
 
     // Jobs
     std::unordered_map<JobKey, JobPtr> m_jobs;
-    std::unordered_map<JobKey, JobState *> m_activeJobs;  ///< not final
-    std::vector<JobState *> m_jobOrder;                   ///< the active jobs in placement order, see JobRank
+    std::unordered_map<JobKey, JobState *> m_activeJobs; ///< not final
+    std::vector<JobState *> m_jobOrder;                  ///< the active jobs in placement order, see JobRank
     ScarcityOrder m_scarcityOrder;
-    const JobState *m_cpuSharingJob = nullptr; ///< under scarcity, the one job that may exceed the idle CPU
+    CompletionRate m_bestEffortRate;
+    const JobState *m_cpuSharingJob = nullptr;            ///< under scarcity, the one job that may exceed the idle CPU
     TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
     TimePoint m_nextPlacementAt{};
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -390,6 +390,18 @@
     return best;
 }
 
+std::vector<ShardId> shardsFor(const ShardMap &map, std::string_view pool, const WorkflowSpec &spec)
+{
+    std::vector<ShardId> list;
+    const std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    for (ShardId i = 0; i < weights.size(); ++i) {
+        if (weights[i] > 0) {
+            list.push_back(i);
+        }
+    }
+    return list;
+}
+
 bool hasLongRunningStep(const WorkflowSpec &spec)
 {
     return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.isLongRunning; });
@@ -437,15 +449,21 @@
 
 std::string encodeStatus(const ShardStatus &status)
 {
-    return packRecord(json::array({StoredVersion,
-                                   status.pending,
-                                   status.longRunningCpuMillis,
-                                   status.backlogMs,
-                                   status.inboxRevision,
-                                   status.longRunningByImage,
-                                   status.bestEffortBacklogMs,
-                                   status.workersByFreeCores,
-                                   status.tolerance}));
+    json record = json::array({StoredVersion,
+                               status.pending,
+                               status.longRunningCpuMillis,
+                               status.backlogMs,
+                               status.inboxRevision,
+                               status.longRunningByImage,
+                               status.bestEffortBacklogMs,
+                               status.workersByFreeCores,
+                               status.tolerance});
+    if (status.writtenAtMs != 0) {
+        record.push_back(status.bestEffortQueued);
+        record.push_back(status.bestEffortRate);
+        record.push_back(status.writtenAtMs);
+    }
+    return packRecord(record);
 }
 
 ShardStatus decodeStatus(std::string_view bytes)
@@ -466,6 +484,11 @@
             it.longRunningByImage[{}] = it.longRunningCpuMillis;
             it.bestEffortBacklogMs = it.backlogMs;
         }
+        if (value.size() > 9) { // otherwise scarcity is not enabled, or an older version has written it
+            it.bestEffortQueued = value.at(9).get<std::map<int, std::map<int, std::int64_t>>>();
+            it.bestEffortRate = value.at(10);
+            it.writtenAtMs = value.at(11);
+        }
         return it;
     } catch (const json::exception &error) {
         throw InvalidArgument("status", error.what());
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -10,6 +10,7 @@
  *   planShards()              assigns new racks to shards
  *   chooseShard()             chooses the shard of a new job
  *   chooseLongRunningShard()  chooses the shard of a job with long-running tasks
+ *   shardsFor()               the shards that can run a job
  *   chooseShardForTasks()     chooses the shard to which waiting long-running tasks are given
  *
  * A rack never changes its shard. So a worker only ever sees the epochs of one shard, and a task only ever runs on
@@ -107,6 +108,12 @@
      */
     std::map<std::string, int> tolerance;
 
+    // Only if scarcity is enabled, see forecast.h
+    /** Core-milliseconds of best-effort work that waits and is still useful, by priority and workBucket() of its job. */
+    std::map<int, std::map<int, std::int64_t>> bestEffortQueued;
+    std::int64_t bestEffortRate = 0; ///< core-milliseconds per second that the shard completes of it; 0: not known
+    std::int64_t writtenAtMs = 0;    ///< wall time of the leader, Unix ms; 0: none of these members is published
+
     bool operator==(const ShardStatus &) const = default;
 };
 
@@ -162,6 +169,9 @@
                                                    std::uint32_t tasks,
                                                    ShardId from);
 
+/** The shards that can run @p spec. */
+std::vector<ShardId> shardsFor(const ShardMap &map, std::string_view pool, const WorkflowSpec &spec);
+
 bool hasLongRunningStep(const WorkflowSpec &spec);
 void addLongRunningCpu(CpuByImage &sums, const WorkflowSpec &spec);
 
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -26,6 +26,12 @@
     }
 }
 
+/**
+ * Part of the CPU left to best-effort tasks that they are assumed to get at least: a forecast must not follow a measured
+ * rate that is low because a few tasks wait for a label or an image's neighbours while the rest runs freely.
+ */
+constexpr double LeastServedShare = 0.5;
+
 } // namespace
 
 JobState *WorkflowScheduler::findJob(const JobKey &key)
@@ -57,6 +63,9 @@
     ShardStatus status = m_storedStatus;
     if (now >= m_nextStatusAt) {
         status = shardStatus();
+        if (m_settings.scarcity.enabled) {
+            addScarcityStatus(status, now);
+        }
         m_nextStatusAt = now + StatusCheckInterval;
     }
     const bool isPressureDue = now >= m_nextPressureStoreAt && m_pressure.hasNeighbours();
@@ -75,6 +84,7 @@
         m_nextStatusAt = now + m_settings.statusInterval;
         ShardStatus stored = status;
         stored.inboxRevision = m_inbox.revision(); // a new inbox revision alone does not cause a write
+        stored.writtenAtMs = m_settings.scarcity.enabled ? m_clock.wallNow().count() : 0;
         change.puts.push_back({m_keys.status, encodeStatus(stored), 0});
     }
     std::vector<std::pair<JobKey, std::uint64_t>> batch;
@@ -198,6 +208,68 @@
     return status;
 }
 
+/** CPU that the shard's serving tasks leave to best-effort tasks, in core-milliseconds per second. */
+std::int64_t WorkflowScheduler::bestEffortCapacity() const
+{
+    std::int64_t sum = 0;
+    for (const auto &it : m_workers) {
+        if (it->isRegistered && it->record.condition == WorkerCondition::Ready) {
+            Candidate worker;
+            worker.capacityMillis = it->record.capacity.cpuMillis;
+            worker.reservedMillis = it->reserved.cpuMillis;
+            worker.longRunningMillis = it->longRunningCpuMillis;
+            sum += std::max<std::int64_t>(0, expectedIdleMillis(m_settings.placement, worker));
+        }
+    }
+    return sum;
+}
+
+/** Adds the waiting best-effort work of @p job, unless the job ends too late anyway. */
+void WorkflowScheduler::addUsefulQueuedWork(const JobState &job,
+                                            std::int64_t wallMs,
+                                            ShardStatus &status,
+                                            TimePoint now) const
+{
+    if (job.isCancelled || job.isGuest || rankOf(job, wallMs, now).outlook == DeadlineOutlook::TooLate) {
+        return;
+    }
+    std::int64_t work = 0;
+    const auto &steps = job.occurrences.front().steps;
+    for (std::size_t s = 0; s < steps.size(); ++s) {
+        const StepSpec &spec = job.accepted.spec.steps[s];
+        if (spec.usesSpareCpu) {
+            const auto waiting = std::count_if(steps[s].tasks.begin(), steps[s].tasks.end(), [](const TaskState &it) {
+                return it.phase == TaskPhase::Waiting;
+            });
+            work += stepWork(spec, static_cast<std::uint32_t>(waiting));
+        }
+    }
+    if (work > 0) {
+        status.bestEffortQueued[job.accepted.priority][workBucket(jobWork(job.accepted.spec))] += work;
+    }
+}
+
+void WorkflowScheduler::addScarcityStatus(ShardStatus &status, TimePoint now)
+{
+    const std::int64_t wallMs = m_clock.wallNow().count();
+    bool isWithoutRoom = false;
+    for (const auto &[key, job] : m_activeJobs) {
+        addUsefulQueuedWork(*job, wallMs, status, now);
+        isWithoutRoom = isWithoutRoom || hasBestEffortTaskWithoutRoom(*job);
+    }
+    m_bestEffortRate.setWaiting(isWithoutRoom, now);
+    const std::int64_t capacity = bestEffortCapacity();
+    const std::int64_t resolution = std::max<std::int64_t>(1, capacity * BacklogResolutionMs / 1000);
+    for (auto &[priority, buckets] : status.bestEffortQueued) {
+        for (auto &[bucket, work] : buckets) {
+            work = work / resolution * resolution;
+        }
+    }
+    const std::int64_t measured = m_bestEffortRate.perSecond(now);
+    const auto assumed = static_cast<std::int64_t>(LeastServedShare * static_cast<double>(capacity));
+    status.bestEffortRate = measured > 0 ? std::max(measured, assumed) / 1000 * 1000 : 0;
+}
+
 /**
  * Stores the list of workers that a successor has to read: new ones before the first order to them, leaving ones until
  * nothing runs there any more.
