Tests: the leader places by cost under scarcity; a rejection needs an answer of the store

Cause: that the leader uses the order was shown for the order alone, not on the rig, and nothing covered a rejection while the store does not answer.

Change: LeastCostOrder.smallJobStartsBeforeAnOlderLargeOne and Admission.withoutTheStoreAJobIsAnsweredAsWithoutScarcity.

--- a/packages/workflow/forecast.h
+++ b/packages/workflow/forecast.h
@@ -30,7 +30,7 @@
     void add(std::int64_t work, TimePoint now);
 
     /**
-     * To be called several times a second: whether best-effort work waits. Only while it does, the rate shows what the
+     * To be called about once a second: whether best-effort work finds no room. Only while it does, the rate shows what the
      * shard can do and not just what it was asked to do.
      */
     void setWaiting(bool isWorkWaiting, TimePoint now);
--- a/packages/workflow/tests/admissiontest.cpp
+++ b/packages/workflow/tests/admissiontest.cpp
@@ -88,6 +88,31 @@
     EXPECT_EQ(rig.fleet.startedJobs.size(), 2U) << "one on idle CPU, one beyond it";
 }
 
+// Load: large jobs before a small one. Guards against a leader that does not place by the order of scarcity.h.
+TEST(LeastCostOrder, smallJobStartsBeforeAnOlderLargeOne)
+{
+    for (const bool isScarcityEnabled : {false, true}) {
+        ScarceRig rig(isScarcityEnabled, 20'000);
+        rig.scheduler.spareCpuShareDelay = 1h;
+        rig.kill(0);
+        rig.boot(0);
+        rig.run(15s);
+        rig.fleet.longRunningJobs = {"first", "large", "small"};
+        rig.submit(0, makeBestEffortJob("first"));
+        rig.run(500ms);
+        WorkflowSpec large = makeBestEffortJob("large");
+        large.steps.front().taskCount = 10;
+        rig.submit(0, large);
+        rig.run(200ms);
+        rig.submit(0, makeBestEffortJob("small"));
+        rig.run(500ms);
+        rig.cancel(0, "first");
+        rig.run(1s);
+        EXPECT_EQ(rig.fleet.startedJobs.contains("small"), isScarcityEnabled);
+        EXPECT_EQ(rig.fleet.startedJobs.contains("large"), !isScarcityEnabled);
+    }
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Forecast
 // ---------------------------------------------------------------------------------------------------------------------
@@ -331,6 +356,26 @@
     EXPECT_EQ(rig.replies["new"].outcome, IntakeOutcome::NoRoom);
 }
 
+// Guards against a rejection that rests on a read without an answer.
+TEST(Admission, withoutTheStoreAJobIsAnsweredAsWithoutScarcity)
+{
+    OverloadedRig rig;
+    rig.submitFor(10s);
+    for (int i = 0; i < 200 && rig.rejected().empty(); ++i) {
+        rig.submitFor(30ms);
+    }
+    ASSERT_FALSE(rig.rejected().empty());
+    rig.nodes.front()->store.isRefusing = true;
+    rig.submitJob(makeBestEffortJob("refused"));
+    rig.run(100ms);
+    EXPECT_EQ(rig.replies["refused"].outcome, IntakeOutcome::NotAccepted);
+    rig.nodes.front()->store.isRefusing = false;
+    rig.nodes.front()->store.isSilent = true;
+    rig.submitJob(makeBestEffortJob("unanswered"));
+    rig.run(3500ms);
+    EXPECT_EQ(rig.replies["unanswered"].outcome, IntakeOutcome::Unknown);
+}
+
 TEST(Admission, afterTheOverloadJobsAreAcceptedAgain)
 {
     OverloadedRig rig;
