Whole jobs leave a shard that is evacuated or full

Cause: in a divided fleet each shard lies within one failure domain. While the domain is evacuated, the shard has no worker to use, and a job there that is not made of independent long-running tasks waits until the request is withdrawn.

Change: the leader moves such a job to another shard by one conditional write, once none of its tasks is held, every end is stored and the leader could start all of its tasks itself (jobmove.cpp). The new inbox record contains the progress and the highest attempt number. Jobs that have found no room for 2 s move to a shard with clearly less waiting work. Both only where evacuations are enabled. A completed run that is reported after its job has moved is acknowledged only once the task is done by the stored progress: otherwise the task could start after its acknowledged end.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -254,6 +254,9 @@
 {
     while (!worker.unacknowledgedEnds.empty()) {
         const UnacknowledgedEnd &end = worker.unacknowledgedEnds.front();
+        if (end.elsewhere && !m_endsSettledElsewhere.contains(*end.elsewhere)) {
+            return;
+        }
         const JobState *job = findJob(end.job);
         if (job != nullptr && job->storedVersion < end.version) {
             return;
@@ -288,14 +291,20 @@
                     report.clockMs);
     }
     bool hasNewEnds = false;
+    bool isComplete = report.ended.size() < MaxEndsPerReport;
     for (const EndedEntry &it : report.ended) {
+        const JobState *job = findJob(it.run.task.job);
+        if (it.sequence > worker.processedSequence && job != nullptr && job->isMoving) {
+            isComplete = false; // a later report lists it again, when it is known where the job is
+            break;
+        }
         if (it.sequence > worker.processedSequence) {
             processEndedEntry(index, it);
             worker.processedSequence = it.sequence;
             hasNewEnds = true;
         }
     }
-    resolveUnlistedRuns(index, report.clockMs, report.ended.size() < MaxEndsPerReport, sentAt);
+    resolveUnlistedRuns(index, report.clockMs, isComplete, sentAt);
     observePressure(index);
     if (hasNewEnds) {
         worker.nextRenewAt = std::max(worker.nextRenewAt, m_now + m_settings.storeInterval + EndBatchDelay);
@@ -321,7 +330,7 @@
 {
     WorkerState &worker = *m_workers[index];
     const auto ref = findTask(entry.run.task);
-    if (ref && ref->task().phase == TaskPhase::Waiting && !isFinal(ref->job->state)
+    if (ref && ref->task().phase == TaskPhase::Waiting && !isFinal(ref->job->state) && !ref->job->isMoving
         && entry.run.attempt >= ref->task().attempt) {
         // Started by a former leader, or by us and the reply was lost.
         TaskState &task = ref->task();
@@ -378,11 +387,13 @@
     WorkerState &worker = *m_workers[index];
     const auto ref = findTask(entry.run.task);
     if (!ref) {
-        worker.unacknowledgedEnds.push_back({entry.sequence, {}, 0});
+        const bool mayHaveMoved = entry.how == RunEnd::Done && mayMoveJobs();
+        worker.unacknowledgedEnds.push_back(
+            {entry.sequence, {}, 0, mayHaveMoved ? std::optional(entry.run.task) : std::nullopt});
         return;
     }
     applyRunEnd(index, *ref, entry);
-    worker.unacknowledgedEnds.push_back({entry.sequence, ref->job->key(), ref->job->version});
+    worker.unacknowledgedEnds.push_back({entry.sequence, ref->job->key(), ref->job->version, std::nullopt});
 }
 
 /** Records a failed run. Each attempt number counts once, even if reported again; too many failures fail the job. */
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -58,7 +58,7 @@
     sortJobs(now);
     for (JobState *job : m_jobOrder) {
         const bool isNewInGrace = m_authority != Authority::Full && job->learnedAt > m_lastFullAuthorityAt;
-        if (!job->isCancelled && !isNewInGrace) {
+        if (!job->isCancelled && !job->isMoving && !isNewInGrace) {
             placeJob(*job, now);
         }
     }
@@ -182,9 +182,12 @@
         releaseResources({&job, occurrence, step, i});
         tasks[i].phase = TaskPhase::Waiting;
     }
+    TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
     if (chosen.size() < tasks.size()) {
+        noRoomSince = noRoomSince == TimePoint{} ? now : noRoomSince;
         return;
     }
+    noRoomSince = {};
     for (std::uint32_t i = 0; i < chosen.size(); ++i) {
         tasks[i].checkpoint = checkpoint; // a member's checkpoint is valid for the gang; all members must use the same
         startTask({&job, occurrence, step, i}, chosen[i], attempt, now);
--- /dev/null
+++ b/packages/workflow/jobmove.h
@@ -0,0 +1,43 @@
+/**
+ * Moves of whole jobs to another shard: which jobs may move, which ought to, and where to. Decisions without I/O;
+ * jobmove.cpp also contains the scheduler's part, the write and what is known of jobs that have left.
+ *
+ * Index of this file
+ *   canMoveWhole()            whether the job's state allows a move
+ *   hasLongFoundNoRoom()      whether the job's tasks have waited for a worker for long
+ *   chooseMoveDestination()   the shard to which a job moves
+ *   addMovedWork()            counts a move in the statuses until the shards publish newer ones
+ */
+#pragma once
+
+#include <workflow/progress.h>
+#include <workflow/shards.h>
+
+namespace QuetzalRock::Workflow {
+
+enum class MoveReason : std::uint8_t {
+    Evacuation, ///< the failure domain of the job's shard is evacuated
+    NoRoom,     ///< the job has long found no worker, and another shard has clearly less work waiting
+};
+
+/**
+ * Whether the job can move as it is: tasks wait, none is starting, running or stopping, and all that has happened is
+ * stored. Jobs of independent long-running tasks do not move as a whole: transfer.cpp gives their tasks.
+ */
+bool canMoveWhole(const JobState &job);
+
+/** Whether a step of the job has found no worker for @p delay, which doubles with each move of the job. */
+bool hasLongFoundNoRoom(const JobState &job, TimePoint now, Duration delay);
+
+/**
+ * Chooses the destination of @p job from shard @p from, by chooseShard() among the shards of @p map that have capacity for
+ * it and every label that it requires. For MoveReason::NoRoom, only shards with clearly less waiting work by their
+ * status. None if there is no such shard.
+ */
+std::optional<ShardId> chooseMoveDestination(
+    const ShardMap &map, const ShardStatuses &statuses, const JobState &job, ShardId from, MoveReason reason);
+
+/** Moves the waiting work of @p job from one status to the other, so that one shard is not chosen for all jobs. */
+void addMovedWork(ShardStatuses &statuses, const ShardMap &map, const JobState &job, ShardId from, ShardId to);
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -68,6 +68,8 @@
         addIncrease("untracked_images_total", {{"shard", name}}, counters.untrackedImages, before.untrackedImages);
         addIncrease("tasks_given_total", {{"shard", name}}, counters.tasksGiven, before.tasksGiven);
         addIncrease("tasks_taken_total", {{"shard", name}}, counters.tasksTaken, before.tasksTaken);
+        addIncrease("jobs_moved_total", {{"shard", name}}, counters.jobsMoved, before.jobsMoved);
+        addIncrease("jobs_taken_total", {{"shard", name}}, counters.jobsTaken, before.jobsTaken);
         addIncrease("writes_total", {{"shard", name}}, counters.writes, before.writes);
     }
 
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -70,6 +70,7 @@
     std::uint64_t sequence = 0;
     JobKey job;
     std::uint64_t version = 0; ///< of the job that must be stored before the end is acknowledged; 0: nothing to store
+    std::optional<TaskName> elsewhere; ///< a completed task of a job that this shard does not have, see jobmove.cpp
 };
 
 struct WorkerState
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -3,6 +3,8 @@
 
 #include <base/errors.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -110,6 +112,10 @@
     for (const StepSpec &it : job.spec.steps) {
         steps.push_back(stepToJson(it));
     }
+    json moved = json::array();
+    if (job.moved) {
+        moved = json::array({json::binary(binaryOf(job.moved->progress)), job.moved->attemptBase, job.moved->moves});
+    }
     return packRecord(json::array({StoredVersion,
                                    job.spec.key,
                                    job.spec.payload,
@@ -125,7 +131,8 @@
                                    job.maxFailures,
                                    job.stretch,
                                    job.slackMs,
-                                   job.acceptedMs}));
+                                   job.acceptedMs,
+                                   std::move(moved)}));
 }
 
 AcceptedJob decodeAccepted(std::string_view bytes)
@@ -150,6 +157,11 @@
         job.stretch = value.at(13);
         job.slackMs = value.at(14);
         job.acceptedMs = value.at(15);
+        if (value.size() > 16 && !value.at(16).empty()) { // older versions wrote none
+            const json &moved = value.at(16);
+            const auto &progress = moved.at(0).get_binary();
+            job.moved = MovedJob{std::string(progress.begin(), progress.end()), moved.at(1), moved.at(2)};
+        }
         return job;
     } catch (const json::exception &error) {
         throw InvalidArgument("job", error.what());
@@ -273,6 +285,23 @@
     }
 }
 
+bool decodeIsDone(std::string_view bytes, const TaskName &task)
+{
+    const json value = unpackRecord(bytes);
+    try {
+        if (isFinal(static_cast<WorkflowState>(value.at(1).get<int>()))) {
+            return true;
+        }
+        const json &rows = value.at(2);
+        return std::any_of(rows.begin(), rows.end(), [&task](const json &it) {
+            return it.at(0) == task.occurrence && it.at(1) == task.step && it.at(2) == task.index
+                   && it.at(3).get<bool>();
+        });
+    } catch (const json::exception &error) {
+        throw InvalidArgument("progress", error.what());
+    }
+}
+
 std::string encodeEpoch(const EpochRecord &record)
 {
     json earlier = json::array();
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -2,7 +2,7 @@
  * State of a workflow: the stored records and the scheduler's state in memory.
  *
  * Index of this file
- *   AcceptedJob                      written once, by the node that accepts the job
+ *   AcceptedJob, MovedJob            written by the node that accepts the job, and by each move to another shard
  *   Registration, GivenTask          which shards concern a job; a task given to another shard (transfer.cpp)
  *   TaskPhase, TaskState, JobState   in memory; part of it is stored as the job's progress
  *   EpochRecord, FormerLeader        who led, and who may still send orders
@@ -12,7 +12,8 @@
  * Stored keys (N: number of a shard, see shards.h)
  *   job/KEY              Registration: the job's shard, or none yet; created once, so a key identifies one job
  *   in/spread/KEY        AcceptedJob without a shard (shardassigner.h)
- *   in/N/j/KEY           AcceptedJob; created on acceptance or when the job is assigned; never changed
+ *   in/N/j/KEY           AcceptedJob; created on acceptance, or when the job is assigned or moved to the shard; never
+ *                        changed, and removed when the job moves on (jobmove.cpp)
  *   in/N/c/KEY           exists if the caller has cancelled the job
  *   in/N/t/STEP.TASK/KEY GivenTask; exists while the task belongs to shard N by a transfer
  *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints, tasks given to other shards
@@ -32,6 +33,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace QuetzalRock::Workflow {
@@ -43,6 +45,14 @@
 using WorkerIndex = std::uint32_t;
 constexpr WorkerIndex NoWorker = ~0U;
 
+/** What the record of a job that has moved to another shard says of the time before. */
+struct MovedJob
+{
+    std::string progress;          ///< see encodeProgress()
+    std::uint64_t attemptBase = 0; ///< attempts of earlier shards are not higher than that
+    std::uint32_t moves = 0;       ///< number of moves so far
+};
+
 /** A job as submitted, with the settings that its queue had at that time. */
 struct AcceptedJob
 {
@@ -55,7 +65,8 @@
     std::uint32_t maxFailures = 0;
     double stretch = 1;
     std::int64_t slackMs = 0;
-    std::int64_t acceptedMs = 0; ///< wall time, Unix ms
+    std::int64_t acceptedMs = 0;   ///< wall time, Unix ms
+    std::optional<MovedJob> moved; ///< in stored records only; none if the job has not moved
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -139,6 +150,9 @@
     std::uint32_t heldTasks = 0;     ///< tasks that are starting, running or stopping
     std::uint64_t version = 0;       ///< incremented at each change of what is to be stored
     std::uint64_t storedVersion = 0; ///< last version that is durable
+    bool isMoving = false;           ///< a move to another shard has an unknown outcome: nothing of it may change
+    std::uint32_t moves = 0;         ///< number of moves to another shard so far
+    TimePoint nextMoveAt{};          ///< earliest next move
     std::vector<OccurrenceState> occurrences;
 
     const JobKey &key() const
@@ -194,6 +208,9 @@
 /** Decodes only the job's state from its progress. */
 WorkflowState decodeState(std::string_view bytes);
 
+/** Whether the job's progress says that the task is done or its job has ended. */
+bool decodeIsDone(std::string_view bytes, const TaskName &task);
+
 /** A process that led a shard and may still send orders. */
 struct FormerLeader
 {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -31,6 +31,7 @@
 
 #include <workflow/election.h>
 #include <workflow/evacuation.h>
+#include <workflow/jobmove.h>
 #include <workflow/joborder.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
@@ -88,6 +89,8 @@
     Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
                                                       ///< doubles with each of its transfers, at most three times
     Duration transferInterval = std::chrono::milliseconds(200); ///< least time between two transfers
+    Duration jobMoveDelay = std::chrono::seconds(2); ///< a job without room moves to a shard with less work after that;
+                                                     ///< doubles with each of its moves, at most three times
 
     /** The lease that each leader grants, hence the longest that a former one can have granted. */
     Duration grantedLease() const
@@ -109,6 +112,8 @@
     std::uint64_t throttles = 0;
     std::uint64_t tasksGiven = 0;      ///< to other shards
     std::uint64_t tasksTaken = 0;      ///< from other shards
+    std::uint64_t jobsMoved = 0;       ///< as a whole, to other shards
+    std::uint64_t jobsTaken = 0;       ///< as a whole, from other shards
     std::uint64_t untrackedImages = 0; ///< images beyond the limit of the pressure model
 };
 
@@ -205,6 +210,23 @@
         std::uint64_t revision = 0; ///< of the write
     };
 
+    struct MovingJob
+    {
+        JobKey key;
+        ShardId to = 0;
+    };
+
+    /** A write that moves jobs to other shards. No other write is sent until its outcome is known. */
+    struct JobMove
+    {
+        MoveReason reason = MoveReason::Evacuation;
+        std::vector<MovingJob> jobs;
+        StoreChange change;
+        bool isInFlight = false;
+        bool mayBeStored = false; ///< an earlier copy got no answer
+        TimePoint retryAt{};
+    };
+
     // Takeover (takeover.cpp)
     void loadWorkers();
     void onWorkersLoaded(const StoreReply &reply);
@@ -218,6 +240,7 @@
     void onInboxItem(const StoreItem &item);
     JobPtr makeJob(AcceptedJob accepted, std::uint64_t createdRevision);
     void addJob(const StoreItem &item);
+    void takeMovedJob(JobState &job, const MovedJob &moved, const StoreItem &item);
     void onCancel(const JobKey &key);
     bool mayBeRunningElsewhere(const TaskRef &ref) const;
     void resolveUnreadWorkers(TimePoint now);
@@ -303,6 +326,22 @@
     std::map<ShardId, CpuByImage> recentlyGivenCpu();
     void takeTask(const StoreItem &item);
 
+    // Moves of whole jobs to other shards (jobmove.cpp)
+    void moveJobs(TimePoint now);
+    bool mayMoveJobs() const;
+    bool isKnownToRunNowhere(JobState &job) const;
+    void readStatusesForMove();
+    void beginJobMove(const std::vector<JobState *> &jobs, MoveReason reason, TimePoint now);
+    void addToMove(JobMove &move, JobState &job, ShardId to);
+    std::uint64_t highestAttempt(const JobState &job) const;
+    void sendJobMove();
+    void onJobMoveReply(const StoreReply &reply);
+    void endJobMove(const StoreReply &reply);
+    void onMoveConflict(JobState &job, const StoreReply &conflict);
+    void forgetMovedJob(const JobKey &key);
+    void checkEndsOfMovedJobs(TimePoint now);
+    void onEndChecked(const TaskName &task, const StoreReply &reply);
+
     // Protecting serving tasks from best-effort tasks (pressureguard.cpp)
     void observePressure(WorkerIndex index);
     void updateThrottles(WorkerIndex index);
@@ -415,6 +454,14 @@
     std::optional<Transfer> m_transfer; ///< while its write is in flight or has an unknown outcome
     std::vector<GivenCpu> m_givenCpu;
 
+    // Moves of whole jobs
+    std::optional<JobMove> m_jobMove; ///< while its write is in flight or has an unknown outcome
+    bool m_isReadingStatusesForMove = false;
+    TimePoint m_nextJobMoveAt{};
+    std::map<JobKey, StoreItem> m_returnedJobs; ///< records of jobs that came back before the outcome of their move
+    std::set<TaskName> m_endsSettledElsewhere;  ///< held ends that may be acknowledged
+    TimePoint m_nextEndCheckAt{};
+
     // Persistence
     std::deque<JobKey> m_dirtyQueue; ///< jobs to be stored, in order
     std::set<JobKey> m_dirtyKeys;    ///< the same keys
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -4,6 +4,7 @@
 #include <base/errors.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace QuetzalRock::Workflow {
 
@@ -132,6 +133,7 @@
     reportWaitingTasks(now);
     giveWaitingTasks(now);
     storeProgress(now);
+    moveJobs(now); // after storeProgress(), so that moves do not keep ends of runs from being stored
     removeExpiredJobs(now);
 }
 
@@ -260,7 +262,7 @@
 void WorkflowScheduler::onInboxItem(const StoreItem &item)
 {
     if (item.isDeleted) {
-        return; // only leaders remove jobs, long after the jobs have ended, and tasks, when they give them on
+        return; // only leaders of this shard remove jobs, when they have ended or move, and tasks, when they give them on
     }
     try {
         if (item.key.starts_with(m_keys.jobs)) {
@@ -298,12 +300,24 @@
 
 void WorkflowScheduler::addJob(const StoreItem &item)
 {
-    JobPtr job = makeJob(decodeAccepted(item.value), item.created);
+    AcceptedJob accepted = decodeAccepted(item.value);
+    const std::optional<MovedJob> moved = std::exchange(accepted.moved, std::nullopt);
+    JobPtr job = makeJob(std::move(accepted), item.created);
     const JobKey key = job->key();
-    if (m_jobs.contains(key)) {
+    if (const JobState *known = findJob(key)) {
+        if (known->isMoving && item.created > known->createdRevision) {
+            m_returnedJobs[key] = item; // moved away and back; the outcome of the first move is not known here yet
+        }
         return;
     }
-    if (const auto progress = m_loadedProgress.find(key); progress != m_loadedProgress.end()) {
+    if (moved) {
+        takeMovedJob(*job, *moved, item);
+    }
+    // The progress is stored by each move, under the revision of the record.
+    if (moved && m_storedRevisions[key] <= item.revision) {
+        decodeProgress(moved->progress, *job);
+        m_storedRevisions[key] = item.revision;
+    } else if (const auto progress = m_loadedProgress.find(key); progress != m_loadedProgress.end()) {
         decodeProgress(progress->second, *job);
     }
     job->isCancelled = job->state == WorkflowState::Cancelled;
@@ -319,10 +333,35 @@
     }
 }
 
+/** The job has been in other shards. */
+void WorkflowScheduler::takeMovedJob(JobState &job, const MovedJob &moved, const StoreItem &item)
+{
+    job.moves = moved.moves;
+    for (OccurrenceState &occurrence : job.occurrences) {
+        for (StepState &step : occurrence.steps) {
+            for (TaskState &it : step.tasks) {
+                it.attemptBase = moved.attemptBase;
+            }
+        }
+    }
+    if (m_loadStage == LoadStage::Done) { // otherwise a former leader may have taken it
+        ++m_counters.jobsTaken;
+        m_log.write("job_taken",
+                    "job",
+                    job.key(),
+                    "revision",
+                    item.revision,
+                    "attempt_base",
+                    moved.attemptBase,
+                    "moves",
+                    moved.moves);
+    }
+}
+
 void WorkflowScheduler::onCancel(const JobKey &key)
 {
     JobState *job = findJob(key);
-    if (job == nullptr) {
+    if (job == nullptr || job->isMoving) { // of a job that moves: taken once it is known whether it is still here
         m_earlyCancels.insert(key);
         return;
     }
