--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -15,6 +15,8 @@
  *             with some workers from all others and from the store; the store is away for all
  *   workers   drain and leave for good, or leave without notice, while others join; their clocks run at different rates
  *   runs      of long-running tasks fail
+ * Faults of histories with evacuations
+ *   those of histories with changes of leaders, and failure domains are evacuated, also several at a time, and return
  *
  * Checks
  *   at any time      no task runs twice at the same time, or again after its acknowledged end
@@ -23,7 +25,7 @@
  *   at the end       every accepted job has ended, no rejected job was stored, nothing runs
  *
  * The environment variables WORKFLOW_SEED (first seed) and WORKFLOW_RUNS (number of histories) override the defaults of
- * both kinds; WORKFLOW_LOG prints what the nodes log.
+ * all kinds; WORKFLOW_LOG prints what the nodes log.
  */
 #include "rig.h"
 
@@ -36,6 +38,8 @@
 constexpr std::uint64_t DefaultFirstSeed = 1;
 constexpr int DefaultHistories = 150;
 constexpr int DefaultLeaderHistories = 100;
+constexpr int DefaultEvacuationHistories = 60;
+constexpr EvacuationSettings Evacuation{5s, 6s};
 constexpr Duration DelayedOrderTime = 5500ms;    ///< until all delayed orders and writes have been executed
 constexpr Duration PromptRestartTime = 8s;       ///< for long-running tasks if every worker can be read
 constexpr Duration LongRunningRestartTime = 20s; ///< for long-running tasks; includes the wait for workers that left
@@ -52,6 +56,7 @@
     int eventsPerBurst = 60;
     std::uint32_t maxEventIntervalMs = 400;
     bool hasLeaderChanges = false; ///< with the faults of histories with changes of leaders, see above
+    bool hasEvacuations = false;   ///< with evacuations of failure domains
 };
 
 HistorySettings leaderHistory(std::uint64_t seed)
@@ -67,6 +72,14 @@
     return it;
 }
 
+HistorySettings evacuationHistory(std::uint64_t seed)
+{
+    HistorySettings it = leaderHistory(seed);
+    it.workers = 12; // three failure domains
+    it.hasEvacuations = true;
+    return it;
+}
+
 std::uint64_t readEnvironment(const char *name, std::uint64_t fallback)
 {
     const char *text = std::getenv(name);
@@ -89,6 +102,13 @@
                 setRandomClockRate(it);
             }
         }
+        if (settings.hasEvacuations) {
+            m_rig.evacuation = Evacuation;
+            for (int i = 0; i < settings.nodes; ++i) {
+                m_rig.kill(i);
+                m_rig.boot(i);
+            }
+        }
     }
 
     void run()
@@ -101,6 +121,9 @@
             m_hasUnreadableWorkers = false;
             for (int i = 0; i < m_settings.eventsPerBurst; ++i) {
                 m_settings.hasLeaderChanges &&randomBelow(2) == 0 ? applyLeaderEvent() : applyRandomEvent();
+                if (m_settings.hasEvacuations && randomBelow(6) == 0) {
+                    changeEvacuation();
+                }
                 advance(Duration(randomBelow(400) * 1000));
             }
             clearFaults();
@@ -126,12 +149,22 @@
         return m_transfers;
     }
 
+    /** Number of moves of a whole job between shards. */
+    int jobMoves() const
+    {
+        return m_jobMoves;
+    }
+
 private:
     void countTransfers(const StoreChange &change)
     {
         for (const StorePut &it : change.puts) {
             m_transfers += it.key.starts_with("in/") && it.key.find("/t/") != std::string::npos ? 1 : 0;
         }
+        const bool isExpiry = change.puts.empty(); // of jobs that ended long ago
+        for (const std::string &it : change.removals) {
+            m_jobMoves += !isExpiry && it.starts_with("in/") && it.find("/j/") != std::string::npos ? 1 : 0;
+        }
     }
 
     void checkShardsOfTasks()
@@ -265,6 +298,23 @@
         }
     }
 
+    /** Requests the evacuation of a failure domain, or withdraws it. */
+    void changeEvacuation()
+    {
+        const std::string key = "operator/evacuate/d" + std::to_string(randomBelow(3));
+        if (m_rig.backend.items.contains(key)) {
+            withdrawEvacuation(key);
+        } else {
+            m_rig.backend.write(key, "{}");
+        }
+    }
+
+    void withdrawEvacuation(const std::string &key)
+    {
+        ++m_rig.backend.revision;
+        m_rig.backend.remove(key);
+    }
+
     void unregisterWorker(const WorkerId &id)
     {
         ++m_rig.backend.revision;
@@ -318,6 +368,9 @@
                 m_rig.boot(i);
             }
         }
+        for (int i = 0; m_settings.hasEvacuations && i < 3; ++i) {
+            withdrawEvacuation("operator/evacuate/d" + std::to_string(i));
+        }
         for (const WorkerId &it : m_workers) {
             m_rig.backend.write("workers/" + it, "back");
             m_rig.fleet.workers[it].failsAll = false;
@@ -693,19 +746,22 @@
     std::set<JobKey> m_cancelled;
     std::map<JobKey, std::uint32_t> m_taskCounts; ///< of long-running jobs
     int m_transfers = 0;
+    int m_jobMoves = 0;
     std::map<JobKey, std::optional<IntakeOutcome>> m_outcomes;
 };
 
 template<typename Settings>
-void runHistories(int defaultHistories, Settings settingsOf)
+void runHistories(int defaultHistories, Settings settingsOf, bool mustMoveJobs = false)
 {
     const std::uint64_t first = readEnvironment("WORKFLOW_SEED", DefaultFirstSeed);
     const std::uint64_t n = readEnvironment("WORKFLOW_RUNS", static_cast<std::uint64_t>(defaultHistories));
     int transfers = 0;
+    int jobMoves = 0;
     for (std::uint64_t seed = first; seed < first + n; ++seed) {
         FaultScenario scenario(seed, settingsOf(seed));
         scenario.run();
         transfers += scenario.transfers();
+        jobMoves += scenario.jobMoves();
         if (::testing::Test::HasFailure()) {
             FAIL() << "seed " << seed << ": run again with WORKFLOW_SEED=" << seed << " WORKFLOW_RUNS=1";
         }
@@ -713,6 +769,9 @@
     ::testing::Test::RecordProperty("transfers", transfers);
     EXPECT_TRUE(transfers > 0 || n < static_cast<std::uint64_t>(defaultHistories))
         << "no task was given to another shard";
+    ::testing::Test::RecordProperty("jobMoves", jobMoves);
+    EXPECT_TRUE(!mustMoveJobs || jobMoves > 0 || n < static_cast<std::uint64_t>(defaultHistories))
+        << "no job was moved to another shard";
 }
 
 void runLeaderHistory(std::uint64_t seed)
@@ -732,6 +791,11 @@
     runHistories(DefaultLeaderHistories, leaderHistory);
 }
 
+TEST(WorkflowFaults, guaranteesHoldUnderEvacuations)
+{
+    runHistories(DefaultEvacuationHistories, evacuationHistory, true);
+}
+
 // Seeds that have failed. A change of the random choices above gives all seeds another meaning: then look for seeds anew on
 // the commit that is named.
 
--- a/packages/workflow/tests/jobmovetest.cpp
+++ b/packages/workflow/tests/jobmovetest.cpp
@@ -69,6 +69,38 @@
         return keys;
     }
 
+    /** Requests the evacuation of shard 0 and runs until the job's first step is stored as done; it then moves next. */
+    FakeStore &runUntilMove(const JobKey &key, std::uint32_t tasks, Duration delayOfMove)
+    {
+        FakeStore &store = leaderOf(0).store;
+        bool isMoveNext = false;
+        store.onChange = [&](const StoreChange &change) {
+            for (const StorePut &it : change.puts) {
+                bool isDone = it.key == std::string(ProgressPrefix) + key;
+                for (std::uint32_t i = 0; isDone && i < tasks; ++i) {
+                    isDone = decodeIsDone(it.value, {key, 0, 0, i});
+                }
+                if (isDone) { // no later write of the leader gets a reply
+                    isMoveNext = true;
+                    store.lostChangeReplies = 1000;
+                    store.lostChangeDelay = delayOfMove;
+                }
+            }
+        };
+        request(0);
+        for (Duration t{}; t < 3s && !isMoveNext; t += StepTime) {
+            run(StepTime);
+        }
+        EXPECT_TRUE(isMoveNext);
+        store.onChange = {};
+        for (Duration t{}; t < 1s && store.lostChangeReplies == 1000; t += StepTime) {
+            run(StepTime);
+        }
+        EXPECT_LT(store.lostChangeReplies, 1000) << "the move was sent";
+        run(50ms);
+        return store;
+    }
+
     std::size_t startsIn(ShardId shard) const
     {
         std::size_t n = 0;
@@ -564,38 +596,145 @@
 // against one that goes on with the job as it was before the move. Some are cancelled after their return.
 TEST(JobMove, jobComesBackBeforeTheOutcomeOfItsMoveIsKnown)
 {
-    for (Duration outage = 500ms; outage <= 4s; outage += 500ms) {
-        for (const bool isCancelled : {false, true}) {
-            JobMoveRig rig;
-            const std::vector<JobKey> keys = rig.submitToFirstShard(2, 2, 10);
-            rig.run(150ms);
-            rig.request(0);
-            rig.leaderOf(0).store.lostChangeReplies = 1000;
-            FakeStore &store = rig.leaderOf(0).store;
-            rig.run(1s);
-            rig.withdraw(0);
-            rig.request(1);
-            rig.request(2);
-            rig.run(outage);
-            if (isCancelled) {
-                for (const JobKey &it : keys) {
-                    rig.cancel(0, it);
-                }
-                rig.run(500ms);
-            }
-            store.lostChangeReplies = 0;
-            rig.run(RecoveryTime);
-            rig.expectConsistent(keys);
-            for (const JobKey &it : keys) {
-                const auto state = rig.state(it);
-                EXPECT_TRUE(state == WorkflowState::Completed || (isCancelled && state == WorkflowState::Cancelled));
-            }
-            EXPECT_EQ(rig.fleet.runningTasks(), 0U);
-            ASSERT_FALSE(::testing::Test::HasFailure()) << "outage " << outage / 1ms << " ms, cancel " << isCancelled;
+    for (const bool isCancelled : {false, true}) {
+        JobMoveRig rig;
+        const JobKey key = rig.submitToFirstShard(1, 2, 12).front();
+        rig.run(150ms);
+        FakeStore &store = rig.runUntilMove(key, 2, Duration::zero());
+        ASSERT_NE(rig.shardOfJob(key), 0U);
+        rig.withdraw(0);
+        rig.request(1);
+        rig.request(2);
+        for (Duration t{}; t < 3s && rig.shardOfJob(key) != 0; t += StepTime) {
+            rig.run(StepTime);
         }
+        ASSERT_EQ(rig.shardOfJob(key), 0U);
+        if (isCancelled) {
+            rig.cancel((rig.leader(0) + 1) % NodeCount, key);
+            rig.run(100ms);
+        }
+        const std::size_t starts = rig.startsIn(0);
+        rig.run(1s);
+        EXPECT_EQ(rig.startsIn(0), starts) << "the outcome is not known yet";
+        store.lostChangeReplies = 0;
+        rig.run(10s);
+        rig.expectConsistent({key});
+        EXPECT_EQ(rig.state(key), isCancelled ? WorkflowState::Cancelled : WorkflowState::Completed);
+        EXPECT_EQ(rig.fleet.starts == 24U, !isCancelled) << rig.fleet.starts;
+    }
+}
+
+// Guards against a leader that takes a write without a reply as failed and starts the tasks, for which it has room again.
+TEST(JobMove, tasksAreNotStartedWhileTheOutcomeIsUnknown)
+{
+    for (const Duration delay : {Duration::zero(), Duration(300ms), Duration(700ms), Duration(1500ms)}) {
+        JobMoveRig rig;
+        const JobKey key = rig.submitToFirstShard(1, 4, 2).front();
+        rig.run(150ms);
+        FakeStore &store = rig.runUntilMove(key, 4, delay);
+        rig.fleet.workTime = 4s;
+        rig.withdraw(0);
+        rig.run(2s);
+        EXPECT_EQ(rig.startsIn(0), 4U) << "the first step";
+        store.lostChangeReplies = 0;
+        rig.run(10s);
+        rig.expectCompleted({key});
+        EXPECT_EQ(rig.fleet.starts, 8U);
+        ASSERT_FALSE(::testing::Test::HasFailure()) << "late by " << delay / 1ms << " ms";
     }
 }
 
+// Guards against a move that is executed after a cancel was stored at the shard that the job leaves.
+TEST(JobMove, cancelBeforeALateMoveIsNotLost)
+{
+    for (const Duration delay : {Duration(300ms), Duration(1s), Duration(2s)}) {
+        JobMoveRig rig;
+        const JobKey key = rig.submitToFirstShard(1, 4, 2).front();
+        rig.run(150ms);
+        FakeStore &store = rig.runUntilMove(key, 4, delay);
+        rig.cancel((rig.leader(0) + 1) % NodeCount, key);
+        rig.run(CancelTime);
+        store.lostChangeReplies = 0;
+        rig.run(10s);
+        EXPECT_EQ(rig.state(key), WorkflowState::Cancelled);
+        EXPECT_EQ(rig.fleet.starts, 4U);
+        rig.expectConsistent({key});
+        ASSERT_FALSE(::testing::Test::HasFailure()) << "late by " << delay / 1ms << " ms";
+    }
+}
+
+// Guards against a move that is executed after its leader was succeeded and the successor has started the tasks.
+TEST(JobMove, lateMoveOfAFormerLeaderIsNotExecuted)
+{
+    for (const Duration delay : {Duration(4s), Duration(6s), Duration(8s)}) {
+        JobMoveRig rig;
+        const JobKey key = rig.submitToFirstShard(1, 4, 2).front();
+        rig.run(150ms);
+        rig.runUntilMove(key, 4, delay);
+        rig.fleet.workTime = 12s;
+        rig.kill(rig.leader(0));
+        rig.withdraw(0);
+        rig.run(30s);
+        rig.expectCompleted({key});
+        EXPECT_EQ(rig.shardOfJob(key), 0U);
+        EXPECT_EQ(rig.startsIn(0), 8U);
+        ASSERT_FALSE(::testing::Test::HasFailure()) << "late by " << delay / 1ms << " ms";
+    }
+}
+
+// Guards against a new leader that moves a job whose task may run on a worker that it has not read.
+TEST(JobMove, newLeaderMovesNothingThatMayRunOnAnUnreadWorker)
+{
+    JobMoveRig rig;
+    rig.fleet.workTime = 12s;
+    const JobKey key = rig.submitToFirstShard(1, 1, 1).front();
+    while (rig.fleet.runningTasks() == 0) {
+        rig.run(StepTime);
+    }
+    rig.run(200ms);
+    const int leader = rig.leader(0);
+    rig.forWorkersOf(0, [](FakeWorker &it) { it.isReachable = it.running.empty(); });
+    rig.kill(leader);
+    rig.request(0);
+    rig.run(RecoveryTime);
+    rig.expectCompleted({key});
+    EXPECT_NE(rig.shardOfJob(key), 0U);
+}
+
+// Guards against an end that is taken, and acknowledged, while the job may already be in another shard.
+TEST(JobMove, endThatIsReportedWhileTheOutcomeIsUnknownIsNotLost)
+{
+    JobMoveRig rig(1000);
+    const JobKey key = rig.submitToFirstShard(1, 1, 1).front();
+    while (rig.fleet.runningTasks() == 0) {
+        rig.run(StepTime);
+    }
+    FakeWorker *lost = nullptr;
+    rig.forWorkersOf(0, [&lost](FakeWorker &it) { lost = it.running.empty() ? lost : &it; });
+    ASSERT_NE(lost, nullptr);
+    lost->isReachable = false;
+    rig.forWorkersOf(1, [](FakeWorker &it) { it.failsAll = true; });
+    rig.forWorkersOf(2, [](FakeWorker &it) { it.failsAll = true; });
+    FakeStore &store = rig.leaderOf(0).store;
+    rig.request(0);
+    rig.run(3s);
+    store.lostChangeReplies = 1000; // before the lease of the run lapses and the job moves
+    for (Duration t{}; t < 10s && rig.shardOfJob(key) == 0; t += StepTime) {
+        rig.run(StepTime);
+    }
+    ASSERT_NE(rig.shardOfJob(key), 0U);
+    lost->isReachable = true;
+    rig.run(1200ms);
+    EXPECT_TRUE(rig.fleet.acknowledgedTasks.empty());
+    store.lostChangeReplies = 0;
+    rig.run(3s);
+    EXPECT_TRUE(rig.fleet.acknowledgedTasks.empty());
+    rig.forWorkersOf(1, [](FakeWorker &it) { it.failsAll = false; });
+    rig.forWorkersOf(2, [](FakeWorker &it) { it.failsAll = false; });
+    rig.run(RecoveryTime);
+    rig.expectCompleted({key});
+}
+
 // Guards against a second start after an acknowledged end: a worker out of reach completes a task, the job moves on
 // without that end, and the old shard's leader, which does not know the job any more, would acknowledge the end.
 TEST(JobMove, endThatIsReportedAfterTheMoveIsNotAcknowledgedBeforeTheTaskHasEnded)
