--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -420,9 +420,6 @@
             }
         }
     }
-    for (const auto &worker : m_workers) {
-        worker->reservedFor = worker->reservedFor == job ? nullptr : worker->reservedFor;
-    }
     m_cpuSharingJob = m_cpuSharingJob == job ? nullptr : m_cpuSharingJob;
     m_activeJobs.erase(key);
     std::erase(m_jobOrder, job);
