Moves of whole jobs: bounded work for each attempt

Cause: with many jobs without room, each attempt copied the statuses once for each shard and job, and the shard map once for each job.

Change: statuses are compared in place, an attempt tries at most 8 jobs, and the cheap test for want of room comes first. Comments in shards.h and intake.cpp name the move of a job as a cause of a change of shard.

--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -134,8 +134,8 @@
         finish(write, IntakeOutcome::Ok);
         return;
     case StoreStatus::Conflict:
-        // Submission: the key is already registered, so this very job is stored. Cancel: a task was given to another
-        // shard meanwhile, or the job was removed, which happens long after its end.
+        // Submission: the key is already registered, so this very job is stored. Cancel: the job or a task moved to
+        // another shard meanwhile, or the job was removed, which happens long after its end.
         if (!write->isCancel) {
             finish(write, IntakeOutcome::Ok);
         } else if (!updateCancel(write, reply)) {
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -25,7 +25,8 @@
 
 constexpr std::size_t EntriesPerJob = 8; ///< of a change: four conditions, three puts and a removal
 constexpr std::size_t JobsPerMove = (MaxChangeEntries - 1) / EntriesPerJob; ///< beside the condition on the leader key
-constexpr Duration StatusMaxAge = 500ms;                                    ///< of the other shards' statuses
+constexpr std::size_t MaxJobsTried = 8;          ///< at a time; the choice of a destination copies the shard map
+constexpr Duration StatusMaxAge = 500ms;         ///< of the other shards' statuses
 constexpr Duration NoDestinationRetryDelay = 1s; ///< of a job for which no other shard has room
 constexpr Duration ConflictRetryDelay = 1s;      ///< of a job after a condition of its move did not hold
 constexpr Duration WriteRetryDelay = 200ms;      ///< of a move with unknown outcome
@@ -70,17 +71,24 @@
     });
 }
 
-std::int64_t &backlogOf(ShardStatus &status, const WorkflowSpec &spec)
+bool isBestEffort(const WorkflowSpec &spec)
 {
-    const bool isBestEffort
-        = std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.usesSpareCpu; });
-    return isBestEffort ? status.bestEffortBacklogMs : status.backlogMs;
+    return std::any_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) { return it.usesSpareCpu; });
 }
 
-bool hasClearlyLessBacklog(ShardStatuses statuses, const WorkflowSpec &spec, ShardId from, ShardId to)
+/** The member of ShardStatus that counts the waiting work of such jobs. */
+std::int64_t ShardStatus::*backlogFor(const WorkflowSpec &spec)
 {
-    return statuses.contains(from) && statuses.contains(to)
-           && backlogOf(statuses[to], spec) * 2 + MinBacklogGainMs <= backlogOf(statuses[from], spec);
+    return isBestEffort(spec) ? &ShardStatus::bestEffortBacklogMs : &ShardStatus::backlogMs;
+}
+
+bool hasClearlyLessBacklog(const ShardStatuses &statuses, const WorkflowSpec &spec, ShardId from, ShardId to)
+{
+    const auto own = statuses.find(from);
+    const auto other = statuses.find(to);
+    const auto backlog = backlogFor(spec);
+    return own != statuses.end() && other != statuses.end()
+           && other->second.*backlog * 2 + MinBacklogGainMs <= own->second.*backlog;
 }
 
 const StoreItem *findItem(const StoreReply &reply, const std::string &key)
@@ -161,8 +169,9 @@
         return work
                / std::max<std::int64_t>(1, capacity == map.shards[shard].poolCpuMillis.end() ? 0 : capacity->second);
     };
-    backlogOf(statuses[to], spec) += workMs(to);
-    std::int64_t &left = backlogOf(statuses[from], spec);
+    const auto backlog = backlogFor(spec);
+    statuses[to].*backlog += workMs(to);
+    std::int64_t &left = statuses[from].*backlog;
     left = std::max<std::int64_t>(0, left - workMs(from));
 }
 
@@ -190,9 +199,9 @@
                                   ? MoveReason::Evacuation
                                   : MoveReason::NoRoom;
     std::copy_if(m_jobOrder.begin(), m_jobOrder.end(), std::back_inserter(jobs), [&](JobState *it) {
-        return now >= it->nextMoveAt && canMoveWhole(*it)
+        return now >= it->nextMoveAt
                && (reason == MoveReason::Evacuation || hasLongFoundNoRoom(*it, now, m_settings.jobMoveDelay))
-               && isKnownToRunNowhere(*it);
+               && canMoveWhole(*it) && isKnownToRunNowhere(*it);
     });
     if (jobs.empty()) {
         m_nextJobMoveAt = now + m_settings.transferInterval;
@@ -259,8 +268,9 @@
     JobMove move;
     move.reason = reason;
     move.change.conditions = {{m_keys.leader, m_term.keyRevision}};
+    std::size_t tried = 0;
     for (JobState *job : jobs) {
-        if (move.jobs.size() == JobsPerMove) {
+        if (move.jobs.size() == JobsPerMove || ++tried > MaxJobsTried) {
             break;
         }
         const auto to = chooseMoveDestination(map, m_statuses, *job, m_shard, reason);
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -14,7 +14,7 @@
  *
  * A rack never changes its shard. So a worker only ever sees the epochs of one shard, and a task only ever runs on
  * workers of the shard to which it belongs: fencing and the guarantee that no task runs twice hold within each shard
- * independently of the others. A task changes its shard only by a transfer, see transfer.cpp.
+ * independently of the others. A task changes its shard only by a transfer (transfer.cpp) or with its job (jobmove.cpp).
  */
 #pragma once
 
