Shards: a best-effort job goes by the backlog of its images, all shards compared

Change: statuses show the backlog by image where scarcity is enabled; a best-effort job goes to the shard with the least expected time by it, of all shards instead of three.

--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -191,6 +191,35 @@
     return std::max(percent, 1) / 100.0;
 }
 
+/** Whether every status shows the backlog by image, see ShardStatus::writtenAtMs. */
+bool haveBacklogByImage(const ShardStatuses &statuses, std::size_t shards)
+{
+    return statuses.size() == shards
+           && std::all_of(statuses.begin(), statuses.end(), [](const auto &it) { return it.second.writtenAtMs != 0; });
+}
+
+/**
+ * Time until a best-effort job would end in a shard. Work of its images waits for the workers that bear them, all other work
+ * competes for the same idle CPU.
+ */
+double expectedBestEffortMs(const ShardStatus &status, double freeShare, double tolerance, const WorkflowSpec &spec)
+{
+    std::set<std::string> images;
+    for (const StepSpec &it : spec.steps) {
+        if (it.usesSpareCpu) {
+            images.insert(it.image);
+        }
+    }
+    std::int64_t ownMs = 0;
+    for (const std::string &it : images) {
+        const auto found = status.bestEffortBacklogByImage.find(it);
+        ownMs += found == status.bestEffortBacklogByImage.end() ? 0 : found->second;
+    }
+    const auto otherMs = static_cast<double>(std::max<std::int64_t>(0, status.bestEffortBacklogMs - ownMs));
+    const auto workMs = static_cast<double>(ownMs + criticalPathMs(spec));
+    return workMs / tolerance + (static_cast<double>(ownMs) / tolerance + otherMs) / std::max(MinFreeShare, freeShare);
+}
+
 /** The number of tasks of @p step that fit in the pieces of room of a shard, less @p assignedMillis. */
 std::int64_t countSlots(const ShardStatus &status, std::int64_t assignedMillis, const StepSpec &step)
 {
@@ -291,13 +320,20 @@
 
 ShardId chooseShard(const ShardMap &map, const ShardStatuses &statuses, std::string_view pool, const WorkflowSpec &spec)
 {
-    std::vector<std::int64_t> weights = weightsFor(map, pool, spec);
+    const std::vector<std::int64_t> capacities = weightsFor(map, pool, spec);
+    std::vector<std::int64_t> weights = capacities;
     for (ShardId i = 0; i < weights.size(); ++i) {
         const auto least = static_cast<std::int64_t>(MinFreeShare * static_cast<double>(weights[i]));
         const std::int64_t free = std::max(least, freeCpuMillis(statuses, i, weights[i], spec));
         weights[i] = std::llround(static_cast<double>(free) * toleranceOf(statuses, i, spec));
     }
+    const bool comparesAll = isBestEffort(spec) && haveBacklogByImage(statuses, weights.size());
     const auto expectedMs = [&](ShardId shard) {
+        if (comparesAll) {
+            const double free = static_cast<double>(freeCpuMillis(statuses, shard, capacities[shard], spec))
+                                / static_cast<double>(std::max<std::int64_t>(1, capacities[shard]));
+            return expectedBestEffortMs(statuses.at(shard), free, toleranceOf(statuses, shard, spec), spec);
+        }
         return static_cast<double>(backlogOf(statuses, shard, spec) + criticalPathMs(spec))
                / toleranceOf(statuses, shard, spec);
     };
@@ -306,6 +342,9 @@
         const ShardId other = pickWeighted(weights, XXH3_64bits_withSeed(spec.key.data(), spec.key.size(), seed));
         best = expectedMs(other) < expectedMs(best) ? other : best;
     }
+    for (ShardId i = 0; comparesAll && i < capacities.size(); ++i) {
+        best = capacities[i] > 0 && expectedMs(i) < expectedMs(best) ? i : best;
+    }
     for (const StepSpec &it : spec.steps) {
         const auto home = map.shardOfRack.find(it.preferredRack);
         if (!it.preferredRack.empty() && home != map.shardOfRack.end() && weights[home->second] > 0) {
@@ -462,6 +501,7 @@
         record.push_back(status.bestEffortQueued);
         record.push_back(status.bestEffortRate);
         record.push_back(status.writtenAtMs);
+        record.push_back(status.bestEffortBacklogByImage);
     }
     return packRecord(record);
 }
@@ -488,6 +528,7 @@
             it.bestEffortQueued = value.at(9).get<std::map<int, std::map<int, std::int64_t>>>();
             it.bestEffortRate = value.at(10);
             it.writtenAtMs = value.at(11);
+            it.bestEffortBacklogByImage = value.at(12).get<CpuByImage>();
         }
         return it;
     } catch (const json::exception &error) {
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -111,8 +111,9 @@
     // Only if scarcity is enabled, see forecast.h
     /** Core-milliseconds of best-effort work that waits and is still useful, by priority and workBucket() of its job. */
     std::map<int, std::map<int, std::int64_t>> bestEffortQueued;
-    std::int64_t bestEffortRate = 0; ///< core-milliseconds per second that the shard completes of it; 0: not known
-    std::int64_t writtenAtMs = 0;    ///< wall time of the leader, Unix ms; 0: none of these members is published
+    std::int64_t bestEffortRate = 0;     ///< core-milliseconds per second that the shard completes of it; 0: not known
+    CpuByImage bestEffortBacklogByImage; ///< bestEffortBacklogMs by image, in ms
+    std::int64_t writtenAtMs = 0;        ///< wall time of the leader, Unix ms; 0: none of these members is published
 
     bool operator==(const ShardStatus &) const = default;
 };
@@ -131,7 +132,9 @@
  * data (preferred rack) is taken unless its backlog is much larger. Returns the first shard if no shard has a weight.
  *
  * Best-effort tasks are throttled beside serving tasks that they slow down. So a job with such tasks goes to the shards
- * in proportion to their tolerance of its images, and its expected time there is divided by the tolerance.
+ * in proportion to their tolerance of its images, and its expected time there is divided by the tolerance. Where the
+ * statuses show the backlog by image, all shards are compared: what binds is the room on workers that bear the image, and
+ * so few jobs are of one image that they do not all meet in one shard.
  */
 ShardId
 chooseShard(const ShardMap &map, const ShardStatuses &statuses, std::string_view pool, const WorkflowSpec &spec);
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -7,11 +7,26 @@
 
 namespace {
 
-constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2;        ///< each job takes a condition and a put
-constexpr std::int64_t BacklogResolutionMs = 100;                        ///< smaller changes do not cause a write
+constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2; ///< each job takes a condition and a put
+constexpr std::int64_t BacklogResolutionMs = 100;                 ///< smaller changes do not cause a write
+constexpr std::int64_t ImageBacklogResolutionMs = 20;             ///< the same by image: dozens of images share a shard
 constexpr Duration StatusCheckInterval = std::chrono::milliseconds(100); ///< while the status does not change
 constexpr std::size_t MaxRemovals = MaxChangeEntries - 1;                ///< beside the condition on the leader key
 
+/** Adds the best-effort work of @p job that waits, in CPU millis x ms, by image. */
+void addBacklogByImage(const JobState &job, CpuByImage &sums)
+{
+    for (std::size_t s = 0; s < job.accepted.spec.steps.size(); ++s) {
+        const StepSpec &spec = job.accepted.spec.steps[s];
+        const auto &tasks = job.occurrences.front().steps[s].tasks;
+        const auto waiting = std::count_if(
+            tasks.begin(), tasks.end(), [](const TaskState &it) { return it.phase == TaskPhase::Waiting; });
+        if (spec.usesSpareCpu && waiting > 0) {
+            sums[spec.image] += waiting * spec.need.cpuMillis * spec.estimateMs;
+        }
+    }
+}
+
 /** Adds the CPU declared by the long-running tasks of @p job that belong to this shard. */
 void addOwnLongRunningCpu(const JobState &job, CpuByImage &sums)
 {
@@ -256,6 +271,15 @@
     for (const auto &[key, job] : m_activeJobs) {
         addUsefulQueuedWork(*job, wallMs, status, now);
         isWithoutRoom = isWithoutRoom || hasBestEffortTaskWithoutRoom(*job);
+        addBacklogByImage(*job, status.bestEffortBacklogByImage);
+    }
+    std::int64_t capacityMillis = 0;
+    for (const auto &it : m_workers) {
+        capacityMillis += it->isRegistered ? it->record.capacity.cpuMillis : 0;
+    }
+    const std::int64_t imageResolution = ImageBacklogResolutionMs * std::max<std::int64_t>(1, capacityMillis);
+    for (auto &[image, work] : status.bestEffortBacklogByImage) {
+        work = work / imageResolution * ImageBacklogResolutionMs;
     }
     m_bestEffortRate.setWaiting(isWithoutRoom, now);
     const std::int64_t capacity = bestEffortCapacity();
