--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -35,14 +35,6 @@
 /** A shard has clearly less waiting work if it has less than half, and this much less: statuses are a second old. */
 constexpr std::int64_t MinBacklogGainMs = 1000;
 
-/** Whether transfer.cpp can give the tasks of such a job one by one. */
-bool hasOnlyIndependentLongRunningTasks(const WorkflowSpec &spec)
-{
-    return spec.repeatCount == 0 && std::all_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) {
-               return it.isLongRunning && !it.isGang && it.after.empty();
-           });
-}
-
 template<typename Predicate>
 bool isAnyTask(const JobState &job, Predicate predicate)
 {
@@ -104,6 +96,13 @@
 // Decisions
 // ---------------------------------------------------------------------------------------------------------------------
 
+bool hasOnlyIndependentLongRunningTasks(const WorkflowSpec &spec)
+{
+    return spec.repeatCount == 0 && std::all_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) {
+               return it.isLongRunning && !it.isGang && it.after.empty();
+           });
+}
+
 bool canMoveWhole(const JobState &job)
 {
     const bool isOpen = !job.isGuest && !job.isCancelled && !job.isMoving && !isFinal(job.state);
--- a/packages/workflow/jobmove.h
+++ b/packages/workflow/jobmove.h
@@ -3,6 +3,7 @@
  * jobmove.cpp also contains the scheduler's part, the write and what is known of jobs that have left.
  *
  * Index of this file
+ *   hasOnlyIndependentLongRunningTasks()   whether nothing but a cancel ends the job
  *   canMoveWhole()            whether the job's state allows a move
  *   hasLongFoundNoRoom()      whether the job's tasks have waited for a worker for long
  *   chooseMoveDestination()   the shard to which a job moves
@@ -20,6 +21,9 @@
     NoRoom,     ///< the job has long found no worker, and another shard has clearly less work waiting
 };
 
+/** Whether transfer.cpp can give the tasks of such a job one by one: nothing but a cancel ends it. */
+bool hasOnlyIndependentLongRunningTasks(const WorkflowSpec &spec);
+
 /**
  * Whether the job can move as it is: tasks wait, none is starting, running or stopping, and all that has happened is
  * stored. Jobs of independent long-running tasks do not move as a whole: transfer.cpp gives their tasks.
--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -46,7 +46,7 @@
     std::vector<FakeRun> running;
     std::deque<EndedEntry> ended;
     std::uint64_t lastSequence = 0;
-    std::size_t startCount = 0; ///< runs started here so far
+    std::size_t startCount = 0;                     ///< runs started here so far
     std::map<TaskName, std::uint64_t> highestEnded; ///< highest attempt that ended or was stopped; not started again
     bool isReachable = true;
     bool isGone = false;   ///< for good; if it is reachable, another worker answers at its address
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -42,14 +42,9 @@
 // Choosing
 // ---------------------------------------------------------------------------------------------------------------------
 
-/** Whether the job consists of independent long-running tasks only, so that nothing but a cancel ends it. */
 bool WorkflowScheduler::canGiveTasksOf(const JobState &job)
 {
-    const WorkflowSpec &spec = job.accepted.spec;
-    return spec.repeatCount == 0 && !job.isCancelled && !isFinal(job.state)
-           && std::all_of(spec.steps.begin(), spec.steps.end(), [](const StepSpec &it) {
-                  return it.isLongRunning && !it.isGang && it.after.empty();
-              });
+    return !job.isCancelled && !isFinal(job.state) && hasOnlyIndependentLongRunningTasks(job.accepted.spec);
 }
 
 void WorkflowScheduler::giveWaitingTasks(TimePoint now)
