--- a/packages/workflow/forecast.cpp
+++ b/packages/workflow/forecast.cpp
@@ -19,9 +19,7 @@
 
 /**
  * Part of the queued work of the same priority that counts as ahead of a job. The order serves jobs by their cost and
- * drops late ones behind, so most of it does not delay the job. On the model of scarcitytest at 4 times the load, counting
- * all of it rejects 459 of 2,268 jobs, of which 113 would have ended in time, and serves the largest tenth at 0.05 times
- * the rate of the rest; a quarter rejects 8.
+ * drops late ones behind, so most of it does not delay the job.
  */
 constexpr double SamePriorityShare = 0.25;
 
--- a/packages/workflow/scarcity.cpp
+++ b/packages/workflow/scarcity.cpp
@@ -15,8 +15,7 @@
 
 constexpr double CostResolution = 1e9; ///< a job of a million core-milliseconds still has a cost of several hundred
 
-// Time that a job should have left when it starts, as parts of its critical path and of its slack at acceptance. On the
-// model of scarcitytest, at 2.5 times the load, a margin of half the critical path serves 10% more worth in time than none.
+// Time that a job should have left when it starts, as parts of its critical path and of its slack at acceptance.
 constexpr double StartMargin = 0.5;
 constexpr double MaxMarginOfSlack = 0.5; ///< otherwise jobs with little slack would count as late from the start
 
