--- a/packages/workflow/tests/evacuationtest.cpp
+++ b/packages/workflow/tests/evacuationtest.cpp
@@ -8,7 +8,6 @@
 // What operators are promised, see EvacuationSettings.
 constexpr Duration StartBound = 5s;
 constexpr Duration UnstableStoreExtra = 6s;
-constexpr Duration ContactTime = 4s; ///< a node is held to the bound once it has reached the store for so long
 
 /** Two failure domains d0 and d1 of four workers each; with @p workersPerShard 0 as one shard. */
 class EvacuationRig : public Rig
