Crashes of workers are logged and counted, with the runs that had just been started

Cause: runs_lost and worker_restarted name neither the runs of a crashed worker nor how long they had run, so the logs cannot tell a task that crashes its workers from its neighbours, nor from a machine that crashes by itself. No decision depends on it.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -92,6 +92,7 @@
     worker.hasReported = false;
     worker.isConfirmed = false;
     worker.isNewIncarnation = true;
+    worker.hasCrashed = worker.record.condition != WorkerCondition::Draining;
     worker.clock.reset();
     // By what clock the new incarnation measures leases is not known. It cuts each order that may still reach it.
     const auto longestLease = static_cast<double>((m_settings.orderValidity + m_settings.maxWorkerLease).count());
@@ -182,6 +183,9 @@
             return;
         }
         m_log.write("worker_replaced", "worker", worker.record.id, "address", worker.record.address);
+        if (worker.record.condition != WorkerCondition::Draining && (worker.isRegistered || !worker.runs.empty())) {
+            reportCrash(worker, worker.runs);
+        }
         requeueLostRuns(index, "another worker replies at its address");
         worker.mayRunFormerOrders = false;
         worker.isRegistered = false;
@@ -338,6 +342,7 @@
         task.attempt = entry.run.attempt;
         task.isAccountedFor = true;
         task.startedAt = m_now;
+        task.hasStartedUp = false;
         reserveResources(*ref, index);
         ++worker.adoptedRuns;
     }
@@ -365,6 +370,7 @@
     if (task.phase == TaskPhase::Starting) {
         task.phase = TaskPhase::Running;
     }
+    task.hasStartedUp = task.hasStartedUp || m_now - task.startedAt >= m_settings.crashes.startupTime;
     if (task.phase == TaskPhase::Stopping) {
         if (m_now >= task.orderedAt + m_settings.callRetryDelay && !task.isStopAcknowledged) {
             sendStopOrder(*ref);
@@ -484,6 +490,13 @@
     }
     const bool isNewIncarnation = std::exchange(worker.isNewIncarnation, false);
     const std::vector<TaskRef> runs = worker.runs;
+    if (isNewIncarnation && worker.hasCrashed) {
+        std::vector<TaskRef> lost;
+        std::copy_if(runs.begin(), runs.end(), std::back_inserter(lost), [&](const TaskRef &it) {
+            return it.task().lastReportNumber != worker.reportCount && it.task().orderedAt < sentAt;
+        });
+        reportCrash(worker, lost);
+    }
     for (const TaskRef &ref : runs) {
         TaskState &task = ref.task();
         if (task.worker != index || task.lastReportNumber == worker.reportCount || task.orderedAt >= sentAt) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -360,6 +360,7 @@
     task.isStopAcknowledged = false;
     task.orderedAt = now;
     task.startedAt = now;
+    task.hasStartedUp = false;
     task.idleSince = {};
     task.percent = 100;
     task.gauge = 0;
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -63,6 +63,11 @@
         addIncrease("runs_total", {{"shard", name}, {"end", "done"}}, counters.done, before.done);
         addIncrease("runs_total", {{"shard", name}, {"end", "failed"}}, counters.failed, before.failed);
         addIncrease("runs_total", {{"shard", name}, {"end", "lost"}}, counters.lost, before.lost);
+        addIncrease("worker_crashes_total", {{"shard", name}}, counters.workerCrashes, before.workerCrashes);
+        addIncrease("worker_crashes_at_start_total",
+                    {{"shard", name}},
+                    counters.workerCrashesAtStart,
+                    before.workerCrashesAtStart);
         addIncrease("stops_total", {{"shard", name}}, counters.stops, before.stops);
         addIncrease("throttles_total", {{"shard", name}}, counters.throttles, before.throttles);
         addIncrease("untracked_images_total", {{"shard", name}}, counters.untrackedImages, before.untrackedImages);
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -90,6 +90,7 @@
     bool mayRunFormerOrders = false; ///< a former leader used it and may have left runs on it that are unknown here
     std::uint64_t fence = 0;         ///< fencing token of our orders to it: epoch and restart count
     bool isNewIncarnation = false;   ///< has restarted and not reported since
+    bool hasCrashed = false;         ///< isNewIncarnation: the former incarnation was not draining
     std::uint32_t restartCount = 0;  ///< restarts seen in this term; part of the fencing token
     TimePoint drainSeenAt{};         ///< when its entry first said that it is draining
     TimePoint nextEvacuationAt{};    ///< draining: next check which of its runs must leave
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -98,6 +98,7 @@
     TimePoint answeredAt{};               ///< when it was answered
     TimePoint startedAt{};       ///< when the run was ordered, or when a report first listed it if unknown before
     TimePoint retryAt{};         ///< Waiting: earliest time of the next placement
+    bool hasStartedUp = false;   ///< a report has listed the run CrashSettings::startupTime after its start
     std::int64_t gauge = 0;      ///< see RunningEntry::gauge
     TimePoint overTargetSince{}; ///< serving tasks: start of tail latency above target; zero: not above
     TimePoint stalledSince{};    ///< start of a throttle of PressureSettings::stalledPercent or less; zero: none
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -29,6 +29,7 @@
  */
 #pragma once
 
+#include <workflow/crashes.h>
 #include <workflow/election.h>
 #include <workflow/evacuation.h>
 #include <workflow/forecast.h>
@@ -87,6 +88,7 @@
 
     /** Checkpointed tasks are stopped this long before a draining worker shuts down. */
     Duration drainMargin = std::chrono::milliseconds(1500);
+    CrashSettings crashes;
     PlacementWeights placement;
     PressureSettings pressure;
     ScarcitySettings scarcity;
@@ -112,7 +114,9 @@
     std::uint64_t startsUnanswered = 0;
     std::uint64_t done = 0;
     std::uint64_t failed = 0;
-    std::uint64_t lost = 0; ///< runs lost because their worker restarted, vanished or lost its lease
+    std::uint64_t lost = 0;                 ///< runs lost because their worker restarted, vanished or lost its lease
+    std::uint64_t workerCrashes = 0;        ///< restarts without a drain, by which runs were lost or not
+    std::uint64_t workerCrashesAtStart = 0; ///< of these, crashes of workers on which a run had just started
     std::uint64_t stops = 0;
     std::uint64_t writes = 0;
     std::uint64_t throttles = 0;
@@ -284,6 +288,7 @@
     void resolveUnlistedRuns(WorkerIndex index, std::int64_t clockMs, bool isComplete, TimePoint sentAt);
     void requeueLostRuns(WorkerIndex index, std::string_view why);
     void beginIncarnation(WorkerIndex index, const WorkerRecord &record);
+    void reportCrash(const WorkerState &worker, std::span<const TaskRef> lost);
     void evacuateDrainingWorker(WorkerIndex index, TimePoint now);
     bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const;
     void updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now);
