--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -13,6 +13,7 @@
 #include <algorithm>
 #include <chrono>
 #include <deque>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -51,6 +52,17 @@
     bool isReachable = true;
     bool isGone = false;   ///< for good; if it is reachable, another worker answers at its address
     bool failsAll = false; ///< every run fails
+    std::string address;   ///< empty: the id
+    TimePoint returnsAt{}; ///< it has crashed and is back then; zero: it has not
+    int lives = 1;         ///< incarnations of its machine so far
+};
+
+/** What happens after a worker has crashed. */
+struct CrashBehaviour
+{
+    Duration delay = 10ms;      ///< from the start of a deadly task to the crash
+    Duration downTime = 3300ms; ///< until the machine is back
+    bool keepsId = false;       ///< the machine is back under its id; otherwise another id answers at its address
 };
 
 class FakeFleet
@@ -72,6 +84,16 @@
     std::uint64_t starts = 0;
     std::vector<std::string> violations; ///< descriptions; must stay empty
 
+    CrashBehaviour crashBehaviour;
+    std::set<TaskName> deadlyTasks;           ///< crash each worker that starts them
+    std::map<TaskName, int> crashesUnder;     ///< of deadly tasks
+    std::map<TaskName, int> startsAfterThree; ///< of deadly tasks: starts after three workers had crashed under them
+    std::size_t mostWorkersDown = 0;          ///< at the same time
+    std::function<void(const WorkerId &former, const WorkerId &id)>
+        onReturn; ///< after a crash; the same id or a new one
+    std::map<JobKey, Resources>
+        needs; ///< of a task of the job; if given, starts beyond a worker's capacity are violations
+
     std::int64_t clockMs(const FakeWorker &worker) const
     {
         const auto ms = std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.now().time_since_epoch()).count();
@@ -82,6 +104,8 @@
     /** Ends the runs that are due, and checks that no task runs twice at the same time. */
     void step()
     {
+        crashUnderDeadlyTasks();
+        returnFromCrashes();
         std::map<TaskName, int> running;
         for (auto &[id, worker] : workers) {
             const std::vector<FakeRun> runs = worker.running;
@@ -114,6 +138,18 @@
         worker.ended.push_back({++worker.lastSequence, run, how, checkpoint});
     }
 
+    /** The worker loses its runs and answers nothing until its machine is back. */
+    void crash(const WorkerId &id)
+    {
+        FakeWorker &worker = workers.at(id);
+        worker.running.clear();
+        worker.isReachable = false;
+        worker.returnsAt = m_clock.now() + crashBehaviour.downTime;
+        const auto down = std::count_if(
+            workers.begin(), workers.end(), [](const auto &it) { return it.second.returnsAt != TimePoint{}; });
+        mostWorkersDown = std::max(mostWorkersDown, static_cast<std::size_t>(down));
+    }
+
     /** Restarts the worker under the same id: it loses its runs, ended runs and fencing token. */
     void restartWorker(const WorkerId &id)
     {
@@ -157,6 +193,10 @@
         if (acknowledgedTasks.contains(order.run.task)) {
             violations.push_back("started after its acknowledged end: " + text(order.run));
         }
+        if (deadlyTasks.contains(order.run.task) && crashesUnder[order.run.task] >= 3) {
+            ++startsAfterThree[order.run.task];
+        }
+        checkCapacity(worker, order.run);
         ++starts;
         ++worker.startCount;
         startedJobs.insert(order.run.task.job);
@@ -225,6 +265,72 @@
     }
 
 private:
+    void crashUnderDeadlyTasks()
+    {
+        std::set<WorkerId> crashed;
+        for (const auto &[id, worker] : workers) {
+            for (const FakeRun &it : worker.running) {
+                if (deadlyTasks.contains(it.run.task) && m_clock.now() >= it.startedAt + crashBehaviour.delay) {
+                    ++crashesUnder[it.run.task];
+                    crashed.insert(id);
+                }
+            }
+        }
+        for (const WorkerId &it : crashed) {
+            crash(it);
+        }
+    }
+
+    void returnFromCrashes()
+    {
+        std::vector<WorkerId> back;
+        for (const auto &[id, worker] : workers) {
+            if (worker.returnsAt != TimePoint{} && m_clock.now() >= worker.returnsAt) {
+                back.push_back(id);
+            }
+        }
+        for (const WorkerId &it : back) {
+            FakeWorker &former = workers.at(it);
+            former.returnsAt = {};
+            former.isReachable = true;
+            WorkerId id = it;
+            if (crashBehaviour.keepsId) {
+                restartWorker(it);
+            } else {
+                FakeWorker worker;
+                worker.address = former.address.empty() ? former.id : former.address;
+                worker.lives = former.lives + 1;
+                worker.id = worker.address + "-" + std::to_string(worker.lives);
+                worker.startedAtMs = former.startedAtMs + 1000;
+                worker.pool = former.pool;
+                worker.rack = former.rack;
+                worker.failureDomain = former.failureDomain;
+                worker.capacity = former.capacity;
+                former.isGone = true;
+                id = worker.id;
+                workers[id] = worker;
+            }
+            if (onReturn) {
+                onReturn(it, id);
+            }
+        }
+    }
+
+    void checkCapacity(const FakeWorker &worker, const RunName &run)
+    {
+        const auto need = needs.find(run.task.job);
+        if (need == needs.end()) {
+            return;
+        }
+        Resources sum = need->second;
+        for (const FakeRun &it : worker.running) {
+            sum += needs[it.run.task.job];
+        }
+        if (!sum.fitsIn(worker.capacity)) {
+            violations.push_back("started beyond the worker's capacity: " + text(run));
+        }
+    }
+
     std::optional<OrderReply> checkFence(FakeWorker &worker, const WorkerTarget &target)
     {
         if (worker.isGone) {
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -462,7 +462,7 @@
         WorkerRecord it;
         it.id = worker.id;
         it.startedAtMs = worker.startedAtMs;
-        it.address = worker.id;
+        it.address = worker.address.empty() ? worker.id : worker.address;
         it.pool = worker.pool;
         it.rack = worker.rack;
         it.failureDomain = worker.failureDomain;
@@ -516,6 +516,13 @@
         queue.maxFailures = 3;
         decoder.catalog.queues = {queue};
         backend.write("operator/config", "1");
+        fleet.onReturn = [this](const WorkerId &former, const WorkerId &id) {
+            if (former != id) {
+                ++backend.revision;
+                backend.remove("workers/" + former);
+            }
+            backend.write("workers/" + id, "back");
+        };
         for (int i = 0; i < workers; ++i) {
             addWorker("w" + std::to_string(i), "r" + std::to_string(i / 2), "d" + std::to_string(i / 4));
         }
