A task that crashes the workers that start it is tried alone, and given up

What callers saw: a job with such a task never ended, and each new start of the task took down another worker with all that ran there. Cause: a run that is lost with its worker counted for nothing, and its task was placed again at once, without limit. Only ends that a worker reports count towards the failure limit, and a crashed worker reports none. Ruled out: a count that is lost with its leader (the same under one leader), a machine that is at fault (neighbours complete there). Change: the crash of a worker is held against the runs that had just been started there (crashes.h). A suspect is tried alone, on the worker whose crash costs the least; if it starts up it is cleared, if two workers crash in its trials its job fails, with the reason. A crash next to one that no start explains does not count as one of a trial. The evidence is stored with the job's progress and moves with it; a trial is stored before its start is sent, and a start whose worker falls silent is stored then, so a successor knows what it was. Why this works: two crashes of workers on which nothing else was starting convict; a task that does not crash its worker passes.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -118,10 +118,12 @@
         // renewal may report ends from before the lease expired, so it is awaited first.
         const bool hasLeaseExpired = !worker.isRenewing && now >= worker.leaseEndsBy;
         if (!worker.runs.empty() && hasLeaseExpired && m_authority == Authority::Full) {
+            keepUnresolvedRuns(worker);
             requeueLostRuns(i, "lease expired");
         }
         dropFromStoredWorkers(worker);
-        const bool isNeeded = worker.isRegistered || worker.mayRunFormerOrders || !worker.runs.empty();
+        const bool isNeeded = worker.isRegistered || worker.mayRunFormerOrders || !worker.runs.empty()
+                              || !worker.unresolvedRuns.empty();
         if (isNeeded && !worker.isRenewing && now >= worker.nextRenewAt && !worker.record.address.empty()) {
             renewWorkerLease(i, now);
         }
@@ -183,8 +185,8 @@
             return;
         }
         m_log.write("worker_replaced", "worker", worker.record.id, "address", worker.record.address);
-        if (worker.record.condition != WorkerCondition::Draining && (worker.isRegistered || !worker.runs.empty())) {
-            reportCrash(worker, worker.runs);
+        if (worker.record.condition != WorkerCondition::Draining) {
+            recordReplacement(index);
         }
         requeueLostRuns(index, "another worker replies at its address");
         worker.mayRunFormerOrders = false;
@@ -194,7 +196,9 @@
     default:
         worker.unansweredRenewals += status == OrderStatus::Unhealthy ? 0 : 1;
         worker.nextRenewAt = now + m_settings.callRetryDelay;
-        if (worker.unansweredRenewals == 1) {
+        if (worker.unansweredRenewals == 1 && worker.contactLostAt == TimePoint{}) {
+            worker.contactLostAt = now;
+            storeSilentStarts(worker);
             m_log.write("worker_contact_lost",
                         "worker",
                         worker.record.id,
@@ -246,6 +250,11 @@
     }
     worker.hasReported = true;
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
+    if (std::exchange(worker.contactLostAt, {}) != TimePoint{}) {
+        for (const TaskRef &it : worker.runs) {
+            it.task().silentStart.reset();
+        }
+    }
     if (isFirst) {
         worker.nextRenewAt = {}; // extend the lease at once, now that the worker's clock is known
         m_isPlacementDue = true;
@@ -253,6 +262,22 @@
     processReport(index, reply.report, sentAt);
 }
 
+/** Another worker answers at the worker's address, and it was not draining: it has crashed. */
+void WorkflowScheduler::recordReplacement(WorkerIndex index)
+{
+    WorkerState &worker = *m_workers[index];
+    std::vector<LostRun> lost = std::exchange(worker.unresolvedRuns, {});
+    for (const TaskRef &it : worker.runs) {
+        lost.push_back(describeLostRun(it, worker, {}));
+    }
+    if (worker.isRegistered || !lost.empty()) { // otherwise its entry was removed before, as when it leaves
+        recordCrash(index, lost);
+    }
+    for (const LostRun &it : lost) {
+        endVerdictWait(it.run);
+    }
+}
+
 /** Advances durableSequence over the ends whose jobs have been stored since. */
 void WorkflowScheduler::acknowledgeDurableEnds(WorkerState &worker)
 {
@@ -345,6 +370,10 @@
         task.hasStartedUp = false;
         reserveResources(*ref, index);
         ++worker.adoptedRuns;
+        if (task.trial && task.trial->attempt == task.attempt) {
+            worker.trialJob = ref->job->key();
+            worker.trialRisk = guiltEstimate(task.crashes);
+        }
     }
     if (!ref || ref->task().worker != index || ref->task().attempt != entry.run.attempt
         || ref->task().phase == TaskPhase::Waiting || ref->task().phase == TaskPhase::Done) {
@@ -370,7 +399,10 @@
     if (task.phase == TaskPhase::Starting) {
         task.phase = TaskPhase::Running;
     }
-    task.hasStartedUp = task.hasStartedUp || m_now - task.startedAt >= m_settings.crashes.startupTime;
+    if (!task.hasStartedUp && m_now - task.startedAt >= m_settings.crashes.startupTime) {
+        task.hasStartedUp = true;
+        onStartedUp(*ref);
+    }
     if (task.phase == TaskPhase::Stopping) {
         if (m_now >= task.orderedAt + m_settings.callRetryDelay && !task.isStopAcknowledged) {
             sendStopOrder(*ref);
@@ -441,6 +473,9 @@
     if (isCurrent) {
         releaseAndRequeue(ref);
     }
+    if (entry.how == RunEnd::Done || entry.how == RunEnd::Failed) {
+        task.crashes.clear(); // it has run without a crash
+    }
     if (isFinal(ref.job->state) || task.phase == TaskPhase::Done) {
         return;
     }
@@ -490,12 +525,19 @@
     }
     const bool isNewIncarnation = std::exchange(worker.isNewIncarnation, false);
     const std::vector<TaskRef> runs = worker.runs;
+    std::vector<LostRun> crashed = takeCrashedRuns(worker, worker.record.startedAtMs);
     if (isNewIncarnation && worker.hasCrashed) {
-        std::vector<TaskRef> lost;
-        std::copy_if(runs.begin(), runs.end(), std::back_inserter(lost), [&](const TaskRef &it) {
-            return it.task().lastReportNumber != worker.reportCount && it.task().orderedAt < sentAt;
-        });
-        reportCrash(worker, lost);
+        for (const TaskRef &it : runs) {
+            if (it.task().lastReportNumber != worker.reportCount && it.task().orderedAt < sentAt) {
+                crashed.push_back(describeLostRun(it, worker, {}));
+            }
+        }
+    }
+    if ((isNewIncarnation && worker.hasCrashed) || !crashed.empty()) {
+        recordCrash(index, crashed);
+        for (const LostRun &it : crashed) {
+            endVerdictWait(it.run);
+        }
     }
     for (const TaskRef &ref : runs) {
         TaskState &task = ref.task();
@@ -539,7 +581,13 @@
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
         ++m_counters.lost;
+        const bool isUnresolved = !worker.unresolvedRuns.empty() && ref.task().phase != TaskPhase::Done;
+        const std::optional<TaskTrial> trial = ref.task().trial;
         releaseAndRequeue(ref);
+        if (isUnresolved && trial) {
+            ref.task().trial = trial;
+            ref.task().retryAt = m_now + m_settings.crashes.verdictTimeout;
+        }
     }
     m_isPlacementDue = true;
 }
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -1,19 +1,123 @@
 /**
- * What the crash of a worker says of the tasks that ran there.
+ * Which tasks may have crashed a worker, and how they are tried again. Designed for this load: a few tasks crash each
+ * worker that starts them, thousands of others start on the same workers, and workers also crash by themselves.
+ *
+ * A crash is evidence against what ran on the worker, not a proof.
+ *   1. A crash is held against the runs that had just been started, as a deadly task brings its worker down soon. Tasks of
+ *      limited run time that had been running longer are only noted as present.
+ *   2. A suspect is tried alone: on a worker where everything else has already started up, and that starts nothing else
+ *      meanwhile. A task that starts up without a crash is no longer suspected.
+ *   3. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials.
+ * A crash next to one that no start explains (a power loss, a machine that crashes by itself) is not counted as a crash of a
+ * trial, so that the victims of such crashes are not given up.
  *
  * Index of this file
  *   CrashSettings   times and limits
+ *   CrashEvidence   what one crash says of one task; stored with the job's progress
+ *   TaskTrial       a start of a suspect; stored before the order is sent
+ *   LostRun         a run that was on a worker when it crashed, or that has been silent since
+ *   assessCrash()   what a crash says of each run that it ended
+ *   isSuspected(), isGivenUp(), guiltEstimate()   the verdict on a task by its evidence
+ *   TrialBudget     how many suspects may be tried at a time
+ *
+ * No I/O; suspects.cpp contains the scheduler's part.
  */
 #pragma once
 
+#include <workflow/model.h>
+
 #include <base/clock.h>
 
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
 namespace QuetzalRock::Workflow {
 
 struct CrashSettings
 {
-    Duration startupTime = std::chrono::milliseconds(500); ///< a run that is listed so long after its start has started
-                                                           ///< without crashing its worker
+    Duration startupTime = std::chrono::milliseconds(500);      ///< a run that is listed so long after its start has
+                                                                ///< started without crashing its worker
+    Duration coincidenceTime = std::chrono::milliseconds(1500); ///< between two crashes that may have one cause
+    Duration verdictTimeout = std::chrono::seconds(10);         ///< a suspect whose worker does not come back waits so
+                                                                ///< long after the end of the worker's lease
+    Duration trialTimeout = std::chrono::seconds(3);            ///< a trial that could not start chooses another worker
+    Duration machineMemory = std::chrono::seconds(60);          ///< machines that crash twice in it get no trials
+    std::uint32_t maxTrialCrashes = 2;                          ///< a task is given up after so many
+    std::uint32_t maxStartCrashes
+        = 5; ///< a task is given up after so many crashes at its start, whatever the trials say
+    std::uint32_t maxPresences
+        = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
+    double maxShareAtRisk = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker
+};
+
+enum class CrashRole : std::uint8_t {
+    Present = 0,         ///< it had been running for longer than startupTime
+    CoincidentStart = 1, ///< it had just been started, but another worker crashed at the same time for no such reason
+    Start = 2,           ///< it had just been started, possibly beside others
+    Trial = 3,           ///< it was being tried alone
+};
+
+struct CrashEvidence
+{
+    std::uint64_t attempt = 0;
+    CrashRole role = CrashRole::Present;
+    std::uint32_t suspects = 1; ///< number of jobs whose runs may have caused the crash, this one included
+
+    bool operator==(const CrashEvidence &) const = default;
+};
+
+struct TaskTrial
+{
+    std::uint64_t attempt = 0;
+    WorkerId worker;
+    std::int64_t workerStartedAtMs = 0; ///< start time of the worker: identifies its incarnation
+
+    // Not stored
+    std::uint64_t version = 0; ///< of the job: the order may be sent once it is stored
+    TimePoint preparedAt{};
+    bool isOrdered = false; ///< the start was sent, by this leader or a former one
+};
+
+struct LostRun
+{
+    RunName run;
+    bool isStarting = false;    ///< no report had listed it startupTime after its start
+    bool isTrial = false;       ///< its task was being tried alone
+    bool isLongRunning = false; ///< its task has no limited run time
+    std::int64_t workerStartedAtMs = 0;
+    TimePoint lostAt{}; ///< zero: at the crash; otherwise when the lease expired
+};
+
+/**
+ * What the crash of a worker says of each of @p lost, in the same order; none for long-running tasks that had started up.
+ * @p isCoincident: another worker crashed at about the same time, and none of its runs had just been started.
+ */
+std::vector<std::optional<CrashEvidence>> assessCrash(std::span<const LostRun> lost, bool isCoincident);
+
+/** Whether the task has to be tried alone. */
+bool isSuspected(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
+bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
+
+/** Probability, from 0 to 1, that the task crashes the worker of its next trial. */
+double guiltEstimate(std::span<const CrashEvidence> crashes);
+
+/** Number of crashes in the given role. */
+std::uint32_t countCrashes(std::span<const CrashEvidence> crashes, CrashRole role);
+
+/** Limits the number of workers that trials are expected to keep down at a time. */
+class TrialBudget
+{
+public:
+    TrialBudget(const CrashSettings &settings, std::size_t workers);
+
+    void add(double risk); ///< a worker that is down has the risk 1
+    bool allows(double risk) const;
+
+private:
+    double m_limit;
+    double m_risk = 0;
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -150,7 +150,12 @@
     for (std::uint32_t i = 0; i < n; ++i) {
         const TaskRef ref{&job, occurrence, step, i};
         TaskState &task = ref.task();
-        if (task.phase != TaskPhase::Waiting || now < task.retryAt || mayBeRunningElsewhere(ref)) {
+        if (task.phase != TaskPhase::Waiting || now < task.retryAt || mayBeRunningElsewhere(ref) || task.isGivenUp
+            || isHeldBySuspect(ref)) {
+            continue;
+        }
+        if (task.trial || isSuspected(m_settings.crashes, task.crashes)) {
+            isWithoutRoom = !placeTrial(std::span(&ref, 1), now) || isWithoutRoom;
             continue;
         }
         const WorkerIndex worker = chooseWorker(ref, now);
@@ -197,6 +202,19 @@
         attempt = std::max(attempt, nextAttempt(it));
         checkpoint = it.checkpoint.empty() ? checkpoint : it.checkpoint;
     }
+    TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
+    const bool isTrial = std::any_of(tasks.begin(), tasks.end(), [this](const TaskState &it) {
+        return it.trial || isSuspected(m_settings.crashes, it.crashes);
+    });
+    if (isTrial) {
+        std::vector<TaskRef> refs;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            refs.push_back({&job, occurrence, step, i});
+            tasks[i].checkpoint = checkpoint;
+        }
+        noRoomSince = placeTrial(refs, now) ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+        return;
+    }
     std::vector<WorkerIndex> chosen;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const TaskRef ref{&job, occurrence, step, i};
@@ -211,7 +229,6 @@
         releaseResources({&job, occurrence, step, i});
         tasks[i].phase = TaskPhase::Waiting;
     }
-    TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
     if (chosen.size() < tasks.size()) {
         noRoomSince = noRoomSince == TimePoint{} ? now : noRoomSince;
         return;
@@ -236,6 +253,10 @@
     if (!isUsable || (worker.isQuarantined(now) && !worker.runs.empty()) || worker.isReservedForOther(*ref.job, now)) {
         return false;
     }
+    const bool isPartOfTrial = worker.trialJob == ref.job->key() && (step.isGang || ref.task().trial);
+    if (worker.trialJob && !isPartOfTrial) {
+        return false;
+    }
     if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel)) {
         return false;
     }
@@ -250,36 +271,14 @@
 
 WorkerIndex WorkflowScheduler::chooseWorker(const TaskRef &ref, TimePoint now)
 {
-    const StepSpec &step = ref.spec();
-    const TaskState &task = ref.task();
     const bool canShare = canShareSpareCpu(*ref.job);
     WorkerIndex best = NoWorker;
     double bestScore = 0;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
-        const WorkerState &worker = *m_workers[i];
-        if (!isEligible(worker, ref, now)) {
-            continue;
-        }
-        const std::optional<double> interference = interferenceOf(worker, ref);
-        if (!interference) {
+        if (!isEligible(*m_workers[i], ref, now)) {
             continue;
         }
-        Candidate candidate;
-        candidate.free = worker.freeResources();
-        candidate.capacityMillis = worker.record.capacity.cpuMillis;
-        candidate.reservedMillis = worker.reserved.cpuMillis;
-        candidate.longRunningMillis = worker.longRunningCpuMillis;
-        candidate.bestEffortMillis = worker.bestEffortCpuMillis;
-        if (step.usesSpareCpu && m_settings.pressure.usesPeriodicForecast) {
-            candidate.longRunningUseMillis = expectedUseMillis(worker, std::chrono::milliseconds(step.estimateMs));
-        }
-        candidate.hasSameImage = step.isLongRunning && hasLongRunningImage(worker, ref);
-        candidate.hasSameJob = step.isLongRunning && hasTaskOfJob(worker, ref);
-        candidate.interference = *interference;
-        candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
-        candidate.hasRecentFailure = task.avoidedWorker == i || worker.consecutiveFailures > 0;
-        candidate.canShareSpareCpu = canShare;
-        const auto score = scoreWorker(m_settings.placement, step, candidate);
+        const std::optional<double> score = scorePlacement(i, ref, canShare);
         if (score && (best == NoWorker || *score > bestScore)) {
             best = i;
             bestScore = *score;
@@ -288,6 +287,35 @@
     return best;
 }
 
+/** Score of the task on a worker, see scoreWorker(); none if it does not fit or would slow down serving tasks there. */
+std::optional<double>
+WorkflowScheduler::scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const
+{
+    const StepSpec &step = ref.spec();
+    const TaskState &task = ref.task();
+    const WorkerState &worker = *m_workers[index];
+    const std::optional<double> interference = interferenceOf(worker, ref);
+    if (!interference) {
+        return std::nullopt;
+    }
+    Candidate candidate;
+    candidate.free = worker.freeResources();
+    candidate.capacityMillis = worker.record.capacity.cpuMillis;
+    candidate.reservedMillis = worker.reserved.cpuMillis;
+    candidate.longRunningMillis = worker.longRunningCpuMillis;
+    candidate.bestEffortMillis = worker.bestEffortCpuMillis;
+    if (step.usesSpareCpu && m_settings.pressure.usesPeriodicForecast) {
+        candidate.longRunningUseMillis = expectedUseMillis(worker, std::chrono::milliseconds(step.estimateMs));
+    }
+    candidate.hasSameImage = step.isLongRunning && hasLongRunningImage(worker, ref);
+    candidate.hasSameJob = step.isLongRunning && hasTaskOfJob(worker, ref);
+    candidate.interference = *interference;
+    candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
+    candidate.hasRecentFailure = task.avoidedWorker == index || worker.consecutiveFailures > 0;
+    candidate.canShareSpareCpu = canShareSpareCpu;
+    return scoreWorker(m_settings.placement, step, candidate);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Starts
 // ---------------------------------------------------------------------------------------------------------------------
@@ -344,6 +372,9 @@
 void WorkflowScheduler::requeueTask(const TaskRef &ref, Duration delay)
 {
     TaskState &task = ref.task();
+    if (task.trial && task.trial->isOrdered) {
+        endTrial(ref);
+    }
     task.phase = TaskPhase::Waiting;
     task.retryAt = m_now + delay;
     m_isPlacementDue = true;
@@ -520,6 +551,7 @@
 
 void WorkflowScheduler::failJob(JobState &job, std::string_view why)
 {
+    job.failure = why;
     finishJob(job, WorkflowState::Failed);
     stopAllTasks(job, why);
 }
@@ -542,6 +574,7 @@
 
 void WorkflowScheduler::finishJob(JobState &job, WorkflowState state)
 {
+    endTrials(job);
     if (m_observer != nullptr && !job.isGuest) {
         m_observer->onFinal(job.accepted.queue, state, jobAge(job));
     }
@@ -553,7 +586,9 @@
                 "queue",
                 job.accepted.queue,
                 "age_ms",
-                m_clock.wallNow().count() - job.accepted.acceptedMs);
+                m_clock.wallNow().count() - job.accepted.acceptedMs,
+                "why",
+                job.failure);
     job.state = state;
     m_scarcityOrder.addEnd(job, m_clock.wallNow().count());
     m_cpuSharingJob = m_cpuSharingJob == &job ? nullptr : m_cpuSharingJob;
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -109,7 +109,7 @@
     return isOpen && job.heldTasks == 0 && job.storedVersion == job.version
            && !hasOnlyIndependentLongRunningTasks(job.accepted.spec) && isAnyTask(job, isWaiting)
            && !isAnyTask(job, [](const TaskState &it) {
-                  return it.isGivenAway || it.hasRecord
+                  return it.isGivenAway || it.hasRecord || it.trial
                          || (it.phase != TaskPhase::Waiting && it.phase != TaskPhase::Done);
               });
 }
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -68,6 +68,7 @@
                     {{"shard", name}},
                     counters.workerCrashesAtStart,
                     before.workerCrashesAtStart);
+        addIncrease("tasks_given_up_total", {{"shard", name}}, counters.tasksGivenUp, before.tasksGivenUp);
         addIncrease("stops_total", {{"shard", name}}, counters.stops, before.stops);
         addIncrease("throttles_total", {{"shard", name}}, counters.throttles, before.throttles);
         addIncrease("untracked_images_total", {{"shard", name}}, counters.untrackedImages, before.untrackedImages);
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -91,9 +91,15 @@
     std::uint64_t fence = 0;         ///< fencing token of our orders to it: epoch and restart count
     bool isNewIncarnation = false;   ///< has restarted and not reported since
     bool hasCrashed = false;         ///< isNewIncarnation: the former incarnation was not draining
-    std::uint32_t restartCount = 0;  ///< restarts seen in this term; part of the fencing token
-    TimePoint drainSeenAt{};         ///< when its entry first said that it is draining
-    TimePoint nextEvacuationAt{};    ///< draining: next check which of its runs must leave
+
+    // Crashes, see crashes.h
+    TimePoint contactLostAt{};           ///< when the first renewal without a reply ended; zero: in contact
+    std::vector<LostRun> unresolvedRuns; ///< were there when the lease of the silent worker expired, or a trial's start
+    std::optional<JobKey> trialJob;      ///< job of the suspect that is tried here; nothing else is started meanwhile
+    double trialRisk = 0;                ///< see guiltEstimate()
+    std::uint32_t restartCount = 0;      ///< restarts seen in this term; part of the fencing token
+    TimePoint drainSeenAt{};             ///< when its entry first said that it is draining
+    TimePoint nextEvacuationAt{};        ///< draining: next check which of its runs must leave
 
     // Contact
     WorkerClock clock;
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -88,7 +88,47 @@
 
 bool hasProgress(const TaskState &task)
 {
-    return task.phase == TaskPhase::Done || !task.failedAttempts.empty() || !task.checkpoint.empty();
+    return task.phase == TaskPhase::Done || !task.failedAttempts.empty() || !task.checkpoint.empty()
+           || !task.crashes.empty() || task.trial || task.silentStart;
+}
+
+json crashesToJson(const std::vector<CrashEvidence> &crashes)
+{
+    json rows = json::array();
+    for (const CrashEvidence &it : crashes) {
+        rows.push_back(json::array({it.attempt, static_cast<int>(it.role), it.suspects}));
+    }
+    return rows;
+}
+
+std::vector<CrashEvidence> crashesFromJson(const json &rows)
+{
+    std::vector<CrashEvidence> crashes;
+    for (const json &it : rows) {
+        const int role = it.at(1);
+        if (role < static_cast<int>(CrashRole::Present) || role > static_cast<int>(CrashRole::Trial)) {
+            throw InvalidArgument("crash", "unknown role");
+        }
+        crashes.push_back({it.at(0), static_cast<CrashRole>(role), it.at(2)});
+    }
+    return crashes;
+}
+
+json trialToJson(const std::optional<TaskTrial> &trial)
+{
+    return trial ? json::array({trial->attempt, trial->worker, trial->workerStartedAtMs}) : json::array();
+}
+
+std::optional<TaskTrial> trialFromJson(const json &row)
+{
+    if (row.empty()) {
+        return std::nullopt;
+    }
+    TaskTrial trial;
+    trial.attempt = row.at(0);
+    trial.worker = row.at(1);
+    trial.workerStartedAtMs = row.at(2);
+    return trial;
 }
 
 std::vector<std::uint8_t> binaryOf(const std::string &bytes)
@@ -107,6 +147,11 @@
     }
     task.failedAttempts = row.at(4).get<std::vector<std::uint64_t>>();
     task.checkpoint = row.at(5);
+    if (row.size() > 8) { // older versions wrote none
+        task.crashes = crashesFromJson(row.at(6));
+        task.trial = trialFromJson(row.at(7));
+        task.silentStart = trialFromJson(row.at(8));
+    }
 }
 
 } // namespace
@@ -236,7 +281,8 @@
                                    task.index,
                                    task.attemptBase,
                                    task.checkpoint,
-                                   task.moves}));
+                                   task.moves,
+                                   crashesToJson(task.crashes)}));
 }
 
 GivenTask decodeGivenTask(std::string_view bytes)
@@ -251,6 +297,9 @@
         it.attemptBase = value.at(4);
         it.checkpoint = value.at(5);
         it.moves = value.at(6);
+        if (value.size() > 7) { // older versions wrote none
+            it.crashes = crashesFromJson(value.at(7));
+        }
         if (it.step >= it.accepted.spec.steps.size() || it.index >= it.accepted.spec.steps[it.step].taskCount) {
             throw InvalidArgument("given task", "no such task");
         }
@@ -275,13 +324,21 @@
                 }
                 if (hasProgress(it)) {
                     const bool isDone = it.phase == TaskPhase::Done;
-                    rows.push_back(
-                        json::array({k, s, i, isDone, it.failedAttempts, isDone ? std::string() : it.checkpoint}));
+                    rows.push_back(json::array({k,
+                                                s,
+                                                i,
+                                                isDone,
+                                                it.failedAttempts,
+                                                isDone ? std::string() : it.checkpoint,
+                                                isDone ? json::array() : crashesToJson(it.crashes),
+                                                isDone ? json::array() : trialToJson(it.trial),
+                                                isDone ? json::array() : trialToJson(it.silentStart)}));
                 }
             }
         }
     }
-    return packRecord(json::array({StoredVersion, static_cast<int>(job.state), std::move(rows), std::move(given)}));
+    return packRecord(
+        json::array({StoredVersion, static_cast<int>(job.state), std::move(rows), std::move(given), job.failure}));
 }
 
 void decodeProgress(std::string_view bytes, JobState &job)
@@ -299,6 +356,7 @@
             task.isGivenAway = true;
             task.phase = TaskPhase::Foreign;
         }
+        job.failure = value.size() > 4 ? value.at(4).get<std::string>() : std::string();
     } catch (const std::exception &error) {
         throw InvalidArgument("progress", error.what());
     }
@@ -319,6 +377,16 @@
     }
 }
 
+std::string decodeFailure(std::string_view bytes)
+{
+    const json value = unpackRecord(bytes);
+    try {
+        return value.size() > 4 ? value.at(4).get<std::string>() : std::string(); // older versions wrote none
+    } catch (const json::exception &error) {
+        throw InvalidArgument("progress", error.what());
+    }
+}
+
 bool decodeIsDone(std::string_view bytes, const TaskName &task)
 {
     const json value = unpackRecord(bytes);
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -16,7 +16,8 @@
  *                        changed, and removed when the job moves on (jobmove.cpp)
  *   in/N/c/KEY           exists if the caller has cancelled the job
  *   in/N/t/STEP.TASK/KEY GivenTask; exists while the task belongs to shard N by a transfer
- *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints, tasks given to other shards
+ *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints, tasks given to other shards,
+ *                        crashes of workers, trials of suspects, why the job failed
  *   ctl/board/leader/N   leader key, under a lease (election.h)
  *   ctl/board/shards     ShardMap
  *   ctl/board/node/NAME  PeerRecord: a node that takes forwarded requests, under a lease (peers.h)
@@ -28,6 +29,7 @@
  */
 #pragma once
 
+#include <workflow/crashes.h>
 #include <workflow/model.h>
 #include <workflow/pressure.h>
 #include <workflow/shards.h>
@@ -108,6 +110,13 @@
     std::string checkpoint;
     std::vector<std::uint64_t> failedAttempts;
 
+    // Crashes of workers, see crashes.h
+    std::vector<CrashEvidence> crashes; ///< at most one for each attempt
+    std::optional<TaskTrial> trial; ///< being tried alone; Waiting: the start is prepared, or its outcome is unknown
+    /** An attempt that had just been started on a worker that is silent since; stored, as its leader may not see the end. */
+    std::optional<TaskTrial> silentStart;
+    bool isGivenUp = false; ///< another shard's task that has crashed its workers: to be returned
+
     // Transfers between shards
     bool isGivenAway = false;         ///< the job's progress says that it was given to another shard
     bool hasRecord = false;           ///< belongs to this shard by a GivenTask
@@ -165,6 +174,8 @@
     bool isMoving = false;           ///< a move to another shard has an unknown outcome: nothing of it may change
     std::uint32_t moves = 0;         ///< number of moves to another shard so far
     TimePoint nextMoveAt{};          ///< earliest next move
+    bool hasCrashEvidence = false;   ///< some task has, or had, crashed a worker or was present at a crash
+    std::string failure;             ///< Failed: why; empty if an older version stored it
     std::vector<OccurrenceState> occurrences;
 
     const JobKey &key() const
@@ -204,6 +215,7 @@
     std::uint64_t attemptBase = 0;
     std::string checkpoint;
     std::uint32_t moves = 0;
+    std::vector<CrashEvidence> crashes;
 };
 
 /** The key of a GivenTask. */
@@ -220,6 +232,9 @@
 /** Decodes only the job's state from its progress. */
 WorkflowState decodeState(std::string_view bytes);
 
+/** Decodes only why the job has failed; empty if it has not. */
+std::string decodeFailure(std::string_view bytes);
+
 /** Whether the job's progress says that the task is done or its job has ended. */
 bool decodeIsDone(std::string_view bytes, const TaskName &task);
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -42,7 +42,9 @@
 #include <workflow/pressure.h>
 #include <workflow/scarcity.h>
 
+#include <deque>
 #include <map>
+#include <span>
 #include <unordered_map>
 
 namespace QuetzalRock::Workflow {
@@ -117,6 +119,7 @@
     std::uint64_t lost = 0;                 ///< runs lost because their worker restarted, vanished or lost its lease
     std::uint64_t workerCrashes = 0;        ///< restarts without a drain, by which runs were lost or not
     std::uint64_t workerCrashesAtStart = 0; ///< of these, crashes of workers on which a run had just started
+    std::uint64_t tasksGivenUp = 0;         ///< crashed the workers that started them
     std::uint64_t stops = 0;
     std::uint64_t writes = 0;
     std::uint64_t throttles = 0;
@@ -226,6 +229,13 @@
         std::uint64_t revision = 0; ///< of the write
     };
 
+    struct RecentCrash
+    {
+        TimePoint at;
+        bool hasStartingRun = false; ///< a run had just been started there
+        std::string address;         ///< of the worker
+    };
+
     struct MovingJob
     {
         JobKey key;
@@ -288,7 +298,7 @@
     void resolveUnlistedRuns(WorkerIndex index, std::int64_t clockMs, bool isComplete, TimePoint sentAt);
     void requeueLostRuns(WorkerIndex index, std::string_view why);
     void beginIncarnation(WorkerIndex index, const WorkerRecord &record);
-    void reportCrash(const WorkerState &worker, std::span<const TaskRef> lost);
+    void recordReplacement(WorkerIndex index);
     void evacuateDrainingWorker(WorkerIndex index, TimePoint now);
     bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const;
     void updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now);
@@ -296,6 +306,31 @@
     WorkerTarget target(const WorkerState &worker) const;
     std::optional<TaskRef> findTask(const TaskName &name);
 
+    // Crashes of workers, and trials of suspected tasks (suspects.cpp)
+    LostRun describeLostRun(const TaskRef &ref, const WorkerState &worker, TimePoint lostAt) const;
+    void recordCrash(WorkerIndex index, std::span<const LostRun> lost);
+    bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at) const;
+    void addEvidence(const TaskRef &ref, const CrashEvidence &evidence);
+    void onStartedUp(const TaskRef &ref);
+    bool isTriedUntilItsEnd(const TaskState &task) const;
+    void giveUpTask(const TaskRef &ref);
+    void storeSilentStarts(const WorkerState &worker);
+    void keepUnresolvedRuns(WorkerState &worker);
+    std::vector<LostRun> takeCrashedRuns(WorkerState &worker, std::int64_t startedAtMs);
+    void endVerdictWait(const RunName &run);
+    void forgetOldCrashes(TimePoint now);
+    bool isHeldBySuspect(const TaskRef &ref) const;
+    bool placeTrial(std::span<const TaskRef> refs, TimePoint now);
+    bool prepareTrial(std::span<const TaskRef> refs, TimePoint now);
+    bool canTryOn(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
+    bool isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const;
+    WorkerIndex chooseTrialWorker(const TaskRef &ref, TimePoint now) const;
+    TrialBudget trialBudget(TimePoint now) const;
+    void endTrial(const TaskRef &ref);
+    void endTrials(JobState &job);
+    void restoreSuspects(JobState &job);
+    bool restoreUnresolvedRun(const TaskRef &ref, const TaskTrial &start);
+
     // Placement (dispatch.cpp)
     void placeJobs(TimePoint now);
     void sortJobs(TimePoint now);
@@ -306,6 +341,7 @@
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     bool arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     WorkerIndex chooseWorker(const TaskRef &ref, TimePoint now);
+    std::optional<double> scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
     bool isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
     void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
@@ -458,6 +494,8 @@
     std::set<WorkerId> m_storedWorkers; ///< in ctl/workers as last written; only these get starts
     std::uint64_t m_workersRevision = 0;
 
+    std::deque<RecentCrash> m_recentCrashes; ///< for CrashSettings::machineMemory, in the order in which they showed
+
     PressureModel m_pressure;
     std::set<std::string> m_unreadablePressure; ///< keys of stored models that were logged as unreadable
     std::set<std::string> m_untrackedImages;    ///< images that were logged as exceeding the model's limit
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -152,6 +152,7 @@
         return;
     }
     resolveUnreadWorkers(now);
+    forgetOldCrashes(now);
     loadSharedPressure(now);
     renewWorkerLeases(now);
     if (now >= m_nextPlacementAt) {
@@ -373,6 +374,7 @@
         return;
     }
     m_activeJobs.emplace(key, &it);
+    restoreSuspects(it);
     m_scarcityOrder.addJob(it);
     if (it.state == WorkflowState::Running) { // started by a former leader; when is not known
         m_scarcityOrder.addFirstStart(it, it.accepted.acceptedMs);
@@ -430,7 +432,8 @@
 
 /**
  * Whether a former leader may have started the task, or may still start it, on a worker that has not been read. A task
- * with failed runs waits as well: unread workers may list more failures, and their number is limited.
+ * with failed runs, or with crashes, waits as well: unread workers may list more failures, or have crashed under it, and
+ * both are limited.
  */
 bool WorkflowScheduler::mayBeRunningElsewhere(const TaskRef &ref) const
 {
@@ -439,7 +442,7 @@
         return false;
     }
     if (ref.task().isAccountedFor) {
-        return !ref.task().failedAttempts.empty();
+        return !ref.task().failedAttempts.empty() || !ref.task().crashes.empty();
     }
     const auto &steps = ref.job->occurrences[ref.occurrence].steps;
     const auto &after = ref.spec().after;
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -94,7 +94,7 @@
         const Duration delay = isEvacuated ? Duration::zero()
                                            : m_settings.transferDelay * (1U << std::min(task.moves, MaxDelayDoublings));
         const TaskRef ref{&job, 0, step, i};
-        if (task.phase == TaskPhase::Waiting && now >= std::max(state.noRoomSince, task.retryAt) + delay
+        if (task.phase == TaskPhase::Waiting && !task.trial && now >= std::max(state.noRoomSince, task.retryAt) + delay
             && !mayBeRunningElsewhere(ref)) {
             refs.push_back(ref);
         }
@@ -237,6 +237,7 @@
         given.attemptBase = nextAttempt(task) - 1;
         given.checkpoint = task.checkpoint;
         given.moves = task.moves + 1;
+        given.crashes = task.crashes;
         change.puts.push_back({givenTaskKey(toKeys, key, it.step, it.index), encodeGivenTask(given), 0});
         if (isFromRecord) {
             const std::string record = givenTaskKey(m_keys, key, it.step, it.index);
@@ -390,6 +391,8 @@
         task.attemptBase = given.attemptBase;
         task.checkpoint = given.checkpoint;
         task.moves = given.moves;
+        task.crashes = std::move(given.crashes);
+        job->hasCrashEvidence = job->hasCrashEvidence || !task.crashes.empty();
         task.retryAt = m_clock.now();
         m_isPlacementDue = true;
         ++m_counters.tasksTaken;
