Callers, job show and the log tell why a job has failed

Cause: the stored progress of a failed job holds no reason; the log lines that told it are dropped when the leader's log is at its rate.

--- a/packages/base/eventlog.cpp
+++ b/packages/base/eventlog.cpp
@@ -12,6 +12,7 @@
     , m_burst(burst)
     , m_tokens(burst)
     , m_refilledAt(clock.now())
+    , m_reserveRefilledAt(clock.now())
 {
 }
 
@@ -21,16 +22,22 @@
 }
 
 bool EventLog::takeToken()
+{
+    const bool isAllowed = takeToken(m_tokens, m_rate, m_burst, m_refilledAt);
+    m_suppressed += isAllowed ? 0 : 1;
+    return isAllowed;
+}
+
+bool EventLog::takeToken(double &tokens, double rate, double burst, TimePoint &refilledAt)
 {
     const TimePoint now = m_clock.now();
-    const double seconds = std::chrono::duration<double>(now - m_refilledAt).count();
-    m_tokens = std::min(m_burst, m_tokens + seconds * m_rate);
-    m_refilledAt = now;
-    if (m_tokens < 1) {
-        ++m_suppressed;
+    const double seconds = std::chrono::duration<double>(now - refilledAt).count();
+    tokens = std::min(burst, tokens + seconds * rate);
+    refilledAt = now;
+    if (tokens < 1) {
         return false;
     }
-    m_tokens -= 1;
+    tokens -= 1;
     return true;
 }
 
--- a/packages/base/eventlog.h
+++ b/packages/base/eventlog.h
@@ -16,6 +16,7 @@
 
 #include <base/clock.h>
 
+#include <algorithm>
 #include <sstream>
 #include <string>
 #include <string_view>
@@ -34,16 +35,35 @@
         if (!takeToken()) {
             return;
         }
+        emitLine(event, fields...);
+    }
+
+    /** For rare lines that explain an outcome to a caller: also written while the limit suppresses others. */
+    template<typename... Fields>
+    void writeImportant(std::string_view event, const Fields &...fields)
+    {
+        takeToken(m_reserve, ImportantPerSecond, std::min(m_burst, ImportantBurst), m_reserveRefilledAt)
+            ? emitLine(event, fields...)
+            : write(event, fields...);
+    }
+
+    std::uint64_t suppressed() const; ///< lines suppressed since construction
+
+private:
+    static constexpr double ImportantPerSecond = 10;
+    static constexpr double ImportantBurst = 100;
+
+    template<typename... Fields>
+    void emitLine(std::string_view event, const Fields &...fields)
+    {
         std::ostringstream line;
         writePrefix(line, event);
         appendFields(line, fields...);
         emit(line.str());
     }
 
-    std::uint64_t suppressed() const; ///< lines suppressed since construction
-
-private:
     bool takeToken();
+    bool takeToken(double &tokens, double rate, double burst, TimePoint &refilledAt);
     void writePrefix(std::ostringstream &line, std::string_view event);
     static void emit(const std::string &line);
     static void appendText(std::ostringstream &line, std::string_view text);
@@ -69,6 +89,8 @@
     double m_burst;
     double m_tokens;
     TimePoint m_refilledAt;
+    double m_reserve = ImportantBurst; ///< tokens of writeImportant()
+    TimePoint m_reserveRefilledAt;
     std::uint64_t m_suppressed = 0;
     std::uint64_t m_reportedSuppressed = 0; ///< part of m_suppressed already reported in a log line
 };
--- a/packages/cli/apiclient.cpp
+++ b/packages/cli/apiclient.cpp
@@ -84,6 +84,7 @@
     call.body = body;
     call.timeout = CallTimeout;
     call.caFile = m_server.caFile;
+    call.host = m_server.host;
     if (!m_server.token.empty()) {
         call.authorization = "Bearer " + m_server.token;
     }
--- a/packages/cli/apiclient.h
+++ b/packages/cli/apiclient.h
@@ -35,6 +35,7 @@
     std::string url = "http://127.0.0.1:8081"; ///< administration API of any entry VM of the failure domain
     std::string token;                         ///< empty: no Authorization header is sent
     std::string caFile;                        ///< PEM file of the certificate authority, for https
+    std::string host; ///< Host header; empty: the one of the URL. Selects a queue on a node of a fleet
 };
 
 class ApiClient
--- a/packages/cli/clicommand.cpp
+++ b/packages/cli/clicommand.cpp
@@ -29,6 +29,7 @@
     ServerAddress address;
     address.url = m_server.getValue();
     address.caFile = m_caFile.getValue();
+    address.host = m_host;
     if (!m_tokenFile.getValue().empty()) {
         address.token = readTextFile(m_tokenFile.getValue());
         address.token.erase(address.token.find_last_not_of(" \r\n") + 1);
@@ -38,6 +39,11 @@
     return ApiClient(std::move(address));
 }
 
+void ServerArguments::setHost(std::string host)
+{
+    m_host = std::move(host);
+}
+
 bool ServerArguments::json() const
 {
     return m_json.getValue();
--- a/packages/cli/clicommand.h
+++ b/packages/cli/clicommand.h
@@ -21,12 +21,14 @@
 
     ApiClient client();
     bool json() const;
+    void setHost(std::string host); ///< see ServerAddress::host
 
 private:
     TCLAP::ValueArg<std::string> m_server;
     TCLAP::ValueArg<std::string> m_tokenFile;
     TCLAP::ValueArg<std::string> m_caFile;
     TCLAP::SwitchArg m_json;
+    std::string m_host;
 };
 
 /** A TCLAP command line that throws on errors and --help instead of exiting the process. */
--- a/packages/cli/commands.cpp
+++ b/packages/cli/commands.cpp
@@ -194,12 +194,39 @@
                   hasEnd ? formatEnd(lastEnd) : task.at("reason").get<std::string>()});
 }
 
+/** Shows a job of a node of a fleet, which serves jobs on the path under which they were submitted. */
+int showNodeJob(const std::string &path, ServerArguments &server, Console &console)
+{
+    const Json job = server.client().call("GET", path);
+    if (server.json()) {
+        console.out << job.dump() << "\n";
+        return Ok;
+    }
+    console.out << path << ": " << job.at("state").get<std::string>();
+    if (const std::string reason = job.value("reason", ""); !reason.empty()) {
+        console.out << " (" << reason << ")";
+    }
+    console.out << "\n";
+    return Ok;
+}
+
 int showWork(const Command &command, std::vector<std::string> arguments, Console &console)
 {
     CommandLine line(command);
-    TCLAP::UnlabeledValueArg<std::string> object("object", "tenant and name", true, "", "TENANT/NAME", *line);
+    TCLAP::UnlabeledValueArg<std::string> object(
+        "object",
+        "tenant and name; on a node of a fleet, the path of the job's requests",
+        true,
+        "",
+        "TENANT/NAME or /PREFIX/KEY",
+        *line);
+    TCLAP::ValueArg<std::string> host("", "host", "Host header of the job's queue", false, "", "NAME", *line);
     ServerArguments server(*line);
     line.parse(std::move(arguments));
+    if (object.getValue().starts_with('/')) {
+        server.setHost(host.getValue());
+        return showNodeJob(object.getValue(), server, console);
+    }
     const Json job = server.client().call("GET", objectPath(command, object.getValue()));
     if (server.json()) {
         console.out << job.dump() << "\n";
--- a/packages/cli/tests/clitest.cpp
+++ b/packages/cli/tests/clitest.cpp
@@ -111,6 +111,15 @@
     EXPECT_NE(outcome.err.find("[root] note: a -> b"), std::string::npos);
 }
 
+TEST(CommandLine, jobOfANodeOfAFleetShowsWhyItHasFailed)
+{
+    const FixedResponseServer server(
+        {200, "application/json", R"({"state":"failed","reason":"task 0 of step 1 crashed 3 workers"})", 0s});
+    const Outcome outcome = run({"job", "show", "/q/5c0e7a21d94b36f8", "--host", "queues", "--server", server.url()});
+    EXPECT_EQ(outcome.exitCode, 0) << outcome.err;
+    EXPECT_EQ(outcome.out, "/q/5c0e7a21d94b36f8: failed (task 0 of step 1 crashed 3 workers)\n");
+}
+
 TEST(CommandLine, finishedJobShowsEachTasksLastAttempt)
 {
     const FixedResponseServer server({200,
--- a/packages/web/web.h
+++ b/packages/web/web.h
@@ -97,6 +97,7 @@
     std::string body;
     Duration timeout = std::chrono::seconds(5);
     std::string caFile; ///< PEM; CA certificates for https; empty: those of the system
+    std::string host{}; ///< value of the Host header; empty: from the URL
 };
 
 /**
--- a/packages/web/webclient.cpp
+++ b/packages/web/webclient.cpp
@@ -86,6 +86,9 @@
     if (!call.authorization.empty()) {
         headers = curl_slist_append(headers, ("Authorization: " + call.authorization).c_str());
     }
+    if (!call.host.empty()) {
+        headers = curl_slist_append(headers, ("Host: " + call.host).c_str());
+    }
     curl_easy_setopt(handle, CURLOPT_HTTPHEADER, headers);
 
     const CURLcode ec = curl_easy_perform(handle);
--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -252,6 +252,7 @@
         IntakeReply answer;
         try {
             answer.state = decodeState(reply.items.front().value);
+            answer.failure = decodeFailure(reply.items.front().value);
         } catch (const Error &error) {
             m_log.write("progress_unreadable", "job", key, "error", error.what());
             answer = notAcceptedReply();
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -38,6 +38,7 @@
     bool isRefusedByStore = false; ///< NotAccepted because the store did not execute this node's call; may differ at
                                    ///< another node
     WorkflowState state = WorkflowState::Queued; ///< set by queryState()
+    std::string failure{};                       ///< set by queryState() if the job has failed: why
     std::uint32_t pending = 0;                   ///< set by countPending()
 };
 
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -87,19 +87,19 @@
     const bool isCoincident = isNextToUnexplainedCrash(index, at);
     ++m_counters.workerCrashes;
     m_counters.workerCrashesAtStart += n > 0 ? 1 : 0;
-    m_log.write("worker_crashed",
-                "worker",
-                worker.record.id,
-                "address",
-                worker.record.address,
-                "runs",
-                lost.size(),
-                "starting",
-                n,
-                "coincident",
-                isCoincident,
-                "first",
-                starting);
+    m_log.writeImportant("worker_crashed",
+                         "worker",
+                         worker.record.id,
+                         "address",
+                         worker.record.address,
+                         "runs",
+                         lost.size(),
+                         "starting",
+                         n,
+                         "coincident",
+                         isCoincident,
+                         "first",
+                         starting);
     m_recentCrashes.push_back({at, n > 0, worker.record.address});
     const std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident);
     for (std::size_t i = 0; i < lost.size(); ++i) {
@@ -194,7 +194,7 @@
                             + std::to_string(task.crashes.size()) + " workers that started it, " + std::to_string(alone)
                             + " of them while it was tried alone";
     ++m_counters.tasksGivenUp;
-    logTaskEvent("task_given_up", ref, "why", why);
+    m_log.writeImportant("task_given_up", "job", ref.job->key(), "step", ref.step, "task", ref.index, "why", why);
     if (ref.job->isGuest) {
         task.isGivenUp = true;
     } else {
@@ -327,6 +327,7 @@
     const Duration timeout
         = isTriedUntilItsEnd(refs.front().task()) ? WholeRunTrialTimeout : m_settings.crashes.trialTimeout;
     if (!isUsable || now >= trial.preparedAt + timeout) {
+        logTaskEvent("trial_abandoned", refs.front(), "worker", trial.worker, "usable", isUsable, "quiet", isQuiet);
         for (const TaskRef &it : refs) {
             endTrial(it);
             it.task().retryAt = now + TrialRetryDelay;
