Starts rest on the capacity that this incarnation of a worker last reported

What callers could see: a worker that does not enforce its capacity is given more than it has (LIMIT). Cause: a cached value without an age, twice. While the store is away the leader goes on starting tasks by registry entries that grow old, and a worker may shrink meanwhile. A restart that shows in a report keeps the capacity and labels of the former incarnation, and a late entry of the former one counted as a further restart. Change: where the operator's configuration does not say that a pool enforces capacity, nothing is started by entries that the registry has not confirmed for 2 s; after a restart nothing is started before the entry of the new incarnation is there; an entry of the one before is ignored. A worker with less capacity than its long-running tasks hold counts as no room, not as negative room, in the status. Ruled out: placement, gangs, reservations, evictions and trials all read the entry anew for each start; a throttle changes no reservation.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -53,9 +53,14 @@
 {
     WorkerState &worker = findOrAddWorker(record.id);
     m_isPlacementDue = true;
+    if (record.startedAtMs != 0 && record.startedAtMs == worker.formerStartedAtMs) {
+        worker.isRegistered = true; // an entry of the incarnation before, as its last report shows
+        return;
+    }
     if (worker.record.startedAtMs != 0 && record.startedAtMs != 0 && worker.record.startedAtMs != record.startedAtMs) {
         beginIncarnation(m_workerIndex.at(record.id), record);
     }
+    worker.isEntryOutdated = false;
     const bool wasDraining = worker.record.condition == WorkerCondition::Draining;
     worker.record = record;
     worker.isRegistered = true;
@@ -86,7 +91,8 @@
                 worker.record.startedAtMs,
                 "runs",
                 worker.runs.size());
-    worker.record.startedAtMs = record.startedAtMs;
+    worker.formerStartedAtMs = std::exchange(worker.record.startedAtMs, record.startedAtMs);
+    worker.isEntryOutdated = true;
     ++worker.restartCount;
     worker.fence = (m_term.epoch << FenceRestartBits) + worker.restartCount;
     worker.hasReported = false;
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -247,8 +247,8 @@
     const StepSpec &step = ref.spec();
     const bool isUsable = worker.isRegistered && worker.isConfirmed && worker.record.condition == WorkerCondition::Ready
                           && worker.record.pool == ref.job->accepted.pool && worker.unknownRuns.empty()
-                          && worker.unansweredRenewals == 0 && now >= worker.noStartsUntil
-                          && now < worker.lastReplyAt + m_settings.contactTimeout
+                          && !worker.isEntryOutdated && isCapacityKnown(worker, now) && worker.unansweredRenewals == 0
+                          && now >= worker.noStartsUntil && now < worker.lastReplyAt + m_settings.contactTimeout
                           && m_storedWorkers.contains(worker.record.id) && mayStartIn(worker.record.failureDomain, now);
     if (!isUsable || (worker.isQuarantined(now) && !worker.runs.empty()) || worker.isReservedForOther(*ref.job, now)) {
         return false;
@@ -263,6 +263,16 @@
     return step.maxPerWorker == 0 || countRunsOfStep(worker, ref) < step.maxPerWorker;
 }
 
+/** A worker that rejects what exceeds its capacity may shrink unnoticed; any other one gets starts by a recent entry only. */
+bool WorkflowScheduler::isCapacityKnown(const WorkerState &worker, TimePoint now) const
+{
+    const bool isEnforced = m_catalog != nullptr
+                            && std::any_of(m_catalog->pools.begin(), m_catalog->pools.end(), [&worker](const Pool &it) {
+                                   return it.name == worker.record.pool && it.enforcesCapacity;
+                               });
+    return isEnforced || m_catalog == nullptr || now <= m_registryConfirmedAt + m_settings.maxCapacityAge;
+}
+
 /** The only guard of evacuations: each start goes through isEligible(). */
 bool WorkflowScheduler::mayStartIn(const std::string &failureDomain, TimePoint now) const
 {
@@ -578,17 +588,12 @@
     if (m_observer != nullptr && !job.isGuest) {
         m_observer->onFinal(job.accepted.queue, state, jobAge(job));
     }
-    m_log.write("job_final",
-                "job",
-                job.key(),
-                "state",
-                static_cast<int>(state),
-                "queue",
-                job.accepted.queue,
-                "age_ms",
-                m_clock.wallNow().count() - job.accepted.acceptedMs,
-                "why",
-                job.failure);
+    const auto ageMs = m_clock.wallNow().count() - job.accepted.acceptedMs;
+    if (state == WorkflowState::Failed) {
+        m_log.writeImportant("job_failed", "job", job.key(), "why", job.failure);
+    }
+    m_log.write(
+        "job_final", "job", job.key(), "state", static_cast<int>(state), "queue", job.accepted.queue, "age_ms", ageMs);
     job.state = state;
     m_scarcityOrder.addEnd(job, m_clock.wallNow().count());
     m_cpuSharingJob = m_cpuSharingJob == &job ? nullptr : m_cpuSharingJob;
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -300,6 +300,7 @@
     updateScheduler(local);
     if (local.scheduler) {
         local.scheduler->setShardMap(m_availableMap);
+        local.scheduler->setRegistryConfirmedAt(m_registry ? m_registry->confirmedAt() : TimePoint{});
         local.scheduler->tick(now, local.election.authority(now), local.election.fullAuthorityUntil());
         if (local.scheduler->isDeposed()) {
             local.election.depose();
@@ -325,6 +326,7 @@
         m_settings.scheduler, m_store, m_workers, m_clock, m_log, local.shard, term);
     local.scheduler->setObserver(m_observer);
     local.scheduler->setEvacuations(m_evacuations);
+    local.scheduler->setCatalog(m_catalog);
     for (const auto &[id, worker] : m_registeredWorkers) {
         forwardWorker(worker);
     }
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -87,6 +87,10 @@
      */
     bool isConfirmed = false;
 
+    /** The registry entry is of an earlier incarnation: neither capacity nor labels of this one are known. */
+    bool isEntryOutdated = false;
+    std::int64_t formerStartedAtMs = 0; ///< start time of the incarnation before; 0: none was seen
+
     bool mayRunFormerOrders = false; ///< a former leader used it and may have left runs on it that are unknown here
     std::uint64_t fence = 0;         ///< fencing token of our orders to it: epoch and restart count
     bool isNewIncarnation = false;   ///< has restarted and not reported since
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -76,11 +76,13 @@
     // Placement
     Duration placementInterval = std::chrono::milliseconds(5); ///< batches the changes that trigger a placement
     Duration contactTimeout = std::chrono::milliseconds(2200); ///< a worker without a reply for so long gets no starts
-    Duration callRetryDelay = std::chrono::milliseconds(250);  ///< after an unanswered call to a worker; also for stops
-    Duration quarantineTime = std::chrono::seconds(2);         ///< first quarantine of a worker whose runs keep failing
-    Duration maxQuarantineTime = std::chrono::seconds(8);      ///< bounds the doubling of consecutive quarantines
-    std::uint32_t quarantineAfterFailures = 2;                 ///< consecutive failed runs, over all jobs
-    Duration hangTimeout = std::chrono::milliseconds(1500);    ///< a task that uses no CPU for so long counts as hung
+    /** A worker that does not enforce its capacity gets no starts once its registry entry may be older than that. */
+    Duration maxCapacityAge = std::chrono::seconds(2);
+    Duration callRetryDelay = std::chrono::milliseconds(250); ///< after an unanswered call to a worker; also for stops
+    Duration quarantineTime = std::chrono::seconds(2);        ///< first quarantine of a worker whose runs keep failing
+    Duration maxQuarantineTime = std::chrono::seconds(8);     ///< bounds the doubling of consecutive quarantines
+    std::uint32_t quarantineAfterFailures = 2;                ///< consecutive failed runs, over all jobs
+    Duration hangTimeout = std::chrono::milliseconds(1500);   ///< a task that uses no CPU for so long counts as hung
     /**
      * A best-effort task that waits longer may share the idle CPU with others beyond bestEffortOvercommit. Not applied
      * if scarcity is enabled.
@@ -173,6 +175,12 @@
     /** Nothing is started where @p requests does not allow it; kept up to date by the caller and outlives the scheduler. */
     void setEvacuations(const EvacuationRequests &requests);
 
+    /** Which pools enforce their workers' capacity; kept up to date by the caller and outlives the scheduler. */
+    void setCatalog(const Catalog &catalog);
+
+    /** No worker's entry was changed before @p time without a call of setWorker() or removeWorker(). */
+    void setRegistryConfirmedAt(TimePoint time);
+
     /** True once no order of a former leader can take effect any more. */
     bool isTakeoverComplete() const;
 
@@ -343,6 +351,7 @@
     WorkerIndex chooseWorker(const TaskRef &ref, TimePoint now);
     std::optional<double> scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
     bool isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
+    bool isCapacityKnown(const WorkerState &worker, TimePoint now) const;
     bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
     void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
     void onStartReply(
@@ -520,6 +529,9 @@
     TimePoint m_fullAuthorityUntil{}; ///< as of the last tick
     bool m_isDeposed = false;
 
+    const Catalog *m_catalog = nullptr; ///< null: every pool is taken to enforce capacity
+    TimePoint m_registryConfirmedAt{};
+
     // Evacuations
     const EvacuationRequests *m_evacuations = nullptr; ///< null: none are known
     std::vector<TaskRef> m_departures; ///< tasks that were stopped to leave an evacuated domain and run nowhere yet
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -200,7 +200,8 @@
             capacityMillis += it->record.capacity.cpuMillis;
         }
         if (m_hasOtherShards && it->isRegistered && it->record.condition == WorkerCondition::Ready) {
-            ++status.workersByFreeCores[(it->record.capacity.cpuMillis - it->longRunningCpuMillis) / 1000];
+            const std::int64_t free = it->record.capacity.cpuMillis - it->longRunningCpuMillis;
+            ++status.workersByFreeCores[std::max<std::int64_t>(0, free) / 1000]; // negative: its capacity has shrunk
         }
     }
     QueuedWork queued;
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -50,6 +50,16 @@
     return m_isDeposed;
 }
 
+void WorkflowScheduler::setCatalog(const Catalog &catalog)
+{
+    m_catalog = &catalog;
+}
+
+void WorkflowScheduler::setRegistryConfirmedAt(TimePoint time)
+{
+    m_registryConfirmedAt = time;
+}
+
 void WorkflowScheduler::setEvacuations(const EvacuationRequests &requests)
 {
     m_evacuations = &requests;
--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <utility>
 
 namespace QuetzalRock::Workflow {
 
@@ -85,6 +86,7 @@
     std::vector<std::string> violations; ///< descriptions; must stay empty
 
     CrashBehaviour crashBehaviour;
+    std::set<JobKey> gangs;                   ///< jobs whose other members end when a worker crashes under one of them
     std::set<TaskName> deadlyTasks;           ///< crash each worker that starts them
     std::map<TaskName, int> crashesUnder;     ///< of deadly tasks
     std::map<TaskName, int> startsAfterThree; ///< of deadly tasks: starts after three workers had crashed under them
@@ -142,7 +144,12 @@
     void crash(const WorkerId &id)
     {
         FakeWorker &worker = workers.at(id);
-        worker.running.clear();
+        const std::vector<FakeRun> lost = std::exchange(worker.running, {});
+        for (const FakeRun &it : lost) {
+            if (gangs.contains(it.run.task.job)) {
+                endGang(it.run.task.job);
+            }
+        }
         worker.isReachable = false;
         worker.returnsAt = m_clock.now() + crashBehaviour.downTime;
         const auto down = std::count_if(
@@ -265,6 +272,18 @@
     }
 
 private:
+    void endGang(const JobKey &job)
+    {
+        for (auto &[id, worker] : workers) {
+            const std::vector<FakeRun> runs = worker.running;
+            for (const FakeRun &it : runs) {
+                if (it.run.task.job == job) {
+                    end(worker, it.run, RunEnd::GangMemberEnded);
+                }
+            }
+        }
+    }
+
     void crashUnderDeadlyTasks()
     {
         std::set<WorkerId> crashed;
--- a/packages/workflow/tests/crashtest.cpp
+++ b/packages/workflow/tests/crashtest.cpp
@@ -2,7 +2,9 @@
  * Tasks that crash the workers that start them, among others: which tasks are given up, and which must not be.
  *
  * Index of this file
+ *   CrashDecisions   what a crash says of a task, without a scheduler
  *   Crashes          a scheduler with deadly tasks and with ordinary crashes
+ *   Capacity         workers whose capacity shrinks while tasks run there
  */
 #include "rig.h"
 
@@ -63,6 +65,77 @@
 
 } // namespace
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Decisions
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+LostRun makeLostRun(const JobKey &job, bool isStarting, bool isTrial = false, bool isLongRunning = false)
+{
+    LostRun it;
+    it.run = {{job, 0, 0, 0}, 1};
+    it.isStarting = isStarting;
+    it.isTrial = isTrial;
+    it.isLongRunning = isLongRunning;
+    return it;
+}
+
+} // namespace
+
+TEST(CrashDecisions, crashIsHeldAgainstWhatHadJustStarted)
+{
+    const std::vector<LostRun> lost{makeLostRun("a", true),
+                                    makeLostRun("b", true),
+                                    makeLostRun("long", false, false, true),
+                                    makeLostRun("short", false)};
+    const auto evidence = assessCrash(lost, false);
+    EXPECT_EQ(evidence[0], (CrashEvidence{1, CrashRole::Start, 2}));
+    EXPECT_EQ(evidence[1], (CrashEvidence{1, CrashRole::Start, 2}));
+    EXPECT_FALSE(evidence[2]) << "it had started up long before";
+    EXPECT_EQ(evidence[3], (CrashEvidence{1, CrashRole::Present, 3}));
+    const CrashSettings settings;
+    EXPECT_TRUE(isSuspected(settings, std::vector{*evidence[0]}));
+    EXPECT_FALSE(isSuspected(settings, std::vector{*evidence[3]}));
+}
+
+// A trial convicts only if nothing else had just been started there, and no other worker crashed for no such reason.
+TEST(CrashDecisions, onlyACrashOfATaskTriedAloneCountsAsOneOfATrial)
+{
+    const LostRun trial = makeLostRun("a", true, true);
+    const LostRun neighbour = makeLostRun("b", true);
+    EXPECT_EQ(assessCrash(std::vector{trial}, false)[0]->role, CrashRole::Trial);
+    EXPECT_EQ(assessCrash(std::vector{trial, neighbour}, false)[0]->role, CrashRole::Start);
+    EXPECT_EQ(assessCrash(std::vector{trial}, true)[0]->role, CrashRole::CoincidentStart);
+}
+
+TEST(CrashDecisions, taskIsGivenUpAfterTwoCrashesInTrials)
+{
+    const CrashSettings settings;
+    std::vector<CrashEvidence> crashes{{1, CrashRole::Start, 4}, {2, CrashRole::Trial, 1}};
+    EXPECT_FALSE(isGivenUp(settings, crashes));
+    crashes.push_back({3, CrashRole::Trial, 1});
+    EXPECT_TRUE(isGivenUp(settings, crashes));
+    const std::vector<CrashEvidence> victim(20, {1, CrashRole::Present, 5});
+    EXPECT_FALSE(isGivenUp(settings, victim)) << "it was there, but had started up each time";
+    EXPECT_TRUE(isSuspected(settings, victim)) << "it may crash its workers later";
+}
+
+TEST(CrashDecisions, trialsMayKeepDownATwentiethOfTheWorkers)
+{
+    TrialBudget budget(CrashSettings{}, 60);
+    for (int i = 0; i < 3; ++i) {
+        EXPECT_TRUE(budget.allows(1));
+        budget.add(1);
+    }
+    EXPECT_FALSE(budget.allows(0.2));
+    EXPECT_TRUE(TrialBudget(CrashSettings{}, 4).allows(1)) << "one in the smallest shard";
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// With a scheduler
+// ---------------------------------------------------------------------------------------------------------------------
+
 // A task that crashed each worker that started it was started again without limit, each time on another worker.
 TEST(Crashes, deadlyTaskIsGivenUpAndNoOther)
 {
@@ -141,4 +214,266 @@
     }
 }
 
+// Workers that crash by themselves, again and again, must not cost a caller its job.
+TEST(Crashes, victimsOfOrdinaryCrashesComplete)
+{
+    for (const bool keepsId : {true, false}) {
+        Rig rig(2, Workers);
+        rig.fleet.crashBehaviour.keepsId = keepsId;
+        rig.run(1s);
+        WorkflowSpec lasting = Rig::makeJob("lasting", 8);
+        lasting.steps[0].isLongRunning = true;
+        rig.fleet.longRunningJobs.insert("lasting");
+        rig.submit(rig.leader(), lasting);
+        std::mt19937 random(7);
+        std::vector<JobKey> others;
+        for (int i = 0; i < 40; ++i) {
+            std::vector<WorkerId> up;
+            for (const auto &[id, worker] : rig.fleet.workers) {
+                if (worker.isReachable && !worker.isGone) {
+                    up.push_back(id);
+                }
+            }
+            rig.fleet.crash(up[random() % up.size()]);
+            const std::vector<JobKey> more = submitOthers(rig, 1s, "crash" + std::to_string(i) + "-");
+            others.insert(others.end(), more.begin(), more.end());
+        }
+        rig.run(20s);
+        expectCompleted(rig, others);
+        EXPECT_EQ(rig.state("lasting"), WorkflowState::Running);
+        EXPECT_EQ(rig.fleet.runningTasks(), 8U);
+        EXPECT_TRUE(rig.fleet.violations.empty());
+    }
+}
+
+// Long-running tasks beside deadly ones run on, and a deadly one is given up like any other.
+TEST(Crashes, deadlyLongRunningTaskIsGivenUpAndItsNeighboursAreNot)
+{
+    Rig rig(2, Workers);
+    rig.run(1s);
+    for (const char *key : {"lasting", "deadly"}) {
+        WorkflowSpec spec = Rig::makeJob(key, 6);
+        spec.steps[0].isLongRunning = true;
+        rig.fleet.longRunningJobs.insert(key);
+        rig.submit(rig.leader(), spec);
+    }
+    const TaskName deadly = makeDeadly(rig, "deadly", 0, 3);
+    const std::vector<JobKey> others = submitOthers(rig, 10s);
+    rig.run(30s);
+    expectGivenUp(rig, deadly);
+    expectCompleted(rig, others);
+    EXPECT_EQ(rig.state("lasting"), WorkflowState::Running);
+    EXPECT_EQ(rig.fleet.runningTasks(), 6U);
+}
+
+// A cut, a freeze and a departure end runs as a crash does, and say nothing against them.
+TEST(Crashes, cutsAndDeparturesAreNoCrashes)
+{
+    Rig rig(1, Workers);
+    rig.fleet.workTime = 2s;
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("a", 40));
+    rig.run(200ms);
+    RigNode &node = *rig.nodes[0];
+    node.port.unreachableWorkers = {"w0", "w1"};
+    rig.fleet.workers["w2"].condition = WorkerCondition::Draining;
+    rig.backend.write("workers/w2", "draining");
+    rig.run(500ms);
+    rig.fleet.removeWorker("w2", true);
+    ++rig.backend.revision;
+    rig.backend.remove("workers/w2");
+    rig.run(8s);
+    node.port.unreachableWorkers.clear();
+    rig.run(10s);
+    EXPECT_EQ(rig.state("a"), Done);
+    for (const WorkflowScheduler *it : node.node->schedulers()) {
+        EXPECT_EQ(it->counters().workerCrashes, 0U);
+    }
+}
+
+// Many deadly tasks at once must not take down a tenth of the workers beyond the crashes that nobody could foresee.
+TEST(Crashes, trialsKeepFewWorkersDown)
+{
+    Rig rig(2, 60);
+    rig.run(1s);
+    std::vector<TaskName> deadly;
+    std::vector<JobKey> others;
+    for (int i = 0; i < 8; ++i) {
+        const JobKey key = "deadly" + std::to_string(i);
+        deadly.push_back(makeDeadly(rig, key));
+        rig.submit(rig.leader(), Rig::makeJob(key, 3));
+        const std::vector<JobKey> more = submitOthers(rig, 2s, "d" + std::to_string(i) + "-");
+        others.insert(others.end(), more.begin(), more.end());
+    }
+    rig.run(60s);
+    for (const TaskName &it : deadly) {
+        expectGivenUp(rig, it);
+    }
+    expectCompleted(rig, others);
+    EXPECT_LT(rig.fleet.mostWorkersDown, 6U);
+}
+
+// The members of a gang start together, so a deadly one is tried with the others.
+TEST(Crashes, gangWithADeadlyMemberIsGivenUp)
+{
+    Rig rig(2, Workers);
+    rig.run(1s);
+    WorkflowSpec gang = Rig::makeJob("deadly", 4);
+    gang.steps[0].isGang = true;
+    rig.fleet.gangs.insert("deadly");
+    const TaskName deadly = makeDeadly(rig, "deadly", 0, 1);
+    rig.submit(rig.leader(), gang);
+    const std::vector<JobKey> others = submitOthers(rig, 10s);
+    rig.run(40s);
+    expectGivenUp(rig, deadly);
+    expectCompleted(rig, others);
+}
+
+// Every node answers why the job has failed, as stored with its state.
+TEST(Crashes, reasonIsKnownToEveryNode)
+{
+    Rig rig(2, Workers);
+    rig.run(1s);
+    makeDeadly(rig, "deadly");
+    rig.submit(rig.leader(), Rig::makeJob("deadly", 2));
+    rig.run(30s);
+    for (int i = 0; i < 2; ++i) {
+        std::optional<IntakeReply> reply;
+        rig.nodes[static_cast<std::size_t>(i)]->node->intake().queryState(
+            "deadly", [&reply](const IntakeReply &it) { reply = it; });
+        rig.run(100ms);
+        ASSERT_TRUE(reply);
+        EXPECT_EQ(reply->state, Failed);
+        EXPECT_NE(reply->failure.find("task 0 of step 0 crashed 3 workers"), std::string::npos) << reply->failure;
+    }
+}
+
+// Evidence and a trial in progress are part of the progress, with which a job moves to another shard.
+TEST(Crashes, progressCarriesEvidence)
+{
+    JobState job;
+    job.accepted.spec = Rig::makeJob("a", 2);
+    resetTasks(job);
+    TaskState &task = job.occurrences[0].steps[0].tasks[1];
+    task.crashes = {{3, CrashRole::Start, 4}, {5, CrashRole::Trial, 1}};
+    task.trial = TaskTrial{7, "w1", 99, 0, {}, false};
+    JobState read;
+    read.accepted = job.accepted;
+    resetTasks(read);
+    decodeProgress(encodeProgress(job), read);
+    const TaskState &readTask = read.occurrences[0].steps[0].tasks[1];
+    EXPECT_EQ(readTask.crashes, task.crashes);
+    ASSERT_TRUE(readTask.trial);
+    EXPECT_EQ(readTask.trial->attempt, 7U);
+    EXPECT_EQ(readTask.trial->worker, "w1");
+    EXPECT_EQ(readTask.trial->workerStartedAtMs, 99);
+    GivenTask given;
+    given.accepted = job.accepted;
+    given.crashes = task.crashes;
+    EXPECT_EQ(decodeGivenTask(encodeGivenTask(given)).crashes, task.crashes);
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Capacity that shrinks
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+/** A pool whose workers start whatever they are told to. Jobs of one-core tasks come all along. */
+class ShrinkingWorkers
+{
+public:
+    ShrinkingWorkers()
+        : rig(2, 4)
+    {
+        rig.decoder.catalog.version = 2;
+        rig.decoder.catalog.pools = {{"pool", false, false}};
+        rig.backend.write("operator/config", "2");
+        rig.fleet.workTime = 1s;
+        rig.run(1s);
+    }
+
+    void submit(int jobs)
+    {
+        for (int i = 0; i < jobs; ++i) {
+            const JobKey key = "job" + std::to_string(m_jobs++);
+            rig.fleet.needs[key] = {1000, 1000, 0};
+            rig.submit(rig.leader(), Rig::makeJob(key, 8));
+        }
+    }
+
+    void shrink(const WorkerId &id, std::int64_t cpuMillis)
+    {
+        rig.fleet.workers[id].capacity.cpuMillis = cpuMillis;
+        rig.backend.write("workers/" + id, "shrunk");
+    }
+
+    Rig rig;
+
+private:
+    int m_jobs = 0;
+};
+
+} // namespace
+
+TEST(Capacity, shrunkWorkerGetsOnlyWhatFits)
+{
+    ShrinkingWorkers it;
+    it.submit(6);
+    it.rig.run(500ms);
+    for (int i = 0; i < 4; ++i) {
+        it.shrink("w" + std::to_string(i), 4000 + 1000 * i);
+    }
+    it.rig.run(600ms); // the entries are read in batches
+    it.submit(10);
+    it.rig.run(20s);
+    EXPECT_TRUE(it.rig.fleet.violations.empty()) << it.rig.fleet.violations.front();
+    for (int i = 0; i < 16; ++i) {
+        EXPECT_EQ(it.rig.state("job" + std::to_string(i)), Done);
+    }
+}
+
+// A leader that does not reach the store went on starting tasks by capacities that were seconds old.
+TEST(Capacity, nothingStartsByAnOldEntryWhereCapacityIsNotEnforced)
+{
+    ShrinkingWorkers it;
+    it.submit(40);
+    it.rig.run(300ms);
+    const auto setSilent = [&it](bool isSilent) {
+        for (const auto &node : it.rig.nodes) {
+            node->store.isSilent = isSilent;
+        }
+    };
+    setSilent(true);
+    it.rig.run(200ms);
+    for (int i = 0; i < 4; ++i) {
+        it.shrink("w" + std::to_string(i), 2000);
+    }
+    it.rig.run(2500ms); // within this time an entry may be outdated
+    it.rig.fleet.violations.clear();
+    it.rig.run(5s);
+    EXPECT_TRUE(it.rig.fleet.violations.empty()) << it.rig.fleet.violations.front();
+    setSilent(false);
+    it.rig.run(60s);
+    for (int i = 0; i < 40; ++i) {
+        EXPECT_EQ(it.rig.state("job" + std::to_string(i)), Done);
+    }
+}
+
+// A restarted worker may be of another kind: its former entry says nothing of its capacity.
+TEST(Capacity, restartedWorkerGetsNothingByItsFormerEntry)
+{
+    ShrinkingWorkers it;
+    it.rig.fleet.restartWorker("w0");
+    it.rig.fleet.workers["w0"].capacity.cpuMillis = 1000;
+    it.submit(8); // by its former entry w0 has room for 16 tasks
+    it.rig.run(2s);
+    it.rig.backend.write("workers/w0", "back");
+    it.rig.run(10s);
+    EXPECT_TRUE(it.rig.fleet.violations.empty()) << it.rig.fleet.violations.front();
+    for (int i = 0; i < 8; ++i) {
+        EXPECT_EQ(it.rig.state("job" + std::to_string(i)), Done);
+    }
+}
+
 } // namespace QuetzalRock::Workflow
