A task that crashes the workers of a shard that it was given to ends its job

Cause: the progress of a job is written by its own shard only, so another shard's leader that convicts a given task cannot end the job; and a job that has failed left its given tasks running in other shards, which only a cancel ends. Change: the evidence goes with each transfer; a given task that is given up returns to its job's shard, which ends the job and stores a cancel for the other shards, under the registration's revision.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -561,6 +561,9 @@
 
 void WorkflowScheduler::failJob(JobState &job, std::string_view why)
 {
+    if (hasOnlyIndependentLongRunningTasks(job.accepted.spec)) {
+        m_jobsWithGuests.insert(job.key());
+    }
     job.failure = why;
     finishJob(job, WorkflowState::Failed);
     stopAllTasks(job, why);
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -400,6 +400,9 @@
     void onTransferReply(const StoreReply &reply);
     bool wasExecuted(const StoreReply &conflict);
     void endTransfer(bool isExecuted, std::uint64_t revision);
+    void returnTask(const TaskRef &ref, const StoreItem &registration);
+    void endGuestTasks(TimePoint now);
+    void cancelAtGuests(const JobKey &key, const StoreItem &registration);
     std::map<ShardId, CpuByImage> recentlyGivenCpu();
     void takeTask(const StoreItem &item);
 
@@ -547,6 +550,9 @@
     std::optional<PreparedTransfer> m_preparedTransfer;
     std::optional<Transfer> m_transfer; ///< while its write is in flight or has an unknown outcome
     std::vector<GivenCpu> m_givenCpu;
+    std::set<JobKey> m_jobsWithGuests; ///< failed jobs some of whose tasks other shards may still have
+    bool m_isEndingGuests = false;
+    TimePoint m_nextGuestEndAt{};
 
     // Moves of whole jobs
     std::optional<JobMove> m_jobMove; ///< while its write is in flight or has an unknown outcome
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -171,6 +171,7 @@
     reportWaitingTasks(now);
     leaveEvacuatedDomains(now);
     giveWaitingTasks(now);
+    endGuestTasks(now);
     storeProgress(now);
     moveJobs(now); // after storeProgress(), so that moves do not keep ends of runs from being stored
     removeExpiredJobs(now);
@@ -380,6 +381,9 @@
     job->isCancelled = job->state == WorkflowState::Cancelled;
     JobState &it = *m_jobs.emplace(key, std::move(job)).first->second;
     if (isFinal(it.state)) {
+        if (it.state == WorkflowState::Failed && hasOnlyIndependentLongRunningTasks(it.accepted.spec)) {
+            m_jobsWithGuests.insert(key);
+        }
         m_finalJobs.emplace_back(m_clock.now(), key);
         return;
     }
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -79,23 +79,24 @@
 
 /**
  * The tasks of a step that have found no worker for WorkflowSettings::transferDelay, and run nowhere. In an evacuated shard
- * none will find one, so they are not delayed.
+ * none will find one, so they are not delayed. Also those that are given up here: they return to their job's shard.
  */
 std::vector<TaskRef> WorkflowScheduler::tasksWithoutRoom(JobState &job, std::uint32_t step, TimePoint now) const
 {
     std::vector<TaskRef> refs;
     const StepState &state = job.occurrences.front().steps[step];
-    if (state.noRoomSince == TimePoint{} || !canGiveTasksOf(job)) {
+    if (!canGiveTasksOf(job)) {
         return refs;
     }
+    const bool isWithoutRoom = state.noRoomSince != TimePoint{};
     const bool isEvacuated = isShardEvacuated();
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
         const TaskState &task = state.tasks[i];
         const Duration delay = isEvacuated ? Duration::zero()
                                            : m_settings.transferDelay * (1U << std::min(task.moves, MaxDelayDoublings));
         const TaskRef ref{&job, 0, step, i};
-        if (task.phase == TaskPhase::Waiting && !task.trial && now >= std::max(state.noRoomSince, task.retryAt) + delay
-            && !mayBeRunningElsewhere(ref)) {
+        const bool hasWaited = isWithoutRoom && !task.trial && now >= std::max(state.noRoomSince, task.retryAt) + delay;
+        if (task.phase == TaskPhase::Waiting && (hasWaited || task.isGivenUp) && !mayBeRunningElsewhere(ref)) {
             refs.push_back(ref);
         }
     }
@@ -169,6 +170,12 @@
     const bool isFromRecord = tasks.front().task().hasRecord;
     std::erase_if(tasks, [isFromRecord](const TaskRef &it) { return it.task().hasRecord != isFromRecord; });
     tasks.resize(std::min(tasks.size(), isFromRecord ? MaxTasksFromRecords : MaxTasksFromProgress));
+    const auto givenUp
+        = std::find_if(tasks.begin(), tasks.end(), [](const TaskRef &it) { return it.task().isGivenUp; });
+    if (givenUp != tasks.end()) {
+        returnTask(*givenUp, prepared.registration);
+        return;
+    }
     const auto destination = chooseShardForTasks(*m_shardMap,
                                                  m_statuses,
                                                  recentlyGivenCpu(),
@@ -189,6 +196,18 @@
     }
 }
 
+/** Gives a task that has crashed its workers back to its job's shard, whose leader then ends the job. */
+void WorkflowScheduler::returnTask(const TaskRef &ref, const StoreItem &registration)
+{
+    try {
+        if (const std::optional<ShardId> shard = decodeRegistration(registration.value).shard) {
+            beginTransfer(*ref.job, {ref}, *shard, registration);
+        }
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "job", ref.job->key(), "error", error.what());
+    }
+}
+
 /** What this leader has given to each shard and the shard's status does not include yet. */
 std::map<ShardId, CpuByImage> WorkflowScheduler::recentlyGivenCpu()
 {
@@ -401,6 +420,56 @@
     if (m_earlyCancels.erase(key) > 0) {
         onCancel(key);
     }
+    if (!job->isGuest && !isFinal(job->state) && isGivenUp(m_settings.crashes, task.crashes)) {
+        giveUpTask(ref); // another shard's workers have crashed under it
+    }
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// Jobs that have failed while other shards have tasks of them
+// ---------------------------------------------------------------------------------------------------------------------
+
+/** Cancels the tasks that were given to other shards. Repeated until it is stored, also by a successor. */
+void WorkflowScheduler::endGuestTasks(TimePoint now)
+{
+    if (m_jobsWithGuests.empty() || m_isEndingGuests || now < m_nextGuestEndAt || m_authority != Authority::Full) {
+        return;
+    }
+    m_isEndingGuests = true;
+    m_nextGuestEndAt = now + WriteRetryDelay;
+    const JobKey key = *m_jobsWithGuests.begin();
+    m_store.get(std::string(RegistrationPrefix) + key, ifAlive([this, key](const StoreReply &reply) {
+                    m_isEndingGuests = false;
+                    if (reply.status == StoreStatus::NotFound) {
+                        m_jobsWithGuests.erase(key);
+                    } else if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
+                        cancelAtGuests(key, reply.items.front());
+                    }
+                }));
+}
+
+void WorkflowScheduler::cancelAtGuests(const JobKey &key, const StoreItem &registration)
+{
+    StoreChange change;
+    change.conditions = {{m_keys.leader, m_term.keyRevision}, {registration.key, registration.revision}};
+    try {
+        for (const ShardId it : decodeRegistration(registration.value).guestOf) {
+            change.puts.push_back({makeShardKeys(it).cancels + key, {}, 0});
+        }
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "job", key, "error", error.what());
+    }
+    if (change.puts.empty()) {
+        m_jobsWithGuests.erase(key);
+        return;
+    }
+    m_isEndingGuests = true;
+    m_store.change(std::move(change), ifAlive([this, key](const StoreReply &reply) {
+                       m_isEndingGuests = false;
+                       if (reply.status == StoreStatus::Ok) {
+                           m_jobsWithGuests.erase(key);
+                       }
+                   }));
 }
 
 /** The records of given tasks in @p records were removed from the store. */
