--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -181,6 +181,28 @@
     }
 }
 
+// Only the job's own shard can store that it has failed, and the tasks in other shards must end with it.
+TEST(Transfer, givenTaskThatCrashesItsWorkersEndsTheJob)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    const ShardId guest = rig.guestShard();
+    ASSERT_NE(guest, rig.home);
+    TaskName deadly;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        if (rig.shardOf(worker) == guest && !worker.running.empty()) {
+            deadly = worker.running.front().run.task;
+        }
+    }
+    rig.fleet.deadlyTasks.insert(deadly);
+    rig.run(60s);
+    EXPECT_EQ(rig.state("a"), WorkflowState::Failed);
+    EXPECT_LE(rig.fleet.crashesUnder[deadly], 5);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U) << "also those in other shards";
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 TEST(Transfer, leaderOfEitherShardMayFailAfterwards)
 {
     for (const bool isHome : {true, false}) {
