--- a/packages/workflow/tests/crashtest.cpp
+++ b/packages/workflow/tests/crashtest.cpp
@@ -20,7 +20,7 @@
 /** Makes task @p index of @p step of the job crash each worker that starts it. */
 TaskName makeDeadly(Rig &rig, const JobKey &key, std::uint32_t step = 0, std::uint32_t index = 0)
 {
-    const TaskName name{key, 0, step, index};
+    TaskName name{key, 0, step, index};
     rig.fleet.deadlyTasks.insert(name);
     return name;
 }
