Crashes under a given task are stored in its record

Cause: what a shard's leader knows of crashes under another shard's task was in memory only, so a change of that leader forgot it. Change: the GivenTask record takes the evidence, a trial before its start, and a start whose worker falls silent, under its revision. Measured: Transfer.crashesUnderAGivenTaskOutliveTheLeadersOfItsShard: 6 crashes without the write, where 5 are allowed; passes with it. Transfer.*, Crash*, Capacity*: 35 passed.

--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -282,7 +282,9 @@
                                    task.attemptBase,
                                    task.checkpoint,
                                    task.moves,
-                                   crashesToJson(task.crashes)}));
+                                   crashesToJson(task.crashes),
+                                   trialToJson(task.trial),
+                                   trialToJson(task.silentStart)}));
 }
 
 GivenTask decodeGivenTask(std::string_view bytes)
@@ -297,8 +299,10 @@
         it.attemptBase = value.at(4);
         it.checkpoint = value.at(5);
         it.moves = value.at(6);
-        if (value.size() > 7) { // older versions wrote none
+        if (value.size() > 9) { // older versions wrote none
             it.crashes = crashesFromJson(value.at(7));
+            it.trial = trialFromJson(value.at(8));
+            it.silentStart = trialFromJson(value.at(9));
         }
         if (it.step >= it.accepted.spec.steps.size() || it.index >= it.accepted.spec.steps[it.step].taskCount) {
             throw InvalidArgument("given task", "no such task");
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -120,6 +120,7 @@
     // Transfers between shards
     bool isGivenAway = false;         ///< the job's progress says that it was given to another shard
     bool hasRecord = false;           ///< belongs to this shard by a GivenTask
+    bool isSuspectInRecord = false;   ///< its GivenTask, as last stored, says something of crashes
     std::uint32_t moves = 0;          ///< number of transfers so far
     std::uint64_t recordRevision = 0; ///< of the last GivenTask seen
     std::uint64_t attemptBase = 0;    ///< attempts of earlier shards are not higher than that
@@ -216,6 +217,8 @@
     std::string checkpoint;
     std::uint32_t moves = 0;
     std::vector<CrashEvidence> crashes;
+    std::optional<TaskTrial> trial;       ///< see TaskState
+    std::optional<TaskTrial> silentStart; ///< see TaskState
 };
 
 /** The key of a GivenTask. */
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -337,6 +337,7 @@
     void endTrial(const TaskRef &ref);
     void endTrials(JobState &job);
     void restoreSuspects(JobState &job);
+    void restoreSuspect(const TaskRef &ref);
     bool restoreUnresolvedRun(const TaskRef &ref, const TaskTrial &start);
 
     // Placement (dispatch.cpp)
@@ -443,6 +444,8 @@
     void onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
                   const std::vector<std::string> &values,
                   const StoreReply &reply);
+    void storeGivenTasks();
+    void onGivenTasksStored(std::span<const TaskRef> refs, std::uint64_t version, const StoreReply &reply);
     void storeWorkers();
     void removeExpiredJobs(TimePoint now);
     std::vector<std::string> recordsOf(const JobKey &key);
@@ -565,6 +568,7 @@
     // Persistence
     std::deque<JobKey> m_dirtyQueue; ///< jobs to be stored, in order
     std::set<JobKey> m_dirtyKeys;    ///< the same keys
+    std::set<JobKey> m_dirtyGuests;  ///< other shards' jobs whose GivenTask records are to be stored
     bool m_isStoring = false;
     TimePoint m_nextStoreAt{};
     ShardStatus m_storedStatus;        ///< as last written, without its revision
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -11,6 +11,7 @@
 constexpr std::int64_t BacklogResolutionMs = 100;                 ///< smaller changes do not cause a write
 constexpr std::int64_t ImageBacklogResolutionMs = 20;             ///< the same by image: dozens of images share a shard
 constexpr Duration StatusCheckInterval = std::chrono::milliseconds(100); ///< while the status does not change
+constexpr std::size_t GivenTasksPerChange = (MaxChangeEntries - 1) / 2;  ///< each takes a condition and a put
 constexpr std::size_t MaxRemovals = MaxChangeEntries - 1;                ///< beside the condition on the leader key
 
 /** Adds the best-effort work of @p job that waits, in CPU millis x ms, by image. */
@@ -57,8 +58,12 @@
 
 void WorkflowScheduler::markDirty(JobState &job)
 {
-    if (job.isGuest) {
-        return; // its progress is its own shard's
+    if (job.isGuest) { // its progress is its own shard's, apart from what its GivenTask records hold
+        job.version += job.hasCrashEvidence ? 1 : 0;
+        if (job.hasCrashEvidence) {
+            m_dirtyGuests.insert(job.key());
+        }
+        return;
     }
     ++job.version;
     if (m_dirtyKeys.insert(job.key()).second) {
@@ -75,6 +80,10 @@
         storeWorkers();
         return;
     }
+    if (!m_dirtyGuests.empty()) {
+        storeGivenTasks();
+        return;
+    }
     ShardStatus status = m_storedStatus;
     if (now >= m_nextStatusAt) {
         status = shardStatus();
@@ -130,6 +139,81 @@
                    }));
 }
 
+/** Stores what is known of crashes under the tasks of one job that were given to this shard. */
+void WorkflowScheduler::storeGivenTasks()
+{
+    const JobKey key = *m_dirtyGuests.begin();
+    m_dirtyGuests.erase(m_dirtyGuests.begin());
+    JobState *job = findJob(key);
+    if (job == nullptr || !job->isGuest) {
+        return;
+    }
+    StoreChange change;
+    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
+    std::vector<TaskRef> refs;
+    for (std::uint32_t s = 0; s < job->accepted.spec.steps.size(); ++s) {
+        auto &tasks = job->occurrences.front().steps[s].tasks;
+        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+            TaskState &it = tasks[i];
+            const bool isSuspect = !it.crashes.empty() || it.trial || it.silentStart;
+            if (!it.hasRecord || !(isSuspect || it.isSuspectInRecord) || refs.size() == GivenTasksPerChange) {
+                continue;
+            }
+            it.isSuspectInRecord = isSuspect;
+            const std::string record = givenTaskKey(m_keys, key, s, i);
+            change.conditions.push_back({record, it.recordRevision});
+            change.puts.push_back({record,
+                                   encodeGivenTask({job->accepted,
+                                                    s,
+                                                    i,
+                                                    it.attemptBase,
+                                                    it.checkpoint,
+                                                    it.moves,
+                                                    it.crashes,
+                                                    it.trial,
+                                                    it.silentStart}),
+                                   0});
+            refs.push_back({job, 0, s, i});
+        }
+    }
+    if (refs.empty() || isFinal(job->state)) {
+        job->storedVersion = job->version;
+        return;
+    }
+    m_isStoring = true;
+    ++m_counters.writes;
+    m_store.change(std::move(change), ifAlive([this, key, version = job->version, refs](const StoreReply &reply) {
+                       m_isStoring = false;
+                       if (findJob(key) == refs.front().job) {
+                           onGivenTasksStored(refs, version, reply);
+                       }
+                   }));
+}
+
+void WorkflowScheduler::onGivenTasksStored(std::span<const TaskRef> refs,
+                                           std::uint64_t version,
+                                           const StoreReply &reply)
+{
+    JobState &job = *refs.front().job;
+    if (reply.status == StoreStatus::Ok) {
+        for (const TaskRef &it : refs) {
+            it.task().recordRevision = std::max(it.task().recordRevision, reply.revision);
+        }
+        job.storedVersion = std::max(job.storedVersion, version);
+        return;
+    }
+    m_dirtyGuests.insert(job.key());
+    m_nextStoreAt = m_clock.now() + m_settings.storeRetryDelay;
+    for (const StoreItem &item : reply.items) { // of a conflict: also of an earlier write whose reply was lost
+        m_isDeposed = m_isDeposed || (item.key == m_keys.leader && item.revision != m_term.keyRevision);
+        for (const TaskRef &it : refs) {
+            if (item.key == givenTaskKey(m_keys, job.key(), it.step, it.index)) {
+                it.task().recordRevision = item.revision;
+            }
+        }
+    }
+}
+
 void WorkflowScheduler::onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
                                  const std::vector<std::string> &values,
                                  const StoreReply &reply)
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -2,7 +2,8 @@
  * WorkflowScheduler: records crashes of workers, tries suspected tasks alone, and gives up tasks that crash their workers.
  * crashes.h has the decisions.
  *
- * All evidence is stored with the job's progress, so that it outlives this leader and moves with the job. A trial is stored
+ * All evidence is stored with the job's progress, so that it outlives this leader and moves with the job; that of a task
+ * given to this shard is stored in its GivenTask. A trial is stored
  * before its start is sent: a successor that finds the worker restarted knows what it was trying. A run whose worker is
  * silent when its lease ends is remembered, as only the worker's return shows whether it has crashed.
  */
@@ -215,6 +216,7 @@
         start.worker = worker.record.id;
         start.workerStartedAtMs = worker.record.startedAtMs;
         task.silentStart = start;
+        it.job->hasCrashEvidence = true;
         markDirty(*it.job);
     }
 }
@@ -486,19 +488,22 @@
 /** The stored progress has evidence, or trials of a former leader, which this leader has not seen end. */
 void WorkflowScheduler::restoreSuspects(JobState &job)
 {
-    forEachTask(job, [this, &job](const TaskRef &ref) {
-        TaskState &task = ref.task();
-        job.hasCrashEvidence = job.hasCrashEvidence || !task.crashes.empty() || task.trial;
-        if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
-            task.trial->isOrdered = true;
-            task.retryAt = m_clock.now() + m_settings.crashes.verdictTimeout;
-        } else {
-            task.trial.reset();
-        }
-        if (task.silentStart && !restoreUnresolvedRun(ref, *task.silentStart)) {
-            task.silentStart.reset();
-        }
-    });
+    forEachTask(job, [this](const TaskRef &ref) { restoreSuspect(ref); });
+}
+
+void WorkflowScheduler::restoreSuspect(const TaskRef &ref)
+{
+    TaskState &task = ref.task();
+    ref.job->hasCrashEvidence = ref.job->hasCrashEvidence || !task.crashes.empty() || task.trial;
+    if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
+        task.trial->isOrdered = true;
+        task.retryAt = m_clock.now() + m_settings.crashes.verdictTimeout;
+    } else {
+        task.trial.reset();
+    }
+    if (task.silentStart && !restoreUnresolvedRun(ref, *task.silentStart)) {
+        task.silentStart.reset();
+    }
 }
 
 /** False if the worker is not known in this shard. */
--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -181,10 +181,9 @@
     }
 }
 
-// Only the job's own shard can store that it has failed, and the tasks in other shards must end with it.
-TEST(Transfer, givenTaskThatCrashesItsWorkersEndsTheJob)
+/** Gives half of the tasks to another shard, lets one of them crash its workers, and expects that the job ends everywhere. */
+void endJobByDeadlyTask(TransferRig &rig, const std::function<void(ShardId guest)> &whileItCrashes)
 {
-    TransferRig rig;
     rig.drainHalfOf(rig.home);
     rig.run(TransferTime);
     const ShardId guest = rig.guestShard();
@@ -196,6 +195,7 @@
         }
     }
     rig.fleet.deadlyTasks.insert(deadly);
+    whileItCrashes(guest);
     rig.run(60s);
     EXPECT_EQ(rig.state("a"), WorkflowState::Failed);
     EXPECT_LE(rig.fleet.crashesUnder[deadly], 5);
@@ -203,6 +203,30 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Only the job's own shard can store that it has failed, and the tasks in other shards must end with it.
+TEST(Transfer, givenTaskThatCrashesItsWorkersEndsTheJob)
+{
+    TransferRig rig;
+    endJobByDeadlyTask(rig, [](ShardId) {});
+}
+
+// The other shard's leaders are killed one after the other while the task crashes its workers.
+TEST(Transfer, crashesUnderAGivenTaskOutliveTheLeadersOfItsShard)
+{
+    TransferRig rig;
+    endJobByDeadlyTask(rig, [&rig](ShardId guest) {
+        for (int i = 0; i < 5; ++i) {
+            rig.run(3s);
+            const int leader = rig.leader(guest);
+            if (leader >= 0) {
+                rig.kill(leader);
+                rig.run(2500ms);
+                rig.boot(leader);
+            }
+        }
+    });
+}
+
 TEST(Transfer, leaderOfEitherShardMayFailAfterwards)
 {
     for (const bool isHome : {true, false}) {
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -410,9 +410,14 @@
         task.attemptBase = given.attemptBase;
         task.checkpoint = given.checkpoint;
         task.moves = given.moves;
-        task.crashes = std::move(given.crashes);
-        job->hasCrashEvidence = job->hasCrashEvidence || !task.crashes.empty();
+        if (given.crashes.size() >= task.crashes.size()) { // otherwise the job's own progress knows more
+            task.crashes = std::move(given.crashes);
+        }
+        task.isSuspectInRecord = true;
+        task.trial = given.trial;
+        task.silentStart = given.silentStart;
         task.retryAt = m_clock.now();
+        restoreSuspect(ref);
         m_isPlacementDue = true;
         ++m_counters.tasksTaken;
         logTaskEvent("task_taken", ref, "attempt_base", task.attemptBase, "moves", task.moves);
