Placement looks at each worker once a pass, and tries a demand without room once

Change: the serving tasks' limits and load ahead are evaluated once a pass (WorkerOutlook, LoadOutlook), usable workers are listed once a pass, and a step that demands no less than one that found no worker in the same pass is not searched for (UnplacedDemands).

--- a/bench/pressure.cpp
+++ b/bench/pressure.cpp
@@ -288,7 +288,7 @@
     double allowedEffect(Shard &shard, const ServingStep &step, double margin)
     {
         const ClassIndex service = classOf(shard, step.image, true);
-        const double load = shard.model.expectedLoad(service, step.load, now() + PressureSettings().forecastHorizon);
+        const double load = shard.model.outlook(service, step.load, now(), Step, false).peakWithin(Step);
         return (shard.model.utilisationForTail(service, TargetMs) - margin) / load - 1;
     }
 
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -56,6 +56,8 @@
     m_nextPlacementAt = now + (m_isPlacementDue ? m_settings.placementInterval : PlacementRetryInterval);
     m_isPlacementDue = false;
     sortJobs(now);
+    listUsableWorkers(now);
+    m_unplaced.clear();
     for (JobState *job : m_jobOrder) {
         const bool isNewInGrace = m_authority != Authority::Full && job->learnedAt > m_lastFullAuthorityAt;
         if (!job->isCancelled && !job->isMoving && !isNewInGrace) {
@@ -158,9 +160,15 @@
             isWithoutRoom = !placeTrial(std::span(&ref, 1), now) || isWithoutRoom;
             continue;
         }
-        const WorkerIndex worker = chooseWorker(ref, now);
+        const bool canShare = canShareSpareCpu(job);
+        const bool isHopeless
+            = !hasLongRunningStep(job.accepted.spec) && m_unplaced.covers(ref.spec(), job.accepted.pool, canShare);
+        const WorkerIndex worker = isHopeless ? NoWorker : chooseWorker(ref, now);
         if (worker == NoWorker) {
             isWithoutRoom = true;
+            if (!isHopeless) {
+                m_unplaced.add(ref.spec(), job.accepted.pool, canShare);
+            }
             if (hasExceededPlacementTimeout(job, ref.spec(), task, now)) {
                 reserveWorkerFor(ref, now);
             }
@@ -243,14 +251,26 @@
 
 /** Whether @p worker may run the task, apart from free resources and interference. */
 bool WorkflowScheduler::isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const
+{
+    return isUsable(worker, now) && isSuitable(worker, ref, now);
+}
+
+/** Whether @p worker may get starts at all. */
+bool WorkflowScheduler::isUsable(const WorkerState &worker, TimePoint now) const
+{
+    return worker.isRegistered && worker.isConfirmed && worker.record.condition == WorkerCondition::Ready
+           && worker.unknownRuns.empty() && !worker.isEntryOutdated && worker.unansweredRenewals == 0
+           && now >= worker.noStartsUntil && now < worker.lastReplyAt + m_settings.contactTimeout
+           && isCapacityKnown(worker, now) && m_storedWorkers.contains(worker.record.id)
+           && mayStartIn(worker.record.failureDomain, now);
+}
+
+/** Whether a usable worker may run this task. */
+bool WorkflowScheduler::isSuitable(const WorkerState &worker, const TaskRef &ref, TimePoint now) const
 {
     const StepSpec &step = ref.spec();
-    const bool isUsable = worker.isRegistered && worker.isConfirmed && worker.record.condition == WorkerCondition::Ready
-                          && worker.record.pool == ref.job->accepted.pool && worker.unknownRuns.empty()
-                          && !worker.isEntryOutdated && isCapacityKnown(worker, now) && worker.unansweredRenewals == 0
-                          && now >= worker.noStartsUntil && now < worker.lastReplyAt + m_settings.contactTimeout
-                          && m_storedWorkers.contains(worker.record.id) && mayStartIn(worker.record.failureDomain, now);
-    if (!isUsable || (worker.isQuarantined(now) && !worker.runs.empty()) || worker.isReservedForOther(*ref.job, now)) {
+    if (worker.record.pool != ref.job->accepted.pool || (worker.isQuarantined(now) && !worker.runs.empty())
+        || worker.isReservedForOther(*ref.job, now)) {
         return false;
     }
     const bool isPartOfTrial = worker.trialJob == ref.job->key() && (step.isGang || ref.task().trial);
@@ -279,13 +299,24 @@
     return m_evacuations == nullptr || m_evacuations->mayStart(failureDomain, now, m_authority);
 }
 
+/** Lists the usable workers for the calls of chooseWorker() that follow at the same time. */
+void WorkflowScheduler::listUsableWorkers(TimePoint now)
+{
+    m_usableWorkers.clear();
+    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
+        if (isUsable(*m_workers[i], now)) {
+            m_usableWorkers.push_back(i);
+        }
+    }
+}
+
 WorkerIndex WorkflowScheduler::chooseWorker(const TaskRef &ref, TimePoint now)
 {
     const bool canShare = canShareSpareCpu(*ref.job);
     WorkerIndex best = NoWorker;
     double bestScore = 0;
-    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
-        if (!isEligible(*m_workers[i], ref, now)) {
+    for (const WorkerIndex i : m_usableWorkers) {
+        if (!isSuitable(*m_workers[i], ref, now)) {
             continue;
         }
         const std::optional<double> score = scorePlacement(i, ref, canShare);
@@ -303,7 +334,7 @@
 {
     const StepSpec &step = ref.spec();
     const TaskState &task = ref.task();
-    const WorkerState &worker = *m_workers[index];
+    WorkerState &worker = *m_workers[index];
     const std::optional<double> interference = interferenceOf(worker, ref);
     if (!interference) {
         return std::nullopt;
@@ -343,6 +374,7 @@
     task.phase = TaskPhase::Starting;
     task.worker = index;
     worker.runs.push_back(ref);
+    worker.outlook.at = {};
     Resources need = step.need;
     if (step.usesSpareCpu) {
         worker.bestEffortCpuMillis += need.cpuMillis;
@@ -366,6 +398,7 @@
     worker.reserved -= need;
     worker.longRunningCpuMillis -= step.isLongRunning ? need.cpuMillis : 0;
     std::erase(worker.runs, ref);
+    worker.outlook.at = {};
     task.worker = NoWorker;
     --ref.job->heldTasks;
     m_isPlacementDue = true;
@@ -494,6 +527,7 @@
     ++m_counters.stops;
     logTaskEvent("run_stop", ref, "worker", m_workers[task.worker]->record.id, "why", why);
     task.phase = TaskPhase::Stopping;
+    m_workers[task.worker]->outlook.at = {};
     task.isStopAcknowledged = false;
     sendStopOrder(ref);
 }
--- a/packages/workflow/loadforecast.cpp
+++ b/packages/workflow/loadforecast.cpp
@@ -21,7 +21,6 @@
 constexpr double PriorAmplitude = 0.25;    ///< standard deviation of amplitudes: loads lie between 0 and 1
 constexpr Duration ChoiceInterval = 250ms; ///< between two choices of the period; about one report of each task
 constexpr Duration MaxSampleAge = 5s;      ///< unknown without newer samples
-constexpr int Points = 5;                  ///< at which a span is evaluated
 
 double periodSeconds(std::size_t index)
 {
@@ -134,24 +133,6 @@
     return valueAt(secondsOf(when));
 }
 
-double PeriodicLoad::peakWithin(TimePoint from, Duration span) const
-{
-    double peak = estimateAt(from);
-    for (int i = 1; i < Points; ++i) {
-        peak = std::max(peak, estimateAt(from + span * i / (Points - 1)));
-    }
-    return peak;
-}
-
-double PeriodicLoad::meanWithin(TimePoint from, Duration span) const
-{
-    double sum = 0;
-    for (int i = 0; i < Points; ++i) {
-        sum += estimateAt(from + span * i / (Points - 1));
-    }
-    return sum / Points;
-}
-
 Duration PeriodicLoad::period() const
 {
     return m_isGood ? std::chrono::duration_cast<Duration>(std::chrono::duration<double>(periodSeconds(m_best)))
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -1,5 +1,7 @@
 #include <workflow/placement.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -52,4 +54,35 @@
     return static_cast<double>(score);
 }
 
+void UnplacedDemands::clear()
+{
+    m_demands.clear();
+}
+
+void UnplacedDemands::add(const StepSpec &step, std::string_view pool, bool canShareSpareCpu)
+{
+    const bool isRestricted = !step.requiredLabel.empty() || step.maxPerWorker != 0;
+    if (!step.isLongRunning && !isRestricted) {
+        m_demands.push_back({std::string(pool),
+                             step.usesSpareCpu ? step.image : std::string(),
+                             step.usesSpareCpu,
+                             canShareSpareCpu,
+                             step.need,
+                             step.usesSpareCpu ? step.estimateMs : 0});
+    }
+}
+
+bool UnplacedDemands::covers(const StepSpec &step, std::string_view pool, bool canShareSpareCpu) const
+{
+    if (step.isLongRunning) {
+        return false;
+    }
+    return std::any_of(m_demands.begin(), m_demands.end(), [&](const Demand &it) {
+        const bool isSameKind
+            = it.usesSpareCpu == step.usesSpareCpu && it.pool == pool && (!it.usesSpareCpu || it.image == step.image);
+        return isSameKind && it.need.fitsIn(step.need) && it.estimateMs <= step.estimateMs
+               && (it.canShareSpareCpu || !canShareSpareCpu);
+    });
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/placement.h
+++ b/packages/workflow/placement.h
@@ -12,12 +12,16 @@
  *   Candidate             a worker's properties that matter for a placement
  *   expectedIdleMillis()  CPU that is expected to stay unused
  *   scoreWorker()         the higher, the better; none: the task does not fit
+ *   UnplacedDemands       what found no worker during a placement pass, so that the same is not tried again
  */
 #pragma once
 
 #include <workflow/model.h>
 
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace QuetzalRock::Workflow {
 
@@ -59,4 +63,31 @@
 
 std::optional<double> scoreWorker(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker);
 
+/**
+ * What found no worker during a placement pass. Room only shrinks during a pass, so whatever demands no less finds none
+ * either. Designed for a backlog of hundreds of steps of few images, on a node with a tenth of a CPU.
+ */
+class UnplacedDemands
+{
+public:
+    void clear();
+    void add(const StepSpec &step, std::string_view pool, bool canShareSpareCpu);
+
+    /** False for long-running steps: workers are reserved for some of them. */
+    bool covers(const StepSpec &step, std::string_view pool, bool canShareSpareCpu) const;
+
+private:
+    struct Demand
+    {
+        std::string pool;
+        std::string image; ///< of a best-effort step
+        bool usesSpareCpu = false;
+        bool canShareSpareCpu = false;
+        Resources need;
+        std::int64_t estimateMs = 0; ///< of a best-effort step: it needs its room for that long
+    };
+
+    std::vector<Demand> m_demands;
+};
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -5,6 +5,7 @@
  *   TaskRef              refers to a task of a job in memory
  *   WorkerClock          converts between the leader's clock and the worker's
  *   UnacknowledgedEnd    an ended run that the worker must still report
+ *   ServingGroup, WorkerOutlook   what placement decisions need to know of a worker, computed once for many of them
  *   WorkerState          everything that the leader knows about a worker
  */
 #pragma once
@@ -73,6 +74,31 @@
     std::optional<TaskName> elsewhere; ///< a completed task of a job that this shard does not have, see jobmove.cpp
 };
 
+/** The serving tasks of one step on one worker: they share their image, target and own load. */
+struct ServingGroup
+{
+    ClassIndex image = 0;
+    double utilisationLimit = 0; ///< at which their tail latency reaches its target
+    double effects = 0;          ///< sum of the effects of the best-effort tasks there, as throttled
+    std::int64_t cpuMillis = 0;  ///< reserved by its tasks
+    bool hasForecast = false;    ///< its own load is known to be periodic
+    LoadOutlook load;            ///< own load from now on
+
+    /** Effects at which the group stays @p margin (of utilisation) below its limit during @p span from now. */
+    double allowedEffects(double margin, Duration span) const
+    {
+        return (utilisationLimit - margin) / load.peakWithin(span) - 1;
+    }
+};
+
+/** Valid at one moment, and until the runs of the worker or their throttles change. */
+struct WorkerOutlook
+{
+    TimePoint at{}; ///< zero: to be computed
+    std::vector<ServingGroup> serving;
+    std::int64_t otherLongRunningMillis = 0; ///< reserved by long-running tasks without a latency target
+};
+
 struct WorkerState
 {
     // Identity and registration
@@ -133,6 +159,7 @@
     const JobState *reservedFor = nullptr; ///< freed resources are reserved for a waiting task of this job ...
     TimePoint reservedUntil{};             ///< ... until then
     TimePoint sampledAt{};                 ///< time of the last report fed to the pressure model
+    WorkerOutlook outlook;                 ///< cache of WorkflowScheduler::outlookOf()
 
     // Health
     std::uint32_t consecutiveFailures = 0; ///< consecutive failed runs, over all jobs
--- a/packages/workflow/pressure.cpp
+++ b/packages/workflow/pressure.cpp
@@ -377,12 +377,17 @@
     return load.isKnown(at) ? std::clamp(load.estimateAt(at), MinLoad, 1.0) : m_images[service].peakLoad;
 }
 
-double PressureModel::expectedPeakLoad(ClassIndex service, const StepLoad &load, TimePoint from, Duration span) const
+LoadOutlook PressureModel::outlook(
+    ClassIndex service, const StepLoad &load, TimePoint from, Duration length, bool usesPeriodic) const
 {
-    if (load.periodic().isKnown(from)) {
-        return std::clamp(load.periodic().peakWithin(from, span), MinLoad, 1.0);
+    if (usesPeriodic && load.periodic().isKnown(from)) {
+        const auto loadAfter = [&load, from](Duration ahead) {
+            return std::clamp(load.periodic().estimateAt(from + ahead), MinLoad, 1.0);
+        };
+        return {loadAfter, length};
     }
-    return expectedLoad(service, load, from + LineHorizon);
+    const double expected = expectedLoad(service, load, from + LineHorizon);
+    return {[expected](Duration) { return expected; }, length};
 }
 
 double PressureModel::utilisationForTail(ClassIndex service, std::int64_t targetMs) const
--- a/packages/workflow/pressure.h
+++ b/packages/workflow/pressure.h
@@ -39,9 +39,6 @@
     double throttleMargin = 0.0;   ///< neighbours are throttled if a serving task comes closer than this
     double targetMargin = 0.04;    ///< margin that throttles aim at; they are lifted as far as it allows
 
-    Duration forecastHorizon
-        = std::chrono::milliseconds(600); ///< how far own loads are extrapolated: covers the age of a report, the time
-                                          ///< until the next one and the time until a throttle takes effect
     Duration warmUpTime
         = std::chrono::milliseconds(1500); ///< after a serving task's start: its tail latency is ignored for this long
     Duration sampleInterval = std::chrono::milliseconds(400); ///< per worker; reports cover the last half second
@@ -143,8 +140,12 @@
     /** Own load expected at @p at; the image's peak load if there are no recent samples in @p load. */
     double expectedLoad(ClassIndex service, const StepLoad &load, TimePoint at) const;
 
-    /** The highest own load expected within @p span from @p from; falls back to expectedLoad() at its end, or its start. */
-    double expectedPeakLoad(ClassIndex service, const StepLoad &load, TimePoint from, Duration span) const;
+    /**
+     * Own loads expected until @p length after @p from: the periodic forecast if @p usesPeriodic and it is known,
+     * otherwise expectedLoad() shortly after @p from for the whole time.
+     */
+    LoadOutlook
+    outlook(ClassIndex service, const StepLoad &load, TimePoint from, Duration length, bool usesPeriodic) const;
 
     /** Utilisation at which the tail latency is @p targetMs. */
     double utilisationForTail(ClassIndex service, std::int64_t targetMs) const;
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -55,49 +55,82 @@
     return bestEffort;
 }
 
-/**
- * Sum of the neighbours' effects at which @p serving stays @p margin (of utilisation) below its latency target during
- * @p span from now.
- */
-double WorkflowScheduler::allowedInterference(const TaskRef &serving, double margin, Duration span) const
+/** What best-effort tasks have to know of @p worker now: computed for the first of many candidates. */
+const WorkerOutlook &WorkflowScheduler::outlookOf(WorkerState &worker) const
 {
-    const ClassIndex image = imageOf(serving);
-    const double load
-        = m_settings.pressure.usesPeriodicForecast
-              ? m_pressure.expectedPeakLoad(image, loadOf(serving), m_now, span)
-              : m_pressure.expectedLoad(image, loadOf(serving), m_now + m_settings.pressure.forecastHorizon);
-    return (m_pressure.utilisationForTail(image, serving.spec().latencyTargetMs) - margin) / load - 1;
+    WorkerOutlook &outlook = worker.outlook;
+    if (outlook.at == m_now) {
+        return outlook;
+    }
+    outlook.at = m_now;
+    outlook.serving.clear();
+    outlook.otherLongRunningMillis = 0;
+    const std::vector<BestEffortTask> bestEffort = describeBestEffortRuns(worker, bestEffortRuns(worker));
+    std::vector<const StepState *> steps; // of outlook.serving
+    for (const TaskRef &it : worker.runs) {
+        if (!it.spec().isLongRunning) {
+            continue;
+        }
+        if (!isServing(it)) {
+            outlook.otherLongRunningMillis += it.spec().need.cpuMillis;
+            continue;
+        }
+        const StepState *step = &it.job->occurrences[it.occurrence].steps[it.step];
+        auto known = std::find(steps.begin(), steps.end(), step);
+        if (known == steps.end()) {
+            addToOutlook(outlook, it, bestEffort);
+            known = steps.insert(steps.end(), step);
+        }
+        outlook.serving[static_cast<std::size_t>(known - steps.begin())].cpuMillis += it.spec().need.cpuMillis;
+    }
+    return outlook;
+}
+
+/** Adds the group of the serving task @p ref. */
+void WorkflowScheduler::addToOutlook(WorkerOutlook &outlook,
+                                     const TaskRef &ref,
+                                     std::span<const BestEffortTask> bestEffort) const
+{
+    const PressureSettings &settings = m_settings.pressure;
+    const StepLoad &load = loadOf(ref);
+    ServingGroup &group = outlook.serving.emplace_back();
+    group.image = imageOf(ref);
+    group.utilisationLimit = m_pressure.utilisationForTail(group.image, ref.spec().latencyTargetMs);
+    group.effects = m_pressure.totalEffect(group.image, bestEffort);
+    group.hasForecast = settings.usesPeriodicForecast && load.periodic().isKnown(m_now);
+    group.load
+        = m_pressure.outlook(group.image, load, m_now, settings.maxPlacementLookahead, settings.usesPeriodicForecast);
 }
 
-/**
- * For a best-effort task, its strongest effect on a serving task of the worker; none if it would bring one too close to
- * its target. For a serving task, by how much the effects of the worker's best-effort tasks exceed what it tolerates.
- */
-std::optional<double> WorkflowScheduler::interferenceOf(const WorkerState &worker, const TaskRef &ref) const
+/** By how much a task interferes with others of @p worker, see Candidate::interference; none: it must not run there. */
+std::optional<double> WorkflowScheduler::interferenceOf(WorkerState &worker, const TaskRef &ref) const
 {
-    const bool isBestEffort = ref.spec().usesSpareCpu;
-    if ((isBestEffort && worker.longRunningCpuMillis == 0)
-        || (!isBestEffort && !(isServing(ref) && worker.bestEffortCpuMillis > 0))) {
+    if (ref.spec().usesSpareCpu) {
+        return worker.longRunningCpuMillis == 0 ? 0 : bestEffortInterference(worker, ref);
+    }
+    if (!isServing(ref) || worker.bestEffortCpuMillis == 0) {
         return 0;
     }
+    // A serving task is never rejected: its neighbours are throttled instead.
+    const PressureSettings &settings = m_settings.pressure;
     const std::vector<BestEffortTask> bestEffort = describeBestEffortRuns(worker, bestEffortRuns(worker));
-    const double margin = m_settings.pressure.placementMargin;
-    if (isServing(ref)) { // never rejected: its neighbours are throttled instead
-        const double allowed = allowedInterference(ref, margin, m_settings.pressure.throttleLookahead);
-        return std::max(0.0, m_pressure.totalEffect(imageOf(ref), bestEffort) - allowed);
-    }
+    WorkerOutlook alone;
+    addToOutlook(alone, ref, bestEffort);
+    const ServingGroup &group = alone.serving.front();
+    return std::max(0.0, group.effects - group.allowedEffects(settings.placementMargin, settings.throttleLookahead));
+}
+
+/** The strongest effect of a best-effort task on a serving task; none if it would bring one too close to its target. */
+std::optional<double> WorkflowScheduler::bestEffortInterference(WorkerState &worker, const TaskRef &ref) const
+{
     if (m_now < worker.bestEffortPausedUntil) {
         return std::nullopt;
     }
-    const Duration span = std::min<Duration>(m_settings.pressure.maxPlacementLookahead,
-                                             std::chrono::milliseconds(ref.spec().estimateMs));
+    const Duration span = std::chrono::milliseconds(ref.spec().estimateMs);
     double strongest = 0;
-    for (const TaskRef &it : worker.runs) {
-        if (!isServing(it)) {
-            continue;
-        }
-        const double ownEffect = m_pressure.effect(imageOf(it), imageOf(ref)) * cpuShareOf(ref, worker);
-        if (m_pressure.totalEffect(imageOf(it), bestEffort) + ownEffect > allowedInterference(it, margin, span)) {
+    for (const ServingGroup &it : outlookOf(worker).serving) {
+        const double ownEffect = m_pressure.effect(it.image, imageOf(ref)) * cpuShareOf(ref, worker);
+        if (it.effects + ownEffect > it.allowedEffects(m_settings.pressure.placementMargin, span)) {
             return std::nullopt;
         }
         strongest = std::max(strongest, ownEffect);
@@ -106,17 +139,13 @@
 }
 
 /** CPU in millis that the worker's long-running tasks are expected to use on average during @p span from now. */
-double WorkflowScheduler::expectedUseMillis(const WorkerState &worker, Duration span) const
+double WorkflowScheduler::expectedUseMillis(WorkerState &worker, Duration span) const
 {
-    double use = 0;
-    for (const TaskRef &it : worker.runs) {
-        if (!it.spec().isLongRunning) {
-            continue;
-        }
-        const PeriodicLoad &load = loadOf(it).periodic();
-        const double share = isServing(it) && load.isKnown(m_now) ? std::clamp(load.meanWithin(m_now, span), 0.0, 1.0)
-                                                                  : m_settings.placement.longRunningUtilisation;
-        use += share * static_cast<double>(it.spec().need.cpuMillis);
+    const WorkerOutlook &outlook = outlookOf(worker);
+    const double assumed = m_settings.placement.longRunningUtilisation;
+    double use = assumed * static_cast<double>(outlook.otherLongRunningMillis);
+    for (const ServingGroup &it : outlook.serving) {
+        use += (it.hasForecast ? it.load.meanWithin(span) : assumed) * static_cast<double>(it.cpuMillis);
     }
     return use;
 }
@@ -184,6 +213,7 @@
         }
     }
     m_pressure.refresh(m_now);
+    worker.outlook.at = {};
     updateThrottles(index);
 }
 
@@ -195,24 +225,18 @@
         return;
     }
     const std::vector<BestEffortTask> bestEffort = describeBestEffortRuns(worker, runs);
+    const PressureSettings &settings = m_settings.pressure;
     std::vector<int> percents(runs.size(), 100);
     bool mustLower = false;
+    for (const ServingGroup &it : outlookOf(worker).serving) {
+        const double allowed = it.allowedEffects(settings.targetMargin, settings.throttleLookahead);
+        planThrottle(m_pressure, it.image, allowed, bestEffort, percents);
+        mustLower = mustLower || it.effects > it.allowedEffects(settings.throttleMargin, settings.throttleLookahead);
+    }
     for (const TaskRef &it : worker.runs) {
-        if (!isServing(it)) {
-            continue;
-        }
-        planThrottle(m_pressure,
-                     imageOf(it),
-                     allowedInterference(it, m_settings.pressure.targetMargin, m_settings.pressure.throttleLookahead),
-                     bestEffort,
-                     percents);
-        const double effects = m_pressure.totalEffect(imageOf(it), bestEffort);
-        mustLower = mustLower
-                    || effects > allowedInterference(
-                           it, m_settings.pressure.throttleMargin, m_settings.pressure.throttleLookahead);
         const TimePoint overSince = it.task().overTargetSince;
-        if (overSince != TimePoint{} && m_now - overSince >= m_settings.pressure.maxTimeOverTarget) {
-            worker.bestEffortPausedUntil = m_now + m_settings.pressure.holdTime;
+        if (isServing(it) && overSince != TimePoint{} && m_now - overSince >= settings.maxTimeOverTarget) {
+            worker.bestEffortPausedUntil = m_now + settings.holdTime;
         }
     }
     if (m_now < worker.bestEffortPausedUntil) {
@@ -229,13 +253,19 @@
         const bool isStalled
             = task.stalledSince != TimePoint{} && m_now - task.stalledSince >= m_settings.pressure.maxStallTime;
         const bool canMove = runs[i].spec().isCheckpointed && !mayBeRunningElsewhere(runs[i]);
-        if (isStalled && canMove && chooseWorker(runs[i], m_now) != NoWorker) {
+        if (isStalled && canMove && hasWorkerFor(runs[i])) {
             runs[i].task().avoidedWorker = index;
             stopTask(runs[i], "would slow down a serving task on the same worker");
         }
     }
 }
 
+bool WorkflowScheduler::hasWorkerFor(const TaskRef &ref)
+{
+    listUsableWorkers(m_now);
+    return chooseWorker(ref, m_now) != NoWorker;
+}
+
 /** Logs changes of a worker's throttles, with the serving task closest to its target and the effect it tolerates. */
 void WorkflowScheduler::logThrottleChanges(const WorkerState &worker,
                                            std::span<const TaskRef> runs,
@@ -276,9 +306,7 @@
                 "tail_ms",
                 worst->task().gauge,
                 "target_ms",
-                worst->spec().latencyTargetMs,
-                "allowed",
-                allowedInterference(*worst, 0, m_settings.pressure.throttleLookahead));
+                worst->spec().latencyTargetMs);
 }
 
 void WorkflowScheduler::throttleTask(const TaskRef &ref, int percent)
@@ -289,6 +317,7 @@
     }
     ++m_counters.throttles;
     task.percent = static_cast<std::uint8_t>(percent);
+    m_workers[task.worker]->outlook.at = {};
     const bool isNearlyStopped = percent <= m_settings.pressure.stalledPercent;
     task.stalledSince = !isNearlyStopped ? TimePoint{} : task.stalledSince == TimePoint{} ? m_now : task.stalledSince;
     const RunName run{ref.name(), task.attempt};
@@ -301,6 +330,9 @@
                             return;
                         }
                         // May not be in force: record a different percentage, so that the next report orders it again.
+                        if (ref.task().worker != NoWorker) {
+                            m_workers[ref.task().worker]->outlook.at = {};
+                        }
                         ref.task().percent = static_cast<std::uint8_t>(percent == 100 ? 80 : 100);
                     }));
 }
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -46,6 +46,7 @@
 #include <map>
 #include <span>
 #include <unordered_map>
+#include <unordered_set>
 
 namespace QuetzalRock::Workflow {
 
@@ -349,9 +350,12 @@
     void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     bool arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
+    void listUsableWorkers(TimePoint now);
     WorkerIndex chooseWorker(const TaskRef &ref, TimePoint now);
     std::optional<double> scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
     bool isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
+    bool isUsable(const WorkerState &worker, TimePoint now) const;
+    bool isSuitable(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     bool isCapacityKnown(const WorkerState &worker, TimePoint now) const;
     bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
     void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
@@ -426,6 +430,7 @@
     // Protecting serving tasks from best-effort tasks (pressureguard.cpp)
     void observePressure(WorkerIndex index);
     void updateThrottles(WorkerIndex index);
+    bool hasWorkerFor(const TaskRef &ref);
     void throttleTask(const TaskRef &ref, int percent);
     void logThrottleChanges(const WorkerState &worker,
                             std::span<const TaskRef> runs,
@@ -433,9 +438,11 @@
                             bool mustLower);
     std::vector<TaskRef> bestEffortRuns(const WorkerState &worker) const;
     std::vector<BestEffortTask> describeBestEffortRuns(const WorkerState &worker, std::span<const TaskRef> runs) const;
-    double allowedInterference(const TaskRef &serving, double margin, Duration span) const;
-    double expectedUseMillis(const WorkerState &worker, Duration span) const;
-    std::optional<double> interferenceOf(const WorkerState &worker, const TaskRef &ref) const;
+    const WorkerOutlook &outlookOf(WorkerState &worker) const;
+    void addToOutlook(WorkerOutlook &outlook, const TaskRef &ref, std::span<const BestEffortTask> bestEffort) const;
+    double expectedUseMillis(WorkerState &worker, Duration span) const;
+    std::optional<double> interferenceOf(WorkerState &worker, const TaskRef &ref) const;
+    std::optional<double> bestEffortInterference(WorkerState &worker, const TaskRef &ref) const;
     std::map<std::string, int> bestEffortTolerance() const; ///< see ShardStatus::tolerance
 
     // Persistence (storing.cpp)
@@ -506,7 +513,7 @@
     std::size_t m_unreadWorkerCount = 0; ///< workers with mayRunFormerOrders
     bool m_workersDirty = false;
     bool m_isStoringWorkers = false;
-    std::set<WorkerId> m_storedWorkers; ///< in ctl/workers as last written; only these get starts
+    std::unordered_set<WorkerId> m_storedWorkers; ///< in ctl/workers as last written; only these get starts
     std::uint64_t m_workersRevision = 0;
 
     std::deque<RecentCrash> m_recentCrashes; ///< for CrashSettings::machineMemory, in the order in which they showed
@@ -523,6 +530,8 @@
     std::vector<JobState *> m_jobOrder;                  ///< the active jobs in placement order, see JobRank
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
+    std::vector<WorkerIndex> m_usableWorkers;             ///< see listUsableWorkers()
+    UnplacedDemands m_unplaced;                           ///< in the current or last placement pass
     const JobState *m_cpuSharingJob = nullptr;            ///< under scarcity, the one job that may exceed the idle CPU
     TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
--- a/packages/workflow/tests/decisiontest.cpp
+++ b/packages/workflow/tests/decisiontest.cpp
@@ -120,6 +120,52 @@
 // Placement
 // ---------------------------------------------------------------------------------------------------------------------
 
+// Load: a backlog of hundreds of steps of few images, while no worker has room for some of them. Guards against a leader
+// that spends its processor time on looking for the same room again.
+TEST(UnplacedDemands, coverWhatDemandsNoLess)
+{
+    StepSpec failed;
+    failed.need = {2000, 1000, 0};
+    failed.usesSpareCpu = true;
+    failed.image = "batch";
+    failed.estimateMs = 2000;
+    UnplacedDemands unplaced;
+    EXPECT_FALSE(unplaced.covers(failed, "pool", false));
+    unplaced.add(failed, "pool", false);
+    EXPECT_TRUE(unplaced.covers(failed, "pool", false));
+    EXPECT_FALSE(unplaced.covers(failed, "other", false));
+    EXPECT_FALSE(unplaced.covers(failed, "pool", true)) << "may exceed the idle CPU";
+    const auto covers = [&unplaced](auto change, const StepSpec &step) {
+        StepSpec it = step;
+        change(it);
+        return unplaced.covers(it, "pool", false);
+    };
+    EXPECT_TRUE(covers([](StepSpec &it) { it.need.cpuMillis = 2500; }, failed));
+    EXPECT_TRUE(covers([](StepSpec &it) { it.requiredLabel = "gpu"; }, failed));
+    EXPECT_FALSE(covers([](StepSpec &it) { it.need.cpuMillis = 1500; }, failed));
+    EXPECT_FALSE(covers([](StepSpec &it) { it.need.memoryMib = 500; }, failed));
+    EXPECT_FALSE(covers([](StepSpec &it) { it.estimateMs = 1000; }, failed));
+    EXPECT_FALSE(covers([](StepSpec &it) { it.image = "other"; }, failed));
+    EXPECT_FALSE(covers([](StepSpec &it) { it.usesSpareCpu = false; }, failed));
+    EXPECT_FALSE(covers([](StepSpec &it) { it.isLongRunning = true; }, failed));
+    unplaced.clear();
+    EXPECT_FALSE(unplaced.covers(failed, "pool", false));
+}
+
+TEST(UnplacedDemands, restrictedStepsSayNothingOfOthers)
+{
+    StepSpec failed;
+    failed.need = {2000, 1000, 0};
+    for (const bool hasLabel : {true, false}) {
+        StepSpec restricted = failed;
+        restricted.requiredLabel = hasLabel ? "gpu" : "";
+        restricted.maxPerWorker = hasLabel ? 0 : 1;
+        UnplacedDemands unplaced;
+        unplaced.add(restricted, "pool", false);
+        EXPECT_FALSE(unplaced.covers(failed, "pool", false));
+    }
+}
+
 TEST(Placement, longRunningTasksArePackedByImageAndOthersSpread)
 {
     const PlacementWeights weights;
--- a/packages/workflow/tests/loadforecasttest.cpp
+++ b/packages/workflow/tests/loadforecasttest.cpp
@@ -32,6 +32,11 @@
     }
 }
 
+LoadOutlook outlookOf(const PeriodicLoad &load, TimePoint from, Duration length)
+{
+    return {[&load, from](Duration ahead) { return load.estimateAt(from + ahead); }, length};
+}
+
 } // namespace
 
 // Load: the users of a service come and go with a period of 7 to 15 s. Guards against best-effort tasks that are placed at
@@ -59,9 +64,22 @@
     feed(load, 10, 0.21, 20s, 1);
     const TimePoint trough(1h + 17500ms); // 0.42 - 0.21
     EXPECT_LT(load.estimateAt(trough), 0.3);
-    EXPECT_GT(load.peakWithin(trough, 5s), 0.55);
-    EXPECT_NEAR(load.meanWithin(TimePoint(1h + 20s), 10s), 0.42, 0.06);
-    EXPECT_GE(load.peakWithin(trough, 2s), load.meanWithin(trough, 2s));
+    const LoadOutlook outlook = outlookOf(load, trough, 5s);
+    EXPECT_GT(outlook.peakWithin(5s), 0.55);
+    EXPECT_NEAR(outlookOf(load, TimePoint(1h + 20s), 10s).meanWithin(10s), 0.42, 0.06);
+    EXPECT_GE(outlook.peakWithin(2s), outlook.meanWithin(2s));
+}
+
+TEST(LoadOutlook, roundsSpansUpAndCutsThemToItsLength)
+{
+    const LoadOutlook rising([](Duration ahead) { return std::chrono::duration<double>(ahead).count(); }, 6s);
+    EXPECT_DOUBLE_EQ(rising.peakWithin(0s), 0);
+    EXPECT_DOUBLE_EQ(rising.peakWithin(2s), 2);
+    EXPECT_DOUBLE_EQ(rising.peakWithin(2001ms), 3);
+    EXPECT_DOUBLE_EQ(rising.peakWithin(60s), 6);
+    EXPECT_DOUBLE_EQ(rising.meanWithin(2s), 1);
+    EXPECT_DOUBLE_EQ(rising.meanWithin(60s), 3);
+    EXPECT_DOUBLE_EQ(LoadOutlook().peakWithin(1s), 0);
 }
 
 // Guards against a period that is read into noise: a steady load is left to the other estimate.
