A report over the target outweighs the model: no start beside it, and no throttle is lifted

Change: while a serving task's last report is over its target, no best-effort task is started on its worker and no throttle there is lifted, whatever the model predicts.

--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -82,6 +82,7 @@
     double effects = 0;          ///< sum of the effects of the best-effort tasks there, as throttled
     std::int64_t cpuMillis = 0;  ///< reserved by its tasks
     bool hasForecast = false;    ///< its own load is known to be periodic
+    bool isOverTarget = false;   ///< by the last report of one of its tasks, whatever the model predicts
     LoadOutlook load;            ///< own load from now on
 
     /** Effects at which the group stays @p margin (of utilisation) below its limit during @p span from now. */
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -81,7 +81,9 @@
             addToOutlook(outlook, it, bestEffort);
             known = steps.insert(steps.end(), step);
         }
-        outlook.serving[static_cast<std::size_t>(known - steps.begin())].cpuMillis += it.spec().need.cpuMillis;
+        ServingGroup &group = outlook.serving[static_cast<std::size_t>(known - steps.begin())];
+        group.cpuMillis += it.spec().need.cpuMillis;
+        group.isOverTarget = group.isOverTarget || it.task().gauge > it.spec().latencyTargetMs;
     }
     return outlook;
 }
@@ -120,7 +122,10 @@
     return std::max(0.0, group.effects - group.allowedEffects(settings.placementMargin, settings.throttleLookahead));
 }
 
-/** The strongest effect of a best-effort task on a serving task; none if it would bring one too close to its target. */
+/**
+ * The strongest effect of a best-effort task on a serving task; none if one is over its target, or would come too close to
+ * it.
+ */
 std::optional<double> WorkflowScheduler::bestEffortInterference(WorkerState &worker, const TaskRef &ref) const
 {
     if (m_now < worker.bestEffortPausedUntil) {
@@ -130,7 +135,7 @@
     double strongest = 0;
     for (const ServingGroup &it : outlookOf(worker).serving) {
         const double ownEffect = m_pressure.effect(it.image, imageOf(ref)) * cpuShareOf(ref, worker);
-        if (it.effects + ownEffect > it.allowedEffects(m_settings.pressure.placementMargin, span)) {
+        if (it.isOverTarget || it.effects + ownEffect > it.allowedEffects(m_settings.pressure.placementMargin, span)) {
             return std::nullopt;
         }
         strongest = std::max(strongest, ownEffect);
@@ -228,7 +233,9 @@
     const PressureSettings &settings = m_settings.pressure;
     std::vector<int> percents(runs.size(), 100);
     bool mustLower = false;
+    bool canLift = true; // the model is wrong about a serving task that is over its target
     for (const ServingGroup &it : outlookOf(worker).serving) {
+        canLift = canLift && !it.isOverTarget;
         const double allowed = it.allowedEffects(settings.targetMargin, settings.throttleLookahead);
         planThrottle(m_pressure, it.image, allowed, bestEffort, percents);
         mustLower = mustLower || it.effects > it.allowedEffects(settings.throttleMargin, settings.throttleLookahead);
@@ -243,12 +250,17 @@
         std::fill(percents.begin(), percents.end(), 0);
         mustLower = true;
     }
-    logThrottleChanges(worker, runs, percents, mustLower);
+    for (std::size_t i = 0; i < runs.size(); ++i) {
+        const int current = runs[i].task().percent;
+        const int wanted = percents[i] - percents[i] % settings.percentStep;
+        const bool isDue = wanted > current ? canLift : mustLower;
+        percents[i] = isDue ? wanted : current;
+    }
+    logThrottleChanges(worker, runs, percents);
     for (std::size_t i = 0; i < runs.size(); ++i) {
         const TaskState &task = runs[i].task();
-        const int wanted = percents[i] - percents[i] % m_settings.pressure.percentStep;
-        if (wanted > task.percent || (wanted < task.percent && mustLower)) {
-            throttleTask(runs[i], wanted);
+        if (percents[i] != task.percent) {
+            throttleTask(runs[i], percents[i]);
         }
         const bool isStalled
             = task.stalledSince != TimePoint{} && m_now - task.stalledSince >= m_settings.pressure.maxStallTime;
@@ -266,18 +278,16 @@
     return chooseWorker(ref, m_now) != NoWorker;
 }
 
-/** Logs changes of a worker's throttles, with the serving task closest to its target and the effect it tolerates. */
+/** Logs changes of a worker's throttles to @p percents, with the serving task closest to its target. */
 void WorkflowScheduler::logThrottleChanges(const WorkerState &worker,
                                            std::span<const TaskRef> runs,
-                                           std::span<const int> percents,
-                                           bool mustLower)
+                                           std::span<const int> percents)
 {
     int lowered = 0;
     int lifted = 0;
     for (std::size_t i = 0; i < runs.size(); ++i) {
-        const int wanted = percents[i] - percents[i] % m_settings.pressure.percentStep;
-        lowered += mustLower && wanted < runs[i].task().percent ? 1 : 0;
-        lifted += wanted > runs[i].task().percent ? 1 : 0;
+        lowered += percents[i] < runs[i].task().percent ? 1 : 0;
+        lifted += percents[i] > runs[i].task().percent ? 1 : 0;
     }
     if (lowered + lifted == 0) {
         return;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -432,10 +432,7 @@
     void updateThrottles(WorkerIndex index);
     bool hasWorkerFor(const TaskRef &ref);
     void throttleTask(const TaskRef &ref, int percent);
-    void logThrottleChanges(const WorkerState &worker,
-                            std::span<const TaskRef> runs,
-                            std::span<const int> percents,
-                            bool mustLower);
+    void logThrottleChanges(const WorkerState &worker, std::span<const TaskRef> runs, std::span<const int> percents);
     std::vector<TaskRef> bestEffortRuns(const WorkerState &worker) const;
     std::vector<BestEffortTask> describeBestEffortRuns(const WorkerState &worker, std::span<const TaskRef> runs) const;
     const WorkerOutlook &outlookOf(WorkerState &worker) const;
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -285,6 +285,37 @@
     EXPECT_EQ(rig.fleet.runningTasks(), 3U) << "it is placed once the serving task is below its target again";
 }
 
+// Load: the model underestimates how much an image slows down a serving task, so the tail goes over its target while the
+// model still sees room. Guards against best-effort tasks that are placed, or throttled less, beside such a task.
+TEST(Workflow, aReportOverTheTargetOutweighsTheModel)
+{
+    Rig rig(1, 1);
+    rig.fleet.workTime = 60s;
+    rig.run(2s);
+    startServingJob(rig);
+    WorkflowSpec bestEffort = makeBestEffortJob();
+    bestEffort.steps[0].need.cpuMillis = 100; // too little to matter by the pressure model
+    rig.submit(0, bestEffort);
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 2U);
+    rig.fleet.gauges["serving"] = 60; // the target is 50
+    rig.run(600ms);
+    bestEffort.key = "another";
+    rig.submit(0, bestEffort);
+    rig.run(400ms); // less than PressureSettings::maxTimeOverTarget: nothing is throttled to 0 yet
+    EXPECT_EQ(rig.fleet.runningTasks(), 2U);
+    rig.run(1s);
+    auto &throttles = rig.nodes[0]->port.throttles;
+    ASSERT_FALSE(throttles.empty());
+    EXPECT_EQ(throttles.back(), 0);
+    rig.run(4s);
+    EXPECT_EQ(throttles.back(), 0) << "stays at 0 as long as the tail is over its target";
+    rig.fleet.gauges["serving"] = 10;
+    rig.run(4s);
+    EXPECT_EQ(throttles.back(), 100);
+    EXPECT_EQ(rig.fleet.runningTasks(), 3U);
+}
+
 // The worker reserved for the first task reaches the step's maxPerWorker with it. The reservation for the second task
 // has to move to another worker.
 TEST(Workflow, reservationMovesOnWhenAWorkerReachesMaxPerWorker)
