--- a/packages/workflow/scarcity.h
+++ b/packages/workflow/scarcity.h
@@ -28,7 +28,7 @@
 
 struct ScarcitySettings
 {
-    bool enabled = false; ///< [workflow] scarcity = least_cost; none: false
+    bool enabled = false; ///< [workflow] scarcity = least_cost, the default; none: false
 
     /**
      * The size classes of large jobs are served at least at this share of the rate at which the rest is. Callers are
