Say why accepted tasks wait: tasks_wait names the reason, the workers that turn them away, and the rank

Cause: accepted jobs waited for 100 s under eight leaders while workers had room, and no line said why. Only long-running tasks were reported, with two reasons, and their wait began anew with each election.

Change: each second the leader looks for steps with a task that has waited for 2 s, of any kind, and reports at most four of them, the longest waits first, two kept for long-running steps. A step is reported again after as long as it has waited (5 to 30 s), so that others get their turn. tasks_wait replaces long_running_tasks_wait. The reasons come from the conditions of the placement itself: isUsable(), isSuitable(), scoreWorker() and the checks of placeJobs(), placeStep() and placeGang() are now "no reason against it". The wait of a task that has never run counts from the acceptance of its job, whoever led since. `overtaking` counts what was started of jobs accepted later, which tells the order of placement from a lack of room. A leader without authority reports as well.

Not covered by a test: the reasons moving, new_in_grace, retry_delay, given_up, unknown_runs, outdated_entry, backing_off and trial_of_other.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -59,8 +59,7 @@
     listUsableWorkers(now);
     m_unplaced.clear();
     for (JobState *job : m_jobOrder) {
-        const bool isNewInGrace = m_authority != Authority::Full && job->learnedAt > m_lastFullAuthorityAt;
-        if (!job->isCancelled && !job->isMoving && !isNewInGrace) {
+        if (!job->isCancelled && holdOf(*job) == WaitReason::None) {
             placeJob(*job, now);
         }
     }
@@ -133,6 +132,30 @@
     }
 }
 
+/** Why no task of the job may be placed, whatever room there is. */
+WaitReason WorkflowScheduler::holdOf(const JobState &job) const
+{
+    const bool isNewInGrace = m_authority != Authority::Full && job.learnedAt > m_lastFullAuthorityAt;
+    return job.isMoving ? WaitReason::Moving : isNewInGrace ? WaitReason::NewInGrace : WaitReason::None;
+}
+
+/** Why the waiting task may not be placed, whatever room there is. Members of gangs start and fail together. */
+WaitReason WorkflowScheduler::holdOf(const TaskRef &ref, TimePoint now) const
+{
+    if (now < ref.task().retryAt) {
+        return WaitReason::RetryDelay;
+    }
+    if (mayBeRunningElsewhere(ref)) {
+        return WaitReason::UnreadWorkers;
+    }
+    if (ref.spec().isGang) {
+        return WaitReason::None;
+    }
+    return ref.task().isGivenUp   ? WaitReason::GivenUp
+           : isHeldBySuspect(ref) ? WaitReason::HeldBySuspect
+                                  : WaitReason::None;
+}
+
 bool WorkflowScheduler::arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const
 {
     const auto &steps = job.occurrences[occurrence].steps;
@@ -152,8 +175,7 @@
     for (std::uint32_t i = 0; i < n; ++i) {
         const TaskRef ref{&job, occurrence, step, i};
         TaskState &task = ref.task();
-        if (task.phase != TaskPhase::Waiting || now < task.retryAt || mayBeRunningElsewhere(ref) || task.isGivenUp
-            || isHeldBySuspect(ref)) {
+        if (task.phase != TaskPhase::Waiting || holdOf(ref, now) != WaitReason::None) {
             continue;
         }
         if (task.trial || isSuspected(m_settings.crashes, task.crashes)) {
@@ -204,7 +226,7 @@
     std::string checkpoint;
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const TaskState &it = tasks[i];
-        if (it.phase != TaskPhase::Waiting || now < it.retryAt || mayBeRunningElsewhere({&job, occurrence, step, i})) {
+        if (it.phase != TaskPhase::Waiting || holdOf({&job, occurrence, step, i}, now) != WaitReason::None) {
             return;
         }
         attempt = std::max(attempt, nextAttempt(it));
@@ -258,29 +280,67 @@
 /** Whether @p worker may get starts at all. */
 bool WorkflowScheduler::isUsable(const WorkerState &worker, TimePoint now) const
 {
-    return worker.isRegistered && worker.isConfirmed && worker.record.condition == WorkerCondition::Ready
-           && worker.unknownRuns.empty() && !worker.isEntryOutdated && worker.unansweredRenewals == 0
-           && now >= worker.noStartsUntil && now < worker.lastReplyAt + m_settings.contactTimeout
-           && isCapacityKnown(worker, now) && m_storedWorkers.contains(worker.record.id)
-           && mayStartIn(worker.record.failureDomain, now);
+    return unusableReason(worker, now) == Refusal::None;
+}
+
+/** Why @p worker may get no starts at all. */
+Refusal WorkflowScheduler::unusableReason(const WorkerState &worker, TimePoint now) const
+{
+    if (!worker.isRegistered || worker.record.condition != WorkerCondition::Ready) {
+        return Refusal::Leaving;
+    }
+    if (worker.unansweredRenewals > 0 || now >= worker.lastReplyAt + m_settings.contactTimeout) {
+        return Refusal::Silent;
+    }
+    if (!worker.isConfirmed) {
+        return Refusal::Unconfirmed;
+    }
+    if (!worker.unknownRuns.empty()) {
+        return Refusal::UnknownRuns;
+    }
+    if (now < worker.noStartsUntil) {
+        return Refusal::BackingOff;
+    }
+    if (worker.isEntryOutdated || !isCapacityKnown(worker, now)) {
+        return Refusal::OutdatedEntry;
+    }
+    if (!m_storedWorkers.contains(worker.record.id)) {
+        return Refusal::Unconfirmed;
+    }
+    if (!mayStartIn(worker.record.failureDomain, now)) {
+        return m_evacuations->isRequested(worker.record.failureDomain) ? Refusal::Evacuated : Refusal::NotConfirmable;
+    }
+    return Refusal::None;
 }
 
 /** Whether a usable worker may run this task. */
 bool WorkflowScheduler::isSuitable(const WorkerState &worker, const TaskRef &ref, TimePoint now) const
+{
+    return unsuitableReason(worker, ref, now) == Refusal::None;
+}
+
+/** Why a usable worker may not run this task. */
+Refusal WorkflowScheduler::unsuitableReason(const WorkerState &worker, const TaskRef &ref, TimePoint now) const
 {
     const StepSpec &step = ref.spec();
-    if (worker.record.pool != ref.job->accepted.pool || (worker.isQuarantined(now) && !worker.runs.empty())
-        || worker.isReservedForOther(*ref.job, now)) {
-        return false;
+    if (worker.record.pool != ref.job->accepted.pool) {
+        return Refusal::OtherPool;
+    }
+    if (worker.isQuarantined(now) && !worker.runs.empty()) {
+        return Refusal::Quarantined;
+    }
+    if (worker.isReservedForOther(*ref.job, now)) {
+        return Refusal::Reserved;
     }
     const bool isPartOfTrial = worker.trialJob == ref.job->key() && (step.isGang || ref.task().trial);
     if (worker.trialJob && !isPartOfTrial) {
-        return false;
+        return Refusal::TrialOfOther;
     }
     if (!step.requiredLabel.empty() && !hasLabel(worker, step.requiredLabel)) {
-        return false;
+        return Refusal::LacksLabel;
     }
-    return step.maxPerWorker == 0 || countRunsOfStep(worker, ref) < step.maxPerWorker;
+    const bool isBelowMax = step.maxPerWorker == 0 || countRunsOfStep(worker, ref) < step.maxPerWorker;
+    return isBelowMax ? Refusal::None : Refusal::MaxPerWorker;
 }
 
 /** A worker that rejects what exceeds its capacity may shrink unnoticed; any other one gets starts by a recent entry only. */
@@ -331,6 +391,27 @@
 /** Score of the task on a worker, see scoreWorker(); none if it does not fit or would slow down serving tasks there. */
 std::optional<double>
 WorkflowScheduler::scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const
+{
+    const std::optional<Candidate> candidate = describeCandidate(index, ref, canShareSpareCpu);
+    return candidate ? scoreWorker(m_settings.placement, ref.spec(), *candidate) : std::nullopt;
+}
+
+/** Why the task cannot be placed on a worker now, by the same conditions as a placement. */
+Refusal WorkflowScheduler::placementRefusal(WorkerIndex index, const TaskRef &ref, TimePoint now) const
+{
+    const WorkerState &worker = *m_workers[index];
+    const Refusal unusable = unusableReason(worker, now);
+    const Refusal refusal = unusable != Refusal::None ? unusable : unsuitableReason(worker, ref, now);
+    if (refusal != Refusal::None) {
+        return refusal;
+    }
+    const std::optional<Candidate> candidate = describeCandidate(index, ref, canShareSpareCpu(*ref.job));
+    return candidate ? refusalOf(m_settings.placement, ref.spec(), *candidate) : Refusal::ServingTasks;
+}
+
+/** A usable worker as a candidate for the task; none if a serving task there would suffer. */
+std::optional<Candidate>
+WorkflowScheduler::describeCandidate(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const
 {
     const StepSpec &step = ref.spec();
     const TaskState &task = ref.task();
@@ -354,7 +435,7 @@
     candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
     candidate.hasRecentFailure = task.avoidedWorker == index || worker.consecutiveFailures > 0;
     candidate.canShareSpareCpu = canShareSpareCpu;
-    return scoreWorker(m_settings.placement, step, candidate);
+    return candidate;
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -428,6 +509,7 @@
     reserveResources(ref, index);
     WorkerState &worker = *m_workers[index];
     TaskState &task = ref.task();
+    const StepSpec &step = ref.spec();
     task.attempt = attempt;
     task.isAccountedFor = true;
     task.isAcknowledged = false;
@@ -456,6 +538,7 @@
         markDirty(*ref.job);
     }
     ++m_counters.starts;
+    m_recentStarts.push_back({ref.job->accepted.acceptedMs, ref.job->accepted.pool, step.usesSpareCpu});
     const auto onReply
         = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence](const OrderReply &reply) {
               // Rejected because of our own newer token after the worker restarted: its first report decides.
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -1,6 +1,7 @@
 #include <workflow/placement.h>
 
 #include <algorithm>
+#include <array>
 
 namespace QuetzalRock::Workflow {
 
@@ -8,8 +9,21 @@
 
 constexpr std::int64_t SameImageScore = 1'000'000; ///< exceeds the CPU millis of any worker
 
+constexpr std::array<std::string_view, RefusalCount> RefusalNames{
+    "none",           "leaving",     "unconfirmed",    "unknown_runs",    "outdated_entry",
+    "silent",         "backing_off", "evacuated",      "not_confirmable", "other_pool",
+    "quarantined",    "reserved",    "trial_of_other", "lacks_label",     "max_per_worker",
+    "no_free_memory", "no_free_cpu", "no_idle_cpu",    "serving_tasks",
+};
+static_assert(static_cast<std::size_t>(Refusal::ServingTasks) + 1 == RefusalCount);
+
 } // namespace
 
+std::string_view refusalName(Refusal refusal)
+{
+    return RefusalNames[static_cast<std::size_t>(refusal)];
+}
+
 std::int64_t expectedIdleMillis(const PlacementWeights &weights, const Candidate &worker)
 {
     const auto reserved = static_cast<double>(worker.longRunningMillis);
@@ -20,20 +34,28 @@
            - worker.bestEffortMillis;
 }
 
-std::optional<double> scoreWorker(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker)
+Refusal refusalOf(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker)
 {
     Resources need = step.need;
     if (step.usesSpareCpu) {
         need.cpuMillis = 0;
     }
     if (!need.fitsIn(worker.free)) {
-        return std::nullopt;
+        return need.cpuMillis > worker.free.cpuMillis ? Refusal::NoFreeCpu : Refusal::NoFreeMemory;
+    }
+    if (!step.usesSpareCpu || worker.canShareSpareCpu) {
+        return Refusal::None;
     }
-    const std::int64_t idle = expectedIdleMillis(weights, worker);
     const double wanted = static_cast<double>(step.need.cpuMillis) / weights.bestEffortOvercommit;
-    if (step.usesSpareCpu && !worker.canShareSpareCpu && static_cast<double>(idle) < wanted) {
+    return static_cast<double>(expectedIdleMillis(weights, worker)) < wanted ? Refusal::NoIdleCpu : Refusal::None;
+}
+
+std::optional<double> scoreWorker(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker)
+{
+    if (refusalOf(weights, step, worker) != Refusal::None) {
         return std::nullopt;
     }
+    const std::int64_t idle = expectedIdleMillis(weights, worker);
     std::int64_t score = idle;
     if (step.isLongRunning) {
         // Prefers workers with long-running tasks of the same image, and of the same job too, the fullest first; then
--- a/packages/workflow/placement.h
+++ b/packages/workflow/placement.h
@@ -11,6 +11,8 @@
  *   PlacementWeights      weights of a worker's properties
  *   Candidate             a worker's properties that matter for a placement
  *   expectedIdleMillis()  CPU that is expected to stay unused
+ *   Refusal               why a worker cannot run a task
+ *   refusalOf()           whether a task fits on a worker, and if not, why
  *   scoreWorker()         the higher, the better; none: the task does not fit
  *   UnplacedDemands       what found no worker during a placement pass, so that the same is not tried again
  */
@@ -18,6 +20,7 @@
 
 #include <workflow/model.h>
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -58,9 +61,44 @@
     bool canShareSpareCpu = false; ///< best effort: has waited long enough to exceed bestEffortOvercommit
 };
 
+/** Why a worker cannot run a task. */
+enum class Refusal : std::uint8_t {
+    None, ///< it can
+
+    // It gets no starts at all
+    Leaving,        ///< is draining or has left the registry
+    Unconfirmed,    ///< has not reported yet to this leader with full authority, or is not stored as in use yet
+    UnknownRuns,    ///< runs something that is unknown here
+    OutdatedEntry,  ///< its capacity is not known for certain
+    Silent,         ///< does not answer
+    BackingOff,     ///< has just rejected a start
+    Evacuated,      ///< its failure domain is evacuated
+    NotConfirmable, ///< the store has not confirmed lately that its failure domain is not evacuated
+
+    // It gets none of this task
+    OtherPool,
+    Quarantined,  ///< its runs keep failing
+    Reserved,     ///< for a task of another job
+    TrialOfOther, ///< a suspected task of another job is tried there
+    LacksLabel,
+    MaxPerWorker, ///< has enough tasks of the step
+
+    // It has no room
+    NoFreeMemory,
+    NoFreeCpu,    ///< not reserved
+    NoIdleCpu,    ///< for a best-effort task
+    ServingTasks, ///< a serving task there misses its target, or would
+};
+constexpr std::size_t RefusalCount = 19;
+
+std::string_view refusalName(Refusal refusal); ///< e.g. "no_free_cpu"
+
 /** CPU that is expected to stay unused, in millis; negative if tasks compete for CPU. */
 std::int64_t expectedIdleMillis(const PlacementWeights &weights, const Candidate &worker);
 
+/** NoFreeMemory, NoFreeCpu, NoIdleCpu or None. */
+Refusal refusalOf(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker);
+
 std::optional<double> scoreWorker(const PlacementWeights &weights, const StepSpec &step, const Candidate &worker);
 
 /**
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -100,6 +100,7 @@
     TimePoint answeredAt{};               ///< when it was answered
     TimePoint startedAt{};       ///< when the run was ordered, or when a report first listed it if unknown before
     TimePoint retryAt{};         ///< Waiting: earliest time of the next placement
+    TimePoint lastRanAt{};       ///< when a report last listed a run of it, running or ended; zero: none did
     bool hasStartedUp = false;   ///< a report has listed the run CrashSettings::startupTime after its start
     std::int64_t gauge = 0;      ///< see RunningEntry::gauge
     TimePoint overTargetSince{}; ///< serving tasks: start of tail latency above target; zero: not above
@@ -126,12 +127,6 @@
     std::uint64_t attemptBase = 0;    ///< attempts of earlier shards are not higher than that
 };
 
-/** Why a long-running task waits. */
-enum class WaitReason : std::uint8_t {
-    UnreadWorkers, ///< it may run on a worker that the new leader has not read yet
-    NoRoom,
-};
-
 struct StepState
 {
     std::vector<TaskState> tasks;
@@ -139,10 +134,10 @@
     bool isCompletionOurs = false; ///< no former leader can know that all its tasks are done; see finishTask()
     std::uint16_t image = 0;       ///< ClassIndex of the step's image in the pressure model
     StepLoad load;                 ///< steps of serving tasks: their own load
-    WaitReason reportedReason = WaitReason::NoRoom; ///< of the last log line on waiting tasks
-    TimePoint nextWaitReportAt{};                   ///< earliest next line with the same reason
-    TimePoint noRoomSince{};                        ///< since then a task has found no worker; zero: none waits so
-    TimePoint nextTransferAt{};                     ///< earliest next attempt to give tasks to another shard
+    TimePoint readySince{};        ///< about when its predecessors were done and it was due; zero: not noticed yet
+    TimePoint nextWaitReportAt{};  ///< earliest next report on its waiting tasks
+    TimePoint noRoomSince{};       ///< since then a task has found no worker; zero: none waits so
+    TimePoint nextTransferAt{};    ///< earliest next attempt to give tasks to another shard
 };
 
 struct OccurrenceState
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -5,7 +5,6 @@
  * Index of this file
  *   WorkflowSettings     times and limits
  *   WorkflowCounters     exported as metrics
- *   WaitingTasks         exported as metrics
  *   WorkflowScheduler    exists for one term of leadership; driven by tick() on one thread
  *
  * Stored state
@@ -41,6 +40,7 @@
 #include <workflow/pool.h>
 #include <workflow/pressure.h>
 #include <workflow/scarcity.h>
+#include <workflow/waiting.h>
 
 #include <deque>
 #include <map>
@@ -133,13 +133,6 @@
     std::uint64_t untrackedImages = 0; ///< images beyond the limit of the pressure model
 };
 
-/** Long-running tasks that have waited for seconds, by what they wait for. */
-struct WaitingTasks
-{
-    std::uint32_t forUnreadWorkers = 0; ///< a former leader may have started them on a worker not read yet
-    std::uint32_t forRoom = 0;          ///< no worker that they may use has enough free resources
-};
-
 class WorkflowScheduler
 {
 public:
@@ -193,7 +186,7 @@
 
     ShardId shard() const;
     const WorkflowCounters &counters() const;
-    const WaitingTasks &waitingTasks() const;
+    const WaitingTasks &waitingTasks() const;                            ///< checked about once a second
     std::map<std::string, std::uint32_t> runsInEvacuatedDomains() const; ///< number of runs by queue
     std::size_t activeJobs() const;
 
@@ -245,6 +238,23 @@
         std::string address;         ///< of the worker
     };
 
+    /** A step some of whose tasks wait. */
+    struct WaitingStep
+    {
+        TaskRef longest;            ///< the task that has waited longest
+        Duration waited{};          ///< of that task
+        std::uint32_t tasks = 0;    ///< that wait
+        std::uint32_t reported = 0; ///< of these, have waited long enough to be reported
+    };
+
+    /** A start since the last check of waiting tasks. */
+    struct RecentStart
+    {
+        std::int64_t acceptedMs = 0; ///< of the job
+        std::string pool;
+        bool usesSpareCpu = false;
+    };
+
     struct MovingJob
     {
         JobKey key;
@@ -349,13 +359,19 @@
     void placeJob(JobState &job, TimePoint now);
     void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    WaitReason holdOf(const JobState &job) const;
+    WaitReason holdOf(const TaskRef &ref, TimePoint now) const;
     bool arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     void listUsableWorkers(TimePoint now);
     WorkerIndex chooseWorker(const TaskRef &ref, TimePoint now);
     std::optional<double> scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
+    std::optional<Candidate> describeCandidate(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
+    Refusal placementRefusal(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
     bool isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     bool isUsable(const WorkerState &worker, TimePoint now) const;
     bool isSuitable(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
+    Refusal unusableReason(const WorkerState &worker, TimePoint now) const;
+    Refusal unsuitableReason(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     bool isCapacityKnown(const WorkerState &worker, TimePoint now) const;
     bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
     void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
@@ -387,9 +403,15 @@
     void refreshStatusesForDepartures(TimePoint now);
     bool isShardEvacuated() const;
 
-    // Reports on long-running tasks that wait (waiting.cpp)
+    // Reports on tasks that wait (waiting.cpp)
     void reportWaitingTasks(TimePoint now);
-    void reportWaitingStep(JobState &job, std::uint32_t step, TimePoint now);
+    void findWaitingSteps(JobState &job, TimePoint now, std::vector<WaitingStep> &due);
+    void countWaitingTasks(WaitingStep &step, TimePoint now) const;
+    Duration waitOf(const TaskRef &ref, TimePoint now) const;
+    static std::span<const WaitingStep> chooseReported(std::vector<WaitingStep> &due);
+    WaitDiagnosis diagnose(const WaitingStep &step, TimePoint now) const;
+    WaitReason waitReasonOf(const TaskRef &ref, std::uint32_t usable, std::uint32_t fitting, TimePoint now) const;
+    void logDiagnosis(const TaskRef &ref, const WaitDiagnosis &diagnosis);
 
     // Transfers of long-running tasks to other shards (transfer.cpp)
     void giveWaitingTasks(TimePoint now);
@@ -582,6 +604,7 @@
     TimePoint m_nextPressureStoreAt{}; ///< earliest next write of the pressure model
     WorkflowCounters m_counters;
     WaitingTasks m_waitingTasks;
+    std::vector<RecentStart> m_recentStarts; ///< since the last check of waiting tasks
     TimePoint m_nextWaitCheckAt{};
     WorkflowObserver *m_observer = nullptr;
 };
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -159,6 +159,7 @@
                     m_workers.size());
     }
     if (authority == Authority::None) {
+        reportWaitingTasks(now);
         return;
     }
     resolveUnreadWorkers(now);
--- a/packages/workflow/waiting.cpp
+++ b/packages/workflow/waiting.cpp
@@ -1,6 +1,8 @@
-/** WorkflowScheduler: reports long-running tasks that wait, and for what. */
+/** WorkflowScheduler: reports tasks that wait, and for what. Nothing here changes a placement. */
 #include <workflow/scheduler.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -8,16 +10,68 @@
 using namespace std::chrono_literals;
 
 constexpr Duration WaitCheckInterval = 1s;
-constexpr Duration ReportedWait = 2s;       ///< shorter waits are not reported
-constexpr Duration WaitReportInterval = 5s; ///< between two lines on the same step and reason
+constexpr Duration ReportedWait = 2s; ///< shorter waits are not reported
 
-std::string_view waitReasonName(WaitReason reason)
+/** Steps diagnosed at each check; each costs as much as the placement of a task that fits nowhere. */
+constexpr std::size_t MaxDiagnoses = 4;
+constexpr std::size_t LongRunningDiagnoses = 2; ///< of these, kept for long-running steps while any wait
+
+/** Between two reports on a step: as long as it has waited, within these bounds, so that others get their turn. */
+constexpr Duration MinReportInterval = 5s;
+constexpr Duration MaxReportInterval = 30s;
+
+constexpr std::array<std::string_view, 13> WaitReasonNames{
+    "none",
+    "no_authority",
+    "new_in_grace",
+    "moving",
+    "retry_delay",
+    "unread_workers",
+    "given_up",
+    "held_by_suspect",
+    "trial",
+    "no_worker",
+    "no_room",
+    "gang",
+    "order",
+};
+static_assert(static_cast<std::size_t>(WaitReason::Order) + 1 == WaitReasonNames.size());
+
+std::int64_t milliseconds(Duration duration)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+}
+
+bool getsNoStarts(Refusal refusal)
 {
-    return reason == WaitReason::UnreadWorkers ? "unread workers" : "no room";
+    return refusal != Refusal::None && refusal < Refusal::OtherPool;
 }
 
 } // namespace
 
+std::string_view waitReasonName(WaitReason reason)
+{
+    return WaitReasonNames[static_cast<std::size_t>(reason)];
+}
+
+std::string_view WaitDiagnosis::why() const
+{
+    return mainRefusal != Refusal::None ? refusalName(mainRefusal) : waitReasonName(reason);
+}
+
+std::string WaitDiagnosis::turnedAwayText() const
+{
+    std::string text;
+    for (std::size_t i = 0; i < turnedAway.size(); ++i) {
+        if (turnedAway[i] > 0 && static_cast<Refusal>(i) != Refusal::None) {
+            text += text.empty() ? "" : ",";
+            text += refusalName(static_cast<Refusal>(i));
+            text += ":" + std::to_string(turnedAway[i]);
+        }
+    }
+    return text;
+}
+
 const WaitingTasks &WorkflowScheduler::waitingTasks() const
 {
     return m_waitingTasks;
@@ -30,48 +84,195 @@
     }
     m_nextWaitCheckAt = now + WaitCheckInterval;
     m_waitingTasks = {};
+    std::vector<WaitingStep> due; // whose next report is due
     for (const auto &[key, job] : m_activeJobs) {
-        for (std::uint32_t s = 0; s < job->accepted.spec.steps.size(); ++s) {
-            if (job->accepted.spec.steps[s].isLongRunning) {
-                reportWaitingStep(*job, s, now);
-            }
+        if (!job->isCancelled) {
+            findWaitingSteps(*job, now, due);
         }
     }
+    for (const WaitingStep &it : chooseReported(due)) {
+        StepState &state = it.longest.job->occurrences[it.longest.occurrence].steps[it.longest.step];
+        state.nextWaitReportAt = now + std::clamp(it.waited, MinReportInterval, MaxReportInterval);
+        m_waitingTasks.diagnoses.push_back(diagnose(it, now));
+        logDiagnosis(it.longest, m_waitingTasks.diagnoses.back());
+    }
+    m_recentStarts.clear();
 }
 
-/** Counts the tasks of a long-running step that have waited for ReportedWait, and logs them once per report interval. */
-void WorkflowScheduler::reportWaitingStep(JobState &job, std::uint32_t step, TimePoint now)
+/** Counts the waiting tasks of a job's due steps, and adds to @p due the steps to be reported on. */
+void WorkflowScheduler::findWaitingSteps(JobState &job, TimePoint now, std::vector<WaitingStep> &due)
 {
-    StepState &state = job.occurrences.front().steps[step];
-    WaitReason reason = WaitReason::NoRoom; // of the first waiting task
-    std::uint32_t waiting = 0;
-    std::uint32_t first = 0;
-    Duration longest{};
-    for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
-        const Duration waited = now - std::max(job.learnedAt, state.tasks[i].retryAt);
-        if (state.tasks[i].phase == TaskPhase::Waiting && waited >= ReportedWait) {
-            if (waiting == 0) {
-                first = i;
-                reason = mayBeRunningElsewhere({&job, 0, step, i}) ? WaitReason::UnreadWorkers : WaitReason::NoRoom;
+    const WorkflowSpec &spec = job.accepted.spec;
+    const std::int64_t wallMs = m_clock.wallNow().count();
+    QueueWait *queue = nullptr;
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        const std::int64_t dueMs = spec.firstStartMs + static_cast<std::int64_t>(k) * spec.intervalMs;
+        if (spec.repeatCount > 0 && wallMs < dueMs) {
+            return; // later occurrences are not due either
+        }
+        OccurrenceState &occurrence = job.occurrences[k];
+        for (std::uint32_t s = 0; s < occurrence.steps.size() && occurrence.doneSteps < occurrence.steps.size(); ++s) {
+            StepState &state = occurrence.steps[s];
+            if (state.doneCount == state.tasks.size() || !arePredecessorsDone(job, k, s)) {
+                continue;
+            }
+            if (state.readySince == TimePoint{}) {
+                const TimePoint dueAt = now - std::chrono::milliseconds(wallMs - dueMs);
+                state.readySince = !spec.steps[s].after.empty() ? now
+                                   : spec.repeatCount > 0       ? std::max(job.learnedAt, dueAt)
+                                                                : job.learnedAt;
+            }
+            WaitingStep step{{&job, k, s, 0}, {}, 0, 0};
+            countWaitingTasks(step, now);
+            if (step.tasks == 0) {
+                continue;
+            }
+            queue = queue == nullptr ? &m_waitingTasks.queues[job.accepted.queue] : queue;
+            queue->tasks += step.tasks;
+            queue->oldest = std::max(queue->oldest, step.waited);
+            if (step.reported > 0 && spec.steps[s].isLongRunning) {
+                const bool isUnread = mayBeRunningElsewhere(step.longest);
+                (isUnread ? m_waitingTasks.forUnreadWorkers : m_waitingTasks.forRoom) += step.reported;
+            }
+            if (step.reported > 0 && now >= state.nextWaitReportAt) {
+                due.push_back(step);
             }
-            longest = std::max(longest, waited);
-            ++waiting;
         }
     }
-    (reason == WaitReason::UnreadWorkers ? m_waitingTasks.forUnreadWorkers : m_waitingTasks.forRoom) += waiting;
-    if (waiting == 0 || (reason == state.reportedReason && now < state.nextWaitReportAt)) {
-        return;
+}
+
+void WorkflowScheduler::countWaitingTasks(WaitingStep &step, TimePoint now) const
+{
+    TaskRef ref = step.longest;
+    const auto &tasks = ref.job->occurrences[ref.occurrence].steps[ref.step].tasks;
+    for (ref.index = 0; ref.index < tasks.size(); ++ref.index) {
+        if (tasks[ref.index].phase != TaskPhase::Waiting) {
+            continue;
+        }
+        const Duration waited = waitOf(ref, now);
+        ++step.tasks;
+        step.reported += waited >= ReportedWait ? 1 : 0;
+        if (step.tasks == 1 || waited > step.waited) {
+            step.waited = waited;
+            step.longest = ref;
+        }
+    }
+}
+
+/**
+ * How long a task has waited since it last ran, or since it could run for the first time. Former leaders' runs are not
+ * known, so a new leader counts from its own start, except for tasks that show no sign of a run and that a job has from
+ * its beginning: these have waited since the job was accepted.
+ */
+Duration WorkflowScheduler::waitOf(const TaskRef &ref, TimePoint now) const
+{
+    const JobState &job = *ref.job;
+    const TaskState &task = ref.task();
+    const TimePoint readySince = job.occurrences[ref.occurrence].steps[ref.step].readySince;
+    const Duration waited = now - std::max({job.learnedAt, readySince, task.lastRanAt});
+    const bool hasRun = task.lastRanAt != TimePoint{} || !task.failedAttempts.empty() || !task.checkpoint.empty()
+                        || (ref.spec().isLongRunning && job.state != WorkflowState::Queued);
+    const bool isFromBeginning = ref.spec().after.empty() && job.accepted.spec.repeatCount == 0 && !job.isGuest;
+    return isFromBeginning && !hasRun ? std::max(waited, jobAge(job)) : waited;
+}
+
+/** The steps that have waited longest. Long-running ones go first to some extent: their services lack capacity. */
+std::span<const WorkflowScheduler::WaitingStep> WorkflowScheduler::chooseReported(std::vector<WaitingStep> &due)
+{
+    const auto byWait = [](const WaitingStep &a, const WaitingStep &b) { return a.waited > b.waited; };
+    const auto others
+        = std::partition(due.begin(), due.end(), [](const WaitingStep &it) { return it.longest.spec().isLongRunning; });
+    const auto n = std::min<std::ptrdiff_t>(LongRunningDiagnoses, others - due.begin());
+    std::partial_sort(due.begin(), due.begin() + n, others, byWait);
+    const auto end = due.begin() + std::min<std::ptrdiff_t>(MaxDiagnoses, due.end() - due.begin());
+    std::partial_sort(due.begin() + n, end, due.end(), byWait);
+    return {due.begin(), end};
+}
+
+WaitDiagnosis WorkflowScheduler::diagnose(const WaitingStep &step, TimePoint now) const
+{
+    const TaskRef &ref = step.longest;
+    const AcceptedJob &accepted = ref.job->accepted;
+    WaitDiagnosis it;
+    it.job = ref.job->key();
+    it.queue = accepted.queue;
+    it.step = ref.step;
+    it.task = ref.index;
+    it.tasks = step.reported;
+    it.waited = step.waited;
+    it.age = jobAge(*ref.job);
+    it.rank = static_cast<std::size_t>(std::find(m_jobOrder.begin(), m_jobOrder.end(), ref.job) - m_jobOrder.begin());
+    for (const RecentStart &start : m_recentStarts) {
+        const bool competes = start.usesSpareCpu == ref.spec().usesSpareCpu && start.pool == accepted.pool;
+        it.overtaking += competes && start.acceptedMs > accepted.acceptedMs ? 1 : 0;
     }
-    state.reportedReason = reason;
-    state.nextWaitReportAt = now + WaitReportInterval;
-    logTaskEvent("long_running_tasks_wait",
-                 {&job, 0, step, first},
+    std::uint32_t usable = 0;
+    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
+        if (m_workers[i]->isRegistered && m_workers[i]->record.pool == accepted.pool) {
+            const Refusal refusal = placementRefusal(i, ref, now);
+            ++it.turnedAway[static_cast<std::size_t>(refusal)];
+            usable += getsNoStarts(refusal) ? 0 : 1;
+        }
+    }
+    it.reason = waitReasonOf(ref, usable, it.turnedAway.front(), now);
+    if (it.reason == WaitReason::NoWorker || it.reason == WaitReason::NoRoom) {
+        const auto first = it.turnedAway.begin() + 1;
+        const auto suitability = it.turnedAway.begin() + static_cast<std::ptrdiff_t>(Refusal::OtherPool);
+        const auto most
+            = usable > 0 ? std::max_element(suitability, it.turnedAway.end()) : std::max_element(first, suitability);
+        it.mainRefusal = *most > 0 ? static_cast<Refusal>(most - it.turnedAway.begin()) : Refusal::None;
+    }
+    return it;
+}
+
+/** @p usable is the number of workers that get starts, @p fitting the number of those that have room for the task. */
+WaitReason
+WorkflowScheduler::waitReasonOf(const TaskRef &ref, std::uint32_t usable, std::uint32_t fitting, TimePoint now) const
+{
+    if (m_authority == Authority::None) {
+        return WaitReason::NoAuthority;
+    }
+    if (const WaitReason hold = holdOf(*ref.job); hold != WaitReason::None) {
+        return hold;
+    }
+    if (const WaitReason hold = holdOf(ref, now); hold != WaitReason::None) {
+        return hold;
+    }
+    if (ref.task().trial || isSuspected(m_settings.crashes, ref.task().crashes)) {
+        return WaitReason::Trial;
+    }
+    if (fitting > 0) {
+        return ref.spec().isGang ? WaitReason::Gang : WaitReason::Order;
+    }
+    return usable > 0 ? WaitReason::NoRoom : WaitReason::NoWorker;
+}
+
+void WorkflowScheduler::logDiagnosis(const TaskRef &ref, const WaitDiagnosis &diagnosis)
+{
+    logTaskEvent("tasks_wait",
+                 ref,
                  "tasks",
-                 waiting,
+                 diagnosis.tasks,
                  "waited_ms",
-                 std::chrono::duration_cast<std::chrono::milliseconds>(longest).count(),
+                 milliseconds(diagnosis.waited),
+                 "age_ms",
+                 milliseconds(diagnosis.age),
+                 "queue",
+                 diagnosis.queue,
+                 "shard",
+                 m_shard,
+                 "epoch",
+                 m_term.epoch,
                  "why",
-                 waitReasonName(reason),
+                 diagnosis.why(),
+                 "rank",
+                 diagnosis.rank,
+                 "overtaking",
+                 diagnosis.overtaking,
+                 "with_room",
+                 diagnosis.turnedAway.front(),
+                 "turned_away",
+                 diagnosis.turnedAwayText(),
                  "unread",
                  m_unreadWorkerCount);
 }
