Metrics of waiting tasks: the longest wait by queue, now and over time, and the reasons found

Cause: no metric grew while accepted jobs waited without end. waiting_long_running_tasks counts long-running tasks only, and its two reasons did not tell them apart.

Change: oldest_wait_seconds{queue} and waiting_tasks{queue} (gauges that return to 0), oldest_wait_at_times_seconds{queue} (histogram of the former, observed at each update, once a second), diagnosed_waiting_tasks{why}. Filled from the check that writes tasks_wait.

--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -7,6 +7,8 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <algorithm>
+#include <span>
 #include <sstream>
 
 namespace QuetzalRock::Workflow {
@@ -14,6 +16,7 @@
 namespace {
 
 const prometheus::Histogram::BucketBoundaries SecondsBuckets{0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60};
+const prometheus::Histogram::BucketBoundaries WaitBuckets{1, 2, 5, 10, 20, 30, 60, 120, 300, 900};
 
 double toSeconds(Duration duration)
 {
@@ -31,6 +34,8 @@
         = prometheus::BuildHistogram().Name("quetzalrock_first_start_seconds").Register(registry);
     prometheus::Family<prometheus::Histogram> &jobTime
         = prometheus::BuildHistogram().Name("quetzalrock_job_seconds").Register(registry);
+    prometheus::Family<prometheus::Histogram> &oldestWait
+        = prometheus::BuildHistogram().Name("quetzalrock_oldest_wait_at_times_seconds").Register(registry);
     std::map<std::string, prometheus::Family<prometheus::Counter> *> counters;
     std::map<std::string, prometheus::Family<prometheus::Gauge> *> gauges;
 
@@ -79,6 +84,45 @@
         addIncrease("writes_total", {{"shard", name}}, counters.writes, before.writes);
     }
 
+    /** Sets the metrics of waiting tasks. The gauges of queues and reasons without any return to 0. */
+    void setWaits(std::span<const WorkflowScheduler *const> schedulers)
+    {
+        for (auto &[queue, it] : waits) {
+            it = {};
+        }
+        for (auto &[why, tasks] : diagnosedTasks) {
+            tasks = 0;
+        }
+        std::uint32_t forUnreadWorkers = 0;
+        std::uint32_t forRoom = 0;
+        for (const WorkflowScheduler *scheduler : schedulers) {
+            const WaitingTasks &waiting = scheduler->waitingTasks();
+            forUnreadWorkers += waiting.forUnreadWorkers;
+            forRoom += waiting.forRoom;
+            for (const auto &[queue, wait] : waiting.queues) {
+                QueueWait &it = waits[queue];
+                it.oldest = std::max(it.oldest, wait.oldest);
+                it.tasks += wait.tasks;
+            }
+            for (const WaitDiagnosis &it : waiting.diagnoses) {
+                diagnosedTasks[std::string(it.why())] += it.tasks;
+            }
+        }
+        for (const auto &[queue, it] : waits) {
+            set("waiting_tasks", it.tasks, {{"queue", queue}});
+            set("oldest_wait_seconds", toSeconds(it.oldest), {{"queue", queue}});
+            oldestWait.Add({{"queue", queue}}, WaitBuckets).Observe(toSeconds(it.oldest));
+        }
+        for (const auto &[why, tasks] : diagnosedTasks) {
+            set("diagnosed_waiting_tasks", tasks, {{"why", why}});
+        }
+        set("waiting_long_running_tasks", forUnreadWorkers, {{"why", "unread_workers"}});
+        set("waiting_long_running_tasks", forRoom, {{"why", "no_room"}});
+    }
+
+    std::map<std::string, QueueWait> waits;              ///< by queue
+    std::map<std::string, std::uint32_t> diagnosedTasks; ///< by reason
+
     // Values at the last update
     std::map<ShardId, WorkflowCounters> lastCounters; ///< of the shards that this node leads
     IntakeCounters lastIntake;
@@ -115,7 +159,6 @@
     for (auto &[queue, runs] : evacuatedRuns) {
         runs = 0; // a gauge of a queue that has left nothing there returns to 0
     }
-    WaitingTasks waiting;
     for (const WorkflowScheduler *scheduler : node.schedulers()) {
         it.addIncreases(scheduler->shard(), scheduler->counters());
         current[scheduler->shard()] = scheduler->counters();
@@ -123,9 +166,8 @@
         for (const auto &[queue, runs] : scheduler->runsInEvacuatedDomains()) {
             evacuatedRuns[queue] += runs;
         }
-        waiting.forUnreadWorkers += scheduler->waitingTasks().forUnreadWorkers;
-        waiting.forRoom += scheduler->waitingTasks().forRoom;
     }
+    it.setWaits(node.schedulers());
     it.lastCounters = std::move(current);
     const IntakeCounters &intake = node.intakeCounters();
     it.addIncrease("intake_total", {{"outcome", "accepted"}}, intake.accepted, it.lastIntake.accepted);
@@ -158,8 +200,6 @@
     it.set("led_shards", static_cast<double>(it.lastCounters.size()));
     it.set("ready", node.isReady(now) ? 1 : 0);
     it.set("active_jobs", static_cast<double>(activeJobs));
-    it.set("waiting_long_running_tasks", waiting.forUnreadWorkers, {{"why", "unread_workers"}});
-    it.set("waiting_long_running_tasks", waiting.forRoom, {{"why", "no_room"}});
     it.set("evacuations_requested", static_cast<double>(node.evacuations().domains().size()));
     for (const auto &[queue, runs] : evacuatedRuns) {
         it.set("evacuated_domain_runs", runs, {{"queue", queue}});
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -24,6 +24,14 @@
  *   forwarded_total{outcome}, forwards_received_total, forwards_in_flight, peers
  *                                     requests that this node forwarded to others, by outcome (served, refused, not_sent,
  *                                     unanswered, no_peer), and requests that it got from others; only if forwarding is on
+ *   waiting_tasks{queue}, oldest_wait_seconds{queue}
+ *                                     gauges, in the shards that this node leads: due tasks that run nowhere, and the
+ *                                     wait of the one that has waited longest; 0 without any
+ *   oldest_wait_at_times_seconds{queue}   histogram of oldest_wait_seconds, observed once a second from the first wait
+ *                                     in the queue on
+ *   diagnosed_waiting_tasks{why}      gauge: tasks of the few steps that the last checks have diagnosed, by reason; see
+ *                                     waiting.h
+ *   waiting_long_running_tasks{why}   gauge: long-running tasks that have waited for seconds, for unread workers or room
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
 #pragma once
--- a/packages/workflow/tests/waitingtest.cpp
+++ b/packages/workflow/tests/waitingtest.cpp
@@ -1,6 +1,8 @@
 /** Reports on waiting tasks: the reason for each kind of load, how many lines there are, and what survives an election. */
 #include "rig.h"
 
+#include <workflow/metrics.h>
+
 #include <sstream>
 
 namespace QuetzalRock::Workflow {
@@ -64,6 +66,18 @@
     rig.backend.write("workers/" + worker, "draining");
 }
 
+/** Value of a sample in the text format; -1: there is none. */
+double metric(const NodeMetrics &metrics, const std::string &name)
+{
+    std::istringstream text(metrics.text());
+    for (std::string line; std::getline(text, line);) {
+        if (line.starts_with(name + " ")) {
+            return std::stod(line.substr(name.size() + 1));
+        }
+    }
+    return -1;
+}
+
 /** Lets the nodes that boot meanwhile write their log, and captures it. */
 class CapturedLog
 {
@@ -381,7 +395,7 @@
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
-// Elections, volume
+// Elections, volume, metrics
 // ---------------------------------------------------------------------------------------------------------------------
 
 // Guards against LOST: the wait of a job began anew with each leader, so that none saw it wait for long.
@@ -475,4 +489,41 @@
     EXPECT_EQ(awaitDiagnosis(rig, "service", 4s).why(), "no_free_cpu");
 }
 
+// Guards against an alarm that stays on, as the gauge of a queue keeps the age of a task that runs or was cancelled.
+TEST(Waiting, gaugesFollowTheOldestWaitAndReturnToZero)
+{
+    const std::string oldest = "quetzalrock_oldest_wait_seconds{queue=\"queue\"}";
+    const std::string tasks = "quetzalrock_waiting_tasks{queue=\"queue\"}";
+    const std::string times = "quetzalrock_oldest_wait_at_times_seconds_";
+    const std::string diagnosed = "quetzalrock_diagnosed_waiting_tasks{why=\"no_free_cpu\"}";
+    Rig rig(1, 1);
+    NodeMetrics metrics;
+    const auto update = [&rig, &metrics] {
+        rig.run(1s);
+        metrics.update(*rig.nodes[0]->node, rig.clock.now(), 0);
+    };
+    rig.run(1s);
+    fillWorkers(rig, 1);
+    update();
+    EXPECT_EQ(metric(metrics, oldest), -1);
+    rig.submit(0, Rig::makeJob("waits", 2));
+    double mostDiagnosed = 0;
+    for (int i = 0; i < 8; ++i) {
+        update();
+        mostDiagnosed = std::max(mostDiagnosed, metric(metrics, diagnosed));
+    }
+    EXPECT_NEAR(metric(metrics, oldest), 8, 1);
+    EXPECT_EQ(metric(metrics, tasks), 2);
+    EXPECT_EQ(mostDiagnosed, 2);
+    rig.cancel(0, "fills");
+    update();
+    update();
+    update();
+    EXPECT_EQ(metric(metrics, oldest), 0);
+    EXPECT_EQ(metric(metrics, tasks), 0);
+    EXPECT_EQ(metric(metrics, diagnosed), 0);
+    EXPECT_GE(metric(metrics, times + "count{queue=\"queue\"}"), 10);
+    EXPECT_GE(metric(metrics, times + "bucket{queue=\"queue\",le=\"1\"}"), 2);
+}
+
 } // namespace QuetzalRock::Workflow
