Jobs that are too late get a share of the CPU: no accepted job waits behind newer ones without end

Callers saw accepted jobs with nothing running for 100 s, under eight leaders, while newer jobs were started (LOST at the end). Jobs beyond three times their objective went last whatever their age and, among these, new ones by cost; as long as jobs that can still end in time take the room as it is freed, the others get none, and a less urgent queue gets none beside a more urgent one.

Such jobs are overdue. They now go first, the oldest of all queues before the others, until they hold a tenth of the CPU that long-running tasks leave; beyond that they go last, by age. Whether a job is overdue depends on what is stored of it, so the wait does not begin anew with a new leader.

Waiting.startsOfLaterJobsAndTheRankAreReported gets jobs that can still end in time: its rank counted the order among useless results, which is by age now.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -31,6 +31,11 @@
     return n;
 }
 
+bool isOverdue(const JobState &job)
+{
+    return job.outlook == DeadlineOutlook::TooLate;
+}
+
 /** Whether a long-running task of the same image runs there; both are sensitive to the same neighbours. */
 bool hasLongRunningImage(const WorkerState &worker, const TaskRef &ref)
 {
@@ -58,8 +63,44 @@
     sortJobs(now);
     listUsableWorkers(now);
     m_unplaced.clear();
+    placeOverdueJobs(now);
     for (JobState *job : m_jobOrder) {
-        if (!job->isCancelled && holdOf(*job) == WaitReason::None) {
+        if (mayPlace(*job)) {
+            placeJob(*job, now);
+        }
+    }
+}
+
+bool WorkflowScheduler::mayPlace(const JobState &job) const
+{
+    return !job.isCancelled && holdOf(job) == WaitReason::None;
+}
+
+/** Places overdue jobs, the oldest first, until they hold their share. */
+void WorkflowScheduler::placeOverdueJobs(TimePoint now)
+{
+    std::int64_t left = 0; // CPU that long-running tasks leave
+    std::int64_t held = 0;
+    if (!m_overdueJobs.empty()) {
+        for (const WorkerIndex i : m_usableWorkers) {
+            const WorkerState &worker = *m_workers[i];
+            const double used
+                = m_settings.placement.longRunningUtilisation * static_cast<double>(worker.longRunningCpuMillis);
+            left += worker.record.capacity.cpuMillis - static_cast<std::int64_t>(used);
+        }
+        for (const auto &worker : m_workers) {
+            for (const TaskRef &it : worker->runs) {
+                held += isOverdue(*it.job) ? it.spec().need.cpuMillis : 0;
+            }
+        }
+    }
+    const auto limit = static_cast<std::int64_t>(m_settings.overdue.share * static_cast<double>(left));
+    m_overdueShare.beginPass(limit, held);
+    for (JobState *job : m_overdueJobs) {
+        if (!m_overdueShare.isBelowLimit()) {
+            return;
+        }
+        if (mayPlace(*job)) {
             placeJob(*job, now);
         }
     }
@@ -76,6 +117,7 @@
     ranks.reserve(m_activeJobs.size());
     for (const auto &[key, job] : m_activeJobs) {
         ranks.emplace_back(rankOf(*job, wallMs, now), job);
+        job->outlook = ranks.back().first.outlook;
         if (m_settings.scarcity.enabled) {
             m_scarcityOrder.refineRank(m_settings.scarcity, *job, wallMs, ranks.back().first);
         }
@@ -85,11 +127,32 @@
     for (const auto &[rank, job] : ranks) {
         m_jobOrder.push_back(job);
     }
+    listOverdueJobs(wallMs);
     if (m_settings.scarcity.enabled) {
         chooseCpuSharingJob(wallMs);
     }
 }
 
+/** Lists the jobs whose results are useless by now, whatever their priority. */
+void WorkflowScheduler::listOverdueJobs(std::int64_t wallMs)
+{
+    std::vector<std::pair<std::int64_t, JobState *>> jobs;
+    for (JobState *job : m_jobOrder) {
+        if (job->isCancelled) {
+            continue;
+        }
+        if (const std::optional<std::int64_t> since = overdueSinceMs(*job, wallMs)) {
+            job->outlook = DeadlineOutlook::TooLate;
+            jobs.emplace_back(*since, job);
+        }
+    }
+    std::stable_sort(jobs.begin(), jobs.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
+    m_overdueJobs.clear();
+    for (const auto &[since, job] : jobs) {
+        m_overdueJobs.push_back(job);
+    }
+}
+
 /**
  * Under scarcity one job at a time may exceed the idle CPU, so that it does not end too late. Under sustained overload
  * most late jobs come to that point; if all of them shared, all tasks would be slow.
@@ -464,6 +527,9 @@
     worker.reserved += need;
     worker.longRunningCpuMillis += step.isLongRunning ? need.cpuMillis : 0;
     ++ref.job->heldTasks;
+    if (isOverdue(*ref.job)) {
+        m_overdueShare.addStart(step.need.cpuMillis);
+    }
 }
 
 void WorkflowScheduler::releaseResources(const TaskRef &ref)
@@ -719,6 +785,7 @@
     m_cpuSharingJob = m_cpuSharingJob == &job ? nullptr : m_cpuSharingJob;
     m_activeJobs.erase(job.key());
     std::erase(m_jobOrder, &job);
+    std::erase(m_overdueJobs, &job);
     m_finalJobs.emplace_back(m_clock.now(), job.key());
     markDirty(job);
 }
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -422,6 +422,7 @@
     m_cpuSharingJob = m_cpuSharingJob == job ? nullptr : m_cpuSharingJob;
     m_activeJobs.erase(key);
     std::erase(m_jobOrder, job);
+    std::erase(m_overdueJobs, job);
     m_storedRevisions.erase(key);
     m_jobs.erase(key);
     if (const auto returned = m_returnedJobs.find(key); returned != m_returnedJobs.end()) {
--- a/packages/workflow/joborder.cpp
+++ b/packages/workflow/joborder.cpp
@@ -86,6 +86,7 @@
     rank.outlook = endsAfter <= objective                   ? DeadlineOutlook::InTime
                    : endsAfter <= TooLateFactor * objective ? DeadlineOutlook::Late
                                                             : DeadlineOutlook::TooLate;
+    rank.isNew = rank.isNew && rank.outlook != DeadlineOutlook::TooLate; // useless in any case: the oldest goes first
     return rank;
 }
 
--- a/packages/workflow/joborder.h
+++ b/packages/workflow/joborder.h
@@ -3,7 +3,6 @@
  * objective; this order places first the jobs that can still meet theirs.
  *
  * Index of this file
- *   DeadlineOutlook                  whether a job can still meet its latency objective
  *   JobRank                          sort key of jobs; the smallest is placed first
  *   rankOf()                         the rank of a job at a given time
  *   hasExceededPlacementTimeout()    whether a long-running task has waited too long for a worker
@@ -18,12 +17,6 @@
 
 namespace QuetzalRock::Workflow {
 
-enum class DeadlineOutlook : std::uint8_t {
-    InTime = 0,  ///< can meet its latency objective
-    Late = 1,    ///< misses its objective, but its result is still useful
-    TooLate = 2, ///< exceeds TooLateFactor times its objective
-};
-
 struct JobRank
 {
     int priority = 0;                     ///< of the queue; 0 is the most urgent
--- /dev/null
+++ b/packages/workflow/overdue.h
@@ -0,0 +1,52 @@
+/**
+ * Bounds how long accepted jobs wait behind newer ones. Designed for sustained overload: newer jobs that can still end in
+ * time take all room as it is freed, so that an order by deadline and cost alone never comes to the jobs whose results
+ * are useless by now. These are overdue. They are placed first, the oldest of all priorities before the others, until
+ * they hold a share of the CPU; what is left of them waits for the room that the others leave.
+ *
+ * Whether a job is overdue depends only on what is stored of it, so the wait does not begin anew with a new leader.
+ *
+ * Index of this file
+ *   OverdueSettings   the share
+ *   overdueSinceMs()  since when a job is overdue
+ *   OverdueShare      what overdue jobs may take during one placement pass
+ */
+#pragma once
+
+#include <workflow/joborder.h>
+
+#include <optional>
+
+namespace QuetzalRock::Workflow {
+
+struct OverdueSettings
+{
+    double share = 0.1; ///< of the CPU that long-running tasks leave
+};
+
+/**
+ * The wall time, in Unix ms, since which @p job is overdue at @p wallMs: TooLateFactor times its latency objective after
+ * its acceptance or, if it is timed, after the oldest due time of which tasks are left. None: it is not, or it has
+ * long-running tasks.
+ */
+std::optional<std::int64_t> overdueSinceMs(const JobState &job, std::int64_t wallMs);
+
+class OverdueShare
+{
+public:
+    /**
+     * Begins a placement pass. @p limitMillis: CPU that overdue jobs may hold before others. @p heldMillis: CPU that their
+     * tasks requested.
+     */
+    void beginPass(std::int64_t limitMillis, std::int64_t heldMillis);
+
+    void addStart(std::int64_t cpuMillis); ///< of a task of an overdue job
+
+    bool isBelowLimit() const; ///< whether overdue jobs go first
+
+private:
+    std::int64_t m_limitMillis = 0;
+    std::int64_t m_heldMillis = 0;
+};
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -146,6 +146,13 @@
     std::uint32_t doneSteps = 0;
 };
 
+/** Whether a job can still meet its latency objective; InTime for jobs without one. */
+enum class DeadlineOutlook : std::uint8_t {
+    InTime = 0,  ///< can meet its latency objective
+    Late = 1,    ///< misses its objective, but its result is still useful
+    TooLate = 2, ///< exceeds TooLateFactor times its objective
+};
+
 /** Size of a job by its work, among the recent jobs of its queue; see QueueWork. */
 enum class SizeClass : std::uint8_t {
     Rest = 0,
@@ -162,7 +169,8 @@
     WorkflowState state = WorkflowState::Queued;
     bool isCancelled = false; ///< no more starts; running tasks are stopped
     SizeClass sizeClass = SizeClass::Rest;
-    bool countsAsServed = false;     ///< among the jobs of its size class, see ScarcityOrder
+    DeadlineOutlook outlook = DeadlineOutlook::InTime; ///< as of the last sorting of jobs
+    bool countsAsServed = false;                       ///< among the jobs of its size class, see ScarcityOrder
     bool isGuest = false;            ///< another shard's job, some of whose tasks were given to this one
     std::uint32_t heldTasks = 0;     ///< tasks that are starting, running or stopping
     std::uint64_t version = 0;       ///< incremented at each change of what is to be stored
--- a/packages/workflow/scarcity.cpp
+++ b/packages/workflow/scarcity.cpp
@@ -222,6 +222,9 @@
         rank.sequence = std::numeric_limits<std::int64_t>::min(); // its occurrences have their own times
         return;
     }
+    if (rank.outlook == DeadlineOutlook::TooLate) {
+        return; // by age alone
+    }
     const auto queue = m_queues.find(job.accepted.queue);
     const double meanWork = queue == m_queues.end() ? 0 : queue->second.meanWork();
     if (rank.isNew) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -36,6 +36,7 @@
 #include <workflow/joborder.h>
 #include <workflow/metrics.h>
 #include <workflow/mirror.h>
+#include <workflow/overdue.h>
 #include <workflow/placement.h>
 #include <workflow/pool.h>
 #include <workflow/pressure.h>
@@ -97,6 +98,7 @@
     PlacementWeights placement;
     PressureSettings pressure;
     ScarcitySettings scarcity;
+    OverdueSettings overdue;
 
     // Transfers to other shards
     Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
@@ -354,6 +356,9 @@
     // Placement (dispatch.cpp)
     void placeJobs(TimePoint now);
     void sortJobs(TimePoint now);
+    void listOverdueJobs(std::int64_t wallMs);
+    void placeOverdueJobs(TimePoint now);
+    bool mayPlace(const JobState &job) const;
     void chooseCpuSharingJob(std::int64_t wallMs);
     bool canShareSpareCpu(const JobState &job) const;
     void placeJob(JobState &job, TimePoint now);
@@ -547,6 +552,10 @@
     std::unordered_map<JobKey, JobPtr> m_jobs;
     std::unordered_map<JobKey, JobState *> m_activeJobs; ///< not final
     std::vector<JobState *> m_jobOrder;                  ///< the active jobs in placement order, see JobRank
+    std::vector<JobState *> m_overdueJobs;               ///< of m_jobOrder, the oldest first
+    bool m_hasJobsInTime
+        = false; ///< as of the last sorting: jobs without long-running tasks that can still end in time
+    OverdueShare m_overdueShare;
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
     std::vector<WorkerIndex> m_usableWorkers;             ///< see listUsableWorkers()
--- a/packages/workflow/tests/waitingtest.cpp
+++ b/packages/workflow/tests/waitingtest.cpp
@@ -302,6 +302,7 @@
 TEST(Waiting, startsOfLaterJobsAndTheRankAreReported)
 {
     Rig rig(1, 1);
+    rig.decoder.catalog.queues.front().slackMs = 60'000; // all jobs can still end in time: those in progress go first
     rig.run(1s);
     rig.submit(0, makeEndlessJob(rig, "fills", TasksPerWorker - 1)); // one core stays free
     rig.run(500ms);
