A job that cannot end in time gets a task beyond the idle CPU once no useful work waits

Callers saw accepted jobs with nothing running while most memory and reserved CPU was free (LOST at the end). The forecast paces best-effort work so that it ends in time; for jobs that cannot, it was a wait without bound, as only one job at a time may exceed it, and only before it is too late.

While no job that can still end in time has found no room, each late job of which nothing runs may start one task beyond the idle CPU. Protection of serving tasks is unchanged.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -95,7 +95,7 @@
         }
     }
     const auto limit = static_cast<std::int64_t>(m_settings.overdue.share * static_cast<double>(left));
-    m_overdueShare.beginPass(limit, held);
+    m_overdueShare.beginPass(limit, held, m_isUsefulWorkWaiting);
     for (JobState *job : m_overdueJobs) {
         if (!m_overdueShare.isBelowLimit()) {
             return;
@@ -137,6 +137,7 @@
 void WorkflowScheduler::listOverdueJobs(std::int64_t wallMs)
 {
     std::vector<std::pair<std::int64_t, JobState *>> jobs;
+    m_isUsefulWorkWaiting = false;
     for (JobState *job : m_jobOrder) {
         if (job->isCancelled) {
             continue;
@@ -145,6 +146,8 @@
             job->outlook = DeadlineOutlook::TooLate;
             jobs.emplace_back(*since, job);
         }
+        const bool isInTime = job->outlook == DeadlineOutlook::InTime;
+        m_isUsefulWorkWaiting = m_isUsefulWorkWaiting || (isInTime && hasBestEffortTaskWithoutRoom(*job));
     }
     std::stable_sort(jobs.begin(), jobs.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
     m_overdueJobs.clear();
@@ -173,6 +176,9 @@
     if (!m_settings.scarcity.enabled) {
         return jobAge(job) > m_settings.spareCpuShareDelay;
     }
+    if (job.heldTasks == 0 && m_overdueShare.mayExceedIdleCpu(job.outlook)) {
+        return true;
+    }
     return &job == m_cpuSharingJob && mayShareSpareCpu(job, m_clock.wallNow().count());
 }
 
--- a/packages/workflow/overdue.cpp
+++ b/packages/workflow/overdue.cpp
@@ -38,10 +38,11 @@
     return since < wallMs ? std::optional(since) : std::nullopt;
 }
 
-void OverdueShare::beginPass(std::int64_t limitMillis, std::int64_t heldMillis)
+void OverdueShare::beginPass(std::int64_t limitMillis, std::int64_t heldMillis, bool isUsefulWorkWaiting)
 {
     m_limitMillis = limitMillis;
     m_heldMillis = heldMillis;
+    m_isUsefulWorkWaiting = isUsefulWorkWaiting;
 }
 
 void OverdueShare::addStart(std::int64_t cpuMillis)
@@ -54,4 +55,9 @@
     return m_heldMillis < m_limitMillis;
 }
 
+bool OverdueShare::mayExceedIdleCpu(DeadlineOutlook outlook) const
+{
+    return !m_isUsefulWorkWaiting && outlook != DeadlineOutlook::InTime;
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/overdue.h
+++ b/packages/workflow/overdue.h
@@ -36,17 +36,24 @@
 public:
     /**
      * Begins a placement pass. @p limitMillis: CPU that overdue jobs may hold before others. @p heldMillis: CPU that their
-     * tasks requested.
+     * tasks requested. @p isUsefulWorkWaiting: whether best-effort jobs that can still end in time have found no room.
      */
-    void beginPass(std::int64_t limitMillis, std::int64_t heldMillis);
+    void beginPass(std::int64_t limitMillis, std::int64_t heldMillis, bool isUsefulWorkWaiting);
 
     void addStart(std::int64_t cpuMillis); ///< of a task of an overdue job
 
     bool isBelowLimit() const; ///< whether overdue jobs go first
 
+    /**
+     * Whether a job of which nothing runs may start a task beyond the idle CPU. The forecast of idle CPU paces best-effort
+     * work so that it ends in time; a job that cannot do so any more must not wait for it without end.
+     */
+    bool mayExceedIdleCpu(DeadlineOutlook outlook) const;
+
 private:
     std::int64_t m_limitMillis = 0;
     std::int64_t m_heldMillis = 0;
+    bool m_isUsefulWorkWaiting = false;
 };
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -555,6 +555,7 @@
     std::vector<JobState *> m_overdueJobs;               ///< of m_jobOrder, the oldest first
     bool m_hasJobsInTime
         = false; ///< as of the last sorting: jobs without long-running tasks that can still end in time
+    bool m_isUsefulWorkWaiting = false; ///< as of the last sorting; see OverdueShare::beginPass()
     OverdueShare m_overdueShare;
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
