A piece of room is promised to one long-running task only

Cause: canRunElsewhere() looked for a free piece for each task alone. Some ran nowhere for 13 s, although their workers would have kept them for 7.5 s, and took room from those that had waited before.

Change: the resources that long-running tasks leave on each worker are reckoned less those that each waiting or stopping task is going to take; what is left counts for draining workers, evictions and departures. Computed once, until runs change.

Tests, on the sources before: Room.drainingWorkersKeepTheTasksThatFindNoRoomElsewhere (3 tasks run, 6 expected), Room.drainingWorkerDoesNotClaimRoomThatATaskWaitsFor (runs(rig, "older") false). Both pass now, with all of workflowtest.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -618,7 +618,7 @@
  * Long-running tasks leave as soon as another worker can take them: until then they serve their users where they are.
  * Shortly before the worker shuts down, every task that loses nothing by a stop leaves.
  */
-bool WorkflowScheduler::mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const
+bool WorkflowScheduler::mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now)
 {
     const WorkerState &worker = *m_workers[index];
     const TimePoint leavesAt = worker.drainSeenAt + std::chrono::milliseconds(worker.record.leavesInMs);
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -375,6 +375,7 @@
     task.worker = index;
     worker.runs.push_back(ref);
     worker.outlook.at = {};
+    m_unpromisedAt = {};
     Resources need = step.need;
     if (step.usesSpareCpu) {
         worker.bestEffortCpuMillis += need.cpuMillis;
@@ -399,6 +400,7 @@
     worker.longRunningCpuMillis -= step.isLongRunning ? need.cpuMillis : 0;
     std::erase(worker.runs, ref);
     worker.outlook.at = {};
+    m_unpromisedAt = {};
     task.worker = NoWorker;
     --ref.job->heldTasks;
     m_isPlacementDue = true;
@@ -528,6 +530,7 @@
     logTaskEvent("run_stop", ref, "worker", m_workers[task.worker]->record.id, "why", why);
     task.phase = TaskPhase::Stopping;
     m_workers[task.worker]->outlook.at = {};
+    m_unpromisedAt = {};
     task.isStopAcknowledged = false;
     sendStopOrder(ref);
 }
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -110,18 +110,63 @@
     stopTask(smallest, "evicted to make room for a larger task");
 }
 
-bool WorkflowScheduler::canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const
+/**
+ * Whether another worker has enough resources for the task that no task which waits already, or is being stopped, is
+ * going to get.
+ */
+bool WorkflowScheduler::canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now)
 {
+    if (m_unpromisedAt != now || m_unpromised.size() != m_workers.size()) {
+        findUnpromisedResources(now);
+    }
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
-        const WorkerState &worker = *m_workers[i];
-        if (i != from && isEligible(worker, ref, now)
-            && ref.spec().need.fitsIn(worker.record.capacity - longRunningResources(worker))) {
+        if (i != from && ref.spec().need.fitsIn(m_unpromised[i]) && isEligible(*m_workers[i], ref, now)) {
             return true;
         }
     }
     return false;
 }
 
+/** Sets m_unpromised: what long-running tasks leave on each worker, less what those without a run are going to take. */
+void WorkflowScheduler::findUnpromisedResources(TimePoint now)
+{
+    m_unpromisedAt = now;
+    m_unpromised.clear();
+    for (const auto &it : m_workers) {
+        m_unpromised.push_back(it->record.capacity - longRunningResources(*it));
+    }
+    for (JobState *job : m_jobOrder) {
+        const auto &steps = job->accepted.spec.steps;
+        for (std::uint32_t s = 0; s < steps.size() && !job->isCancelled; ++s) {
+            const auto n = static_cast<std::uint32_t>(job->occurrences.front().steps[s].tasks.size());
+            for (std::uint32_t i = 0; i < n && steps[s].isLongRunning; ++i) {
+                const TaskRef ref{job, 0, s, i};
+                const TaskPhase phase = ref.task().phase;
+                if ((phase == TaskPhase::Waiting && !ref.task().isGivenUp) || phase == TaskPhase::Stopping) {
+                    promiseResources(ref, now);
+                }
+            }
+        }
+    }
+}
+
+/** Takes the need of a task without a run from the worker where it fits most tightly, if there is one. */
+void WorkflowScheduler::promiseResources(const TaskRef &ref, TimePoint now)
+{
+    const Resources need = ref.spec().need;
+    Resources *tightest = nullptr;
+    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
+        Resources &left = m_unpromised[i];
+        const bool isTighter = tightest == nullptr || left.cpuMillis < tightest->cpuMillis;
+        if (isTighter && need.fitsIn(left) && isEligible(*m_workers[i], ref, now)) {
+            tightest = &left;
+        }
+    }
+    if (tightest != nullptr) {
+        *tightest -= need;
+    }
+}
+
 bool WorkflowScheduler::canBeEvicted(const TaskRef &ref) const
 {
     if (mayBeRunningElsewhere(ref)) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -309,7 +309,7 @@
     void beginIncarnation(WorkerIndex index, const WorkerRecord &record);
     void recordReplacement(WorkerIndex index);
     void evacuateDrainingWorker(WorkerIndex index, TimePoint now);
-    bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const;
+    bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now);
     void updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now);
     void acknowledgeDurableEnds(WorkerState &worker);
     WorkerTarget target(const WorkerState &worker) const;
@@ -377,7 +377,9 @@
     // Resources for long-running tasks that have waited too long (room.cpp)
     void reserveWorkerFor(const TaskRef &ref, TimePoint now);
     void evictToMakeRoom(const TaskRef &ref, TimePoint now);
-    bool canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const;
+    bool canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now);
+    void findUnpromisedResources(TimePoint now);
+    void promiseResources(const TaskRef &ref, TimePoint now);
     bool canBeEvicted(const TaskRef &ref) const; ///< within the step's maxUnavailable
 
     // Long-running tasks leave evacuated failure domains (departure.cpp)
@@ -533,10 +535,12 @@
     TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
     TimePoint m_nextPlacementAt{};
-    TimePoint m_nextEvictionAt{};      ///< earliest next eviction by evictToMakeRoom()
-    bool m_isPlacementDue = false;     ///< something changed that may allow a placement
-    TimePoint m_now{};                 ///< of the current tick or callback
-    TimePoint m_lastFullAuthorityAt{}; ///< last tick with full authority
+    TimePoint m_nextEvictionAt{};        ///< earliest next eviction by evictToMakeRoom()
+    std::vector<Resources> m_unpromised; ///< by WorkerIndex, see findUnpromisedResources()
+    TimePoint m_unpromisedAt{};          ///< when m_unpromised was computed; zero: runs have changed since
+    bool m_isPlacementDue = false;       ///< something changed that may allow a placement
+    TimePoint m_now{};                   ///< of the current tick or callback
+    TimePoint m_lastFullAuthorityAt{};   ///< last tick with full authority
     Authority m_authority = Authority::None;
     TimePoint m_fullAuthorityUntil{}; ///< as of the last tick
     bool m_isDeposed = false;
--- /dev/null
+++ b/packages/workflow/tests/roomtest.cpp
@@ -0,0 +1,80 @@
+/** Room for long-running tasks: who gets it, what is promised to whom, and evictions. */
+#include "rig.h"
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+WorkflowSpec makeLongRunning(const JobKey &key, std::uint32_t tasks, std::int64_t cpuMillis, std::int64_t memoryMib)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].need = {cpuMillis, memoryMib, 0};
+    spec.steps[0].isLongRunning = true;
+    return spec;
+}
+
+void submitLongRunning(
+    Rig &rig, const JobKey &key, std::uint32_t tasks, std::int64_t cpuMillis, std::int64_t memoryMib = 1000)
+{
+    rig.fleet.longRunningJobs.insert(key);
+    rig.submit(rig.leader(), makeLongRunning(key, tasks, cpuMillis, memoryMib));
+    rig.run(300ms);
+}
+
+void drain(Rig &rig, const WorkerId &id, Duration leavesIn)
+{
+    FakeWorker &worker = rig.fleet.workers[id];
+    worker.condition = WorkerCondition::Draining;
+    worker.leavesInMs = std::chrono::duration_cast<std::chrono::milliseconds>(leavesIn).count();
+    rig.backend.write("workers/" + id, "draining");
+}
+
+bool runs(const Rig &rig, const JobKey &key, std::uint32_t task = 0)
+{
+    return std::any_of(rig.fleet.workers.begin(), rig.fleet.workers.end(), [&](const auto &entry) {
+        const auto &running = entry.second.running;
+        return std::any_of(running.begin(), running.end(), [&](const FakeRun &it) {
+            return it.run.task.job == key && it.run.task.index == task;
+        });
+    });
+}
+
+} // namespace
+
+// Each task of two draining workers was stopped because the same free piece of a third worker would have held it. One
+// found room there, the others ran nowhere although their workers stayed for seconds.
+TEST(Room, drainingWorkersKeepTheTasksThatFindNoRoomElsewhere)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    submitLongRunning(rig, "a", 6, 5000);
+    rig.addWorker("w2");
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 6U);
+    drain(rig, "w0", 9s);
+    drain(rig, "w1", 9s);
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.workers["w2"].running.size(), 3U);
+    EXPECT_EQ(rig.fleet.runningTasks(), 6U) << "the others stay until their workers leave";
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// A task that waits for room already lost it to one that was stopped on a draining worker to go there.
+TEST(Room, drainingWorkerDoesNotClaimRoomThatATaskWaitsFor)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    submitLongRunning(rig, "older", 1, 10'000);
+    submitLongRunning(rig, "other", 1, 10'000);
+    submitLongRunning(rig, "waits", 1, 10'000);
+    rig.run(2s);
+    ASSERT_FALSE(runs(rig, "waits"));
+    drain(rig, rig.fleet.workers["w0"].running.front().run.task.job == "older" ? "w0" : "w1", 9s);
+    rig.run(500ms);
+    rig.addWorker("w2");
+    rig.run(2s);
+    EXPECT_TRUE(runs(rig, "waits"));
+    EXPECT_TRUE(runs(rig, "older")) << "stays on its draining worker";
+}
+
+} // namespace QuetzalRock::Workflow
