Room goes to the long-running task that has waited longest, under each leader

Cause: overdue jobs were placed by the time of their acceptance, and the tasks of a step by index. Nothing bounded that wait. It also began anew with each leader and with each rejected start, which set back the placement timeout.

Change: TaskState::waitingSince is the end of the last run that is known to have begun. JobRank puts overdue jobs in the order of their longest wait; the tasks of a long-running step are placed in that order as well. A task of which this leader knows no run counts from its job's acceptance. Evictions still wait for the placement timeout after a takeover, so that tasks that have just ended look for free room first.

JobRanking.longRunningTaskPastItsPlacementTimeoutGoesFirst describes a run that has just ended: its end is set in the new member as well, its checks are unchanged.

Tests, on the sources before: Room.goesToTheJobWhoseTaskHasWaitedLongest (runs(rig, "waits") false), Room.goesToTheTaskOfAStepThatHasWaitedLongest (runs(rig, "a", 2) false), Room.rejectedStartDoesNotBeginTheWaitAnew (hasExceededPlacementTimeout() false); with the former begin of a wait in longestWaitSince(): Room.waitDoesNotBeginAnewWithEachLeader (isWithinPlacementTimeout true). All pass now, with all of workflowtest.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -404,6 +404,7 @@
     task.checkpoint = entry.checkpoint.empty() ? task.checkpoint : entry.checkpoint;
     if (task.phase == TaskPhase::Starting) {
         task.phase = TaskPhase::Running;
+        task.hasBegun = true;
     }
     if (!task.hasStartedUp && m_now - task.startedAt >= m_settings.crashes.startupTime) {
         task.hasStartedUp = true;
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -2,6 +2,8 @@
 #include <workflow/scheduler.h>
 
 #include <algorithm>
+#include <numeric>
+#include <utility>
 
 namespace QuetzalRock::Workflow {
 
@@ -149,7 +151,8 @@
     const auto n = static_cast<std::uint32_t>(job.occurrences[occurrence].steps[step].tasks.size());
     std::uint32_t placed = 0;
     bool isWithoutRoom = false;
-    for (std::uint32_t i = 0; i < n; ++i) {
+    sortTasks(job, occurrence, step);
+    for (const std::uint32_t i : m_taskOrder) {
         const TaskRef ref{&job, occurrence, step, i};
         TaskState &task = ref.task();
         if (task.phase != TaskPhase::Waiting || now < task.retryAt || mayBeRunningElsewhere(ref) || task.isGivenUp
@@ -196,6 +199,19 @@
     }
 }
 
+/** Lists the tasks of a step in placement order: of a long-running step, the longest wait first. */
+void WorkflowScheduler::sortTasks(const JobState &job, std::uint32_t occurrence, std::uint32_t step)
+{
+    const auto &tasks = job.occurrences[occurrence].steps[step].tasks;
+    m_taskOrder.resize(tasks.size());
+    std::iota(m_taskOrder.begin(), m_taskOrder.end(), 0U);
+    if (job.accepted.spec.steps[step].isLongRunning) {
+        std::sort(m_taskOrder.begin(), m_taskOrder.end(), [&](std::uint32_t a, std::uint32_t b) {
+            return std::pair(longestWaitSince(job, tasks[a]), a) < std::pair(longestWaitSince(job, tasks[b]), b);
+        });
+    }
+}
+
 /** Starts all members or none: reserves resources for each, releases them again, and starts all if all fitted. */
 void WorkflowScheduler::placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
 {
@@ -421,6 +437,7 @@
         endTrial(ref);
     }
     task.phase = TaskPhase::Waiting;
+    task.waitingSince = std::exchange(task.hasBegun, false) ? m_now : task.waitingSince;
     task.retryAt = m_now + delay;
     m_isPlacementDue = true;
 }
@@ -433,6 +450,7 @@
     task.attempt = attempt;
     task.isAccountedFor = true;
     task.isAcknowledged = false;
+    task.hasBegun = false;
     task.isStopAcknowledged = false;
     task.orderedAt = now;
     task.startedAt = now;
@@ -484,6 +502,7 @@
     }
     if (reply.status == OrderStatus::Accepted) {
         task.isAcknowledged = true;
+        task.hasBegun = true;
         task.answeredAt = m_now;
         return;
     }
--- a/packages/workflow/joborder.cpp
+++ b/packages/workflow/joborder.cpp
@@ -1,6 +1,7 @@
 #include <workflow/joborder.h>
 
 #include <algorithm>
+#include <optional>
 
 namespace QuetzalRock::Workflow {
 
@@ -23,20 +24,23 @@
     return longest;
 }
 
-bool hasOverduePlacement(const JobState &job, TimePoint now)
+/** The begin of the longest wait among the long-running tasks that have exceeded the placement timeout; none: no such. */
+std::optional<TimePoint> longestOverdueWaitSince(const JobState &job, TimePoint now)
 {
+    std::optional<TimePoint> earliest;
     for (const OccurrenceState &occurrence : job.occurrences) {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
             const StepSpec &step = job.accepted.spec.steps[s];
             const auto &tasks = occurrence.steps[s].tasks;
-            if (std::any_of(tasks.begin(), tasks.end(), [&](const TaskState &it) {
-                    return hasExceededPlacementTimeout(job, step, it, now);
-                })) {
-                return true;
+            for (const TaskState &it : tasks) {
+                if (hasExceededPlacementTimeout(job, step, it, now)) {
+                    const TimePoint since = longestWaitSince(job, it);
+                    earliest = std::min(earliest.value_or(since), since);
+                }
             }
         }
     }
-    return false;
+    return earliest;
 }
 
 } // namespace
@@ -59,10 +63,15 @@
            + static_cast<double>(accepted.slackMs);
 }
 
+TimePoint longestWaitSince(const JobState &job, const TaskState &task)
+{
+    return task.waitingSince == TimePoint{} ? job.acceptedAt : task.waitingSince;
+}
+
 bool hasExceededPlacementTimeout(const JobState &job, const StepSpec &step, const TaskState &task, TimePoint now)
 {
     return step.isLongRunning && task.phase == TaskPhase::Waiting
-           && now >= std::max(job.learnedAt, task.retryAt) + LongRunningPlacementTimeout;
+           && now >= longestWaitSince(job, task) + LongRunningPlacementTimeout;
 }
 
 JobRank rankOf(const JobState &job, std::int64_t wallMs, TimePoint now)
@@ -76,7 +85,9 @@
     const bool isTimed = accepted.spec.repeatCount > 0;
     const bool isLongRunning = hasLongRunningStep(accepted.spec);
     rank.isLongRunning = isLongRunning;
-    rank.isWithinPlacementTimeout = !isLongRunning || !hasOverduePlacement(job, now);
+    const auto overdueSince = isLongRunning ? longestOverdueWaitSince(job, now) : std::nullopt;
+    rank.isWithinPlacementTimeout = !overdueSince;
+    rank.waitingSince = overdueSince.value_or(TimePoint{});
     if (isLongRunning || isTimed) {
         return rank; // no objective: occurrences count from their own due times, and a long-running task has no end
     }
--- a/packages/workflow/joborder.h
+++ b/packages/workflow/joborder.h
@@ -6,6 +6,7 @@
  *   DeadlineOutlook                  whether a job can still meet its latency objective
  *   JobRank                          sort key of jobs; the smallest is placed first
  *   rankOf()                         the rank of a job at a given time
+ *   longestWaitSince()               since when a long-running task may have had no run
  *   hasExceededPlacementTimeout()    whether a long-running task has waited too long for a worker
  *   criticalPathMs(), remainingCriticalPathMs()   critical path by declared estimates
  *   latencyObjectiveMs()             when a job should have ended
@@ -27,7 +28,8 @@
 struct JobRank
 {
     int priority = 0;                     ///< of the queue; 0 is the most urgent
-    bool isWithinPlacementTimeout = true; ///< false: one of its long-running tasks has waited too long
+    bool isWithinPlacementTimeout = true; ///< false: one of its long-running tasks has waited too long ...
+    TimePoint waitingSince{};             ///< ... since then: the longest wait goes first; otherwise zero
     bool isLongRunning = false;           ///< holds its resources for long: short work of the same priority goes first
     DeadlineOutlook outlook = DeadlineOutlook::InTime;
     bool isNew = true; ///< no task has started: jobs in progress go first, so that their work is not wasted
@@ -49,6 +51,12 @@
 
 JobRank rankOf(const JobState &job, std::int64_t wallMs, TimePoint now);
 
+/**
+ * Since when @p task may have had no run: the end of its last one. If this leader knows of none, the acceptance of its
+ * job, so that the wait does not begin anew with each leader, nor with a rejected start.
+ */
+TimePoint longestWaitSince(const JobState &job, const TaskState &task);
+
 /**
  * Whether @p task is long-running and has waited for a worker longer than LongRunningPlacementTimeout. This happens
  * when short tasks take resources as soon as they are freed, so that no worker ever has enough of them at once.
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -100,6 +100,8 @@
     TimePoint answeredAt{};               ///< when it was answered
     TimePoint startedAt{};       ///< when the run was ordered, or when a report first listed it if unknown before
     TimePoint retryAt{};         ///< Waiting: earliest time of the next placement
+    TimePoint waitingSince{};    ///< Waiting, Starting: end of its last run; zero: not known, see longestWaitSince()
+    bool hasBegun = false;       ///< the worker has accepted the start of the current or last run, or listed it
     bool hasStartedUp = false;   ///< a report has listed the run CrashSettings::startupTime after its start
     std::int64_t gauge = 0;      ///< see RunningEntry::gauge
     TimePoint overTargetSince{}; ///< serving tasks: start of tail latency above target; zero: not above
@@ -163,7 +165,8 @@
 {
     AcceptedJob accepted;
     std::uint64_t createdRevision = 0;
-    TimePoint learnedAt{}; ///< when this leader first saw the job
+    TimePoint learnedAt{};  ///< when this leader first saw the job
+    TimePoint acceptedAt{}; ///< by this leader's clock, as far as the wall clocks of two nodes agree
     WorkflowState state = WorkflowState::Queued;
     bool isCancelled = false; ///< no more starts; running tasks are stopped
     SizeClass sizeClass = SizeClass::Rest;
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -79,7 +79,8 @@
  */
 void WorkflowScheduler::evictToMakeRoom(const TaskRef &ref, TimePoint now)
 {
-    if (now < m_nextEvictionAt) {
+    // After a takeover the wait before it may have been short: tasks that have just ended find room first.
+    if (now < std::max(m_nextEvictionAt, ref.job->learnedAt + LongRunningPlacementTimeout)) {
         return;
     }
     m_nextEvictionAt = now + EvictionInterval;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -348,6 +348,7 @@
     bool canShareSpareCpu(const JobState &job) const;
     void placeJob(JobState &job, TimePoint now);
     void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    void sortTasks(const JobState &job, std::uint32_t occurrence, std::uint32_t step);
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     bool arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     void listUsableWorkers(TimePoint now);
@@ -527,6 +528,7 @@
     std::unordered_map<JobKey, JobPtr> m_jobs;
     std::unordered_map<JobKey, JobState *> m_activeJobs; ///< not final
     std::vector<JobState *> m_jobOrder;                  ///< the active jobs in placement order, see JobRank
+    std::vector<std::uint32_t> m_taskOrder;              ///< of a step's tasks, see sortTasks()
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
     std::vector<WorkerIndex> m_usableWorkers;             ///< see listUsableWorkers()
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -339,6 +339,7 @@
     job->accepted = std::move(accepted);
     job->createdRevision = createdRevision;
     job->learnedAt = m_clock.now();
+    job->acceptedAt = job->learnedAt - std::max(Duration::zero(), jobAge(*job));
     resetTasks(*job);
     for (OccurrenceState &occurrence : job->occurrences) {
         for (std::size_t s = 0; s < occurrence.steps.size(); ++s) {
--- a/packages/workflow/tests/decisiontest.cpp
+++ b/packages/workflow/tests/decisiontest.cpp
@@ -103,6 +103,7 @@
     EXPECT_LT(rankOf(urgent, Now, later), rankOf(longRunning, Now, later));
     longRunning.occurrences[0].steps[0].tasks[1].phase = TaskPhase::Waiting; // its run has just ended
     longRunning.occurrences[0].steps[0].tasks[1].retryAt = later;
+    longRunning.occurrences[0].steps[0].tasks[1].waitingSince = later;
     EXPECT_LT(rankOf(urgent, Now, later), rankOf(longRunning, Now, later));
     EXPECT_LT(rankOf(longRunning, Now, later + LongRunningPlacementTimeout),
               rankOf(urgent, Now, later + LongRunningPlacementTimeout));
--- a/packages/workflow/tests/roomtest.cpp
+++ b/packages/workflow/tests/roomtest.cpp
@@ -77,4 +77,65 @@
     EXPECT_TRUE(runs(rig, "older")) << "stays on its draining worker";
 }
 
+// Room went to the job that was accepted first, however often it had run and however long another one had waited: a job
+// could wait without bound.
+TEST(Room, goesToTheJobWhoseTaskHasWaitedLongest)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    submitLongRunning(rig, "older", 1, 10'000);
+    submitLongRunning(rig, "other", 1, 10'000);
+    submitLongRunning(rig, "waits", 1, 10'000);
+    rig.run(2s);
+    drain(rig, rig.fleet.workers["w0"].running.front().run.task.job == "older" ? "w0" : "w1", 500ms);
+    rig.run(3s);
+    ASSERT_FALSE(runs(rig, "older"));
+    rig.addWorker("w2");
+    rig.run(1s);
+    EXPECT_TRUE(runs(rig, "waits"));
+}
+
+// As before, within a step: room went to the task with the lowest index.
+TEST(Room, goesToTheTaskOfAStepThatHasWaitedLongest)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    submitLongRunning(rig, "a", 3, 10'000);
+    rig.run(2s);
+    ASSERT_FALSE(runs(rig, "a", 2));
+    drain(rig, "w0", 500ms);
+    rig.run(3s);
+    ASSERT_EQ(rig.fleet.runningTasks(), 1U);
+    rig.addWorker("w2");
+    rig.run(1s);
+    EXPECT_TRUE(runs(rig, "a", 2));
+}
+
+// A rejected start counted as the begin of a new wait, so that a task whose starts were rejected again and again had
+// never waited long.
+TEST(Room, rejectedStartDoesNotBeginTheWaitAnew)
+{
+    JobState job;
+    job.acceptedAt = TimePoint(10s);
+    StepSpec step;
+    step.isLongRunning = true;
+    TaskState task;
+    task.retryAt = TimePoint(10s) + LongRunningPlacementTimeout - 100ms; // of the last rejected start
+    EXPECT_TRUE(hasExceededPlacementTimeout(job, step, task, TimePoint(10s) + LongRunningPlacementTimeout));
+}
+
+// A new leader counted each wait from its election: with elections in series a task never went before short work, nor
+// got a reservation.
+TEST(Room, waitDoesNotBeginAnewWithEachLeader)
+{
+    JobState job;
+    job.accepted.spec = makeLongRunning("a", 1, 1000, 1000);
+    resetTasks(job);
+    job.acceptedAt = TimePoint(10s);
+    job.learnedAt = TimePoint(20s);
+    EXPECT_FALSE(rankOf(job, 0, job.learnedAt).isWithinPlacementTimeout);
+    job.occurrences[0].steps[0].tasks[0].waitingSince = job.learnedAt; // its last run has just ended
+    EXPECT_TRUE(rankOf(job, 0, job.learnedAt).isWithinPlacementTimeout);
+}
+
 } // namespace QuetzalRock::Workflow
