A job for which nothing can be evicted leaves the eviction to others

Cause: evictToMakeRoom() began its interval of 1 s before it had searched.

Change: only an eviction begins that interval. Searches are limited to one a second for each step. There is still at most one eviction a second.

Test, on the sources before: Room.jobForWhichNothingCanBeEvictedLeavesTheEvictionToOthers (runs(rig, "large") false, 4 tasks run, 5 expected). It passes now, with all of workflowtest.

--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -144,6 +144,7 @@
     WaitReason reportedReason = WaitReason::NoRoom; ///< of the last log line on waiting tasks
     TimePoint nextWaitReportAt{};                   ///< earliest next line with the same reason
     TimePoint noRoomSince{};                        ///< since then a task has found no worker; zero: none waits so
+    TimePoint nextEvictionSearchAt{};               ///< earliest next search for a task to evict
     TimePoint nextTransferAt{};                     ///< earliest next attempt to give tasks to another shard
 };
 
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -80,10 +80,11 @@
 void WorkflowScheduler::evictToMakeRoom(const TaskRef &ref, TimePoint now)
 {
     // After a takeover the wait before it may have been short: tasks that have just ended find room first.
-    if (now < std::max(m_nextEvictionAt, ref.job->learnedAt + LongRunningPlacementTimeout)) {
+    TimePoint &nextSearchAt = ref.job->occurrences[ref.occurrence].steps[ref.step].nextEvictionSearchAt;
+    if (now < std::max({m_nextEvictionAt, nextSearchAt, ref.job->learnedAt + LongRunningPlacementTimeout})) {
         return;
     }
-    m_nextEvictionAt = now + EvictionInterval;
+    nextSearchAt = now + EvictionInterval;
     const Resources need = ref.spec().need;
     TaskRef smallest;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
@@ -104,6 +105,7 @@
     if (smallest.job == nullptr) {
         return;
     }
+    m_nextEvictionAt = now + EvictionInterval;
     WorkerState &worker = *m_workers[smallest.task().worker];
     worker.reservedFor = ref.job;
     worker.reservedUntil = now + WorkerReservationTime;
--- a/packages/workflow/tests/roomtest.cpp
+++ b/packages/workflow/tests/roomtest.cpp
@@ -138,4 +138,26 @@
     EXPECT_TRUE(rankOf(job, 0, job.learnedAt).isWithinPlacementTimeout);
 }
 
+// The one eviction in each interval was used up by the first job that waits, even if nothing could be evicted for it.
+// No job behind it ever got one.
+TEST(Room, jobForWhichNothingCanBeEvictedLeavesTheEvictionToOthers)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    for (const char *worker : {"first", "second"}) { // fills one worker, then the other
+        submitLongRunning(rig, std::string(worker) + "-goes", 1, 6000);
+        submitLongRunning(rig, std::string(worker) + "-stays", 1, 6000);
+        submitLongRunning(rig, std::string(worker) + "-small", 1, 4000);
+    }
+    submitLongRunning(rig, "huge", 1, 15'000);
+    rig.run(2s);
+    rig.cancel(0, "first-goes");
+    rig.cancel(0, "second-goes");
+    rig.run(500ms);
+    submitLongRunning(rig, "large", 1, 8000);
+    rig.run(6s);
+    EXPECT_TRUE(runs(rig, "large"));
+    EXPECT_EQ(rig.fleet.runningTasks(), 5U);
+}
+
 } // namespace QuetzalRock::Workflow
