A reservation lasts while the evicted task stops

Cause: a task being stopped counted among the long-running resources of its worker, so the reserved worker did not look as if the job would fit there, and no placement attempt extended the reservation of 0.5 s; a stop takes up to 0.9 s.

Change: resources of tasks being stopped count as freed ones when a worker is reserved, and when the room for evictions and evacuations is reckoned, where the stopped task claims its own share. A worker that drains or falls silent is not eligible, so the reservation moves on as before.

--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -16,12 +16,12 @@
 constexpr Duration EvictionInterval = 1s;         ///< lets the previous eviction take effect first
 constexpr Duration WarmUpTime = 5s;               ///< a long-running task counts as unavailable until then
 
-/** Resources held by long-running tasks, which are not freed without an eviction. */
+/** Resources held by long-running tasks that are not being stopped: they are not freed without an eviction. */
 Resources longRunningResources(const WorkerState &worker)
 {
     Resources use;
     for (const TaskRef &it : worker.runs) {
-        if (it.spec().isLongRunning) {
+        if (it.spec().isLongRunning && it.task().phase != TaskPhase::Stopping) {
             use += it.spec().need;
         }
     }
--- a/packages/workflow/tests/roomtest.cpp
+++ b/packages/workflow/tests/roomtest.cpp
@@ -160,4 +160,28 @@
     EXPECT_EQ(rig.fleet.runningTasks(), 5U);
 }
 
+// The reservation for which a task had been evicted ended before its slow stop was reported. A job that could not have
+// evicted it took the room.
+TEST(Room, reservationOutlastsTheStopOfTheEvictedTask)
+{
+    Rig rig(1, 2);
+    rig.run(2s);
+    submitLongRunning(rig, "evicted", 1, 6000);
+    submitLongRunning(rig, "stays", 1, 8000);
+    const bool isOnFirst = !rig.fleet.workers["w0"].running.empty();
+    submitLongRunning(rig, "filler", 1, 10'000, 60'000);
+    ASSERT_EQ(rig.fleet.workers["w0"].running.size(), isOnFirst ? 2U : 1U);
+    ASSERT_EQ(rig.fleet.workers["w1"].running.size(), isOnFirst ? 1U : 2U);
+    rig.submit(0, makeLongRunning("thief", 1, 6000, 30'000)); // may evict nothing; too much memory for the other worker
+    rig.fleet.longRunningJobs.insert("thief");
+    rig.run(500ms);
+    ASSERT_FALSE(runs(rig, "thief"));
+    rig.nodes[0]->port.renewReplyDelay[isOnFirst ? "w0" : "w1"] = 900ms;
+    submitLongRunning(rig, "large", 1, 8000);
+    rig.run(5s);
+    EXPECT_TRUE(runs(rig, "large"));
+    EXPECT_TRUE(runs(rig, "evicted"));
+    EXPECT_FALSE(runs(rig, "thief"));
+}
+
 } // namespace QuetzalRock::Workflow
