--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -405,6 +405,7 @@
     task.checkpoint = entry.checkpoint.empty() ? task.checkpoint : entry.checkpoint;
     if (task.phase == TaskPhase::Starting) {
         task.phase = TaskPhase::Running;
+        task.hasBegun = true;
     }
     if (!task.hasStartedUp && m_now - task.startedAt >= m_settings.crashes.startupTime) {
         task.hasStartedUp = true;
@@ -620,7 +621,7 @@
  * Long-running tasks leave as soon as another worker can take them: until then they serve their users where they are.
  * Shortly before the worker shuts down, every task that loses nothing by a stop leaves.
  */
-bool WorkflowScheduler::mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const
+bool WorkflowScheduler::mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now)
 {
     const WorkerState &worker = *m_workers[index];
     const TimePoint leavesAt = worker.drainSeenAt + std::chrono::milliseconds(worker.record.leavesInMs);
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -101,6 +101,8 @@
     TimePoint startedAt{};       ///< when the run was ordered, or when a report first listed it if unknown before
     TimePoint retryAt{};         ///< Waiting: earliest time of the next placement
     TimePoint lastRanAt{};       ///< when a report last listed a run of it, running or ended; zero: none did
+    TimePoint waitingSince{};    ///< Waiting, Starting: end of its last run; zero: not known, see longestWaitSince()
+    bool hasBegun = false;       ///< the worker has accepted the start of the current or last run, or listed it
     bool hasStartedUp = false;   ///< a report has listed the run CrashSettings::startupTime after its start
     std::int64_t gauge = 0;      ///< see RunningEntry::gauge
     TimePoint overTargetSince{}; ///< serving tasks: start of tail latency above target; zero: not above
@@ -131,13 +133,14 @@
 {
     std::vector<TaskState> tasks;
     std::uint32_t doneCount = 0;
-    bool isCompletionOurs = false; ///< no former leader can know that all its tasks are done; see finishTask()
-    std::uint16_t image = 0;       ///< ClassIndex of the step's image in the pressure model
-    StepLoad load;                 ///< steps of serving tasks: their own load
-    TimePoint readySince{};        ///< about when its predecessors were done and it was due; zero: not noticed yet
-    TimePoint nextWaitReportAt{};  ///< earliest next report on its waiting tasks
-    TimePoint noRoomSince{};       ///< since then a task has found no worker; zero: none waits so
-    TimePoint nextTransferAt{};    ///< earliest next attempt to give tasks to another shard
+    bool isCompletionOurs = false;    ///< no former leader can know that all its tasks are done; see finishTask()
+    std::uint16_t image = 0;          ///< ClassIndex of the step's image in the pressure model
+    StepLoad load;                    ///< steps of serving tasks: their own load
+    TimePoint readySince{};           ///< about when its predecessors were done and it was due; zero: not noticed yet
+    TimePoint nextWaitReportAt{};     ///< earliest next report on its waiting tasks
+    TimePoint noRoomSince{};          ///< since then a task has found no worker; zero: none waits so
+    TimePoint nextEvictionSearchAt{}; ///< earliest next search for a task to evict
+    TimePoint nextTransferAt{};       ///< earliest next attempt to give tasks to another shard
 };
 
 struct OccurrenceState
@@ -165,7 +168,8 @@
 {
     AcceptedJob accepted;
     std::uint64_t createdRevision = 0;
-    TimePoint learnedAt{}; ///< when this leader first saw the job
+    TimePoint learnedAt{};  ///< when this leader first saw the job
+    TimePoint acceptedAt{}; ///< by this leader's clock, as far as the wall clocks of two nodes agree
     WorkflowState state = WorkflowState::Queued;
     bool isCancelled = false; ///< no more starts; running tasks are stopped
     SizeClass sizeClass = SizeClass::Rest;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -321,7 +321,7 @@
     void beginIncarnation(WorkerIndex index, const WorkerRecord &record);
     void recordReplacement(WorkerIndex index);
     void evacuateDrainingWorker(WorkerIndex index, TimePoint now);
-    bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now) const;
+    bool mustLeaveDrainingWorker(const TaskRef &ref, WorkerIndex index, TimePoint now);
     void updateHealth(WorkerState &worker, bool hasSucceeded, TimePoint now);
     void acknowledgeDurableEnds(WorkerState &worker);
     WorkerTarget target(const WorkerState &worker) const;
@@ -363,6 +363,7 @@
     bool canShareSpareCpu(const JobState &job) const;
     void placeJob(JobState &job, TimePoint now);
     void placeStep(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
+    void sortTasks(const JobState &job, std::uint32_t occurrence, std::uint32_t step);
     void placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now);
     WaitReason holdOf(const JobState &job) const;
     WaitReason holdOf(const TaskRef &ref, TimePoint now) const;
@@ -398,7 +399,9 @@
     // Resources for long-running tasks that have waited too long (room.cpp)
     void reserveWorkerFor(const TaskRef &ref, TimePoint now);
     void evictToMakeRoom(const TaskRef &ref, TimePoint now);
-    bool canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now) const;
+    bool canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now);
+    void findUnpromisedResources(TimePoint now);
+    void promiseResources(const TaskRef &ref, TimePoint now);
     bool canBeEvicted(const TaskRef &ref) const; ///< within the step's maxUnavailable
 
     // Long-running tasks leave evacuated failure domains (departure.cpp)
@@ -553,10 +556,9 @@
     std::unordered_map<JobKey, JobState *> m_activeJobs; ///< not final
     std::vector<JobState *> m_jobOrder;                  ///< the active jobs in placement order, see JobRank
     std::vector<JobState *> m_overdueJobs;               ///< of m_jobOrder, the oldest first
-    bool m_hasJobsInTime
-        = false; ///< as of the last sorting: jobs without long-running tasks that can still end in time
-    bool m_isUsefulWorkWaiting = false; ///< as of the last sorting; see OverdueShare::beginPass()
+    bool m_isUsefulWorkWaiting = false;                  ///< as of the last sorting; see OverdueShare::beginPass()
     OverdueShare m_overdueShare;
+    std::vector<std::uint32_t> m_taskOrder; ///< of a step's tasks, see sortTasks()
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
     std::vector<WorkerIndex> m_usableWorkers;             ///< see listUsableWorkers()
@@ -565,10 +567,12 @@
     TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
     TimePoint m_nextPlacementAt{};
-    TimePoint m_nextEvictionAt{};      ///< earliest next eviction by evictToMakeRoom()
-    bool m_isPlacementDue = false;     ///< something changed that may allow a placement
-    TimePoint m_now{};                 ///< of the current tick or callback
-    TimePoint m_lastFullAuthorityAt{}; ///< last tick with full authority
+    TimePoint m_nextEvictionAt{};        ///< earliest next eviction by evictToMakeRoom()
+    std::vector<Resources> m_unpromised; ///< by WorkerIndex, see findUnpromisedResources()
+    TimePoint m_unpromisedAt{};          ///< when m_unpromised was computed; zero: runs have changed since
+    bool m_isPlacementDue = false;       ///< something changed that may allow a placement
+    TimePoint m_now{};                   ///< of the current tick or callback
+    TimePoint m_lastFullAuthorityAt{};   ///< last tick with full authority
     Authority m_authority = Authority::None;
     TimePoint m_fullAuthorityUntil{}; ///< as of the last tick
     bool m_isDeposed = false;
