--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -400,7 +400,6 @@
     }
     TaskState &task = ref->task();
     task.lastReportNumber = worker.reportCount;
-    task.lastRanAt = m_now;
     task.gauge = entry.gauge;
     task.checkpoint = entry.checkpoint.empty() ? task.checkpoint : entry.checkpoint;
     if (task.phase == TaskPhase::Starting) {
@@ -490,7 +489,6 @@
     if (!entry.checkpoint.empty() && entry.run.attempt >= task.attempt) {
         task.checkpoint = entry.checkpoint;
     }
-    task.lastRanAt = m_now;
     task.attempt = std::max(task.attempt, entry.run.attempt);
     switch (entry.how) {
     case RunEnd::Done:
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -81,31 +81,66 @@
 /** Places overdue jobs, the oldest first, until they hold their share. */
 void WorkflowScheduler::placeOverdueJobs(TimePoint now)
 {
-    std::int64_t left = 0; // CPU that long-running tasks leave
-    std::int64_t held = 0;
-    if (!m_overdueJobs.empty()) {
-        for (const WorkerIndex i : m_usableWorkers) {
-            const WorkerState &worker = *m_workers[i];
-            const double used
-                = m_settings.placement.longRunningUtilisation * static_cast<double>(worker.longRunningCpuMillis);
-            left += worker.record.capacity.cpuMillis - static_cast<std::int64_t>(used);
+    beginOverdueShares(now);
+    m_isPlacingOverdueJobs = true;
+    m_isOverdueRoomReserved = false;
+    for (JobState *job : m_overdueJobs) {
+        if (mayPlace(*job)) {
+            placeJob(*job, now);
         }
-        for (const auto &worker : m_workers) {
-            for (const TaskRef &it : worker->runs) {
-                held += isOverdue(*it.job) ? it.spec().need.cpuMillis : 0;
-            }
+    }
+    m_isPlacingOverdueJobs = false;
+}
+
+/** False: the step has its turn later in the same pass, after the overdue jobs. */
+bool WorkflowScheduler::mayPlaceInThisPass(const JobState &job, const StepSpec &step) const
+{
+    const auto share = m_overdueShares.find(job.accepted.pool);
+    return !m_isPlacingOverdueJobs || (share != m_overdueShares.end() && share->second.isBelowLimit(step));
+}
+
+void WorkflowScheduler::beginOverdueShares(TimePoint now)
+{
+    struct PoolCpu
+    {
+        CpuByUse left; ///< by long-running tasks
+        CpuByUse held; ///< by overdue jobs
+    };
+    std::map<std::string, PoolCpu> pools;
+    for (const auto &worker : m_workers) {
+        if (m_overdueJobs.empty() || !isUsable(*worker, now)) {
+            continue;
         }
+        const std::int64_t capacity = worker->record.capacity.cpuMillis;
+        const double used
+            = m_settings.placement.longRunningUtilisation * static_cast<double>(worker->longRunningCpuMillis);
+        PoolCpu &pool = pools[worker->record.pool];
+        pool.left.reserved += std::max<std::int64_t>(0, capacity - worker->longRunningCpuMillis);
+        pool.left.spare += capacity - static_cast<std::int64_t>(used);
     }
-    const auto limit = static_cast<std::int64_t>(m_settings.overdue.share * static_cast<double>(left));
-    m_overdueShare.beginPass(limit, held, m_isUsefulWorkWaiting);
     for (JobState *job : m_overdueJobs) {
-        if (!m_overdueShare.isBelowLimit()) {
-            return;
-        }
-        if (mayPlace(*job)) {
-            placeJob(*job, now);
+        PoolCpu &pool = pools[job->accepted.pool];
+        for (std::uint32_t k = 0; k < job->occurrences.size() && job->heldTasks > 0; ++k) {
+            for (std::size_t s = 0; s < job->occurrences[k].steps.size(); ++s) {
+                const StepSpec &step = job->accepted.spec.steps[s];
+                const Duration counted
+                    = m_settings.overdue.maxCountedEstimates * std::chrono::milliseconds(step.estimateMs);
+                const auto &tasks = job->occurrences[k].steps[s].tasks;
+                const auto n = std::count_if(tasks.begin(), tasks.end(), [&](const TaskState &it) {
+                    return it.worker != NoWorker && now < it.startedAt + counted;
+                });
+                pool.held.of(step) += n * step.need.cpuMillis;
+            }
         }
     }
+    m_overdueShares.clear();
+    for (const auto &[name, pool] : pools) {
+        const auto shareOf = [this](std::int64_t millis) {
+            return static_cast<std::int64_t>(m_settings.overdue.share * static_cast<double>(millis));
+        };
+        m_overdueShares[name].beginPass(
+            {shareOf(pool.left.reserved), shareOf(pool.left.spare)}, pool.held, m_poolsWithUsefulWork.contains(name));
+    }
 }
 
 void WorkflowScheduler::sortJobs(TimePoint now)
@@ -139,7 +174,7 @@
 void WorkflowScheduler::listOverdueJobs(std::int64_t wallMs)
 {
     std::vector<std::pair<std::int64_t, JobState *>> jobs;
-    m_isUsefulWorkWaiting = false;
+    m_poolsWithUsefulWork.clear();
     for (JobState *job : m_jobOrder) {
         if (job->isCancelled) {
             continue;
@@ -148,8 +183,11 @@
             job->outlook = DeadlineOutlook::TooLate;
             jobs.emplace_back(*since, job);
         }
-        const bool isInTime = job->outlook == DeadlineOutlook::InTime;
-        m_isUsefulWorkWaiting = m_isUsefulWorkWaiting || (isInTime && hasBestEffortTaskWithoutRoom(*job));
+        // A job with long-running steps has no objective, and may wait for good.
+        const bool isUseful = job->outlook == DeadlineOutlook::InTime && !hasLongRunningStep(job->accepted.spec);
+        if (isUseful && hasBestEffortTaskWithoutRoom(*job)) {
+            m_poolsWithUsefulWork.insert(job->accepted.pool);
+        }
     }
     std::stable_sort(jobs.begin(), jobs.end(), [](const auto &a, const auto &b) { return a.first < b.first; });
     m_overdueJobs.clear();
@@ -178,8 +216,11 @@
     if (!m_settings.scarcity.enabled) {
         return jobAge(job) > m_settings.spareCpuShareDelay;
     }
-    if (job.heldTasks == 0 && m_overdueShare.mayExceedIdleCpu(job.outlook)) {
-        return true;
+    if (job.heldTasks == 0 && job.outlook != DeadlineOutlook::InTime) {
+        const auto share = m_overdueShares.find(job.accepted.pool);
+        if (share != m_overdueShares.end() && share->second.mayExceedIdleCpu(job.outlook)) {
+            return true;
+        }
     }
     return &job == m_cpuSharingJob && mayShareSpareCpu(job, m_clock.wallNow().count());
 }
@@ -243,8 +284,13 @@
     const auto n = static_cast<std::uint32_t>(job.occurrences[occurrence].steps[step].tasks.size());
     std::uint32_t placed = 0;
     bool isWithoutRoom = false;
+    bool isCutShort = false; // the other tasks have their turn later in the same pass
     sortTasks(job, occurrence, step);
     for (const std::uint32_t i : m_taskOrder) {
+        if (!mayPlaceInThisPass(job, job.accepted.spec.steps[step])) {
+            isCutShort = true;
+            break;
+        }
         const TaskRef ref{&job, occurrence, step, i};
         TaskState &task = ref.task();
         if (task.phase != TaskPhase::Waiting || holdOf(ref, now) != WaitReason::None) {
@@ -257,7 +303,7 @@
         const bool canShare = canShareSpareCpu(job);
         const bool isHopeless
             = !hasLongRunningStep(job.accepted.spec) && m_unplaced.covers(ref.spec(), job.accepted.pool, canShare);
-        const WorkerIndex worker = isHopeless ? NoWorker : chooseWorker(ref, now);
+        const WorkerIndex worker = isHopeless ? NoWorker : chooseWorker(ref, canShare, now);
         if (worker == NoWorker) {
             isWithoutRoom = true;
             if (!isHopeless) {
@@ -265,6 +311,8 @@
             }
             if (hasExceededPlacementTimeout(job, ref.spec(), task, now)) {
                 reserveWorkerFor(ref, now);
+            } else if (m_isPlacingOverdueJobs && !m_isOverdueRoomReserved && !ref.spec().usesSpareCpu) {
+                m_isOverdueRoomReserved = reserveWorkerFor(ref, now); // else smaller tasks take each freed piece
             }
             break; // the other tasks of the step need the same resources
         }
@@ -272,7 +320,9 @@
         ++placed;
     }
     TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
-    noRoomSince = !isWithoutRoom ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+    if (!isCutShort) {
+        noRoomSince = !isWithoutRoom ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+    }
     if (placed > 0) {
         m_log.write("tasks_started",
                     "job",
@@ -306,6 +356,9 @@
 /** Starts all members or none: reserves resources for each, releases them again, and starts all if all fitted. */
 void WorkflowScheduler::placeGang(JobState &job, std::uint32_t occurrence, std::uint32_t step, TimePoint now)
 {
+    if (!mayPlaceInThisPass(job, job.accepted.spec.steps[step])) {
+        return;
+    }
     auto &tasks = job.occurrences[occurrence].steps[step].tasks;
     std::uint64_t attempt = 0;
     std::string checkpoint;
@@ -331,9 +384,10 @@
         return;
     }
     std::vector<WorkerIndex> chosen;
+    const bool canShare = canShareSpareCpu(job); // the same for all: a gang runs as a whole or not at all
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const TaskRef ref{&job, occurrence, step, i};
-        const WorkerIndex worker = chooseWorker(ref, now);
+        const WorkerIndex worker = chooseWorker(ref, canShare, now);
         if (worker == NoWorker) {
             break;
         }
@@ -455,16 +509,15 @@
     }
 }
 
-WorkerIndex WorkflowScheduler::chooseWorker(const TaskRef &ref, TimePoint now)
+WorkerIndex WorkflowScheduler::chooseWorker(const TaskRef &ref, bool canShareSpareCpu, TimePoint now)
 {
-    const bool canShare = canShareSpareCpu(*ref.job);
     WorkerIndex best = NoWorker;
     double bestScore = 0;
     for (const WorkerIndex i : m_usableWorkers) {
         if (!isSuitable(*m_workers[i], ref, now)) {
             continue;
         }
-        const std::optional<double> score = scorePlacement(i, ref, canShare);
+        const std::optional<double> score = scorePlacement(i, ref, canShareSpareCpu);
         if (score && (best == NoWorker || *score > bestScore)) {
             best = i;
             bestScore = *score;
@@ -550,9 +603,6 @@
     worker.reserved += need;
     worker.longRunningCpuMillis += step.isLongRunning ? need.cpuMillis : 0;
     ++ref.job->heldTasks;
-    if (isOverdue(*ref.job)) {
-        m_overdueShare.addStart(step.need.cpuMillis);
-    }
 }
 
 void WorkflowScheduler::releaseResources(const TaskRef &ref)
@@ -630,6 +680,9 @@
         markDirty(*ref.job);
     }
     ++m_counters.starts;
+    if (isOverdue(*ref.job)) {
+        m_overdueShares[ref.job->accepted.pool].addStart(step);
+    }
     m_recentStarts.push_back({ref.job->accepted.acceptedMs, ref.job->accepted.pool, step.usesSpareCpu});
     const auto onReply
         = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence](const OrderReply &reply) {
--- a/packages/workflow/overdue.cpp
+++ b/packages/workflow/overdue.cpp
@@ -38,21 +38,26 @@
     return since < wallMs ? std::optional(since) : std::nullopt;
 }
 
-void OverdueShare::beginPass(std::int64_t limitMillis, std::int64_t heldMillis, bool isUsefulWorkWaiting)
+std::int64_t &CpuByUse::of(const StepSpec &step)
 {
-    m_limitMillis = limitMillis;
-    m_heldMillis = heldMillis;
+    return step.usesSpareCpu ? spare : reserved;
+}
+
+void OverdueShare::beginPass(const CpuByUse &limit, const CpuByUse &held, bool isUsefulWorkWaiting)
+{
+    m_limit = limit;
+    m_held = held;
     m_isUsefulWorkWaiting = isUsefulWorkWaiting;
 }
 
-void OverdueShare::addStart(std::int64_t cpuMillis)
+void OverdueShare::addStart(const StepSpec &step)
 {
-    m_heldMillis += cpuMillis;
+    m_held.of(step) += step.need.cpuMillis;
 }
 
-bool OverdueShare::isBelowLimit() const
+bool OverdueShare::isBelowLimit(const StepSpec &step) const
 {
-    return m_heldMillis < m_limitMillis;
+    return step.usesSpareCpu ? m_held.spare < m_limit.spare : m_held.reserved < m_limit.reserved;
 }
 
 bool OverdueShare::mayExceedIdleCpu(DeadlineOutlook outlook) const
--- a/packages/workflow/overdue.h
+++ b/packages/workflow/overdue.h
@@ -9,7 +9,7 @@
  * Index of this file
  *   OverdueSettings   the share
  *   overdueSinceMs()  since when a job is overdue
- *   OverdueShare      what overdue jobs may take during one placement pass
+ *   CpuByUse, OverdueShare   what overdue jobs may take during one placement pass
  */
 #pragma once
 
@@ -22,6 +22,9 @@
 struct OverdueSettings
 {
     double share = 0.1; ///< of the CPU that long-running tasks leave
+
+    /** A run that takes longer than that many times its estimate does not count any more, so that it cannot hold the share. */
+    int maxCountedEstimates = 3;
 };
 
 /**
@@ -31,18 +34,28 @@
  */
 std::optional<std::int64_t> overdueSinceMs(const JobState &job, std::int64_t wallMs);
 
+/** CPU, in millis, by how tasks use it. */
+struct CpuByUse
+{
+    std::int64_t reserved = 0;
+    std::int64_t spare = 0; ///< requested by best-effort tasks
+
+    std::int64_t &of(const StepSpec &step);
+};
+
+/** Of one pool. Reserved and spare CPU are told apart, as there may be little of one and much of the other. */
 class OverdueShare
 {
 public:
     /**
-     * Begins a placement pass. @p limitMillis: CPU that overdue jobs may hold before others. @p heldMillis: CPU that their
-     * tasks requested. @p isUsefulWorkWaiting: whether best-effort jobs that can still end in time have found no room.
+     * Begins a placement pass. @p limit: CPU that overdue jobs may hold before others. @p held: CPU that their tasks requested.
+     * @p isUsefulWorkWaiting: whether best-effort jobs that can still end in time have found no room.
      */
-    void beginPass(std::int64_t limitMillis, std::int64_t heldMillis, bool isUsefulWorkWaiting);
+    void beginPass(const CpuByUse &limit, const CpuByUse &held, bool isUsefulWorkWaiting);
 
-    void addStart(std::int64_t cpuMillis); ///< of a task of an overdue job
+    void addStart(const StepSpec &step); ///< of a task of an overdue job
 
-    bool isBelowLimit() const; ///< whether overdue jobs go first
+    bool isBelowLimit(const StepSpec &step) const; ///< whether overdue tasks like those of @p step go first
 
     /**
      * Whether a job of which nothing runs may start a task beyond the idle CPU. The forecast of idle CPU paces best-effort
@@ -51,8 +64,8 @@
     bool mayExceedIdleCpu(DeadlineOutlook outlook) const;
 
 private:
-    std::int64_t m_limitMillis = 0;
-    std::int64_t m_heldMillis = 0;
+    CpuByUse m_limit;
+    CpuByUse m_held;
     bool m_isUsefulWorkWaiting = false;
 };
 
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -275,7 +275,7 @@
 bool WorkflowScheduler::hasWorkerFor(const TaskRef &ref)
 {
     listUsableWorkers(m_now);
-    return chooseWorker(ref, m_now) != NoWorker;
+    return chooseWorker(ref, canShareSpareCpu(*ref.job), m_now) != NoWorker;
 }
 
 /** Logs changes of a worker's throttles to @p percents, with the serving task closest to its target. */
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -100,7 +100,6 @@
     TimePoint answeredAt{};               ///< when it was answered
     TimePoint startedAt{};       ///< when the run was ordered, or when a report first listed it if unknown before
     TimePoint retryAt{};         ///< Waiting: earliest time of the next placement
-    TimePoint lastRanAt{};       ///< when a report last listed a run of it, running or ended; zero: none did
     TimePoint waitingSince{};    ///< Waiting, Starting: end of its last run; zero: not known, see longestWaitSince()
     bool hasBegun = false;       ///< the worker has accepted the start of the current or last run, or listed it
     bool hasStartedUp = false;   ///< a report has listed the run CrashSettings::startupTime after its start
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -1,5 +1,5 @@
 /**
- * WorkflowScheduler: finds resources for long-running tasks that have waited too long. Reserves a worker until enough
+ * WorkflowScheduler: finds resources for long-running tasks that have waited too long, and for the oldest overdue job. Reserves a worker until enough
  * resources are freed there, or evicts a smaller long-running task.
  */
 #include <workflow/scheduler.h>
@@ -14,6 +14,7 @@
 
 constexpr Duration WorkerReservationTime = 500ms; ///< extended by each placement attempt, see PlacementRetryInterval
 constexpr Duration EvictionInterval = 1s;         ///< lets the previous eviction take effect first
+constexpr int ExpectedEstimates = 3;              ///< a run is expected to end within so many times its estimate
 constexpr Duration WarmUpTime = 5s;               ///< a long-running task counts as unavailable until then
 
 /** Resources held by long-running tasks that are not being stopped: they are not freed without an eviction. */
@@ -28,6 +29,22 @@
     return use;
 }
 
+/** The same, and what is held by runs that have taken far longer than declared: nobody knows when these end. */
+Resources lastingResources(const WorkerState &worker, TimePoint now)
+{
+    Resources use = longRunningResources(worker);
+    for (const TaskRef &it : worker.runs) {
+        const Duration expected = ExpectedEstimates * std::chrono::milliseconds(it.spec().estimateMs);
+        if (!it.spec().isLongRunning && it.task().phase != TaskPhase::Stopping
+            && now > it.task().startedAt + expected) {
+            Resources need = it.spec().need;
+            need.cpuMillis = it.spec().usesSpareCpu ? 0 : need.cpuMillis;
+            use += need;
+        }
+    }
+    return use;
+}
+
 /** How much must be freed before @p need fits, relative to the worker's capacity. */
 double resourceShortfall(std::int64_t need, std::int64_t free, std::int64_t capacity)
 {
@@ -38,15 +55,16 @@
 
 /**
  * Reserves a worker for the job of @p ref until its task fits: the one with the least shortfall of those that have
- * enough resources once their short tasks have ended.
+ * enough resources once their short tasks have ended. False: there is none.
  */
-void WorkflowScheduler::reserveWorkerFor(const TaskRef &ref, TimePoint now)
+bool WorkflowScheduler::reserveWorkerFor(const TaskRef &ref, TimePoint now)
 {
     const Resources need = ref.spec().need;
     WorkerState *best = nullptr;
     double leastShortfall = 0;
     for (const auto &it : m_workers) {
-        if (!isEligible(*it, ref, now) || !need.fitsIn(it->record.capacity - longRunningResources(*it))) {
+        const Resources lasting = ref.spec().isLongRunning ? longRunningResources(*it) : lastingResources(*it, now);
+        if (!isEligible(*it, ref, now) || !need.fitsIn(it->record.capacity - lasting)) {
             continue;
         }
         if (it->reservedFor == ref.job && now < it->reservedUntil) {
@@ -63,14 +81,17 @@
         }
     }
     if (best == nullptr) {
-        evictToMakeRoom(ref, now);
-        return;
+        if (ref.spec().isLongRunning) {
+            evictToMakeRoom(ref, now);
+        }
+        return false;
     }
     if (best->reservedFor != ref.job) {
         logTaskEvent("room_kept", ref, "worker", best->record.id, "lack", leastShortfall);
     }
     best->reservedFor = ref.job;
     best->reservedUntil = now + WorkerReservationTime;
+    return true;
 }
 
 /**
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -358,6 +358,8 @@
     void sortJobs(TimePoint now);
     void listOverdueJobs(std::int64_t wallMs);
     void placeOverdueJobs(TimePoint now);
+    void beginOverdueShares(TimePoint now);
+    bool mayPlaceInThisPass(const JobState &job, const StepSpec &step) const;
     bool mayPlace(const JobState &job) const;
     void chooseCpuSharingJob(std::int64_t wallMs);
     bool canShareSpareCpu(const JobState &job) const;
@@ -369,7 +371,7 @@
     WaitReason holdOf(const TaskRef &ref, TimePoint now) const;
     bool arePredecessorsDone(const JobState &job, std::uint32_t occurrence, std::uint32_t step) const;
     void listUsableWorkers(TimePoint now);
-    WorkerIndex chooseWorker(const TaskRef &ref, TimePoint now);
+    WorkerIndex chooseWorker(const TaskRef &ref, bool canShareSpareCpu, TimePoint now);
     std::optional<double> scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
     std::optional<Candidate> describeCandidate(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
     Refusal placementRefusal(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
@@ -397,7 +399,7 @@
     void stopAllTasks(JobState &job, std::string_view why);
 
     // Resources for long-running tasks that have waited too long (room.cpp)
-    void reserveWorkerFor(const TaskRef &ref, TimePoint now);
+    bool reserveWorkerFor(const TaskRef &ref, TimePoint now);
     void evictToMakeRoom(const TaskRef &ref, TimePoint now);
     bool canRunElsewhere(const TaskRef &ref, WorkerIndex from, TimePoint now);
     void findUnpromisedResources(TimePoint now);
@@ -556,8 +558,10 @@
     std::unordered_map<JobKey, JobState *> m_activeJobs; ///< not final
     std::vector<JobState *> m_jobOrder;                  ///< the active jobs in placement order, see JobRank
     std::vector<JobState *> m_overdueJobs;               ///< of m_jobOrder, the oldest first
-    bool m_isUsefulWorkWaiting = false;                  ///< as of the last sorting; see OverdueShare::beginPass()
-    OverdueShare m_overdueShare;
+    std::set<std::string> m_poolsWithUsefulWork;         ///< as of the last sorting, see OverdueShare::beginPass()
+    std::map<std::string, OverdueShare> m_overdueShares; ///< by pool, of the last placement pass
+    bool m_isOverdueRoomReserved = false;   ///< in this pass; for one overdue job only, the oldest that finds no room
+    bool m_isPlacingOverdueJobs = false;    ///< tasks are placed only within m_overdueShares
     std::vector<std::uint32_t> m_taskOrder; ///< of a step's tasks, see sortTasks()
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
--- a/packages/workflow/tests/overduetest.cpp
+++ b/packages/workflow/tests/overduetest.cpp
@@ -115,25 +115,34 @@
     EXPECT_EQ(overdueSinceMs(job, 65'000), 63'900);
 }
 
-// Guards against overdue work that takes more than its share from jobs that can still end in time.
+// Guards against overdue work that takes more than its share from jobs that can still end in time, or that takes the little
+// reserved CPU there is because much spare CPU is left.
 TEST(Overdue, shareEndsWithWhatIsHeldAndStarted)
 {
+    const StepSpec reserving = makeSpec("a", 1, false).steps.front();
+    const StepSpec bestEffort = makeSpec("b", 1, true).steps.front();
     OverdueShare share;
-    share.beginPass(4000, 0, true);
-    EXPECT_TRUE(share.isBelowLimit());
-    share.addStart(4000);
-    EXPECT_FALSE(share.isBelowLimit());
-    share.beginPass(4000, 3999, true);
-    EXPECT_TRUE(share.isBelowLimit());
+    share.beginPass({4000, 8000}, {}, true);
+    EXPECT_TRUE(share.isBelowLimit(reserving));
+    share.addStart(reserving);
+    EXPECT_FALSE(share.isBelowLimit(reserving));
+    EXPECT_TRUE(share.isBelowLimit(bestEffort));
+    share.addStart(bestEffort);
+    EXPECT_TRUE(share.isBelowLimit(bestEffort));
+    share.addStart(bestEffort);
+    EXPECT_FALSE(share.isBelowLimit(bestEffort));
+    share.beginPass({4000, 8000}, {3999, 8000}, true);
+    EXPECT_TRUE(share.isBelowLimit(reserving));
+    EXPECT_FALSE(share.isBelowLimit(bestEffort));
 }
 
 // Guards against slow tasks all over while jobs that can still end in time wait for room.
 TEST(Overdue, idleCpuIsExceededOnlyWhileNoUsefulWorkWaits)
 {
     OverdueShare share;
-    share.beginPass(4000, 0, true);
+    share.beginPass({}, {}, true);
     EXPECT_FALSE(share.mayExceedIdleCpu(DeadlineOutlook::TooLate));
-    share.beginPass(4000, 0, false);
+    share.beginPass({}, {}, false);
     EXPECT_TRUE(share.mayExceedIdleCpu(DeadlineOutlook::TooLate));
     EXPECT_TRUE(share.mayExceedIdleCpu(DeadlineOutlook::Late));
     EXPECT_FALSE(share.mayExceedIdleCpu(DeadlineOutlook::InTime));
@@ -194,4 +203,116 @@
     EXPECT_EQ(rig.fleet.startedJobs.size(), 10U);
 }
 
+// Load: the oldest overdue job is a gang that never fits, and newer jobs take all room. Guards against a partial gang, reserved and
+// released in each pass, that uses up the share for good.
+TEST(Overdue, gangThatNeverFitsLeavesTheShareToOthers)
+{
+    OverloadedRig rig;
+    WorkflowSpec gang = makeSpec("gang", 6, true); // 24 cores of 16
+    gang.steps.front().isGang = true;
+    rig.submit(rig.leader(), gang);
+    rig.run(500ms);
+    rig.submitBeforeOutage("old");
+    rig.overload(0, true, 40s);
+    EXPECT_EQ(rig.state("old"), WorkflowState::Completed);
+}
+
+// Load: a run that began in time and hangs, or lasts far longer than declared. Guards against its holding the share for good.
+TEST(Overdue, lastingRunOfAnotherJobDoesNotHoldTheShare)
+{
+    OverloadedRig rig;
+    rig.fleet.longRunningJobs = {"lasting"};
+    rig.submit(rig.leader(), makeSpec("lasting", 1, false));
+    rig.run(1s);
+    ASSERT_TRUE(rig.fleet.startedJobs.contains("lasting"));
+    rig.overload(1, false, 1s);
+    rig.submit(0, makeSpec("patient", 2, false));
+    rig.overload(1, false, 40s);
+    EXPECT_EQ(rig.state("patient"), WorkflowState::Completed);
+}
+
+// Load: smaller, more urgent tasks take each freed piece of a worker. Guards against an overdue task that needs most of a worker
+// and waits without end.
+TEST(Overdue, largeTaskEndsWhileSmallerOnesTakeEachFreedPiece)
+{
+    OverloadedRig rig;
+    rig.overload(1, false, 1s);
+    WorkflowSpec large = makeSpec("large", 1, false);
+    large.steps.front().need.cpuMillis = 12'000;
+    rig.submit(0, large);
+    rig.overload(1, false, 40s);
+    EXPECT_EQ(rig.state("large"), WorkflowState::Completed);
+}
+
+// Load: as before. Guards against an overdue gang whose room is never free at once.
+TEST(Overdue, gangEndsWhileNewerJobsTakeEachFreedPiece)
+{
+    OverloadedRig rig;
+    rig.overload(1, false, 1s);
+    WorkflowSpec gang = makeSpec("gang", 3, false);
+    gang.steps.front().isGang = true;
+    rig.submit(0, gang);
+    rig.overload(1, false, 40s);
+    EXPECT_EQ(rig.state("gang"), WorkflowState::Completed);
+}
+
+// Load: a job without an objective has a best-effort step that fits nowhere. Guards against its counting as useful work for good, so
+// that no late job may exceed the idle CPU any more.
+TEST(Overdue, jobThatFitsNowhereDoesNotKeepOthersWaiting)
+{
+    OverloadedRig rig;
+    rig.fleet.longRunningJobs = {"0", "1", "2", "3", "mixed"};
+    WorkflowSpec mixed = makeSpec("mixed", 1, true);
+    mixed.steps.front().requiredLabel = "nowhere";
+    StepSpec serving = mixed.steps.front();
+    serving.requiredLabel.clear();
+    serving.usesSpareCpu = false;
+    serving.isLongRunning = true;
+    serving.need.cpuMillis = 100;
+    mixed.steps.push_back(serving);
+    rig.submit(0, mixed);
+    rig.run(1s);
+    for (int i = 0; i < 10; ++i) {
+        rig.submit(0, makeSpec(std::to_string(i), 3, true));
+    }
+    rig.run(30s);
+    EXPECT_EQ(rig.fleet.startedJobs.size(), 11U);
+}
+
+// Load: newer jobs take all room. Guards against a short step of a job with long-running ones, which has no objective and so is
+// never overdue, that waits without end.
+TEST(Overdue, shortStepBesideALongRunningOneEndsWhileNewerJobsTakeAllRoom)
+{
+    OverloadedRig rig;
+    rig.overload(0, true, 1s);
+    WorkflowSpec mixed = makeSpec("mixed", 1, true);
+    StepSpec serving = mixed.steps.front();
+    serving.usesSpareCpu = false;
+    serving.isLongRunning = true;
+    serving.need.cpuMillis = 100;
+    serving.after = {0};
+    mixed.steps.push_back(serving);
+    rig.submit(0, mixed);
+    rig.overload(0, true, 40s);
+    EXPECT_TRUE(rig.fleet.startedJobs.contains("mixed"));
+}
+
+// Load: a best-effort gang that is too late, and no idle CPU. Guards against its first member, reserved for it, that counts as one
+// of its running tasks for the second.
+TEST(Overdue, gangGetsItsTasksOnceNoUsefulWorkWaits)
+{
+    OverloadedRig rig;
+    rig.fleet.longRunningJobs = {"0", "1", "2", "3", "4"};
+    for (int i = 0; i < 5; ++i) {
+        rig.submit(0, makeSpec(std::to_string(i), 1, true));
+    }
+    WorkflowSpec gang = makeSpec("gang", 2, true);
+    gang.steps.front().isGang = true;
+    rig.submit(0, gang);
+    rig.overload(0, true, 6s); // the one job that may exceed the idle CPU is another one
+    rig.run(30s);
+    EXPECT_TRUE(rig.fleet.startedJobs.contains("4"));
+    EXPECT_TRUE(rig.fleet.startedJobs.contains("gang"));
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/roomtest.cpp
+++ b/packages/workflow/tests/roomtest.cpp
@@ -184,4 +184,26 @@
     EXPECT_FALSE(runs(rig, "thief"));
 }
 
+// A new leader knows no end of a former leader's runs: the task of the job accepted first, which has just run, went before one
+// that has waited under both leaders.
+TEST(Room, goesToTheLongestWaitAfterAnElection)
+{
+    Rig rig(2, 2);
+    rig.run(2s);
+    submitLongRunning(rig, "older", 1, 10'000);
+    submitLongRunning(rig, "other", 1, 10'000);
+    submitLongRunning(rig, "waits", 1, 10'000);
+    rig.run(10s);
+    drain(rig, rig.fleet.workers["w0"].running.front().run.task.job == "older" ? "w0" : "w1", 500ms);
+    rig.run(1s);
+    ASSERT_FALSE(runs(rig, "older"));
+    rig.kill(rig.leader());
+    rig.run(30s);
+    ASSERT_GE(rig.leader(), 0);
+    ASSERT_FALSE(runs(rig, "older") || runs(rig, "waits"));
+    rig.addWorker("w2");
+    rig.run(2s);
+    EXPECT_TRUE(runs(rig, "waits"));
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/waiting.cpp
+++ b/packages/workflow/waiting.cpp
@@ -169,8 +169,8 @@
     const JobState &job = *ref.job;
     const TaskState &task = ref.task();
     const TimePoint readySince = job.occurrences[ref.occurrence].steps[ref.step].readySince;
-    const Duration waited = now - std::max({job.learnedAt, readySince, task.lastRanAt});
-    const bool hasRun = task.lastRanAt != TimePoint{} || !task.failedAttempts.empty() || !task.checkpoint.empty()
+    const Duration waited = now - std::max({job.learnedAt, readySince, task.waitingSince});
+    const bool hasRun = task.waitingSince != TimePoint{} || !task.failedAttempts.empty() || !task.checkpoint.empty()
                         || (ref.spec().isLongRunning && job.state != WorkflowState::Queued);
     const bool isFromBeginning = ref.spec().after.empty() && job.accepted.spec.repeatCount == 0 && !job.isGuest;
     return isFromBeginning && !hasRun ? std::max(waited, jobAge(job)) : waited;
