--- a/review/standin/common.h
+++ b/review/standin/common.h
@@ -62,9 +62,9 @@
 
 struct Message
 {
-    std::string method; ///< requests
-    std::string target; ///< requests
-    int status = 0;     ///< responses
+    std::string method;                         ///< requests
+    std::string target;                         ///< requests
+    int status = 0;                             ///< responses
     std::map<std::string, std::string> headers; ///< names in lower case
     std::string body;
 };
--- a/review/standin/deployment.h
+++ b/review/standin/deployment.h
@@ -439,8 +439,7 @@
     /** Sends one request to a node and records it. */
     Message call(std::size_t node, const std::string &method, const std::string &path, const std::string &body = {})
     {
-        const Message it
-            = request(nodeAddress(node), method, path, body, 3000, "X-Quetzalrock-Deadline-Ms: 3000\r\n");
+        const Message it = request(nodeAddress(node), method, path, body, 3000, "X-Quetzalrock-Deadline-Ms: 3000\r\n");
         note("client " + method + " " + path + " at " + nodeName(node) + " -> " + std::to_string(it.status) + " "
              + it.body.substr(0, 200));
         return it;
--- a/review/standin/minion.cpp
+++ b/review/standin/minion.cpp
@@ -158,11 +158,8 @@
             const json put{{"key", "servers/" + m_settings.id}, {"value", entry.dump()}};
             request(m_settings.store, "POST", "/admin/put", put.dump(), 1000);
             if (drainingSince != 0 && left == 0) {
-                request(m_settings.store,
-                        "POST",
-                        "/admin/remove",
-                        json{{"key", "servers/" + m_settings.id}}.dump(),
-                        1000);
+                request(
+                    m_settings.store, "POST", "/admin/remove", json{{"key", "servers/" + m_settings.id}}.dump(), 1000);
                 write("gone");
                 std::_Exit(0);
             }
@@ -208,8 +205,7 @@
         m_ends.push_back({++m_lastEnd, run.task, run.attempt, how, saves ? checkpointText(run.saved) : ""});
         std::uint64_t &highest = m_highestEnded[run.task];
         highest = std::max(highest, run.attempt);
-        write("end " + run.task + " " + std::to_string(run.attempt) + " " + how + " "
-              + std::to_string(m_lastEnd));
+        write("end " + run.task + " " + std::to_string(run.attempt) + " " + how + " " + std::to_string(m_lastEnd));
     }
 
     /** Ends the runs that are due. */
@@ -350,8 +346,7 @@
             const End &it = m_ends[i];
             finished.push_back({it.number, it.task, it.attempt, it.how, it.saved});
         }
-        return {200,
-                {{"clockMs", clock()}, {"born", m_born}, {"running", running}, {"finished", finished}}};
+        return {200, {{"clockMs", clock()}, {"born", m_born}, {"running", running}, {"finished", finished}}};
     }
 
     Settings m_settings;
--- a/review/standin/orderproxy.h
+++ b/review/standin/orderproxy.h
@@ -31,6 +31,7 @@
         m_target = target;
         m_fence = fence;
         m_isArmed = true;
+        m_delayed.reset();
     }
 
     void disarm()
@@ -73,7 +74,8 @@
     bool isDelayed(const Message &it)
     {
         const std::lock_guard lock(m_mutex);
-        if (!m_isArmed || it.target != m_target || parseBody(it.body).value("fenceToken", std::uint64_t{0}) <= m_fence) {
+        if (!m_isArmed || it.target != m_target
+            || parseBody(it.body).value("fenceToken", std::uint64_t{0}) <= m_fence) {
             return false;
         }
         m_isArmed = false;
--- a/review/standin/platform.cpp
+++ b/review/standin/platform.cpp
@@ -112,11 +112,8 @@
 private:
     json itemBody(const std::string &key, const Item &it) const
     {
-        return {{"key", key},
-                {"value", it.value},
-                {"revision", it.revision},
-                {"created", it.created},
-                {"lease", it.lease}};
+        return {
+            {"key", key}, {"value", it.value}, {"revision", it.revision}, {"created", it.created}, {"lease", it.lease}};
     }
 
     void record(const std::string &key, std::uint64_t revision, json body)
