Takeover: a former leader may hear how a run ends that its successor has read

Cause: a new leader took the end of a run that it had read for unknown to former leaders, since the worker rejects their orders from then on. A renewal that a former leader had sent before and that waits at the worker is answered all the same, with the end. The former leader, in its grace period, then started the next step, or the failed task again, on the worker that its successor had not read. The successor started it as well: tasks with a run that it had read, and steps after a completion that it had read, were exempt from the wait for unread workers.

Change: a run counts as unheard only once the worker's own clock shows that every renewal accepted before our token has been answered (the longest wait, renewInterval, after its first report), or if no former leader is left. Only unheard runs exempt a task, or the step after it, from the wait. A worker's next incarnation forgets tokens, so its count begins anew.

Ruled out: that a leader in its grace period drops such answers. It cannot tell that a token came in between, and a lease taken away from a live leader leaves it with full authority for up to 1.5 s.

Evidence: Takeover.endHeardByAFormerLeaderStartsNoStepTwice and .failureHeardByAFormerLeaderStartsNoTaskTwice fail on the sources before ("runs twice at the same time: a.1.4/1", "a.0.0/2") and pass now; workflowtest: all but the two entries of KNOWN-RED.txt pass. spec/workflow.pml assumed the same (invariant next): renewals that wait are modelled now, and IGNORE_WAITING, which is the old rule, breaks finished and running. With the rule the model holds (248,177 states; with RESTARTS 2,287,297).

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -17,6 +17,7 @@
 constexpr Duration StorePendingDelay = 150ms;  ///< between renewals while ends wait to be stored: workers reply at once
 constexpr Duration EvacuationInterval = 100ms; ///< between two checks of a draining worker's runs
 constexpr std::int64_t ClockMarginMs = 50;     ///< added to a start's validity before the start counts as void
+constexpr std::int64_t WaitMarginMs = 100;     ///< by which a worker may answer a waiting renewal late
 
 } // namespace
 
@@ -100,6 +101,8 @@
     worker.isNewIncarnation = true;
     worker.hasCrashed = worker.record.condition != WorkerCondition::Draining;
     worker.clock.reset();
+    worker.formerCallsEndMs = 0;
+    worker.haveFormerCallsEnded = false;
     // By what clock the new incarnation measures leases is not known. It cuts each order that may still reach it.
     const auto longestLease = static_cast<double>((m_settings.orderValidity + m_settings.maxWorkerLease).count());
     const Duration localTime(static_cast<Duration::rep>(longestLease / MinWorkerClockRate));
@@ -312,8 +315,9 @@
     worker.reportGap = m_now - std::exchange(worker.lastReportAt, m_now);
     worker.unknownRuns.clear();
     worker.adoptedRuns = 0;
+    noteFormerCalls(worker, report.clockMs);
     for (const RunningEntry &it : report.running) {
-        processRunningEntry(index, it);
+        processRunningEntry(index, it, sentAt);
     }
     if (worker.adoptedRuns > 0) {
         m_log.write("runs_adopted",
@@ -362,7 +366,26 @@
     return TaskRef{job, name.occurrence, name.step, name.index};
 }
 
-void WorkflowScheduler::processRunningEntry(WorkerIndex index, const RunningEntry &entry)
+/**
+ * A renewal that a former leader sent before the worker accepted our token may wait there, and is answered when a run ends,
+ * whoever started that run. All nodes use the same renewInterval as the longest wait.
+ */
+void WorkflowScheduler::noteFormerCalls(WorkerState &worker, std::int64_t clockMs) const
+{
+    if (worker.formerCallsEndMs == 0) {
+        worker.formerCallsEndMs = clockMs + toMilliseconds(m_settings.renewInterval) + WaitMarginMs;
+    }
+    worker.haveFormerCallsEnded = worker.haveFormerCallsEnded || clockMs >= worker.formerCallsEndMs;
+}
+
+/** Whether the worker may tell a former leader of the end of a run that it runs, or starts, at @p since or later. */
+bool WorkflowScheduler::canFormerLeaderHear(const WorkerState &worker, TimePoint since) const
+{
+    const bool areFormerLeadersGone = m_formerLeaders.empty() && since >= m_formerLeadersGoneAt;
+    return !areFormerLeadersGone && !worker.haveFormerCallsEnded;
+}
+
+void WorkflowScheduler::processRunningEntry(WorkerIndex index, const RunningEntry &entry, TimePoint sentAt)
 {
     WorkerState &worker = *m_workers[index];
     const auto ref = findTask(entry.run.task);
@@ -371,7 +394,7 @@
         // Started by a former leader, or by us and the reply was lost.
         TaskState &task = ref->task();
         task.attempt = entry.run.attempt;
-        task.isAccountedFor = true;
+        task.isRunUnheard = false;
         task.startedAt = m_now;
         task.hasStartedUp = false;
         reserveResources(*ref, index);
@@ -400,6 +423,8 @@
     }
     TaskState &task = ref->task();
     task.lastReportNumber = worker.reportCount;
+    task.isRunUnheard = task.isRunUnheard || !canFormerLeaderHear(worker, sentAt);
+    task.isAccountedFor = task.isAccountedFor || task.isRunUnheard;
     task.gauge = entry.gauge;
     task.checkpoint = entry.checkpoint.empty() ? task.checkpoint : entry.checkpoint;
     if (task.phase == TaskPhase::Starting) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -652,7 +652,8 @@
     TaskState &task = ref.task();
     const StepSpec &step = ref.spec();
     task.attempt = attempt;
-    task.isAccountedFor = true;
+    task.isRunUnheard = !canFormerLeaderHear(worker, now);
+    task.isAccountedFor = task.isAccountedFor || task.isRunUnheard;
     task.isAcknowledged = false;
     task.hasBegun = false;
     task.isStopAcknowledged = false;
@@ -794,11 +795,10 @@
     OccurrenceState &occurrence = ref.job->occurrences[ref.occurrence];
     StepState &step = occurrence.steps[ref.step];
     auto &tasks = step.tasks;
-    // A former leader has not learned of the end of a run that this leader accounts for, so it cannot have started what
-    // depends on the step. In a gang the end of any member that is not accounted for would tell it.
-    const auto isAccountedFor = [](const TaskState &it) { return it.isAccountedFor; };
-    const bool isOurs
-        = ref.spec().isGang ? std::all_of(tasks.begin(), tasks.end(), isAccountedFor) : isAccountedFor(ref.task());
+    // A former leader has not learned of the end of an unheard run, so it cannot have started what depends on the step. In
+    // a gang the end of any member that is not unheard would tell it.
+    const auto isUnheard = [](const TaskState &it) { return it.isRunUnheard; };
+    const bool isOurs = ref.spec().isGang ? std::all_of(tasks.begin(), tasks.end(), isUnheard) : isUnheard(ref.task());
     step.isCompletionOurs = step.isCompletionOurs || (isCurrentRun && isOurs);
     // The end of one gang member completes all. The others keep their resources until their own ends are reported.
     for (std::uint32_t i = 0; i < tasks.size(); ++i) {
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -135,7 +135,10 @@
     // Contact
     WorkerClock clock;
     bool isRenewing = false;
-    TimePoint nextRenewAt{}; ///< earliest time of the next renewal
+    /** On its clock: it has then answered the renewals that waited when it accepted our token; 0: it has not reported. */
+    std::int64_t formerCallsEndMs = 0;
+    bool haveFormerCallsEnded = false; ///< a report shows that formerCallsEndMs has passed
+    TimePoint nextRenewAt{};           ///< earliest time of the next renewal
     TimePoint lastReplyAt{};
     TimePoint leaseEndsBy{}; ///< by then its lease has expired and all its runs have ended, unless it is renewed
     std::uint32_t unansweredRenewals = 0; ///< consecutive renewals without a reply
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -88,8 +88,9 @@
 struct TaskState
 {
     TaskPhase phase = TaskPhase::Waiting;
-    bool isAccountedFor = false; ///< this leader has read a run of it or started one, so no former leader can start it
-    bool isAcknowledged = false; ///< Starting: the worker has accepted the order
+    bool isRunUnheard = false;       ///< no former leader can learn how the current run ends, see canFormerLeaderHear()
+    bool isAccountedFor = false;     ///< some run of it was unheard, so no former leader can start it
+    bool isAcknowledged = false;     ///< Starting: the worker has accepted the order
     bool isStopAcknowledged = false; ///< Stopping: the worker has accepted the order; if the run is not listed after
                                      ///< that, it never started
     WorkerIndex worker = NoWorker;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -18,8 +18,8 @@
  *     their runs.
  *   - A task that a former leader may have started is not placed until every worker that this leader used has reported,
  *     or can no longer run its tasks: its lease has expired, or another worker replies at its address. That a former
- *     leader cannot start it any more is certain once the new leader has read its run: the worker then rejects the former
- *     leader's orders, so that leader never learns how the run ends.
+ *     leader cannot start it any more is certain once a run of it is known that ends unheard: the worker rejects the
+ *     former leader's orders, and has answered each renewal of it that waited when the new token came.
  *   - An unreachable worker keeps its tasks until its lease has expired, allowing for a slow worker clock.
  *   - The task of an unanswered start is not placed again until the worker has confirmed a stop, which bars the
  *     attempt, or the validity of the start has passed on the worker's clock.
@@ -312,7 +312,9 @@
     void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt);
     void onRenewFailed(WorkerIndex index, OrderStatus status, TimePoint now);
     void processReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
-    void processRunningEntry(WorkerIndex index, const RunningEntry &entry);
+    void noteFormerCalls(WorkerState &worker, std::int64_t clockMs) const;
+    bool canFormerLeaderHear(const WorkerState &worker, TimePoint since) const;
+    void processRunningEntry(WorkerIndex index, const RunningEntry &entry, TimePoint sentAt);
     void processEndedEntry(WorkerIndex index, const EndedEntry &entry);
     void recordFailure(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry);
     void applyRunEnd(WorkerIndex index, const TaskRef &ref, const EndedEntry &entry);
--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -245,6 +245,13 @@
             }
             worker.ended.pop_front();
         }
+        return report(worker);
+    }
+
+    /** The answer to a renewal that the worker has accepted. */
+    RenewReply report(const FakeWorker &worker) const
+    {
+        RenewReply reply;
         reply.order = {OrderStatus::Accepted, clockMs(worker)};
         reply.report.clockMs = clockMs(worker);
         reply.report.startedAtMs = worker.startedAtMs;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -289,11 +289,14 @@
 public:
     FakePort(FakeFleet &fleet, ManualClock &clock)
         : m_fleet(fleet)
+        , m_clock(clock)
         , m_replies(clock)
         , m_inTransit(clock)
     {
     }
 
+    /** Workers answer a renewal that may wait when a run has ended, or after its wait; otherwise at once. */
+    bool renewalsWait = false;
     bool isDisconnected = false;                  ///< this node reaches no worker
     std::set<WorkerId> unreachableWorkers;        ///< workers that this node does not reach
     int lostStartReplies = 0;                     ///< number of starts that get no reply
@@ -345,6 +348,15 @@
             });
             return;
         }
+        if (renewalsWait && order.wait > Duration::zero() && lostOrderReplies == 0 && isReached(worker.id)) {
+            const RenewReply reply = m_fleet.renew(worker, order);
+            if (reply.order.status == OrderStatus::Accepted && reply.report.ended.empty()) {
+                m_waiting.push_back({worker.id, m_clock.now() + order.wait, std::move(done)});
+            } else {
+                m_replies.schedule(StepTime, [done, reply] { done(reply); });
+            }
+            return;
+        }
         sendOrder(
             worker,
             [this, worker, order] { return m_fleet.renew(worker, order); },
@@ -355,6 +367,18 @@
     void deliver()
     {
         m_replies.deliver();
+        std::vector<WaitingRenewal> waiting;
+        waiting.swap(m_waiting);
+        for (WaitingRenewal &it : waiting) {
+            const FakeWorker &worker = m_fleet.workers.at(it.worker);
+            if (isReached(it.worker) && (!worker.ended.empty() || m_clock.now() >= it.until)) {
+                it.done(m_fleet.report(worker)); // whatever tokens it has accepted meanwhile
+            } else if (m_clock.now() >= it.until + CallTimeout) {
+                it.done({});
+            } else {
+                m_waiting.push_back(std::move(it));
+            }
+        }
     }
 
     /** Executes delayed orders, also those of a process that has died or is frozen since. */
@@ -366,18 +390,29 @@
     void dropPendingReplies()
     {
         m_replies.clear();
+        m_waiting.clear();
     }
 
     std::vector<int> throttles;
 
 private:
+    struct WaitingRenewal
+    {
+        WorkerId worker;
+        TimePoint until;
+        std::function<void(const RenewReply &)> done;
+    };
+
+    bool isReached(const WorkerId &worker) const
+    {
+        return !isDisconnected && !unreachableWorkers.contains(worker) && m_fleet.workers.at(worker).isReachable;
+    }
+
     template<typename Act, typename Done>
     void send(const WorkerTarget &worker, Act act, Done done, Duration late = {})
     {
         using Reply = decltype(act());
-        const bool isReached
-            = !isDisconnected && !unreachableWorkers.contains(worker.id) && m_fleet.workers.at(worker.id).isReachable;
-        if (!isReached) {
+        if (!isReached(worker.id)) {
             m_replies.schedule(CallTimeout, [done] { done(Reply{}); });
             return;
         }
@@ -408,8 +443,10 @@
     }
 
     FakeFleet &m_fleet;
+    ManualClock &m_clock;
     DelayedCalls m_replies;
     DelayedCalls m_inTransit; ///< orders that are executed later
+    std::vector<WaitingRenewal> m_waiting;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -137,6 +137,70 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+/**
+ * The leader loses the store while its renewals wait at the workers, and its successor reads all of them but @p unread. As
+ * soon as the successor has read @p ending, @p end is called.
+ */
+void endRunsDuringTakeover(Rig &rig, const WorkerId &ending, const WorkerId &unread, const std::function<void()> &end)
+{
+    const int former = rig.leader();
+    rig.nodes[static_cast<std::size_t>(former)]->store.isSilent = true;
+    rig.nodes[static_cast<std::size_t>(1 - former)]->port.unreachableWorkers = {unread};
+    const std::uint64_t fence = rig.fleet.workers[ending].fence;
+    for (int i = 0; i < 500 && rig.fleet.workers[ending].fence == fence; ++i) {
+        rig.run(StepTime);
+    }
+    ASSERT_NE(rig.fleet.workers[ending].fence, fence);
+    rig.run(2 * StepTime); // the successor gets the report that lists the run
+    end();
+    rig.run(20s);
+    EXPECT_EQ(rig.leader(), 1 - former);
+}
+
+// Guards against TWICE: a former leader whose renewal waited at a worker that its successor had read was answered with the end
+// of a step. Both started the next step, the former leader on a worker that its successor had not read.
+TEST(Takeover, endHeardByAFormerLeaderStartsNoStepTwice)
+{
+    Rig rig(2, 3);
+    rig.fleet.workTime = 60s;
+    for (const auto &it : rig.nodes) {
+        it->port.renewalsWait = true;
+    }
+    rig.run(1s);
+    WorkflowSpec spec = Rig::makeJob("a", 1, 2);
+    spec.steps[1].taskCount = 6;
+    spec.steps[1].need.cpuMillis = 5000;
+    rig.submit(rig.leader(), spec);
+    rig.run(500ms);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    FakeWorker &worker = rig.fleet.workers[used];
+    ASSERT_EQ(worker.running.size(), 1U);
+    endRunsDuringTakeover(
+        rig, used, *unused.begin(), [&] { rig.fleet.end(worker, worker.running.front().run, RunEnd::Done); });
+    EXPECT_EQ(rig.fleet.runningTasks(), 6U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against TWICE: as above, but the former leader was told that a run had failed, and both started the task again.
+TEST(Takeover, failureHeardByAFormerLeaderStartsNoTaskTwice)
+{
+    Rig rig(2, 3);
+    for (const auto &it : rig.nodes) {
+        it->port.renewalsWait = true;
+    }
+    rig.run(1s);
+    submitLongRunning(rig, "a", 1, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    FakeWorker &worker = rig.fleet.workers[used];
+    ASSERT_EQ(worker.running.size(), 1U);
+    rig.fleet.workers[*unused.rbegin()].isReachable = false; // the successor can only start it where it failed
+    rig.run(3s);
+    endRunsDuringTakeover(
+        rig, used, *unused.begin(), [&] { rig.fleet.end(worker, worker.running.front().run, RunEnd::Failed); });
+    EXPECT_EQ(runningTasksOf(rig, "a"), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
 // Guards against LOST: a worker that had left for good stayed in the list of workers that a successor has to read, so
 // that the successor outwaited it before it started any task of a known job.
 TEST(Takeover, workerThatHasLeftIsNotWaitedFor)
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -365,6 +365,7 @@
         if (task.recordRevision == transfer.recordRevisions[i]) { // otherwise it has come back meanwhile
             task.hasRecord = false;
             task.isAccountedFor = false;
+            task.isRunUnheard = false;
         }
     }
 }
--- a/spec/workflow.pml
+++ b/spec/workflow.pml
@@ -19,7 +19,8 @@
  *              KNOWS_ALWAYS a new leader accounts for a task whose run it has not read
  *              GRACE_RESTARTS a leader in its grace period concludes from a worker's restart that the run is gone (RESTARTS)
  *              FORGET_EARLY a worker is told to forget an end before the end is stored
- * Reachability SEEN_TAKEOVER_END, SEEN_OUTWAIT, SEEN_UNWAITED and SEEN_THIRD assert that a state is never reached; the
+ *              IGNORE_WAITING a new leader accounts for a run while a former leader's renewal may still wait at the worker
+ * Reachability SEEN_TAKEOVER_END, SEEN_OUTWAIT, SEEN_UNWAITED, SEEN_HEARD and SEEN_THIRD assert that a state is never reached; the
  *              assertion must fail.
  *
  * The model has no clock, only the conclusions that leaders draw from time. The lease of a worker that a leader cannot
@@ -39,9 +40,10 @@
     byte epoch;             /* 0: does not lead */
     bool hasFullAuthority;  /* certain that no other node leads; false during the grace period */
     byte taskWorker;        /* the worker that runs the task according to this leader, NO_WORKER or UNKNOWN_WORKER */
-    bool isAccountedFor;    /* this leader has read the run of the task or started it */
+    bool isUnheard;         /* it has read or started the current run after former leaders' renewals had ended there */
+    bool isAccountedFor;    /* some run of the task was unheard */
     bool knowsEnd;          /* a worker has listed the end of the task to this leader, or it was stored before its election */
-    bool hasUnwaitedEnd;    /* it learned the end while it accounted for the task and some worker was not resolved */
+    bool hasUnwaitedEnd;    /* it learned the end of an unheard run while some worker was not resolved */
     bool hasRead[WORKERS];  /* the worker has accepted this leader's epoch and then listed its runs and ends */
     bool resolved[WORKERS]; /* read, or known to run nothing for a former leader */
     bool unseenRestart[WORKERS] /* the worker has restarted since this leader has read it */
@@ -51,6 +53,7 @@
 byte highestEpoch[WORKERS];          /* that the worker has accepted; it rejects orders with a lower one */
 bool isRunning[WORKERS];             /* the worker runs the task */
 bool listsEnd[WORKERS];              /* the task has ended there, and the worker has not been told to forget it */
+bool isWaiting[WORKERS];             /* a renewal of the first leader, accepted before its successor's epoch, waits there */
 byte renewedBy[WORKERS];             /* the leader that last renewed the worker's lease, plus 1 */
 bool isReachable[LEADERS * WORKERS]; /* by leader and worker */
 bool hasRestarted;                   /* a worker has restarted; at most one does */
@@ -79,6 +82,13 @@
 #define MAY_PLACE(l) (ALL_RESOLVED(l) || leader[l].isAccountedFor)
 #endif
 
+/* True if no former leader's renewal waits at worker w, so that leader l alone learns how its run ends. */
+#ifdef IGNORE_WAITING
+#define ENDS_UNHEARD(l, w) true
+#else
+#define ENDS_UNHEARD(l, w) (l == 0 || !isWaiting[w])
+#endif
+
 /* True if leader l may conclude that a run is gone without the word of the worker's same incarnation. */
 #ifdef NO_FIRM
 #define MAY_EXPIRE_LEASE(l) true
@@ -134,12 +144,13 @@
 inline readLists(me, w) {
     if
     :: isRunning[w] ->
+        leader[me].isUnheard = (leader[me].taskWorker == w && leader[me].isUnheard) || ENDS_UNHEARD(me, w);
         leader[me].taskWorker = w;
-        leader[me].isAccountedFor = true
+        leader[me].isAccountedFor = leader[me].isAccountedFor || leader[me].isUnheard
     :: listsEnd[w] ->
         leader[me].knowsEnd = true;
         leader[me].hasUnwaitedEnd = leader[me].hasUnwaitedEnd ||
-            (leader[me].taskWorker == w && leader[me].isAccountedFor && !ALL_RESOLVED(me));
+            (leader[me].taskWorker == w && leader[me].isUnheard && !ALL_RESOLVED(me));
         leader[me].taskWorker = w
     :: !isRunning[w] && !listsEnd[w] && leader[me].taskWorker == w && !leader[me].unseenRestart[w] ->
         leader[me].taskWorker = NO_WORKER /* it was stopped */
@@ -153,12 +164,27 @@
 inline renew(me, w) {
     highestEpoch[w] = leader[me].epoch;
     renewedBy[w] = me + 1;
+    isWaiting[w] = isWaiting[w] || (me == 0 && !listsEnd[w]);
     noticeRestart(me, w);
     readLists(me, w);
     leader[me].hasRead[w] = true;
     leader[me].resolved[w] = true
 }
 
+/* Answers a waiting renewal of the first leader, whatever epoch the worker knows by now: its wait is over, or a run ends. */
+#define ANSWER(w) :: atomic { isWaiting[w] -> answerWaiting(w); checkInvariants() }
+inline answerWaiting(w) {
+    if
+    :: isWaiting[w] && leader[0].epoch > 0 && isReachable[w] ->
+#ifdef SEEN_HEARD
+        assert(!(listsEnd[w] && highestEpoch[w] > 1));
+#endif
+        readLists(0, w)
+    :: else
+    fi;
+    isWaiting[w] = false
+}
+
 /* A rejection proves that a successor exists. */
 #define BE_FENCED(w) :: atomic { REACHES(me, w) && !ACCEPTS_EPOCH(me, w) -> leader[me].epoch = 0 }
 
@@ -186,7 +212,7 @@
 /* Stops the run; the next renewal shows that it has ended. */
 #define STOP(w) \
     :: atomic { REACHES(me, w) && ACCEPTS_EPOCH(me, w) && leader[me].taskWorker == w && isRunning[w] -> \
-        highestEpoch[w] = leader[me].epoch; isRunning[w] = false }
+        highestEpoch[w] = leader[me].epoch; isRunning[w] = false; answerWaiting(w) }
 
 /* Starts the task. */
 #define START(w) \
@@ -205,7 +231,8 @@
         isRunning[w] = true;
         highestEpoch[w] = leader[me].epoch;
         renewedBy[w] = me + 1;
-        leader[me].isAccountedFor = true;
+        leader[me].isUnheard = ENDS_UNHEARD(me, w);
+        leader[me].isAccountedFor = leader[me].isAccountedFor || leader[me].isUnheard;
         leader[me].taskWorker = w
     :: else -> leader[me].epoch = 0
     fi
@@ -269,6 +296,7 @@
     leader[me].taskWorker = UNKNOWN_WORKER;
     leader[me].knowsEnd = stored;
 #ifdef KNOWS_ALWAYS
+    leader[me].isUnheard = true;
     leader[me].isAccountedFor = true;
     leader[me].taskWorker = NO_WORKER;
 #endif
@@ -287,11 +315,14 @@
     listsEnd[w] = false;
     highestEpoch[w] = 0;
     renewedBy[w] = 0;
+    isWaiting[w] = false;
     for (n : 0 .. LEADERS - 1) { leader[n].unseenRestart[w] = leader[n].epoch > 0 };
     n = 0
 }
 
-#define END_RUN(w) :: atomic { isRunning[w] && !listsEnd[w] -> isRunning[w] = false; listsEnd[w] = true }
+#define END_RUN(w) \
+    :: atomic { isRunning[w] && !listsEnd[w] -> \
+        isRunning[w] = false; listsEnd[w] = true; answerWaiting(w); checkInvariants() }
 #if LEADERS > 2 /* links only fail, which keeps the state space small */
 #define TOGGLE(l, w) :: isReachable[(l) * WORKERS + w] -> isReachable[(l) * WORKERS + w] = false
 #define TOGGLE_THIRD(w) TOGGLE(2, w)
@@ -299,7 +330,7 @@
 #define TOGGLE(l, w) :: isReachable[(l) * WORKERS + w] = !isReachable[(l) * WORKERS + w]
 #define TOGGLE_THIRD(w)
 #endif
-#define WORKER_STEPS(w) END_RUN(w) TOGGLE(0, w) TOGGLE(1, w) TOGGLE_THIRD(w) RESTART(w)
+#define WORKER_STEPS(w) END_RUN(w) ANSWER(w) TOGGLE(0, w) TOGGLE(1, w) TOGGLE_THIRD(w) RESTART(w)
 
 proctype Environment() {
 end:
