Takeover: the wait for a silent worker does not begin anew with each leader

What callers saw: long-running tasks of a lost worker ran nowhere for as long as leaders followed each other, each of which led for less than 5 s.

Cause: a new leader waits 5.1 s from its own election for a worker that it cannot read, as its predecessors may have extended the worker's lease. It concludes nothing if it leads for less, and hands nothing over: the next one begins anew.

Change: a leader lists a worker that does not reply under ctl/board/withheld/N, and does nothing that extends its lease or starts a task there until the worker replies and is off the list. Later leaders read the list before their first order and are bound by it. All nodes watch it, and a leader counts from when its own node learned of the entry. Nothing is listed while a former leader may still send orders.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -163,8 +163,9 @@
     // After an unanswered call a new incarnation may reply. It numbers its ends from 1 again and must not drop any that
     // have not been processed here.
     order.acknowledgedSequence = worker.unansweredRenewals == 0 ? worker.durableSequence : 0;
-    const bool canExtendLease
-        = worker.hasReported && worker.clock.isKnown() && worker.unansweredRenewals < MaxUnansweredBeforeReadOnly;
+    const bool canExtendLease = worker.hasReported && worker.clock.isKnown()
+                                && worker.unansweredRenewals < MaxUnansweredBeforeReadOnly
+                                && worker.withheldNumber == 0;
     if (canExtendLease) {
         order.leaseUntilMs = worker.clock.workerTimeAfter(m_settings.grantedLease(), now);
         worker.leaseEndsBy
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -431,7 +431,7 @@
     if (worker.unansweredRenewals > 0 || now >= worker.lastReplyAt + m_settings.contactTimeout) {
         return Refusal::Silent;
     }
-    if (!worker.isConfirmed) {
+    if (!worker.isConfirmed || worker.withheldNumber != 0) {
         return Refusal::Unconfirmed;
     }
     if (!worker.unknownRuns.empty()) {
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -326,6 +326,7 @@
         m_settings.scheduler, m_store, m_workers, m_clock, m_log, local.shard, term);
     local.scheduler->setObserver(m_observer);
     local.scheduler->setEvacuations(m_evacuations);
+    local.scheduler->setWithheldLeases(m_withheldLeases[local.shard]);
     local.scheduler->setCatalog(m_catalog);
     for (const auto &[id, worker] : m_registeredWorkers) {
         forwardWorker(worker);
@@ -377,6 +378,8 @@
         } else if (m_settings.peers.isEnabled) {
             m_peers.onItem(item);
         }
+    } else if (item.key.starts_with(WithheldPrefix)) {
+        onWithheldLeasesItem(item);
     } else if (item.key.starts_with(LeaderPrefix)) {
         const auto shard = shardOfKey(item.key, LeaderPrefix);
         if (shard && *shard < m_localShards.size()) {
@@ -385,6 +388,21 @@
     }
 }
 
+void Node::onWithheldLeasesItem(const StoreItem &item)
+{
+    const auto shard = shardOfKey(item.key, WithheldPrefix);
+    if (!shard) {
+        return;
+    }
+    try {
+        m_withheldLeases[*shard].update(
+            item.isDeleted ? std::vector<WithheldLease>{} : decodeWithheldLeases(item.value), m_clock.now());
+    } catch (const Error &error) {
+        m_log.write("withheld_leases_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
+        m_withheldLeases[*shard].update({}, m_clock.now());
+    }
+}
+
 /** As leader of the first shard: assigns new racks to shards and keeps the shards' weights up to date. */
 void Node::updateShardMap(TimePoint now)
 {
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -112,6 +112,7 @@
     void runGuarded(std::string_view name, Part part);
     void onOperatorItem(const StoreItem &item);
     void onEvacuationItem(const StoreItem &item);
+    void onWithheldLeasesItem(const StoreItem &item);
     void tickEvacuations(TimePoint now);
     void readEvacuations(TimePoint now);
     void updateAvailableShards();
@@ -163,6 +164,7 @@
     TimePoint m_storeBootIdAt{}; ///< earliest next attempt
 
     // Shards
+    std::map<ShardId, WithheldLeases> m_withheldLeases;     ///< outlives the schedulers
     std::vector<std::unique_ptr<LocalShard>> m_localShards; ///< by ShardId
     ShardMap m_map;
     ShardMap m_availableMap; ///< m_map without the shards of evacuated failure domains
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -144,6 +144,10 @@
     std::uint32_t unansweredRenewals = 0; ///< consecutive renewals without a reply
     TimePoint noStartsUntil{};            ///< back-off after a rejected start
 
+    // Withheld lease, see withheldleases.h
+    std::uint64_t withheldNumber = 0; ///< of its entry, which may be stored; 0: none
+    TimePoint withheldSince{}; ///< when this node learned of an entry of an earlier leader; zero: own entry or none
+
     // Ended runs
     std::uint64_t processedSequence = 0; ///< ends up to this sequence number have been processed
     std::uint64_t durableSequence = 0;   ///< ends up to this sequence number are stored; the worker may drop them
@@ -178,6 +182,11 @@
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
     }
+    /** Has accepted our fencing token, and has replied to the last renewal. */
+    bool hasReplied() const
+    {
+        return hasReported && unansweredRenewals == 0;
+    }
     /** Gets no more starts. */
     bool isLeaving() const
     {
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -25,6 +25,7 @@
  *   ctl/epoch/N          EpochRecord: the last epoch, its leader, and which former leaders may still send orders
  *   ctl/boot/NODE        the node's current boot ID; a leader with another boot ID of this node no longer runs
  *   ctl/workers/N        KnownWorker list: every worker to which the current leader may have sent an order
+ *   ctl/board/withheld/N WithheldLease list (withheldleases.h)
  *   ctl/status/N         ShardStatus
  *   ctl/pressure/N       saved PressureModel (pressure.h)
  */
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -42,6 +42,7 @@
 #include <workflow/pressure.h>
 #include <workflow/scarcity.h>
 #include <workflow/waiting.h>
+#include <workflow/withheldleases.h>
 
 #include <deque>
 #include <map>
@@ -177,6 +178,9 @@
     /** No worker's entry was changed before @p time without a call of setWorker() or removeWorker(). */
     void setRegistryConfirmedAt(TimePoint time);
 
+    /** What this node knows of the shard's withheld leases; kept up to date by the caller and outlives the scheduler. */
+    void setWithheldLeases(const WithheldLeases &leases);
+
     /** True once no order of a former leader can take effect any more. */
     bool isTakeoverComplete() const;
 
@@ -303,6 +307,15 @@
     void onFormerLeaderBootRead(const FormerLeader &leader, const StoreReply &reply);
     void removeFormerLeader(const FormerLeader &leader, std::string_view why);
     TimePoint formerLeasesExpiry() const;
+    TimePoint formerLeaseExpiry(const WorkerState &worker) const;
+    Duration longestLease() const;
+
+    // Leases of silent workers (withheldleases.cpp)
+    void loadWithheldLeases();
+    void onWithheldLeasesLoaded(const StoreReply &reply);
+    void updateWithheldLeases(TimePoint now);
+    void storeWithheldLeases(TimePoint now);
+    void onWithheldLeasesStored(const StoreReply &reply, std::span<const WorkerIndex> released);
 
     // Workers (contact.cpp)
     WorkerState &findOrAddWorker(const WorkerId &id);
@@ -547,6 +560,13 @@
     std::unordered_set<WorkerId> m_storedWorkers; ///< in ctl/workers as last written; only these get starts
     std::uint64_t m_workersRevision = 0;
 
+    const WithheldLeases *m_withheldLeases = nullptr; ///< null: this node knows of none
+    std::uint64_t m_withheldRevision = 0;             ///< of the stored list
+    std::uint64_t m_withheldCount = 0;                ///< entries made in this term
+    bool m_isWithheldDirty = false;
+    bool m_isStoringWithheld = false;
+    TimePoint m_nextWithheldAt{}; ///< earliest next write of the list
+
     std::deque<RecentCrash> m_recentCrashes; ///< for CrashSettings::machineMemory, in the order in which they showed
 
     PressureModel m_pressure;
--- a/packages/workflow/shards.cpp
+++ b/packages/workflow/shards.cpp
@@ -274,6 +274,7 @@
     it.leader = std::string(LeaderPrefix) + id;
     it.epoch = "ctl/epoch/" + id;
     it.workers = "ctl/workers/" + id;
+    it.withheld = std::string(WithheldPrefix) + id;
     it.status = std::string(StatusPrefix) + id;
     it.pressure = std::string(PressurePrefix) + id;
     return it;
--- a/packages/workflow/shards.h
+++ b/packages/workflow/shards.h
@@ -37,10 +37,11 @@
 
 constexpr std::string_view ClusterStatePrefix = "ctl/board/"; ///< watched by every node: leader keys and the shard map
 constexpr std::string_view ShardMapKey = "ctl/board/shards";
-constexpr std::string_view UnassignedPrefix = "in/spread/";    ///< jobs without a shard, see shardassigner.h
-constexpr std::string_view LeaderPrefix = "ctl/board/leader/"; ///< followed by the shard's number
-constexpr std::string_view PressurePrefix = "ctl/pressure/";   ///< followed by the shard's number
-constexpr std::string_view StatusPrefix = "ctl/status/";       ///< followed by the shard's number
+constexpr std::string_view UnassignedPrefix = "in/spread/";        ///< jobs without a shard, see shardassigner.h
+constexpr std::string_view LeaderPrefix = "ctl/board/leader/";     ///< followed by the shard's number
+constexpr std::string_view WithheldPrefix = "ctl/board/withheld/"; ///< followed by the shard's number
+constexpr std::string_view PressurePrefix = "ctl/pressure/";       ///< followed by the shard's number
+constexpr std::string_view StatusPrefix = "ctl/status/";           ///< followed by the shard's number
 
 struct ShardKeys
 {
@@ -51,6 +52,7 @@
     std::string leader;   ///< leader key; see election.h
     std::string epoch;    ///< EpochRecord
     std::string workers;  ///< every worker to which the current leader may have sent an order
+    std::string withheld; ///< workers whose leases no leader extends, see withheldleases.h
     std::string status;   ///< ShardStatus
     std::string pressure; ///< saved PressureModel
 };
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -165,6 +165,7 @@
     resolveUnreadWorkers(now);
     forgetOldCrashes(now);
     loadSharedPressure(now);
+    updateWithheldLeases(now);
     renewWorkerLeases(now);
     if (now >= m_nextPlacementAt) {
         placeJobs(now);
@@ -212,9 +213,7 @@
             m_storedWorkers.insert(known.id);
         }
     }
-    m_loadStage = LoadStage::Progress;
-    loadPressure();
-    loadProgress({});
+    loadWithheldLeases();
 }
 
 /**
@@ -475,10 +474,10 @@
         m_maxFormerRevision = m_inbox.revision();
     }
     // In the grace period a successor may have read a worker and extended its lease.
-    const bool areLeasesExpired = m_authority == Authority::Full && now >= formerLeasesExpiry();
+    const bool mayConclude = m_authority == Authority::Full;
     std::size_t unread = 0;
     for (const auto &it : m_workers) {
-        if (it->mayRunFormerOrders && (it->hasReported || areLeasesExpired)) {
+        if (it->mayRunFormerOrders && (it->hasReported || (mayConclude && now >= formerLeaseExpiry(*it)))) {
             if (!it->hasReported) {
                 ++m_outwaitedWorkerCount;
                 m_log.write("worker_outwaited", "worker", it->record.id, "registered", it->isRegistered);
@@ -544,10 +543,24 @@
 
 TimePoint WorkflowScheduler::formerLeasesExpiry() const
 {
-    const double lease = static_cast<double>(m_settings.grantedLease().count()) / MinWorkerClockRate;
     const TimePoint lastOrder
         = m_formerLeaders.empty() ? m_formerLeadersGoneAt : m_electedAt + m_settings.formerLeaderOrderTime;
-    return lastOrder + Duration(static_cast<Duration::rep>(lease)) + LeaseMargin;
+    return lastOrder + longestLease();
+}
+
+/** When nothing that a former leader has started can run on the worker any more, unless it replies before. */
+TimePoint WorkflowScheduler::formerLeaseExpiry(const WorkerState &worker) const
+{
+    const bool isWithheldByFormer = worker.withheldNumber != 0 && worker.withheldSince != TimePoint{};
+    return isWithheldByFormer ? std::min(formerLeasesExpiry(), worker.withheldSince + longestLease())
+                              : formerLeasesExpiry();
+}
+
+/** From the last order that extends a worker's lease until the lease has expired, on our clock. */
+Duration WorkflowScheduler::longestLease() const
+{
+    const double lease = static_cast<double>(m_settings.grantedLease().count()) / MinWorkerClockRate;
+    return Duration(static_cast<Duration::rep>(lease)) + LeaseMargin;
 }
 
 /** Former leaders whose node has restarted, or that have stored the end of their term, need not be waited for. */
--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -201,6 +201,83 @@
     EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
 }
 
+// Guards against LOST: each leader of a series, none of which led for long, waited from its own election for workers that were
+// lost, so that their long-running tasks did not run for as long as the series lasted.
+TEST(Takeover, lostWorkerIsNotWaitedForAnewByEachLeader)
+{
+    Rig rig(4, 4);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    rig.fleet.workers[used].isReachable = false;
+    rig.fleet.workers[used].running.clear();
+    Duration waited{};
+    for (int i = 0; i < 5; ++i) { // each of them leads for 3.5 s
+        const int leader = rig.leader();
+        ASSERT_GE(leader, 0);
+        rig.nodes[static_cast<std::size_t>(leader)]->node->beginDrain();
+        rig.run(500ms);
+        rig.kill(leader);
+        rig.boot(leader);
+        for (int step = 0; step < 300; ++step) {
+            rig.run(StepTime);
+            waited += runningTasksOf(rig, "a") < 4 ? StepTime : Duration{};
+        }
+    }
+    EXPECT_LT(waited, 8500ms) << "6 s for a lost lease, and the time in which its silence is noticed";
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against TWICE: a worker that was cut off from several leaders, and then replied, ran on under an extended lease while
+// a later leader counted from the time of its silence.
+TEST(Takeover, workerThatRepliesAgainIsWaitedForAnew)
+{
+    Rig rig(4, 4);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    FakeWorker &worker = rig.fleet.workers[used];
+    worker.isReachable = false;
+    rig.run(2500ms);
+    EXPECT_EQ(rig.backend.items.count("ctl/board/withheld/0"), 1U);
+    worker.isReachable = true; // before its lease has expired
+    rig.run(1s);
+    EXPECT_TRUE(decodeWithheldLeases(rig.backend.items.at("ctl/board/withheld/0").value).empty());
+    const TimePoint lease = worker.leaseUntil;
+    EXPECT_GT(lease, rig.clock.now() + 4s) << "it is extended again";
+    worker.isReachable = false;
+    for (int i = 0; i < 4; ++i) {
+        rig.nodes[static_cast<std::size_t>(rig.leader())]->node->beginDrain();
+        rig.run(2500ms);
+    }
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against LOST: leases that stay withheld from a worker that replies while the store does not.
+TEST(Takeover, workerThatRepliesDuringAnOutageOfTheStoreIsUsedAfterIt)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    rig.fleet.workers[used].isReachable = false;
+    rig.run(2500ms);
+    for (const auto &it : rig.nodes) {
+        it->store.isSilent = true;
+    }
+    rig.fleet.workers[used].isReachable = true;
+    rig.run(6s);
+    for (const auto &it : rig.nodes) {
+        it->store.isSilent = false;
+    }
+    rig.run(8s);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+    EXPECT_TRUE(decodeWithheldLeases(rig.backend.items.at("ctl/board/withheld/0").value).empty());
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // Guards against LOST: a worker that had left for good stayed in the list of workers that a successor has to read, so
 // that the successor outwaited it before it started any task of a known job.
 TEST(Takeover, workerThatHasLeftIsNotWaitedFor)
