Withheld leases: nothing is listed while the list cannot be written

What callers would see: in an outage of the store, a worker that was silent for two seconds lost its runs, though it replied again long before its lease had expired.

Cause: a leader in its grace period marked silent workers as withheld, and was bound by that; the entry could be neither stored nor taken back before the store returned. So the leases of such workers were not extended.

Change: an entry is made only in the tick that writes it, under full authority. An entry that is released also forgets when it was learned of, so that a later one of this leader never counts from the former's time.

--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -255,6 +255,25 @@
     EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
 }
 
+// Guards against lost work: a worker that was silent for two seconds during an outage of the store got no lease until its end.
+TEST(Takeover, silenceDuringAnOutageOfTheStoreEndsNoRun)
+{
+    Rig rig(2, 3);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    for (const auto &it : rig.nodes) {
+        it->store.isSilent = true;
+    }
+    rig.run(1600ms); // the leader's own lease has run out
+    rig.fleet.workers[used].isReachable = false;
+    rig.run(2s);
+    rig.fleet.workers[used].isReachable = true;
+    rig.run(4500ms);
+    EXPECT_EQ(rig.fleet.runningTasks(), 4U);
+    EXPECT_EQ(rig.fleet.starts, 4U) << "no run has ended";
+}
+
 // Guards against LOST: leases that stay withheld from a worker that replies while the store does not.
 TEST(Takeover, workerThatRepliesDuringAnOutageOfTheStoreIsUsedAfterIt)
 {
--- a/packages/workflow/withheldleases.cpp
+++ b/packages/workflow/withheldleases.cpp
@@ -98,12 +98,18 @@
     loadProgress({});
 }
 
-/** Lists silent workers, and takes those off the list that reply again. */
+/**
+ * Lists silent workers, and takes those off the list that reply again. Only when it can be written at once: an entry that is
+ * made while the store is away would bind this leader and tell nobody.
+ */
 void WorkflowScheduler::updateWithheldLeases(TimePoint now)
 {
+    if (m_authority != Authority::Full || m_isStoringWithheld || now < m_nextWithheldAt) {
+        return;
+    }
     // A former leader that may still send orders is not bound by this leader's list, unless every worker rejects it.
     const bool areOthersBound = m_formerLeaders.empty() || isTakeoverComplete();
-    bool isOutdated = false;
+    bool isOutdated = m_isWithheldDirty;
     for (const auto &it : m_workers) {
         const bool isSilent = it->unansweredRenewals > 0 && now >= it->contactLostAt + WithholdDelay;
         if (it->withheldNumber == 0 && isSilent && areOthersBound && m_storedWorkers.contains(it->record.id)) {
@@ -112,8 +118,7 @@
         }
         isOutdated = isOutdated || (it->withheldNumber != 0 && it->hasReplied());
     }
-    m_isWithheldDirty = m_isWithheldDirty || isOutdated;
-    if (m_isWithheldDirty && !m_isStoringWithheld && now >= m_nextWithheldAt && m_authority == Authority::Full) {
+    if (isOutdated) {
         storeWithheldLeases(now);
     }
 }
@@ -150,6 +155,7 @@
         m_withheldRevision = reply.revision;
         for (const WorkerIndex i : released) {
             m_workers[i]->withheldNumber = 0;
+            m_workers[i]->withheldSince = {};
             m_workers[i]->nextRenewAt = {}; // extend its lease at once
             m_isPlacementDue = true;
         }
