--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -93,6 +93,9 @@
         for (auto &[why, tasks] : diagnosedTasks) {
             tasks = 0;
         }
+        for (auto &[why, wait] : turnedAwayWaits) {
+            wait = {};
+        }
         std::uint32_t forUnreadWorkers = 0;
         std::uint32_t forRoom = 0;
         for (const WorkflowScheduler *scheduler : schedulers) {
@@ -107,6 +110,10 @@
             for (const WaitDiagnosis &it : waiting.diagnoses) {
                 diagnosedTasks[std::string(it.why())] += it.tasks;
             }
+            for (const auto &[refusal, wait] : waiting.turnedAway) {
+                Duration &oldest = turnedAwayWaits[std::string(refusalName(refusal))];
+                oldest = std::max(oldest, wait);
+            }
         }
         for (const auto &[queue, it] : waits) {
             set("waiting_tasks", it.tasks, {{"queue", queue}});
@@ -116,12 +123,16 @@
         for (const auto &[why, tasks] : diagnosedTasks) {
             set("diagnosed_waiting_tasks", tasks, {{"why", why}});
         }
+        for (const auto &[why, wait] : turnedAwayWaits) {
+            set("turned_away_wait_seconds", toSeconds(wait), {{"why", why}});
+        }
         set("waiting_long_running_tasks", forUnreadWorkers, {{"why", "unread_workers"}});
         set("waiting_long_running_tasks", forRoom, {{"why", "no_room"}});
     }
 
     std::map<std::string, QueueWait> waits;              ///< by queue
     std::map<std::string, std::uint32_t> diagnosedTasks; ///< by reason
+    std::map<std::string, Duration> turnedAwayWaits;     ///< by refusal
 
     // Values at the last update
     std::map<ShardId, WorkflowCounters> lastCounters; ///< of the shards that this node leads
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -31,6 +31,8 @@
  *                                     in the queue on
  *   diagnosed_waiting_tasks{why}      gauge: tasks of the few steps that the last checks have diagnosed, by reason; see
  *                                     waiting.h
+ *   turned_away_wait_seconds{why}     gauge: wait of the oldest task that no worker of its shard takes, by what most of
+ *                                     them turn it away for when its step was last diagnosed
  *   waiting_long_running_tasks{why}   gauge: long-running tasks that have waited for seconds, for unread workers or room
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -33,6 +33,7 @@
 
 #include <workflow/crashes.h>
 #include <workflow/model.h>
+#include <workflow/placement.h>
 #include <workflow/pressure.h>
 #include <workflow/shards.h>
 
@@ -143,6 +144,8 @@
     TimePoint noRoomSince{};          ///< since then a task has found no worker; zero: none waits so
     TimePoint nextEvictionSearchAt{}; ///< earliest next search for a task to evict
     TimePoint nextTransferAt{};       ///< earliest next attempt to give tasks to another shard
+    /** Main refusal when its wait was last diagnosed; None: none of its tasks has waited for long, or not for a worker. */
+    Refusal turnedAwayFor = Refusal::None;
 };
 
 struct OccurrenceState
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -432,6 +432,7 @@
     void reportWaitingTasks(TimePoint now);
     void findWaitingSteps(JobState &job, TimePoint now, std::vector<WaitingStep> &due);
     void countWaitingTasks(WaitingStep &step, TimePoint now) const;
+    void addTurnedAway(const StepState &step, Duration waited);
     Duration waitOf(const TaskRef &ref, TimePoint now) const;
     static std::span<const WaitingStep> chooseReported(std::vector<WaitingStep> &due);
     WaitDiagnosis diagnose(const WaitingStep &step, TimePoint now) const;
--- a/packages/workflow/tests/waitingtest.cpp
+++ b/packages/workflow/tests/waitingtest.cpp
@@ -497,6 +497,7 @@
     const std::string tasks = "quetzalrock_waiting_tasks{queue=\"queue\"}";
     const std::string times = "quetzalrock_oldest_wait_at_times_seconds_";
     const std::string diagnosed = "quetzalrock_diagnosed_waiting_tasks{why=\"no_free_cpu\"}";
+    const std::string turnedAway = "quetzalrock_turned_away_wait_seconds{why=\"no_free_cpu\"}";
     Rig rig(1, 1);
     NodeMetrics metrics;
     const auto update = [&rig, &metrics] {
@@ -516,6 +517,7 @@
     EXPECT_NEAR(metric(metrics, oldest), 8, 1);
     EXPECT_EQ(metric(metrics, tasks), 2);
     EXPECT_EQ(mostDiagnosed, 2);
+    EXPECT_NEAR(metric(metrics, turnedAway), 8, 1) << "also in checks that do not diagnose the step";
     rig.cancel(0, "fills");
     update();
     update();
@@ -523,6 +525,7 @@
     EXPECT_EQ(metric(metrics, oldest), 0);
     EXPECT_EQ(metric(metrics, tasks), 0);
     EXPECT_EQ(metric(metrics, diagnosed), 0);
+    EXPECT_EQ(metric(metrics, turnedAway), 0);
     EXPECT_GE(metric(metrics, times + "count{queue=\"queue\"}"), 10);
     EXPECT_GE(metric(metrics, times + "bucket{queue=\"queue\",le=\"1\"}"), 2);
 }
--- a/packages/workflow/waiting.cpp
+++ b/packages/workflow/waiting.cpp
@@ -94,11 +94,23 @@
         StepState &state = it.longest.job->occurrences[it.longest.occurrence].steps[it.longest.step];
         state.nextWaitReportAt = now + std::clamp(it.waited, MinReportInterval, MaxReportInterval);
         m_waitingTasks.diagnoses.push_back(diagnose(it, now));
+        state.turnedAwayFor = m_waitingTasks.diagnoses.back().mainRefusal;
         logDiagnosis(it.longest, m_waitingTasks.diagnoses.back());
     }
+    for (const WaitingStep &it : due) {
+        addTurnedAway(it.longest.job->occurrences[it.longest.occurrence].steps[it.longest.step], it.waited);
+    }
     m_recentStarts.clear();
 }
 
+void WorkflowScheduler::addTurnedAway(const StepState &step, Duration waited)
+{
+    if (step.turnedAwayFor != Refusal::None) {
+        Duration &oldest = m_waitingTasks.turnedAway[step.turnedAwayFor];
+        oldest = std::max(oldest, waited);
+    }
+}
+
 /** Counts the waiting tasks of a job's due steps, and adds to @p due the steps to be reported on. */
 void WorkflowScheduler::findWaitingSteps(JobState &job, TimePoint now, std::vector<WaitingStep> &due)
 {
@@ -124,6 +136,7 @@
             }
             WaitingStep step{{&job, k, s, 0}, {}, 0, 0};
             countWaitingTasks(step, now);
+            state.turnedAwayFor = step.reported == 0 ? Refusal::None : state.turnedAwayFor;
             if (step.tasks == 0) {
                 continue;
             }
@@ -136,6 +149,8 @@
             }
             if (step.reported > 0 && now >= state.nextWaitReportAt) {
                 due.push_back(step);
+            } else {
+                addTurnedAway(state, step.waited);
             }
         }
     }
--- a/packages/workflow/waiting.h
+++ b/packages/workflow/waiting.h
@@ -78,6 +78,12 @@
     std::uint32_t forRoom = 0; ///< those that wait for anything else
     std::map<std::string, QueueWait> queues; ///< by name; only queues with waiting tasks
     std::vector<WaitDiagnosis> diagnoses;    ///< of a few steps only, those that have waited longest
+
+    /**
+     * Wait of the oldest task that no worker of its shard takes, by main refusal. The refusal is that of the last diagnosis of
+     * its step, so that the figure does not depend on which steps were diagnosed in the last check.
+     */
+    std::map<Refusal, Duration> turnedAway;
 };
 
 } // namespace QuetzalRock::Workflow
