Paced start of an overdue job that serving tasks turn away everywhere

Cause: bestEffortInterference() refuses whatever serving tasks would not tolerate at full rate by forecast over the run time, and nothing gives way with time. An image that is believed to be harmful is not tried again, so that nothing new is learned of it.

Change: an overdue job of which nothing runs, and whose task no worker takes, may start one task within the overdue share, on the worker whose serving tasks tolerate the highest throttle until those of the next report apply. Once it has been overdue for another objective a throttle of 0 is enough, and the idle CPU may be exceeded. Only beside serving tasks (elsewhere the idle CPU binds as before), never beside one over its target, nor while best-effort tasks are paused there, nor twice on a worker within the lookahead of throttles. The throttle is ordered as soon as the start is accepted, or the run is first reported, and repeated if it fails; until then it is recorded as pending and the run counts at full rate. Throttles may be ordered from the acceptance of the start on, not only from the first report. Log: paced_start; counter: paced_starts_total.

Why it holds: both bounds follow from the stored time of acceptance, so a new leader does not begin anew. The start is one like any other for leases, attempts, memory, labels, limits per worker, reservations, trials and evacuations.

The tests' port records whether throttles reach runs that are there.

Not covered: gangs, steps of jobs with long-running tasks, trials of suspects; see docs/design/scarcity.md.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -65,6 +65,7 @@
     sortJobs(now);
     listUsableWorkers(now);
     m_unplaced.clear();
+    m_unpaced.clear();
     placeOverdueJobs(now);
     for (JobState *job : m_jobOrder) {
         if (mayPlace(*job)) {
@@ -303,12 +304,15 @@
         const bool canShare = canShareSpareCpu(job);
         const bool isHopeless
             = !hasLongRunningStep(job.accepted.spec) && m_unplaced.covers(ref.spec(), job.accepted.pool, canShare);
-        const WorkerIndex worker = isHopeless ? NoWorker : chooseWorker(ref, canShare, now);
-        if (worker == NoWorker) {
-            isWithoutRoom = true;
+        PacedStart start{isHopeless ? NoWorker : chooseWorker(ref, canShare, now)};
+        if (start.worker == NoWorker) {
             if (!isHopeless) {
                 m_unplaced.add(ref.spec(), job.accepted.pool, canShare);
             }
+            start = choosePacedStart(ref, now);
+        }
+        if (start.worker == NoWorker) {
+            isWithoutRoom = true;
             if (hasExceededPlacementTimeout(job, ref.spec(), task, now)) {
                 reserveWorkerFor(ref, now);
             } else if (m_isPlacingOverdueJobs && !m_isOverdueRoomReserved && !ref.spec().usesSpareCpu) {
@@ -316,7 +320,7 @@
             }
             break; // the other tasks of the step need the same resources
         }
-        startTask(ref, worker, nextAttempt(task), now);
+        startTask(ref, start.worker, nextAttempt(task), now, start.percent);
         ++placed;
     }
     TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
@@ -550,14 +554,19 @@
 /** A usable worker as a candidate for the task; none if a serving task there would suffer. */
 std::optional<Candidate>
 WorkflowScheduler::describeCandidate(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const
+{
+    const std::optional<double> interference = interferenceOf(*m_workers[index], ref);
+    return interference ? std::optional(describeCandidate(index, ref, canShareSpareCpu, *interference)) : std::nullopt;
+}
+
+Candidate WorkflowScheduler::describeCandidate(WorkerIndex index,
+                                               const TaskRef &ref,
+                                               bool canShareSpareCpu,
+                                               double interference) const
 {
     const StepSpec &step = ref.spec();
     const TaskState &task = ref.task();
     WorkerState &worker = *m_workers[index];
-    const std::optional<double> interference = interferenceOf(worker, ref);
-    if (!interference) {
-        return std::nullopt;
-    }
     Candidate candidate;
     candidate.free = worker.freeResources();
     candidate.capacityMillis = worker.record.capacity.cpuMillis;
@@ -569,7 +578,7 @@
     }
     candidate.hasSameImage = step.isLongRunning && hasLongRunningImage(worker, ref);
     candidate.hasSameJob = step.isLongRunning && hasTaskOfJob(worker, ref);
-    candidate.interference = *interference;
+    candidate.interference = interference;
     candidate.isOnPreferredRack = step.preferredRack.empty() || hasLabel(worker, step.preferredRack);
     candidate.hasRecentFailure = task.avoidedWorker == index || worker.consecutiveFailures > 0;
     candidate.canShareSpareCpu = canShareSpareCpu;
@@ -645,7 +654,8 @@
     m_isPlacementDue = true;
 }
 
-void WorkflowScheduler::startTask(const TaskRef &ref, WorkerIndex index, std::uint64_t attempt, TimePoint now)
+void WorkflowScheduler::startTask(
+    const TaskRef &ref, WorkerIndex index, std::uint64_t attempt, TimePoint now, int percent)
 {
     reserveResources(ref, index);
     WorkerState &worker = *m_workers[index];
@@ -662,6 +672,7 @@
     task.hasStartedUp = false;
     task.idleSince = {};
     task.percent = 100;
+    task.pendingPercent = percent < 100 ? std::optional(static_cast<std::uint8_t>(percent)) : std::nullopt;
     task.gauge = 0;
     task.overTargetSince = {};
     task.stalledSince = {};
@@ -713,6 +724,7 @@
         task.isAcknowledged = true;
         task.hasBegun = true;
         task.answeredAt = m_now;
+        orderPendingThrottle(ref);
         return;
     }
     if (reply.status == OrderStatus::Fenced) {
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -76,6 +76,7 @@
         addIncrease("tasks_given_up_total", {{"shard", name}}, counters.tasksGivenUp, before.tasksGivenUp);
         addIncrease("stops_total", {{"shard", name}}, counters.stops, before.stops);
         addIncrease("throttles_total", {{"shard", name}}, counters.throttles, before.throttles);
+        addIncrease("paced_starts_total", {{"shard", name}}, counters.pacedStarts, before.pacedStarts);
         addIncrease("untracked_images_total", {{"shard", name}}, counters.untrackedImages, before.untrackedImages);
         addIncrease("tasks_given_total", {{"shard", name}}, counters.tasksGiven, before.tasksGiven);
         addIncrease("tasks_taken_total", {{"shard", name}}, counters.tasksTaken, before.tasksTaken);
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -9,8 +9,8 @@
  *   first_start_seconds{queue}        from acceptance to the first start of a task
  *   job_seconds{queue,state}          from acceptance to the end of the job
  *   starts_total, starts_rejected_total, starts_unanswered_total, runs_total{end}, stops_total, throttles_total,
- *   untracked_images_total, writes_total, tasks_given_total, tasks_taken_total, jobs_moved_total, jobs_taken_total,
- *   worker_crashes_total, worker_crashes_at_start_total, tasks_given_up_total
+ *   paced_starts_total, untracked_images_total, writes_total, tasks_given_total, tasks_taken_total, jobs_moved_total,
+ *   jobs_taken_total, worker_crashes_total, worker_crashes_at_start_total, tasks_given_up_total
  *                                     all with {shard}: counted while this node led the shard
  *   intake_total{outcome}, questions_total
  *                                     callers' writes by outcome ("accepted" counts submissions only), and queries
--- a/packages/workflow/overdue.cpp
+++ b/packages/workflow/overdue.cpp
@@ -38,6 +38,12 @@
     return since < wallMs ? std::optional(since) : std::nullopt;
 }
 
+bool isLongOverdue(const JobState &job, std::int64_t wallMs)
+{
+    const std::optional<std::int64_t> since = overdueSinceMs(job, wallMs);
+    return since && static_cast<double>(wallMs - *since) >= latencyObjectiveMs(job.accepted);
+}
+
 std::int64_t &CpuByUse::of(const StepSpec &step)
 {
     return step.usesSpareCpu ? spare : reserved;
--- a/packages/workflow/overdue.h
+++ b/packages/workflow/overdue.h
@@ -9,6 +9,7 @@
  * Index of this file
  *   OverdueSettings   the share
  *   overdueSinceMs()  since when a job is overdue
+ *   isLongOverdue()   whether it may start with a throttle of 0
  *   CpuByUse, OverdueShare   what overdue jobs may take during one placement pass
  */
 #pragma once
@@ -34,6 +35,9 @@
  */
 std::optional<std::int64_t> overdueSinceMs(const JobState &job, std::int64_t wallMs);
 
+/** Whether @p job has been overdue for another latency objective at @p wallMs. */
+bool isLongOverdue(const JobState &job, std::int64_t wallMs);
+
 /** CPU, in millis, by how tasks use it. */
 struct CpuByUse
 {
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -164,6 +164,7 @@
     std::uint64_t reportCount = 0;     ///< reports processed; stamps the tasks that each report lists
     std::uint32_t adoptedRuns = 0;     ///< number of runs of a former leader adopted from the last report
     TimePoint bestEffortPausedUntil{}; ///< best-effort tasks are throttled to 0 after a serving task missed its target
+    TimePoint pacedStartAt{}; ///< time of the last paced start there, see WorkflowScheduler::choosePacedStart()
     const JobState *reservedFor = nullptr; ///< freed resources are reserved for a waiting task of this job ...
     TimePoint reservedUntil{};             ///< ... until then
     TimePoint sampledAt{};                 ///< time of the last report fed to the pressure model
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -193,6 +193,9 @@
 {
     WorkerState &worker = *m_workers[index];
     if (worker.longRunningCpuMillis == 0 || m_now < worker.sampledAt + m_settings.pressure.sampleInterval) {
+        for (const TaskRef &it : worker.runs) {
+            orderPendingThrottle(it);
+        }
         return;
     }
     worker.sampledAt = m_now;
@@ -254,7 +257,7 @@
         const int current = runs[i].task().percent;
         const int wanted = percents[i] - percents[i] % settings.percentStep;
         const bool isDue = wanted > current ? canLift : mustLower;
-        percents[i] = isDue ? wanted : current;
+        percents[i] = std::min<int>(isDue ? wanted : current, runs[i].task().pendingPercent.value_or(100));
     }
     logThrottleChanges(worker, runs, percents);
     for (std::size_t i = 0; i < runs.size(); ++i) {
@@ -272,6 +275,96 @@
     }
 }
 
+/**
+ * A worker applies a throttle only to a run that it has, and orders may overtake each other: it follows the answer to the start,
+ * or the first report of the run. One that failed is repeated.
+ */
+void WorkflowScheduler::orderPendingThrottle(const TaskRef &ref)
+{
+    if (const std::optional<std::uint8_t> percent = ref.task().pendingPercent) {
+        throttleTask(ref, *percent);
+    }
+}
+
+/**
+ * The share of its CPU at which the serving tasks of @p worker tolerate one more best-effort task until the throttles of the
+ * next report apply; none: while one is over its target, or the last paced start there is not covered by a report yet.
+ */
+std::optional<int> WorkflowScheduler::toleratedPercent(WorkerState &worker, const TaskRef &ref, TimePoint now) const
+{
+    const PressureSettings &settings = m_settings.pressure;
+    const bool isSettling
+        = worker.pacedStartAt != TimePoint{} && now < worker.pacedStartAt + settings.throttleLookahead;
+    if (now < worker.bestEffortPausedUntil || isSettling || outlookOf(worker).serving.empty()) {
+        return std::nullopt; // without serving tasks only the idle CPU binds
+    }
+    double tolerated = 1;
+    for (const ServingGroup &it : outlookOf(worker).serving) {
+        if (it.isOverTarget) {
+            return std::nullopt;
+        }
+        const double ownEffect = m_pressure.effect(it.image, imageOf(ref)) * cpuShareOf(ref, worker);
+        const double allowed = it.allowedEffects(settings.targetMargin, settings.throttleLookahead) - it.effects;
+        tolerated = ownEffect > 0 ? std::min(tolerated, allowed / ownEffect) : tolerated;
+    }
+    const int percent = static_cast<int>(std::max(0.0, tolerated) * 100);
+    return percent - percent % settings.percentStep;
+}
+
+/**
+ * Bounds the wait of an overdue job of which nothing runs, and whose task every worker turns away: it starts with the throttle
+ * that serving tasks tolerate now, and is lifted as they allow. If they tolerate none for another latency objective, it starts
+ * with a throttle of 0; it may exceed the idle CPU from then on.
+ */
+WorkflowScheduler::PacedStart WorkflowScheduler::choosePacedStart(const TaskRef &ref, TimePoint now)
+{
+    const JobState &job = *ref.job;
+    if (!m_isPlacingOverdueJobs || job.heldTasks > 0 || !ref.spec().usesSpareCpu) {
+        return {};
+    }
+    const bool isLong = isLongOverdue(job, m_clock.wallNow().count());
+    if (m_unpaced.covers(ref.spec(), job.accepted.pool, isLong)) {
+        return {};
+    }
+    const bool canShare = isLong || canShareSpareCpu(job);
+    const int least = isLong ? 0 : m_settings.pressure.percentStep;
+    PacedStart best;
+    double bestScore = 0;
+    for (const WorkerIndex i : m_usableWorkers) {
+        WorkerState &worker = *m_workers[i];
+        const auto percent = isSuitable(worker, ref, now) ? toleratedPercent(worker, ref, now) : std::nullopt;
+        if (!percent || *percent < least || (best.worker != NoWorker && *percent < best.percent)) {
+            continue;
+        }
+        const auto score = scoreWorker(m_settings.placement, ref.spec(), describeCandidate(i, ref, canShare, 0));
+        if (score && (best.worker == NoWorker || std::pair(*percent, *score) > std::pair(best.percent, bestScore))) {
+            best = {i, *percent};
+            bestScore = *score;
+        }
+    }
+    if (best.worker == NoWorker) {
+        m_unpaced.add(ref.spec(), job.accepted.pool, isLong);
+        return {};
+    }
+    ++m_counters.pacedStarts;
+    m_workers[best.worker]->pacedStartAt = now;
+    logTaskEvent("paced_start",
+                 ref,
+                 "worker",
+                 m_workers[best.worker]->record.id,
+                 "percent",
+                 best.percent,
+                 "age_ms",
+                 std::chrono::duration_cast<std::chrono::milliseconds>(jobAge(job)).count(),
+                 "queue",
+                 job.accepted.queue,
+                 "shard",
+                 m_shard,
+                 "epoch",
+                 m_term.epoch);
+    return best;
+}
+
 bool WorkflowScheduler::hasWorkerFor(const TaskRef &ref)
 {
     listUsableWorkers(m_now);
@@ -322,11 +415,14 @@
 void WorkflowScheduler::throttleTask(const TaskRef &ref, int percent)
 {
     TaskState &task = ref.task();
-    if (task.phase != TaskPhase::Running) {
+    const bool isThere = task.phase == TaskPhase::Running || (task.phase == TaskPhase::Starting && task.isAcknowledged);
+    if (!isThere) { // the worker would reject the order
+        task.pendingPercent = task.pendingPercent ? std::optional(static_cast<std::uint8_t>(percent)) : std::nullopt;
         return;
     }
     ++m_counters.throttles;
     task.percent = static_cast<std::uint8_t>(percent);
+    task.pendingPercent.reset();
     m_workers[task.worker]->outlook.at = {};
     const bool isNearlyStopped = percent <= m_settings.pressure.stalledPercent;
     task.stalledSince = !isNearlyStopped ? TimePoint{} : task.stalledSince == TimePoint{} ? m_now : task.stalledSince;
@@ -340,6 +436,9 @@
                             return;
                         }
                         // May not be in force: record a different percentage, so that the next report orders it again.
+                        if (percent < 100 && ref.task().percent == percent) {
+                            ref.task().pendingPercent = static_cast<std::uint8_t>(percent);
+                        }
                         if (ref.task().worker != NoWorker) {
                             m_workers[ref.task().worker]->outlook.at = {};
                         }
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -113,6 +113,8 @@
     TimePoint idleSince{};       ///< start of using no CPU; zero: uses some, or unknown
     std::uint64_t lastReportNumber = 0; ///< number of the worker's last report that listed the run
     std::uint8_t percent = 100;         ///< throttle last ordered: share of its CPU that the run may use
+    /** Throttle to be ordered as soon as the run is known to be there; none: nothing is to be ordered. */
+    std::optional<std::uint8_t> pendingPercent;
     std::string checkpoint;
     std::vector<std::uint64_t> failedAttempts;
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -129,6 +129,7 @@
     std::uint64_t stops = 0;
     std::uint64_t writes = 0;
     std::uint64_t throttles = 0;
+    std::uint64_t pacedStarts = 0;     ///< of overdue tasks that every worker turned away
     std::uint64_t tasksGiven = 0;      ///< to other shards
     std::uint64_t tasksTaken = 0;      ///< from other shards
     std::uint64_t jobsMoved = 0;       ///< as a whole, to other shards
@@ -214,6 +215,13 @@
         StoreItem registration;
     };
 
+    /** A start that is throttled from its beginning. */
+    struct PacedStart
+    {
+        WorkerIndex worker = NoWorker;
+        int percent = 100;
+    };
+
     /** A write that gives tasks of one job to another shard. No other write is sent until its outcome is known. */
     struct Transfer
     {
@@ -389,6 +397,8 @@
     WorkerIndex chooseWorker(const TaskRef &ref, bool canShareSpareCpu, TimePoint now);
     std::optional<double> scorePlacement(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
     std::optional<Candidate> describeCandidate(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu) const;
+    Candidate
+    describeCandidate(WorkerIndex index, const TaskRef &ref, bool canShareSpareCpu, double interference) const;
     Refusal placementRefusal(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
     bool isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     bool isUsable(const WorkerState &worker, TimePoint now) const;
@@ -397,7 +407,7 @@
     Refusal unsuitableReason(const WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     bool isCapacityKnown(const WorkerState &worker, TimePoint now) const;
     bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
-    void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now);
+    void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now, int percent = 100);
     void onStartReply(
         const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
     void stopTask(const TaskRef &ref, std::string_view why);
@@ -480,6 +490,9 @@
     void updateThrottles(WorkerIndex index);
     bool hasWorkerFor(const TaskRef &ref);
     void throttleTask(const TaskRef &ref, int percent);
+    void orderPendingThrottle(const TaskRef &ref);
+    PacedStart choosePacedStart(const TaskRef &ref, TimePoint now);
+    std::optional<int> toleratedPercent(WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     void logThrottleChanges(const WorkerState &worker, std::span<const TaskRef> runs, std::span<const int> percents);
     std::vector<TaskRef> bestEffortRuns(const WorkerState &worker) const;
     std::vector<BestEffortTask> describeBestEffortRuns(const WorkerState &worker, std::span<const TaskRef> runs) const;
@@ -590,6 +603,7 @@
     CompletionRate m_bestEffortRate;
     std::vector<WorkerIndex> m_usableWorkers;             ///< see listUsableWorkers()
     UnplacedDemands m_unplaced;                           ///< in the current or last placement pass
+    UnplacedDemands m_unpaced;                            ///< the same for choosePacedStart()
     const JobState *m_cpuSharingJob = nullptr;            ///< under scarcity, the one job that may exceed the idle CPU
     TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -331,11 +331,21 @@
             worker, [this, worker, run] { return m_fleet.stop(worker, run); }, std::move(done));
     }
 
-    void
-    throttle(const WorkerTarget &, const RunName &, int percent, std::function<void(const OrderReply &)> done) override
+    void throttle(const WorkerTarget &worker,
+                  const RunName &run,
+                  int percent,
+                  std::function<void(const OrderReply &)> done) override
     {
         throttles.push_back(percent);
-        m_replies.schedule(StepTime, [done] { done({OrderStatus::Accepted, 0}); });
+        const auto &runs = m_fleet.workers.at(worker.id).running;
+        areThrottledRunsThere
+            = areThrottledRunsThere
+              && std::any_of(runs.begin(), runs.end(), [&run](const FakeRun &it) { return it.run == run; });
+        const bool isLost = lostThrottles > 0;
+        lostThrottles -= isLost ? 1 : 0;
+        m_replies.schedule(StepTime, [done, isLost] {
+            done(isLost ? OrderReply{} : OrderReply{OrderStatus::Accepted, 0});
+        });
     }
 
     void
@@ -394,6 +404,8 @@
     }
 
     std::vector<int> throttles;
+    bool areThrottledRunsThere = true; ///< each throttle reached a worker that had the run
+    int lostThrottles = 0;             ///< number of throttles to be left without an answer
 
 private:
     struct WaitingRenewal
