--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -9,8 +9,8 @@
  *   first_start_seconds{queue}        from acceptance to the first start of a task
  *   job_seconds{queue,state}          from acceptance to the end of the job
  *   starts_total, starts_rejected_total, starts_unanswered_total, runs_total{end}, stops_total, throttles_total,
- *   untracked_images_total, writes_total, tasks_given_total, tasks_taken_total, jobs_moved_total, jobs_taken_total,
- *   worker_crashes_total, worker_crashes_at_start_total, tasks_given_up_total
+ *   paced_starts_total, untracked_images_total, writes_total, tasks_given_total, tasks_taken_total, jobs_moved_total,
+ *   jobs_taken_total, worker_crashes_total, worker_crashes_at_start_total, tasks_given_up_total
  *                                     all with {shard}: counted while this node led the shard
  *   intake_total{outcome}, questions_total
  *                                     callers' writes by outcome ("accepted" counts submissions only), and queries
@@ -31,6 +31,8 @@
  *                                     in the queue on
  *   diagnosed_waiting_tasks{why}      gauge: tasks of the few steps that the last checks have diagnosed, by reason; see
  *                                     waiting.h
+ *   turned_away_wait_seconds{why}     gauge: wait of the oldest task that no worker of its shard takes, by what most of
+ *                                     them turn it away for when its step was last diagnosed
  *   waiting_long_running_tasks{why}   gauge: long-running tasks that have waited for seconds, for unread workers or room
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -33,6 +33,7 @@
 
 #include <workflow/crashes.h>
 #include <workflow/model.h>
+#include <workflow/placement.h>
 #include <workflow/pressure.h>
 #include <workflow/shards.h>
 
@@ -112,6 +113,8 @@
     TimePoint idleSince{};       ///< start of using no CPU; zero: uses some, or unknown
     std::uint64_t lastReportNumber = 0; ///< number of the worker's last report that listed the run
     std::uint8_t percent = 100;         ///< throttle last ordered: share of its CPU that the run may use
+    /** Throttle to be ordered as soon as the run is known to be there; none: nothing is to be ordered. */
+    std::optional<std::uint8_t> pendingPercent;
     std::string checkpoint;
     std::vector<std::uint64_t> failedAttempts;
 
@@ -143,6 +146,8 @@
     TimePoint noRoomSince{};          ///< since then a task has found no worker; zero: none waits so
     TimePoint nextEvictionSearchAt{}; ///< earliest next search for a task to evict
     TimePoint nextTransferAt{};       ///< earliest next attempt to give tasks to another shard
+    /** Main refusal when its wait was last diagnosed; None: none of its tasks has waited for long, or not for a worker. */
+    Refusal turnedAwayFor = Refusal::None;
 };
 
 struct OccurrenceState
