Throttles of best-effort runs: unknown at a new leader, ended with the last serving task

What callers saw: nothing yet; found by review of the paced starts, which make it more frequent. Cause: once the last serving task had left a worker, no throttle there was ever looked at again, so that a run at 0 stayed there for good. And a new leader takes each run that it adopts for one at full rate. Class: a wait that is bounded at its start and not at its end.

Change: on a worker without serving tasks best-effort runs are lifted to full rate with its next report.

--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -192,7 +192,11 @@
 void WorkflowScheduler::observePressure(WorkerIndex index)
 {
     WorkerState &worker = *m_workers[index];
-    if (worker.longRunningCpuMillis == 0 || m_now < worker.sampledAt + m_settings.pressure.sampleInterval) {
+    if (worker.longRunningCpuMillis == 0) {
+        endThrottles(worker);
+        return;
+    }
+    if (m_now < worker.sampledAt + m_settings.pressure.sampleInterval) {
         for (const TaskRef &it : worker.runs) {
             orderPendingThrottle(it);
         }
@@ -258,11 +262,14 @@
         const int wanted = percents[i] - percents[i] % settings.percentStep;
         const bool isDue = wanted > current ? canLift : mustLower;
         percents[i] = std::min<int>(isDue ? wanted : current, runs[i].task().pendingPercent.value_or(100));
+        if (runs[i].task().isThrottleUnknown) { // what is assumed to lower it may lift it
+            percents[i] = canLift ? wanted : 0;
+        }
     }
     logThrottleChanges(worker, runs, percents);
     for (std::size_t i = 0; i < runs.size(); ++i) {
         const TaskState &task = runs[i].task();
-        if (percents[i] != task.percent) {
+        if (percents[i] != task.percent || task.isThrottleUnknown) {
             throttleTask(runs[i], percents[i]);
         }
         const bool isStalled
@@ -275,6 +282,17 @@
     }
 }
 
+/** Lets best-effort tasks run at full rate on a worker that no serving task needs any more. */
+void WorkflowScheduler::endThrottles(const WorkerState &worker)
+{
+    for (const TaskRef &it : bestEffortRuns(worker)) {
+        const TaskState &task = it.task();
+        if (task.percent < 100 || task.pendingPercent || task.isThrottleUnknown) {
+            throttleTask(it, 100);
+        }
+    }
+}
+
 /**
  * A worker applies a throttle only to a run that it has, and orders may overtake each other: it follows the answer to the start,
  * or the first report of the run. One that failed is repeated.
@@ -423,6 +441,7 @@
     ++m_counters.throttles;
     task.percent = static_cast<std::uint8_t>(percent);
     task.pendingPercent.reset();
+    task.isThrottleUnknown = false;
     m_workers[task.worker]->outlook.at = {};
     const bool isNearlyStopped = percent <= m_settings.pressure.stalledPercent;
     task.stalledSince = !isNearlyStopped ? TimePoint{} : task.stalledSince == TimePoint{} ? m_now : task.stalledSince;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -491,6 +491,7 @@
     bool hasWorkerFor(const TaskRef &ref);
     void throttleTask(const TaskRef &ref, int percent);
     void orderPendingThrottle(const TaskRef &ref);
+    void endThrottles(const WorkerState &worker);
     PacedStart choosePacedStart(const TaskRef &ref, TimePoint now);
     std::optional<int> toleratedPercent(WorkerState &worker, const TaskRef &ref, TimePoint now) const;
     void logThrottleChanges(const WorkerState &worker, std::span<const TaskRef> runs, std::span<const int> percents);
--- a/packages/workflow/tests/guardtest.cpp
+++ b/packages/workflow/tests/guardtest.cpp
@@ -58,6 +58,18 @@
         return fleet.startedJobs.contains("filling");
     }
 
+    std::uint64_t attemptOfFilling() const ///< 0: does not run
+    {
+        for (const auto &[id, worker] : fleet.workers) {
+            for (const FakeRun &it : worker.running) {
+                if (it.run.task.job == "filling") {
+                    return it.run.attempt;
+                }
+            }
+        }
+        return 0;
+    }
+
     bool runsBeside(const JobKey &key, const JobKey &other) const
     {
         return std::any_of(fleet.workers.begin(), fleet.workers.end(), [&](const auto &it) {
@@ -162,4 +174,46 @@
     EXPECT_EQ(rig.nodes[0]->port.throttles, std::vector<int>({0, 0, 0}));
 }
 
+// Load: a leader ends while it has throttled a run to 0. Guards against a successor that takes the run for one at full rate: it
+// was stopped as hung, and its worker quarantined, or it was never lifted again.
+TEST(Guard, newLeaderTakesOverAThrottledRun)
+{
+    GuardedRig rig(2);
+    rig.fleet.workTime = 60s;
+    rig.setTails(NearTargetMs, NearTargetMs);
+    rig.submitFilling();
+    rig.run(6s);
+    ASSERT_TRUE(rig.hasStarted());
+    const std::uint64_t attempt = rig.attemptOfFilling();
+    ASSERT_NE(attempt, 0U);
+    rig.fleet.gauges["filling"] = 0;
+    rig.kill(rig.leader());
+    rig.run(8s);
+    ASSERT_GE(rig.leader(), 0);
+    EXPECT_EQ(rig.attemptOfFilling(), attempt) << "stopped as hung";
+    rig.setTails(10, 10);
+    rig.run(3s);
+    const FakePort &port = rig.nodes[static_cast<std::size_t>(rig.leader())]->port;
+    ASSERT_FALSE(port.throttles.empty());
+    EXPECT_EQ(port.throttles.back(), 100);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against a run that stays throttled for good once the serving tasks beside it have gone.
+TEST(Guard, throttleEndsWithTheLastServingTask)
+{
+    GuardedRig rig;
+    rig.fleet.workTime = 60s;
+    rig.setTails(NearTargetMs, NearTargetMs);
+    rig.submitFilling();
+    rig.run(6s);
+    const FakePort &port = rig.nodes[0]->port;
+    ASSERT_FALSE(port.throttles.empty());
+    ASSERT_EQ(port.throttles.back(), 0);
+    rig.cancel(0, "serving0");
+    rig.cancel(0, "serving1");
+    rig.run(3s);
+    EXPECT_EQ(port.throttles.back(), 100);
+}
+
 } // namespace QuetzalRock::Workflow
