Transfers: the longest wait is given first

What callers saw: with several long-running tasks without room, the one that had waited longest was not the one that other shards got. Cause: the first step in the order of a hash table was taken, and within a step the lowest indices. Change: of the steps whose turn has come, the one with the longest wait (longestWaitSince()); within it the longest waits. As an order by wait would let a task that cannot be given (no registration, too many guest shards) hold up all others, each attempt delays the step's next one by a second, and a write that was not executed by 200 ms. Steps without a destination still retry each second, each at its own time: between steps the order holds among those whose turn has come.

--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -12,6 +12,21 @@
 constexpr Duration TransferTime = 4s;     ///< from the loss of room until the tasks are at work in another shard
 constexpr Duration CancelTime = 3s;
 
+void drainWorker(Rig &rig, FakeWorker &worker)
+{
+    worker.condition = WorkerCondition::Draining;
+    worker.leavesInMs = 1000; // its tasks are stopped at once
+    rig.backend.write("workers/" + worker.id, "draining");
+}
+
+WorkflowSpec makeService(const JobKey &key, std::uint32_t tasks, std::int64_t cpuMillis)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].isLongRunning = true;
+    spec.steps[0].need.cpuMillis = cpuMillis;
+    return spec;
+}
+
 /** Four shards of two workers each; a job of Tasks long-running tasks fills one of them. */
 class TransferRig : public Rig
 {
@@ -41,9 +56,7 @@
 
     void drain(FakeWorker &worker)
     {
-        worker.condition = WorkerCondition::Draining;
-        worker.leavesInMs = 1000; // its tasks are stopped at once
-        backend.write("workers/" + worker.id, "draining");
+        drainWorker(*this, worker);
     }
 
     void endDrains()
@@ -383,6 +396,42 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Of the waiting tasks of a step the one with the lowest index was given, however long another one had waited.
+TEST(Transfer, longestWaitIsGivenFirst)
+{
+    for (const std::uint32_t longest : {0U, 1U}) {
+        Rig rig(3, 8, 2);
+        rig.run(3s);
+        const auto submit = [&rig](const JobKey &key, std::uint32_t tasks) { // each task fills a worker
+            rig.fleet.longRunningJobs.insert(key);
+            rig.submit(0, makeService(key, tasks, 16'000));
+            rig.run(1s);
+        };
+        submit("a", 2);
+        for (const char *key : {"f0", "f1", "f2", "f3", "f4", "f5"}) {
+            submit(key, 1);
+        }
+        ASSERT_EQ(rig.fleet.runningTasks(), 8U);
+        const auto workerOf = [&rig](std::uint32_t index) -> FakeWorker * {
+            for (auto &[id, worker] : rig.fleet.workers) {
+                if (!worker.running.empty() && worker.running.front().run.task == TaskName{"a", 0, 0, index}) {
+                    return &worker;
+                }
+            }
+            return nullptr;
+        };
+        drainWorker(rig, *workerOf(longest));
+        rig.run(3s);
+        drainWorker(rig, *workerOf(1 - longest));
+        rig.run(5s);
+        ASSERT_EQ(rig.fleet.runningTasks(), 6U);
+        rig.cancel(0, "f0");
+        rig.run(TransferTime);
+        EXPECT_TRUE(workerOf(longest) != nullptr) << longest;
+        EXPECT_TRUE(workerOf(1 - longest) == nullptr) << longest;
+    }
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Records and choice
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -23,13 +23,18 @@
 using namespace std::chrono_literals;
 
 constexpr Duration StatusMaxAge = 500ms;         ///< of the other shards' statuses
-constexpr Duration NoDestinationRetryDelay = 1s; ///< while no other shard has room
+constexpr Duration AttemptRetryDelay = 1s;       ///< of a step whose tasks could not be given
 constexpr Duration WriteRetryDelay = 200ms;      ///< of a transfer with unknown outcome
 constexpr std::uint32_t MaxDelayDoublings = 3;   ///< of WorkflowSettings::transferDelay
 constexpr std::size_t MaxTasksFromProgress = 20; ///< in one transfer; each takes one entry beside six others
 constexpr std::size_t MaxTasksFromRecords = 8;   ///< each takes three entries beside four others
 constexpr std::size_t MaxGuestShards = 24;       ///< of one job; a cancel takes an entry for each
 
+bool hasWaitedLonger(const TaskRef &a, const TaskRef &b)
+{
+    return longestWaitSince(*a.job, a.task()) < longestWaitSince(*b.job, b.task());
+}
+
 bool givenTaskIsUnknown(const JobState &job, const GivenTask &task)
 {
     const auto &steps = job.occurrences.front().steps;
@@ -69,6 +74,8 @@
     if (!first) {
         return;
     }
+    // If its tasks cannot be given, those of other steps get their turn.
+    first->job->occurrences.front().steps[first->step].nextTransferAt = now + AttemptRetryDelay;
     m_isPreparingTransfer = true;
     if (now >= m_statusesReadAt + StatusMaxAge) {
         readStatuses(*first);
@@ -100,22 +107,26 @@
             refs.push_back(ref);
         }
     }
+    std::stable_sort(refs.begin(), refs.end(), hasWaitedLonger);
     return refs;
 }
 
+/** The one that has waited longest. */
 std::optional<TaskRef> WorkflowScheduler::findTaskWithoutRoom(TimePoint now) const
 {
+    std::optional<TaskRef> longest;
     for (const auto &[key, job] : m_activeJobs) {
         for (std::uint32_t s = 0; s < job->accepted.spec.steps.size(); ++s) {
             if (now < job->occurrences.front().steps[s].nextTransferAt) {
                 continue;
             }
-            if (const std::vector<TaskRef> refs = tasksWithoutRoom(*job, s, now); !refs.empty()) {
-                return refs.front();
+            const std::vector<TaskRef> refs = tasksWithoutRoom(*job, s, now);
+            if (!refs.empty() && (!longest || hasWaitedLonger(refs.front(), *longest))) {
+                longest = refs.front();
             }
         }
     }
-    return std::nullopt;
+    return longest;
 }
 
 void WorkflowScheduler::readStatuses(const TaskRef &first)
@@ -185,7 +196,6 @@
                                                  static_cast<std::uint32_t>(tasks.size()),
                                                  m_shard);
     if (!destination) {
-        job->occurrences.front().steps[step].nextTransferAt = now + NoDestinationRetryDelay;
         return;
     }
     tasks.resize(destination->tasks);
@@ -345,6 +355,8 @@
     m_isStoring = false;
     m_isPlacementDue = true;
     JobState &job = *transfer.tasks.front().job;
+    job.occurrences.front().steps[transfer.tasks.front().step].nextTransferAt
+        = isExecuted ? TimePoint{} : m_clock.now() + WriteRetryDelay;
     const bool isFromRecord = transfer.progress.empty();
     if (isExecuted && !isFromRecord) {
         job.state = job.state == WorkflowState::Queued ? WorkflowState::Running : job.state;
