Transfers: rejected starts do not begin the delay anew

What callers saw: a task stayed in its shard without a bound while other shards had room, if a worker there seemed to have room and rejected each start. Cause: the delay counted from StepState::noRoomSince, which is reset whenever a placement pass starts the tasks that wait; each rejection began it anew. Change: it counts from the end of the task's own last run or its arrival. The step must have found no room in the last pass, as before.

--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -299,6 +299,7 @@
     bool renewalsWait = false;
     bool isDisconnected = false;                  ///< this node reaches no worker
     std::set<WorkerId> unreachableWorkers;        ///< workers that this node does not reach
+    std::set<WorkerId> fullWorkers;               ///< workers that reject each start for lack of capacity
     int lostStartReplies = 0;                     ///< number of starts that get no reply
     Duration lostStartDelay{};                    ///< delay of the execution of these starts; negative: never executed
     int lostOrderReplies = 0;                     ///< number of renewals and stops that get no reply
@@ -313,6 +314,10 @@
         if (beforeStart) {
             beforeStart();
         }
+        if (fullWorkers.contains(worker.id)) {
+            m_replies.schedule(StepTime, [done] { done({OrderStatus::InsufficientCapacity, 0}); });
+            return;
+        }
         if (lostStartReplies > 0) {
             --lostStartReplies;
             if (lostStartDelay >= Duration::zero()) {
--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -432,6 +432,24 @@
     }
 }
 
+// Each rejected start began the delay anew, so that a worker that rejects all of them kept the tasks in its shard for good.
+TEST(Transfer, rejectedStartsDoNotDelayATransfer)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(500ms);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        if (rig.shardOf(worker) == rig.home && worker.condition == WorkerCondition::Draining) {
+            for (const auto &node : rig.nodes) {
+                node->port.fullWorkers.insert(id);
+            }
+        }
+    }
+    rig.endDrains();
+    rig.run(TransferTime);
+    rig.expectAllRunOnce();
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Records and choice
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -30,6 +30,15 @@
 constexpr std::size_t MaxTasksFromRecords = 8;   ///< each takes three entries beside four others
 constexpr std::size_t MaxGuestShards = 24;       ///< of one job; a cancel takes an entry for each
 
+/**
+ * Since when this shard may have found no room for a waiting task: the end of its last run or its arrival. Other tasks of its step and
+ * rejected starts change nothing.
+ */
+TimePoint waitingHereSince(const JobState &job, const TaskState &task)
+{
+    return std::max(task.waitingSince, job.learnedAt);
+}
+
 bool hasWaitedLonger(const TaskRef &a, const TaskRef &b)
 {
     return longestWaitSince(*a.job, a.task()) < longestWaitSince(*b.job, b.task());
@@ -102,7 +111,8 @@
         const Duration delay = isEvacuated ? Duration::zero()
                                            : m_settings.transferDelay * (1U << std::min(task.moves, MaxDelayDoublings));
         const TaskRef ref{&job, 0, step, i};
-        const bool hasWaited = isWithoutRoom && !task.trial && now >= std::max(state.noRoomSince, task.retryAt) + delay;
+        const bool hasWaited
+            = isWithoutRoom && !task.trial && now >= task.retryAt && now >= waitingHereSince(job, task) + delay;
         if (task.phase == TaskPhase::Waiting && (hasWaited || task.isGivenUp) && !mayBeRunningElsewhere(ref)) {
             refs.push_back(ref);
         }
