Transfers: earlier transfers do not delay the next one

What callers saw: a long-running task that had been given to other shards before waited 4, 8, then 16 s without room until it was given again, however long it had run in between. Cause: the delay doubled with each transfer in the task's life. It was meant for tasks that find no room where they arrive. Change: the delay is the same in each shard, so that the wait in each is bounded by it. Not shown: what it costs where statuses offer room that a task cannot use (memory); it then moves every 2 s.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -102,8 +102,8 @@
     OverdueSettings overdue;
 
     // Transfers to other shards
-    Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
-                                                      ///< doubles with each of its transfers, at most three times
+    Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that, in
+                                                      ///< each shard to which it is given
     Duration transferInterval = std::chrono::milliseconds(200); ///< least time between two transfers
     Duration jobMoveDelay = std::chrono::seconds(2); ///< a job without room moves to a shard with less work after that;
                                                      ///< doubles with each of its moves, at most three times
--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -450,6 +450,20 @@
     rig.expectAllRunOnce();
 }
 
+// Every transfer in a task's life doubled the delay: one that had been given before lost a longer time with each loss of its room.
+TEST(Transfer, earlierTransfersDoNotDelayTheNextOne)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    const ShardId guest = rig.guestShard();
+    ASSERT_NE(guest, rig.home);
+    rig.drainHalfOf(guest);
+    rig.drainHalfOf(guest);
+    rig.run(TransferTime);
+    rig.expectAllRunOnce();
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Records and choice
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -25,7 +25,6 @@
 constexpr Duration StatusMaxAge = 500ms;         ///< of the other shards' statuses
 constexpr Duration AttemptRetryDelay = 1s;       ///< of a step whose tasks could not be given
 constexpr Duration WriteRetryDelay = 200ms;      ///< of a transfer with unknown outcome
-constexpr std::uint32_t MaxDelayDoublings = 3;   ///< of WorkflowSettings::transferDelay
 constexpr std::size_t MaxTasksFromProgress = 20; ///< in one transfer; each takes one entry beside six others
 constexpr std::size_t MaxTasksFromRecords = 8;   ///< each takes three entries beside four others
 constexpr std::size_t MaxGuestShards = 24;       ///< of one job; a cancel takes an entry for each
@@ -105,11 +104,9 @@
         return refs;
     }
     const bool isWithoutRoom = state.noRoomSince != TimePoint{};
-    const bool isEvacuated = isShardEvacuated();
+    const Duration delay = isShardEvacuated() ? Duration::zero() : m_settings.transferDelay;
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
         const TaskState &task = state.tasks[i];
-        const Duration delay = isEvacuated ? Duration::zero()
-                                           : m_settings.transferDelay * (1U << std::min(task.moves, MaxDelayDoublings));
         const TaskRef ref{&job, 0, step, i};
         const bool hasWaited
             = isWithoutRoom && !task.trial && now >= task.retryAt && now >= waitingHereSince(job, task) + delay;
