Statuses offer no room that a waiting task is going to take

What callers saw: tasks were given to shards whose own tasks were waiting for the same room, found none there and moved on. Cause: the pieces of room in ShardStatus were the capacity less what placed long-running tasks hold; room that tasks which wait there, or are being stopped, are going to take counted as free. Change: the pieces are what findUnpromisedResources() leaves; a reserved worker offers none, and the task for which it is reserved is promised that worker first. It is computed once for each check of the status. Evidence: Transfer.roomThatAWaitingTaskGetsIsNotOffered failed on the former sources (16 cores offered, all promised) and passes, as all of Transfer.* does.

--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -174,16 +174,20 @@
     }
 }
 
-/** Takes the need of a task without a run from the worker where it fits most tightly, if there is one. */
+/** Takes the need of a task without a run from the worker reserved for it, or from the one where it fits most tightly. */
 void WorkflowScheduler::promiseResources(const TaskRef &ref, TimePoint now)
 {
     const Resources need = ref.spec().need;
     Resources *tightest = nullptr;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         Resources &left = m_unpromised[i];
-        const bool isTighter = tightest == nullptr || left.cpuMillis < tightest->cpuMillis;
-        if (isTighter && need.fitsIn(left) && isEligible(*m_workers[i], ref, now)) {
+        const bool isReserved = m_workers[i]->reservedFor == ref.job && now < m_workers[i]->reservedUntil;
+        const bool isBetter = tightest == nullptr || isReserved || left.cpuMillis < tightest->cpuMillis;
+        if (isBetter && need.fitsIn(left) && isEligible(*m_workers[i], ref, now)) {
             tightest = &left;
+            if (isReserved) {
+                break;
+            }
         }
     }
     if (tightest != nullptr) {
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -86,6 +86,9 @@
     }
     ShardStatus status = m_storedStatus;
     if (now >= m_nextStatusAt) {
+        if (m_hasOtherShards && (m_unpromisedAt != now || m_unpromised.size() != m_workers.size())) {
+            findUnpromisedResources(now);
+        }
         status = shardStatus();
         if (m_settings.scarcity.enabled) {
             addScarcityStatus(status, now);
@@ -275,16 +278,19 @@
     }
 }
 
+/** Expects m_unpromised as of now: room that a task which waits here is going to take is not offered to other shards. */
 ShardStatus WorkflowScheduler::shardStatus() const
 {
     ShardStatus status;
     std::int64_t capacityMillis = 0;
-    for (const auto &it : m_workers) {
-        if (it->isRegistered) {
-            capacityMillis += it->record.capacity.cpuMillis;
+    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
+        const WorkerState &worker = *m_workers[i];
+        if (worker.isRegistered) {
+            capacityMillis += worker.record.capacity.cpuMillis;
         }
-        if (m_hasOtherShards && it->isRegistered && it->record.condition == WorkerCondition::Ready) {
-            const std::int64_t free = it->record.capacity.cpuMillis - it->longRunningCpuMillis;
+        if (m_hasOtherShards && worker.isRegistered && worker.record.condition == WorkerCondition::Ready) {
+            const bool isReserved = worker.reservedFor != nullptr && m_unpromisedAt < worker.reservedUntil;
+            const std::int64_t free = isReserved ? 0 : m_unpromised[i].cpuMillis;
             ++status.workersByFreeCores[std::max<std::int64_t>(0, free) / 1000]; // negative: its capacity has shrunk
         }
     }
--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -27,6 +27,24 @@
     return spec;
 }
 
+/** The workers of one shard, each of which runs something. */
+std::vector<FakeWorker *> workersOfShardInUse(Rig &rig, const JobKey &job)
+{
+    std::string rack;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        const bool runsJob = std::any_of(
+            worker.running.begin(), worker.running.end(), [&job](const FakeRun &it) { return it.run.task.job == job; });
+        rack = runsJob ? worker.rack : rack;
+    }
+    std::vector<FakeWorker *> workers;
+    for (auto &[id, worker] : rig.fleet.workers) {
+        if (worker.rack == rack && !worker.running.empty()) {
+            workers.push_back(&worker);
+        }
+    }
+    return workers;
+}
+
 /** Four shards of two workers each; a job of Tasks long-running tasks fills one of them. */
 class TransferRig : public Rig
 {
@@ -464,6 +482,28 @@
     rig.expectAllRunOnce();
 }
 
+// A task that waited for a piece of room, or was about to, did not keep it from being offered to other shards.
+TEST(Transfer, roomThatAWaitingTaskGetsIsNotOffered)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    rig.fleet.longRunningJobs.insert("a");
+    rig.submit(0, makeService("a", 2, 8000));
+    rig.run(2s);
+    const std::vector<FakeWorker *> workers = workersOfShardInUse(rig, "a");
+    ASSERT_FALSE(workers.empty());
+    const ShardId home = rig.shardMap().shardOfRack.at(workers.front()->rack);
+    for (const auto &node : rig.nodes) { // the stop stays unreported for a while
+        node->port.renewReplyDelay[workers.front()->id] = 1800ms;
+    }
+    rig.run(1s);
+    drainWorker(rig, *workers.front());
+    rig.run(1s);
+    ASSERT_LT(rig.fleet.runningTasks(), 2U);
+    const ShardStatus status = decodeStatus(rig.backend.items.at(makeShardKeys(home).status).value);
+    EXPECT_EQ(status.workersByFreeCores, (std::map<std::int64_t, std::uint32_t>{{0, 1}}));
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Records and choice
 // ---------------------------------------------------------------------------------------------------------------------
