--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -12,6 +12,39 @@
 constexpr Duration TransferTime = 4s;     ///< from the loss of room until the tasks are at work in another shard
 constexpr Duration CancelTime = 3s;
 
+void drainWorker(Rig &rig, FakeWorker &worker)
+{
+    worker.condition = WorkerCondition::Draining;
+    worker.leavesInMs = 1000; // its tasks are stopped at once
+    rig.backend.write("workers/" + worker.id, "draining");
+}
+
+WorkflowSpec makeService(const JobKey &key, std::uint32_t tasks, std::int64_t cpuMillis)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].isLongRunning = true;
+    spec.steps[0].need.cpuMillis = cpuMillis;
+    return spec;
+}
+
+/** The workers of one shard, each of which runs something. */
+std::vector<FakeWorker *> workersOfShardInUse(Rig &rig, const JobKey &job)
+{
+    std::string rack;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        const bool runsJob = std::any_of(
+            worker.running.begin(), worker.running.end(), [&job](const FakeRun &it) { return it.run.task.job == job; });
+        rack = runsJob ? worker.rack : rack;
+    }
+    std::vector<FakeWorker *> workers;
+    for (auto &[id, worker] : rig.fleet.workers) {
+        if (worker.rack == rack && !worker.running.empty()) {
+            workers.push_back(&worker);
+        }
+    }
+    return workers;
+}
+
 /** Four shards of two workers each; a job of Tasks long-running tasks fills one of them. */
 class TransferRig : public Rig
 {
@@ -41,9 +74,7 @@
 
     void drain(FakeWorker &worker)
     {
-        worker.condition = WorkerCondition::Draining;
-        worker.leavesInMs = 1000; // its tasks are stopped at once
-        backend.write("workers/" + worker.id, "draining");
+        drainWorker(*this, worker);
     }
 
     void endDrains()
@@ -383,6 +414,96 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Of the waiting tasks of a step the one with the lowest index was given, however long another one had waited.
+TEST(Transfer, longestWaitIsGivenFirst)
+{
+    for (const std::uint32_t longest : {0U, 1U}) {
+        Rig rig(3, 8, 2);
+        rig.run(3s);
+        const auto submit = [&rig](const JobKey &key, std::uint32_t tasks) { // each task fills a worker
+            rig.fleet.longRunningJobs.insert(key);
+            rig.submit(0, makeService(key, tasks, 16'000));
+            rig.run(1s);
+        };
+        submit("a", 2);
+        for (const char *key : {"f0", "f1", "f2", "f3", "f4", "f5"}) {
+            submit(key, 1);
+        }
+        ASSERT_EQ(rig.fleet.runningTasks(), 8U);
+        const auto workerOf = [&rig](std::uint32_t index) -> FakeWorker * {
+            for (auto &[id, worker] : rig.fleet.workers) {
+                if (!worker.running.empty() && worker.running.front().run.task == TaskName{"a", 0, 0, index}) {
+                    return &worker;
+                }
+            }
+            return nullptr;
+        };
+        drainWorker(rig, *workerOf(longest));
+        rig.run(3s);
+        drainWorker(rig, *workerOf(1 - longest));
+        rig.run(5s);
+        ASSERT_EQ(rig.fleet.runningTasks(), 6U);
+        rig.cancel(0, "f0");
+        rig.run(TransferTime);
+        EXPECT_TRUE(workerOf(longest) != nullptr) << longest;
+        EXPECT_TRUE(workerOf(1 - longest) == nullptr) << longest;
+    }
+}
+
+// Each rejected start began the delay anew, so that a worker that rejects all of them kept the tasks in its shard for good.
+TEST(Transfer, rejectedStartsDoNotDelayATransfer)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(500ms);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        if (rig.shardOf(worker) == rig.home && worker.condition == WorkerCondition::Draining) {
+            for (const auto &node : rig.nodes) {
+                node->port.fullWorkers.insert(id);
+            }
+        }
+    }
+    rig.endDrains();
+    rig.run(TransferTime);
+    rig.expectAllRunOnce();
+}
+
+// Every transfer in a task's life doubled the delay: one that had been given before lost a longer time with each loss of its room.
+TEST(Transfer, earlierTransfersDoNotDelayTheNextOne)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    rig.run(TransferTime);
+    const ShardId guest = rig.guestShard();
+    ASSERT_NE(guest, rig.home);
+    rig.drainHalfOf(guest);
+    rig.drainHalfOf(guest);
+    rig.run(TransferTime);
+    rig.expectAllRunOnce();
+}
+
+// A task that waited for a piece of room, or was about to, did not keep it from being offered to other shards.
+TEST(Transfer, roomThatAWaitingTaskGetsIsNotOffered)
+{
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    rig.fleet.longRunningJobs.insert("a");
+    rig.submit(0, makeService("a", 2, 8000));
+    rig.run(2s);
+    const std::vector<FakeWorker *> workers = workersOfShardInUse(rig, "a");
+    ASSERT_FALSE(workers.empty());
+    const ShardId home = rig.shardMap().shardOfRack.at(workers.front()->rack);
+    for (const auto &node : rig.nodes) { // the stop stays unreported for a while
+        node->port.renewReplyDelay[workers.front()->id] = 1800ms;
+    }
+    rig.run(1s);
+    drainWorker(rig, *workers.front());
+    rig.run(1s);
+    ASSERT_LT(rig.fleet.runningTasks(), 2U);
+    const ShardStatus status = decodeStatus(rig.backend.items.at(makeShardKeys(home).status).value);
+    EXPECT_EQ(status.workersByFreeCores, (std::map<std::int64_t, std::uint32_t>{{0, 1}}));
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Records and choice
 // ---------------------------------------------------------------------------------------------------------------------
