Transfers: twenty a second, to the longest wait for which a shard has room

Cause, by the logs: two shards had 77 to 116 tasks stopped within 5 s, and gave them at one write each 200 ms, 1.3 to 1.8 tasks a write. Class: a rate that is too small for the burst that it answers.

Change: 50 ms between two transfers; 200 ms as before while nothing can be given, and between moves of whole jobs, which used the same setting. Statuses are read first, and a step for which no shard has room does not use up a turn. The delay counts from the arrival of the task itself, no longer from that of any task of its job.

Evidence: Transfer.manyStepsLeaveAFullShardInTime fails with 200 ms. At most 20 reads and 20 writes a second for each shard that has tasks to give, of 1,200 writes and 6,000 reads a second that the store takes.

--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -27,6 +27,7 @@
 constexpr std::size_t JobsPerMove = (MaxChangeEntries - 1) / EntriesPerJob; ///< beside the condition on the leader key
 constexpr std::size_t MaxJobsTried = 8;          ///< at a time; the choice of a destination copies the shard map
 constexpr Duration StatusMaxAge = 500ms;         ///< of the other shards' statuses
+constexpr Duration SearchInterval = 200ms;       ///< while no job can be moved
 constexpr Duration NoDestinationRetryDelay = 1s; ///< of a job for which no other shard has room
 constexpr Duration ConflictRetryDelay = 1s;      ///< of a job after a condition of its move did not hold
 constexpr Duration WriteRetryDelay = 200ms;      ///< of a move with unknown outcome
@@ -203,7 +204,7 @@
                && canMoveWhole(*it) && isKnownToRunNowhere(*it);
     });
     if (jobs.empty()) {
-        m_nextJobMoveAt = now + m_settings.transferInterval;
+        m_nextJobMoveAt = now + SearchInterval;
     } else if (now >= m_statusesReadAt + StatusMaxAge) {
         readStatusesForMove();
     } else {
@@ -281,7 +282,7 @@
         addToMove(move, *job, *to);
     }
     if (move.jobs.empty()) {
-        m_nextJobMoveAt = now + m_settings.transferInterval;
+        m_nextJobMoveAt = now + SearchInterval;
         return;
     }
     m_jobMove = std::move(move);
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -131,6 +131,7 @@
     bool hasRecord = false;           ///< belongs to this shard by a GivenTask
     bool isSuspectInRecord = false;   ///< its GivenTask, as last stored, says something of crashes
     std::uint32_t moves = 0;          ///< number of transfers so far
+    TimePoint takenAt{};              ///< when another shard last gave it to this one; zero: none has, or not known
     std::uint64_t recordRevision = 0; ///< of the last GivenTask seen
     std::uint64_t attemptBase = 0;    ///< attempts of earlier shards are not higher than that
 };
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -104,7 +104,7 @@
     // Transfers to other shards
     Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that, in
                                                       ///< each shard to which it is given
-    Duration transferInterval = std::chrono::milliseconds(200); ///< least time between two transfers
+    Duration transferInterval = std::chrono::milliseconds(50); ///< least time between two transfers
     Duration jobMoveDelay = std::chrono::seconds(2); ///< a job without room moves to a shard with less work after that;
                                                      ///< doubles with each of its moves, at most three times
 
@@ -453,8 +453,9 @@
     void giveWaitingTasks(TimePoint now);
     static bool canGiveTasksOf(const JobState &job);
     std::vector<TaskRef> tasksWithoutRoom(JobState &job, std::uint32_t step, TimePoint now) const;
-    std::optional<TaskRef> findTaskWithoutRoom(TimePoint now) const;
-    void readStatuses(const TaskRef &first);
+    std::vector<TaskRef> stepsWithoutRoom(TimePoint now) const;
+    std::optional<TaskDestination> findDestination(const TaskRef &ref, std::size_t tasks);
+    void readStatuses();
     void onStatusesRead(const StoreReply &reply);
     void readRegistration(const JobKey &key, std::uint32_t step);
     void chooseDestination(const PreparedTransfer &prepared, TimePoint now);
--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -450,6 +450,26 @@
     }
 }
 
+// Load: a worker leaves a full shard with one task of each of many steps. Transfers were so few a second that the last of the tasks
+// waited for many seconds, while the other shards had room.
+TEST(Transfer, manyStepsLeaveAFullShardInTime)
+{
+    constexpr std::uint32_t Steps = 40;
+    Rig rig(3, 8, 2);
+    rig.run(3s);
+    WorkflowSpec spec = makeService("many", 1, 800); // all steps fill two workers of 16 cores
+    spec.steps.resize(Steps, spec.steps.front());
+    rig.fleet.longRunningJobs.insert("many");
+    rig.submit(0, spec);
+    rig.run(3s);
+    const std::vector<FakeWorker *> workers = workersOfShardInUse(rig, "many");
+    ASSERT_EQ(workers.size(), 2U);
+    drainWorker(rig, *workers.front());
+    rig.run(TransferTime + 1s);
+    EXPECT_EQ(rig.fleet.runningTasks(), Steps);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
 // Each rejected start began the delay anew, so that a worker that rejects all of them kept the tasks in its shard for good.
 TEST(Transfer, rejectedStartsDoNotDelayATransfer)
 {
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -23,6 +23,7 @@
 using namespace std::chrono_literals;
 
 constexpr Duration StatusMaxAge = 500ms;         ///< of the other shards' statuses
+constexpr Duration SearchInterval = 200ms;       ///< while no task can be given
 constexpr Duration AttemptRetryDelay = 1s;       ///< of a step whose tasks could not be given
 constexpr Duration WriteRetryDelay = 200ms;      ///< of a transfer with unknown outcome
 constexpr std::size_t MaxTasksFromProgress = 20; ///< in one transfer; each takes one entry beside six others
@@ -35,12 +36,14 @@
  */
 TimePoint waitingHereSince(const JobState &job, const TaskState &task)
 {
-    return std::max(task.waitingSince, job.learnedAt);
+    return std::max(task.waitingSince, task.takenAt == TimePoint{} ? job.learnedAt : task.takenAt);
 }
 
-bool hasWaitedLonger(const TaskRef &a, const TaskRef &b)
+/** Order of giving: tasks that need no room first, then the longest wait. */
+bool goesFirst(const TaskRef &a, const TaskRef &b)
 {
-    return longestWaitSince(*a.job, a.task()) < longestWaitSince(*b.job, b.task());
+    return std::pair(!a.task().isGivenUp, longestWaitSince(*a.job, a.task()))
+           < std::pair(!b.task().isGivenUp, longestWaitSince(*b.job, b.task()));
 }
 
 bool givenTaskIsUnknown(const JobState &job, const GivenTask &task)
@@ -77,19 +80,26 @@
     if (!m_hasOtherShards || m_isPreparingTransfer || m_authority != Authority::Full || now < m_nextTransferAt) {
         return;
     }
-    m_nextTransferAt = now + m_settings.transferInterval;
-    const std::optional<TaskRef> first = findTaskWithoutRoom(now);
-    if (!first) {
+    const std::vector<TaskRef> waiting = stepsWithoutRoom(now);
+    m_nextTransferAt = now + (waiting.empty() ? SearchInterval : m_settings.transferInterval);
+    if (waiting.empty()) {
         return;
     }
-    // If its tasks cannot be given, those of other steps get their turn.
-    first->job->occurrences.front().steps[first->step].nextTransferAt = now + AttemptRetryDelay;
-    m_isPreparingTransfer = true;
     if (now >= m_statusesReadAt + StatusMaxAge) {
-        readStatuses(*first);
-    } else {
-        readRegistration(first->job->key(), first->step);
+        readStatuses();
+        return;
+    }
+    const auto found = std::find_if(waiting.begin(), waiting.end(), [this](const TaskRef &it) {
+        return it.task().isGivenUp || findDestination(it, 1);
+    });
+    if (found == waiting.end()) {
+        m_nextTransferAt = now + SearchInterval;
+        return;
     }
+    // If its tasks cannot be given, those of other steps get their turn.
+    found->job->occurrences.front().steps[found->step].nextTransferAt = now + AttemptRetryDelay;
+    m_isPreparingTransfer = true;
+    readRegistration(found->job->key(), found->step);
 }
 
 /**
@@ -114,40 +124,55 @@
             refs.push_back(ref);
         }
     }
-    std::stable_sort(refs.begin(), refs.end(), hasWaitedLonger);
+    std::stable_sort(refs.begin(), refs.end(), goesFirst);
     return refs;
 }
 
-/** The one that has waited longest. */
-std::optional<TaskRef> WorkflowScheduler::findTaskWithoutRoom(TimePoint now) const
+/** Of each step with tasks without room the one that has waited longest; the longest wait first. */
+std::vector<TaskRef> WorkflowScheduler::stepsWithoutRoom(TimePoint now) const
 {
-    std::optional<TaskRef> longest;
+    std::vector<TaskRef> waiting;
     for (const auto &[key, job] : m_activeJobs) {
         for (std::uint32_t s = 0; s < job->accepted.spec.steps.size(); ++s) {
             if (now < job->occurrences.front().steps[s].nextTransferAt) {
                 continue;
             }
             const std::vector<TaskRef> refs = tasksWithoutRoom(*job, s, now);
-            if (!refs.empty() && (!longest || hasWaitedLonger(refs.front(), *longest))) {
-                longest = refs.front();
+            if (!refs.empty()) {
+                waiting.push_back(refs.front());
             }
         }
     }
-    return longest;
+    std::stable_sort(waiting.begin(), waiting.end(), goesFirst);
+    return waiting;
 }
 
-void WorkflowScheduler::readStatuses(const TaskRef &first)
+void WorkflowScheduler::readStatuses()
 {
-    m_store.range(StatusPrefix, {}, ifAlive([this, key = first.job->key(), step = first.step](const StoreReply &reply) {
-                      if (reply.status != StoreStatus::Ok) {
-                          m_isPreparingTransfer = false;
-                          return;
+    m_isPreparingTransfer = true;
+    m_store.range(StatusPrefix, {}, ifAlive([this](const StoreReply &reply) {
+                      m_isPreparingTransfer = false;
+                      if (reply.status == StoreStatus::Ok) {
+                          onStatusesRead(reply);
+                          m_nextTransferAt = {};
                       }
-                      onStatusesRead(reply);
-                      readRegistration(key, step);
                   }));
 }
 
+/** Where @p tasks tasks of the step of @p ref find room, by the statuses that were read last. */
+std::optional<TaskDestination> WorkflowScheduler::findDestination(const TaskRef &ref, std::size_t tasks)
+{
+    const AcceptedJob &job = ref.job->accepted;
+    return chooseShardForTasks(*m_shardMap,
+                               m_statuses,
+                               recentlyGivenCpu(),
+                               job.pool,
+                               job.spec,
+                               ref.step,
+                               static_cast<std::uint32_t>(tasks),
+                               m_shard);
+}
+
 void WorkflowScheduler::onStatusesRead(const StoreReply &reply)
 {
     m_statuses.clear();
@@ -194,14 +219,7 @@
         returnTask(*givenUp, prepared.registration);
         return;
     }
-    const auto destination = chooseShardForTasks(*m_shardMap,
-                                                 m_statuses,
-                                                 recentlyGivenCpu(),
-                                                 job->accepted.pool,
-                                                 job->accepted.spec,
-                                                 step,
-                                                 static_cast<std::uint32_t>(tasks.size()),
-                                                 m_shard);
+    const auto destination = findDestination(tasks.front(), tasks.size());
     if (!destination) {
         return;
     }
@@ -437,6 +455,7 @@
         task.trial = given.trial;
         task.silentStart = given.silentStart;
         task.retryAt = m_clock.now();
+        task.takenAt = m_clock.now();
         restoreSuspect(ref);
         m_isPlacementDue = true;
         ++m_counters.tasksTaken;
