Elections: campaigns count as led shards, and wait for the map

Cause: the delay for each shard that a node already leads counted schedulers only, and was read when the wait for a campaign began. Campaigns for several vacant shards wait at the same time, so none saw the others and the node that reached the store first won them all.

Two more ways around the delay, found by reading: before a node has read the shard map it took the fleet for one shard and campaigned for the first shard at once; and the note that the delay had been applied outlived a vacancy that another node filled. No test shows the latter by itself.

Change: each shard that the node leads or campaigns for delays its other campaigns, also those that wait already, by at most 1 s in all, so that a single live node still leads everything soon. Campaigns wait for the first reading of the map, for 1 s at most. The delay applies anew to each vacancy.

--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -91,7 +91,12 @@
         reportEndedTerm();
     }
     if (m_stage == Stage::Idle && now >= m_nextActionAt) {
-        readLeaderKey();
+        const TimePoint campaignAt = m_vacantSince + m_campaignDelay;
+        if (m_hasWaited && now < campaignAt) {
+            m_nextActionAt = campaignAt; // the delay has grown meanwhile
+        } else {
+            readLeaderKey();
+        }
     }
 }
 
@@ -100,6 +105,13 @@
     m_campaignDelay = delay;
 }
 
+bool Election::isCampaigning() const
+{
+    const bool isAboutTo = m_stage == Stage::ReadingKey && m_hasWaited;
+    return m_term.epoch == 0 && !m_hasResigned
+           && (isAboutTo || m_stage == Stage::Campaigning || m_isCampaignUnanswered);
+}
+
 void Election::scheduleKeyRead()
 {
     m_nextActionAt = std::min(m_nextActionAt, m_clock.now());
@@ -183,6 +195,7 @@
     if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
         applyLeaderKey(reply.items.front());
         const bool isDeletedSince = reply.items.front().revision < m_deletedRevision;
+        m_hasWaited = false; // the next vacancy is waited for anew
         m_stage = isDeletedSince ? Stage::Idle : Stage::Following;
         m_nextActionAt = m_clock.now();
     } else if (reply.status == StoreStatus::NotFound) {
@@ -202,8 +215,9 @@
         scheduleRetry();
     } else if (m_campaignDelay > Duration::zero() && !m_hasWaited) {
         m_hasWaited = true;
+        m_vacantSince = m_clock.now();
         m_stage = Stage::Idle;
-        m_nextActionAt = m_clock.now() + m_campaignDelay;
+        m_nextActionAt = m_vacantSince + m_campaignDelay;
     } else {
         campaign();
     }
@@ -317,8 +331,9 @@
     endTerm("the leader key was deleted");
     m_stage = Stage::Idle;
     m_hasWaited = true;
+    m_vacantSince = m_clock.now();
     m_nextActionAt
-        = m_clock.now() + m_campaignDelay + Duration(m_random() % (m_settings.maxCampaignJitter.count() + 1));
+        = m_vacantSince + m_campaignDelay + Duration(m_random() % (m_settings.maxCampaignJitter.count() + 1));
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -68,9 +68,11 @@
     /** To be called when the leader key has changed or has been deleted. */
     void onLeaderKeyChanged(const StoreItem &item);
 
-    /** Delays campaigns, so that better suited nodes win. */
+    /** Delays campaigns, so that better suited nodes win. May be changed while a campaign waits. */
     void setCampaignDelay(Duration delay);
 
+    bool isCampaigning() const; ///< has waited for the campaign delay, and the outcome is not known yet
+
     /** The current term; epoch 0 if this node does not lead. Each term has a new epoch. */
     const Leadership &leadership() const;
     Authority authority(TimePoint now) const;
@@ -134,7 +136,8 @@
     TimePoint m_nextActionAt{};          ///< time of the next key read; used while Idle
     std::uint64_t m_deletedRevision = 0; ///< revision of the last deletion of the leader key that was reported
     Duration m_campaignDelay{};
-    bool m_hasWaited = false; ///< m_campaignDelay has already been applied since the leader key was deleted
+    bool m_hasWaited = false;  ///< m_campaignDelay has already been applied since the leader key was deleted
+    TimePoint m_vacantSince{}; ///< when the wait for m_campaignDelay began; used if m_hasWaited
     bool m_hasResigned = false;
     std::string m_leaderName;
     std::string m_ownValue;                    ///< written by the last campaign; unique to it
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -18,7 +18,8 @@
 // so that the better suited node campaigns first and wins.
 constexpr double SufficientCores = 0.5;      ///< can lead two shards under full load; no delay from here on
 constexpr Duration MaxLowCpuDelay = 500ms;   ///< at 0 cores; falls linearly to 0 at SufficientCores
-constexpr Duration PerLedShardDelay = 200ms; ///< for each shard that the node already leads
+constexpr Duration PerLedShardDelay = 200ms; ///< for each shard that the node leads or campaigns for
+constexpr Duration MaxLedShardsDelay = 1s;   ///< lets a single live node lead all shards soon
 constexpr Duration OtherDomainDelay = 100ms; ///< if the shard's workers are in another failure domain
 constexpr Duration MaxTieBreakDelay = 100ms; ///< by a hash of node and shard: orders nodes that suit equally well
 
@@ -32,6 +33,8 @@
 
 constexpr Duration BootIdRetryInterval = 300ms; ///< also the time allowed for a reply
 
+constexpr Duration ShardMapWait = 1s; ///< for which campaigns wait for the first reading of the map
+
 constexpr Duration MapUpdateInterval = 2s; ///< between two checks of the map, hence between two writes of it
 constexpr double WeightTolerance = 0.2;    ///< relative error of a shard's weight above which the map is written again
 
@@ -258,7 +261,7 @@
     }
     const bool exists = reply.status == StoreStatus::Ok && !reply.items.empty();
     if (exists && reply.items.front().value == m_settings.bootId) {
-        m_hasStoredBootId = true;
+        onBootIdStored();
         return;
     }
     StoreChange change;
@@ -266,12 +269,18 @@
     change.conditions = {{key, exists ? reply.items.front().revision : 0}};
     change.puts = {{key, m_settings.bootId, 0}};
     m_store.change(std::move(change), [this, alive = std::weak_ptr(m_alive)](const StoreReply &it) {
-        if (!alive.expired()) {
-            m_hasStoredBootId = m_hasStoredBootId || it.status == StoreStatus::Ok;
+        if (!alive.expired() && it.status == StoreStatus::Ok) {
+            onBootIdStored();
         }
     });
 }
 
+void Node::onBootIdStored()
+{
+    m_bootIdStoredAt = m_hasStoredBootId ? m_bootIdStoredAt : m_clock.now();
+    m_hasStoredBootId = true;
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Shards
 // ---------------------------------------------------------------------------------------------------------------------
@@ -291,9 +300,16 @@
     }
 }
 
+/** Before the shard map has been read, this node cannot tell by how much better suited nodes go first. */
+bool Node::mayCampaign(TimePoint now) const
+{
+    return m_catalog.version > 0 && m_hasStoredBootId
+           && (m_clusterState.isLoaded() || now >= m_bootIdStoredAt + ShardMapWait);
+}
+
 void Node::tickShard(LocalShard &local, TimePoint now)
 {
-    if (m_catalog.version > 0 && m_hasStoredBootId) {
+    if (mayCampaign(now)) {
         local.election.setCampaignDelay(campaignDelay(local));
         local.election.tick(now);
     }
@@ -341,8 +357,10 @@
     }
     Duration delay{};
     for (const auto &it : m_localShards) {
-        delay += it->scheduler && it.get() != &local ? PerLedShardDelay : Duration::zero();
+        const bool isTaken = it->election.leadership().epoch != 0 || it->election.isCampaigning();
+        delay += isTaken && it.get() != &local ? PerLedShardDelay : Duration::zero();
     }
+    delay = std::min(delay, MaxLedShardsDelay);
     const double cpuDeficit = std::max(0.0, 1 - m_settings.processorShare / SufficientCores);
     delay += Duration(static_cast<Duration::rep>(cpuDeficit * static_cast<double>(MaxLowCpuDelay.count())));
     const bool isSameDomain = m_map.shards[local.shard].failureDomain == m_settings.failureDomain;
--- a/packages/workflow/node.h
+++ b/packages/workflow/node.h
@@ -123,7 +123,9 @@
     void onRegistryItem(const StoreItem &item);
     void storeBootId(TimePoint now);
     void onBootIdRead(const StoreReply &reply);
+    void onBootIdStored();
     void createLocalShards();
+    bool mayCampaign(TimePoint now) const;
     void tickShard(LocalShard &local, TimePoint now);
     void updateScheduler(LocalShard &local);
     void tickRegistry(TimePoint now);
@@ -161,7 +163,8 @@
     std::shared_ptr<int> m_alive = std::make_shared<int>(0); ///< lets callbacks detect that this object is destroyed
     bool m_isDraining = false;
     bool m_hasStoredBootId = false;
-    TimePoint m_storeBootIdAt{}; ///< earliest next attempt
+    TimePoint m_storeBootIdAt{};  ///< earliest next attempt
+    TimePoint m_bootIdStoredAt{}; ///< when m_hasStoredBootId was set
 
     // Shards
     std::map<ShardId, WithheldLeases> m_withheldLeases;     ///< outlives the schedulers
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -584,6 +584,7 @@
         RigNode &it = *nodes[static_cast<std::size_t>(i)];
         NodeSettings settings;
         settings.name = "n" + std::to_string(i);
+        settings.processorShare = processorShare;
         settings.bootId = std::to_string(++m_boots);
         settings.shards = shards;
         settings.scheduler = scheduler;
@@ -729,6 +730,7 @@
     FakeFleet fleet;
     FakeDecoder decoder;
     ShardSettings shards{80, 40, Duration::zero()};
+    double processorShare = 1;     ///< of nodes that boot from now on
     WorkflowSettings scheduler;    ///< of nodes that boot from now on
     EvacuationSettings evacuation; ///< of nodes that boot from now on
     PeerSettings peers;            ///< of nodes that boot from now on; their addresses are set by boot()
