--- a/packages/workflow/tests/guardtest.cpp
+++ b/packages/workflow/tests/guardtest.cpp
@@ -186,13 +186,11 @@
     ASSERT_TRUE(rig.hasStarted());
     const std::uint64_t attempt = rig.attemptOfFilling();
     ASSERT_NE(attempt, 0U);
-    rig.fleet.gauges["filling"] = 0;
     rig.kill(rig.leader());
+    rig.fleet.gauges = {{"serving0", 10}, {"serving1", 10}, {"filling", 0}};
     rig.run(8s);
     ASSERT_GE(rig.leader(), 0);
     EXPECT_EQ(rig.attemptOfFilling(), attempt) << "stopped as hung";
-    rig.setTails(10, 10);
-    rig.run(3s);
     const FakePort &port = rig.nodes[static_cast<std::size_t>(rig.leader())]->port;
     ASSERT_FALSE(port.throttles.empty());
     EXPECT_EQ(port.throttles.back(), 100);
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -104,7 +104,8 @@
 
 /**
  * The tasks of a step that have found no worker for WorkflowSettings::transferDelay, and run nowhere. In an evacuated shard
- * none will find one, so they are not delayed. Also those that are given up here: they return to their job's shard.
+ * none will find one, so they are not delayed, nor are those that were stopped to leave the shard. Also those that are given
+ * up here: they return to their job's shard.
  */
 std::vector<TaskRef> WorkflowScheduler::tasksWithoutRoom(JobState &job, std::uint32_t step, TimePoint now) const
 {
@@ -114,10 +115,11 @@
         return refs;
     }
     const bool isWithoutRoom = state.noRoomSince != TimePoint{};
-    const Duration delay = isShardEvacuated() ? Duration::zero() : m_settings.transferDelay;
+    const bool isEvacuated = isShardEvacuated();
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
         const TaskState &task = state.tasks[i];
         const TaskRef ref{&job, 0, step, i};
+        const Duration delay = isEvacuated || isLeavingShard(ref) ? Duration::zero() : m_settings.transferDelay;
         const bool hasWaited
             = isWithoutRoom && !task.trial && now >= task.retryAt && now >= waitingHereSince(job, task) + delay;
         if (task.phase == TaskPhase::Waiting && (hasWaited || task.isGivenUp) && !mayBeRunningElsewhere(ref)) {
