Adopted runs count as running at full rate again

That a throttled run is stopped as hung after a change of leaders stays suspected (by reading), for serving tasks that tolerate it from the first report on.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -398,7 +398,6 @@
         task.isRunUnheard = false;
         task.startedAt = m_now;
         task.hasStartedUp = false;
-        task.isThrottleUnknown = ref->spec().usesSpareCpu && entry.gauge < ref->spec().need.cpuMillis;
         reserveResources(*ref, index);
         ++worker.adoptedRuns;
         if (task.trial && task.trial->attempt == task.attempt) {
@@ -443,8 +442,7 @@
         }
         return;
     }
-    const bool mayUseCpu = task.percent > 0 && !task.isThrottleUnknown;
-    const bool isIdle = entry.gauge == 0 && mayUseCpu && !ref->spec().isLongRunning;
+    const bool isIdle = entry.gauge == 0 && task.percent > 0 && !ref->spec().isLongRunning;
     if (!isIdle) {
         task.idleSince = {};
     } else if (task.idleSince == TimePoint{} || worker.reportGap >= m_settings.contactTimeout) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -672,7 +672,6 @@
     task.hasStartedUp = false;
     task.idleSince = {};
     task.percent = 100;
-    task.isThrottleUnknown = false;
     task.pendingPercent = percent < 100 ? std::optional(static_cast<std::uint8_t>(percent)) : std::nullopt;
     task.gauge = 0;
     task.overTargetSince = {};
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -262,14 +262,11 @@
         const int wanted = percents[i] - percents[i] % settings.percentStep;
         const bool isDue = wanted > current ? canLift : mustLower;
         percents[i] = std::min<int>(isDue ? wanted : current, runs[i].task().pendingPercent.value_or(100));
-        if (runs[i].task().isThrottleUnknown) { // what is assumed to lower it may lift it
-            percents[i] = canLift ? wanted : 0;
-        }
     }
     logThrottleChanges(worker, runs, percents);
     for (std::size_t i = 0; i < runs.size(); ++i) {
         const TaskState &task = runs[i].task();
-        if (percents[i] != task.percent || task.isThrottleUnknown) {
+        if (percents[i] != task.percent) {
             throttleTask(runs[i], percents[i]);
         }
         const bool isStalled
@@ -287,7 +284,7 @@
 {
     for (const TaskRef &it : bestEffortRuns(worker)) {
         const TaskState &task = it.task();
-        if (task.percent < 100 || task.pendingPercent || task.isThrottleUnknown) {
+        if (task.percent < 100 || task.pendingPercent) {
             throttleTask(it, 100);
         }
     }
@@ -441,7 +438,6 @@
     ++m_counters.throttles;
     task.percent = static_cast<std::uint8_t>(percent);
     task.pendingPercent.reset();
-    task.isThrottleUnknown = false;
     m_workers[task.worker]->outlook.at = {};
     const bool isNearlyStopped = percent <= m_settings.pressure.stalledPercent;
     task.stalledSince = !isNearlyStopped ? TimePoint{} : task.stalledSince == TimePoint{} ? m_now : task.stalledSince;
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -115,7 +115,6 @@
     std::uint8_t percent = 100;         ///< throttle last ordered: share of its CPU that the run may use
     /** Throttle to be ordered as soon as the run is known to be there; none: nothing is to be ordered. */
     std::optional<std::uint8_t> pendingPercent;
-    bool isThrottleUnknown = false; ///< a former leader may have ordered another one than percent
     std::string checkpoint;
     std::vector<std::uint64_t> failedAttempts;
 
