A departure is forgotten with its job

Found by review: a job whose task was stopped to leave a draining worker may be moved to another shard as a whole before the next check of departures, which would then compare a reference to a job that is gone. No test: whole jobs with long-running tasks move only out of evacuated failure domains, where tasks that departed are given one by one.

--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -424,6 +424,7 @@
     m_activeJobs.erase(key);
     std::erase(m_jobOrder, job);
     std::erase(m_overdueJobs, job);
+    std::erase_if(m_departures, [job](const TaskRef &it) { return it.job == job; });
     m_storedRevisions.erase(key);
     m_jobs.erase(key);
     if (const auto returned = m_returnedJobs.find(key); returned != m_returnedJobs.end()) {
