Tests: transfers are disturbed on both of their paths

The tests that cancel a job, kill a leader or lose answers around a transfer moved to the moments after a drain when transfers of draining workers' tasks lost their delay, and no longer met a transfer after a wait for room (2.0 to 2.6 s). They play both again: the earlier moments with a worker that has restarted and rejects all starts, the new ones with a drain.

--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -98,6 +98,33 @@
         }
     }
 
+    /** One worker of @p shard loses its runs and rejects all starts from then on: its tasks wait until they are given away. */
+    void loseRoomOf(ShardId shard)
+    {
+        for (auto &[id, worker] : fleet.workers) {
+            if (shardOf(worker) == shard) {
+                fleet.restartWorker(id);
+                for (const auto &node : nodes) {
+                    node->port.fullWorkers.insert(id);
+                }
+                return;
+            }
+        }
+    }
+
+    void restoreRoom()
+    {
+        for (const auto &node : nodes) {
+            node->port.fullWorkers.clear();
+        }
+    }
+
+    /** Half of the tasks of the home shard are given away: at once, as their worker drains, or after a wait for room. */
+    void beginTransfer(bool isDrained)
+    {
+        isDrained ? drainHalfOf(home) : loseRoomOf(home);
+    }
+
     std::size_t runsIn(ShardId shard) const
     {
         std::size_t n = 0;
@@ -196,12 +223,25 @@
     EXPECT_EQ(rig.state("a"), WorkflowState::Cancelled);
 }
 
+/** Moments, from TransferRig::beginTransfer() on, around the writes of a transfer; first: whether the worker drains. */
+std::vector<std::pair<bool, Duration>> momentsOfTransfers()
+{
+    std::vector<std::pair<bool, Duration>> moments;
+    for (Duration at = 0ms; at < 800ms; at += 20ms) {
+        moments.emplace_back(true, at);
+    }
+    for (Duration at = 2000ms; at < 2600ms; at += 20ms) {
+        moments.emplace_back(false, at);
+    }
+    return moments;
+}
+
 // Load: the cancel arrives at any moment around the transfer.
 TEST(Transfer, cancelDuringTheTransferIsNotLost)
 {
-    for (Duration at = 0ms; at < 800ms; at += 20ms) {
+    for (const auto &[isDrained, at] : momentsOfTransfers()) {
         TransferRig rig;
-        rig.drainHalfOf(rig.home);
+        rig.beginTransfer(isDrained);
         rig.run(at);
         rig.cancel(0, "a");
         rig.run(CancelTime);
@@ -277,9 +317,9 @@
 // Load: the leader of the task's shard fails at any moment around the transfer.
 TEST(Transfer, leaderMayFailDuringTheTransfer)
 {
-    for (Duration at = 0ms; at < 800ms; at += 20ms) {
+    for (const auto &[isDrained, at] : momentsOfTransfers()) {
         TransferRig rig;
-        rig.drainHalfOf(rig.home);
+        rig.beginTransfer(isDrained);
         rig.run(at);
         rig.kill(rig.leader(rig.home));
         rig.run(25s);
@@ -292,12 +332,13 @@
 TEST(Transfer, lateWriteWithoutReplyGivesATaskOnce)
 {
     for (const Duration delay : {Duration::zero(), Duration(300ms), Duration(700ms), Duration(2s)}) {
-        for (int i = 0; i < 48; ++i) {
+        for (int i = 0; i < 56; ++i) {
             const int lost = 1 + i % 8 / 2;
             const bool hasRoomAgain = i % 2 == 1;
-            const Duration at = 20ms + 40ms * (i / 8); // the transfer's writes are sent within this time
+            const bool isDrained = i < 48;
+            const Duration at = isDrained ? 20ms + 40ms * (i / 8) : 2s; // the transfer's writes are sent from then on
             TransferRig rig;
-            rig.drainHalfOf(rig.home);
+            rig.beginTransfer(isDrained);
             rig.run(at);
             FakeStore &store = rig.nodes[static_cast<std::size_t>(rig.leader(rig.home))]->store;
             store.lostChangeDelay = delay;
@@ -305,6 +346,7 @@
             rig.run(300ms);
             if (hasRoomAgain) {
                 rig.endDrains();
+                rig.restoreRoom();
             }
             rig.run(20s);
             rig.expectAllRunOnce();
