Transfers: a task stays for twice the delay where it has arrived

Cause: the delay no longer doubled with each move ('earlier transfers do not delay the next one'), so a task left a shard that was making room for it, and the next one began anew.

Change: twice the delay in a shard that has taken a task which has not run there yet; earlier moves in its life still don't count.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -102,8 +102,8 @@
     OverdueSettings overdue;
 
     // Transfers to other shards
-    Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that, in
-                                                      ///< each shard to which it is given
+    Duration transferDelay = std::chrono::seconds(2); ///< a long-running task without room is given away after that;
+                                                      ///< after twice that by a shard in which it has not run yet
     Duration transferInterval = std::chrono::milliseconds(50); ///< least time between two transfers
     Duration jobMoveDelay = std::chrono::seconds(2); ///< a job without room moves to a shard with less work after that;
                                                      ///< doubles with each of its moves, at most three times
@@ -463,6 +463,7 @@
     void giveWaitingTasks(TimePoint now);
     static bool canGiveTasksOf(const JobState &job);
     std::vector<TaskRef> tasksWithoutRoom(JobState &job, std::uint32_t step, TimePoint now) const;
+    Duration transferDelay(const TaskState &task) const;
     std::vector<TaskRef> stepsWithoutRoom(TimePoint now) const;
     std::optional<TaskDestination> findDestination(const TaskRef &ref, std::size_t tasks);
     void readStatuses();
--- a/packages/workflow/tests/transfertest.cpp
+++ b/packages/workflow/tests/transfertest.cpp
@@ -545,6 +545,33 @@
     rig.expectAllRunOnce();
 }
 
+// Load: no shard has room. Guards against a task that each shard hands on before it can have made room for it.
+TEST(Transfer, arrivedTaskStaysForTwiceTheDelay)
+{
+    TransferRig rig;
+    rig.drainHalfOf(rig.home);
+    for (const auto &node : rig.nodes) { // the other shards' workers look free and reject all starts
+        for (const auto &[id, worker] : rig.fleet.workers) {
+            if (rig.shardOf(worker) != rig.home) {
+                node->port.fullWorkers.insert(id);
+            }
+        }
+    }
+    const auto movesOfATask = [&rig] {
+        std::uint32_t most = 0;
+        for (const auto &[key, item] : rig.backend.items) {
+            if (key.find("/t/") != std::string::npos) {
+                most = std::max(most, decodeGivenTask(item.value).moves);
+            }
+        }
+        return most;
+    };
+    rig.run(3500ms);
+    EXPECT_EQ(movesOfATask(), 1U);
+    rig.run(3s);
+    EXPECT_EQ(movesOfATask(), 2U);
+}
+
 // A task that waited for a piece of room, or was about to, did not keep it from being offered to other shards.
 TEST(Transfer, roomThatAWaitingTaskGetsIsNotOffered)
 {
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -119,7 +119,7 @@
     for (std::uint32_t i = 0; i < state.tasks.size(); ++i) {
         const TaskState &task = state.tasks[i];
         const TaskRef ref{&job, 0, step, i};
-        const Duration delay = isEvacuated || isLeavingShard(ref) ? Duration::zero() : m_settings.transferDelay;
+        const Duration delay = isEvacuated || isLeavingShard(ref) ? Duration::zero() : transferDelay(task);
         const bool hasWaited
             = isWithoutRoom && !task.trial && now >= task.retryAt && now >= waitingHereSince(job, task) + delay;
         if (task.phase == TaskPhase::Waiting && (hasWaited || task.isGivenUp) && !mayBeRunningElsewhere(ref)) {
@@ -130,6 +130,13 @@
     return refs;
 }
 
+/** A shard that has taken a task gets twice the time: it makes room for it, which the next shard would have to begin anew. */
+Duration WorkflowScheduler::transferDelay(const TaskState &task) const
+{
+    const bool hasArrived = task.takenAt != TimePoint{} && task.takenAt >= task.waitingSince;
+    return hasArrived ? 2 * m_settings.transferDelay : m_settings.transferDelay;
+}
+
 /** Of each step with tasks without room the one that has waited longest; the longest wait first. */
 std::vector<TaskRef> WorkflowScheduler::stepsWithoutRoom(TimePoint now) const
 {
