Crash evidence names its crash; waiting suspects are counted

Cause: the logs said that jobs wait for trials, not how many suspects wait, whether the limit of trials is reached, how many of the waiting have crashed a worker in a trial already, or whether the crash they are held for has been explained since. Change: each piece of evidence carries the worker, the start time of the incarnation that ended and the time of the record, stored with the progress; evidence of older versions is read as before. suspects_wait each 5 s, suspected_tasks, oldest_suspect_wait_seconds. No decision changes.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -278,7 +278,7 @@
     WorkerState &worker = *m_workers[index];
     std::vector<LostRun> lost = std::exchange(worker.unresolvedRuns, {});
     for (const TaskRef &it : worker.runs) {
-        lost.push_back(describeLostRun(it, worker, {}));
+        lost.push_back(describeLostRun(it, worker.record.startedAtMs, {}));
     }
     if (worker.isRegistered || !lost.empty()) { // otherwise its entry was removed before, as when it leaves
         recordCrash(index, lost);
@@ -562,7 +562,7 @@
     if (isNewIncarnation && worker.hasCrashed) {
         for (const TaskRef &it : runs) {
             if (it.task().lastReportNumber != worker.reportCount && it.task().orderedAt < sentAt) {
-                crashed.push_back(describeLostRun(it, worker, {}));
+                crashed.push_back(describeLostRun(it, worker.formerStartedAtMs, {}));
             }
         }
     }
--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -81,4 +81,14 @@
     return m_risk + risk <= m_limit;
 }
 
+double TrialBudget::risk() const
+{
+    return m_risk;
+}
+
+double TrialBudget::limit() const
+{
+    return m_limit;
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -13,6 +13,7 @@
  *
  * Index of this file
  *   CrashSettings   times and limits
+ *   CrashName       identifies a crash
  *   CrashEvidence   what one crash says of one task; stored with the job's progress
  *   TaskTrial       a start of a suspect; stored before the order is sent
  *   LostRun         a run that was on a worker when it crashed, or that has been silent since
@@ -59,11 +60,26 @@
     Trial = 3,           ///< it was being tried alone
 };
 
+/** The worker that crashed, and which of its incarnations ended. */
+struct CrashName
+{
+    WorkerId worker;
+    std::int64_t workerStartedAtMs = 0; ///< zero: not known, as with evidence that an older version has stored
+
+    bool isKnown() const
+    {
+        return workerStartedAtMs != 0;
+    }
+    auto operator<=>(const CrashName &) const = default;
+};
+
 struct CrashEvidence
 {
     std::uint64_t attempt = 0;
     CrashRole role = CrashRole::Present;
     std::uint32_t suspects = 1; ///< number of jobs whose runs may have caused the crash, this one included
+    CrashName crash{};
+    std::int64_t recordedMs = 0; ///< wall time, Unix ms; zero: an older version has stored it
 
     bool operator==(const CrashEvidence &) const = default;
 };
@@ -114,6 +130,8 @@
 
     void add(double risk); ///< a worker that is down has the risk 1
     bool allows(double risk) const;
+    double risk() const;
+    double limit() const;
 
 private:
     double m_limit;
--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -99,10 +99,14 @@
         }
         std::uint32_t forUnreadWorkers = 0;
         std::uint32_t forRoom = 0;
+        SuspectCounts suspects;
         for (const WorkflowScheduler *scheduler : schedulers) {
             const WaitingTasks &waiting = scheduler->waitingTasks();
             forUnreadWorkers += waiting.forUnreadWorkers;
             forRoom += waiting.forRoom;
+            suspects.waiting += waiting.suspects.waiting;
+            suspects.tried += waiting.suspects.tried;
+            suspects.oldest = std::max(suspects.oldest, waiting.suspects.oldest);
             for (const auto &[queue, wait] : waiting.queues) {
                 QueueWait &it = waits[queue];
                 it.oldest = std::max(it.oldest, wait.oldest);
@@ -129,6 +133,9 @@
         }
         set("waiting_long_running_tasks", forUnreadWorkers, {{"why", "unread_workers"}});
         set("waiting_long_running_tasks", forRoom, {{"why", "no_room"}});
+        set("suspected_tasks", suspects.waiting, {{"state", "waiting"}});
+        set("suspected_tasks", suspects.tried, {{"state", "tried"}});
+        set("oldest_suspect_wait_seconds", toSeconds(suspects.oldest), {});
     }
 
     std::map<std::string, QueueWait> waits;              ///< by queue
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -34,6 +34,8 @@
  *   turned_away_wait_seconds{why}     gauge: wait of the oldest task that no worker of its shard takes, by what most of
  *                                     them turn it away for when its step was last diagnosed
  *   waiting_long_running_tasks{why}   gauge: long-running tasks that have waited for seconds, for unread workers or room
+ *   suspected_tasks{state}            gauge: tasks that may crash their workers: waiting for a trial, or tried
+ *   oldest_suspect_wait_seconds       gauge: longest time since the last crash that a waiting one is suspected for
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
 #pragma once
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -96,7 +96,12 @@
 {
     json rows = json::array();
     for (const CrashEvidence &it : crashes) {
-        rows.push_back(json::array({it.attempt, static_cast<int>(it.role), it.suspects}));
+        rows.push_back(json::array({it.attempt,
+                                    static_cast<int>(it.role),
+                                    it.suspects,
+                                    it.crash.worker,
+                                    it.crash.workerStartedAtMs,
+                                    it.recordedMs}));
     }
     return rows;
 }
@@ -109,7 +114,12 @@
         if (role < static_cast<int>(CrashRole::Present) || role > static_cast<int>(CrashRole::Trial)) {
             throw InvalidArgument("crash", "unknown role");
         }
-        crashes.push_back({it.at(0), static_cast<CrashRole>(role), it.at(2)});
+        CrashEvidence crash{it.at(0), static_cast<CrashRole>(role), it.at(2)};
+        if (it.size() > 5) { // older versions wrote none
+            crash.crash = {it.at(3), it.at(4)};
+            crash.recordedMs = it.at(5);
+        }
+        crashes.push_back(std::move(crash));
     }
     return crashes;
 }
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -351,10 +351,12 @@
     std::optional<TaskRef> findTask(const TaskName &name);
 
     // Crashes of workers, and trials of suspected tasks (suspects.cpp)
-    LostRun describeLostRun(const TaskRef &ref, const WorkerState &worker, TimePoint lostAt) const;
+    LostRun describeLostRun(const TaskRef &ref, std::int64_t workerStartedAtMs, TimePoint lostAt) const;
     void recordCrash(WorkerIndex index, std::span<const LostRun> lost);
     bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at) const;
     void addEvidence(const TaskRef &ref, const CrashEvidence &evidence);
+    void noteExplainedCrashes(const TaskState &task);
+    bool isExplainedByOthers(const TaskState &task) const;
     void onStartedUp(const TaskRef &ref);
     bool isTriedUntilItsEnd(const TaskState &task) const;
     void giveUpTask(const TaskRef &ref);
@@ -371,6 +373,7 @@
     WorkerIndex chooseTrialWorker(const TaskRef &ref, TimePoint now) const;
     TrialBudget trialBudget(TimePoint now) const;
     void endTrial(const TaskRef &ref);
+    void reportSuspects(TimePoint now);
     void endTrials(JobState &job);
     void restoreSuspects(JobState &job);
     void restoreSuspect(const TaskRef &ref);
@@ -595,6 +598,9 @@
     TimePoint m_nextWithheldAt{}; ///< earliest next write of the list
 
     std::deque<RecentCrash> m_recentCrashes; ///< for CrashSettings::machineMemory, in the order in which they showed
+    std::map<CrashName, TimePoint>
+        m_explainedCrashes; ///< by a task that has crashed another worker alone; when that showed
+    TimePoint m_nextSuspectLogAt{};
 
     PressureModel m_pressure;
     std::set<std::string> m_unreadablePressure; ///< keys of stored models that were logged as unreadable
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -23,6 +23,8 @@
 constexpr double LongRunningLoss = 10;      ///< of a long-running task that a crash ends, in tasks of limited run time
 constexpr Duration WholeRunTrialTimeout
     = 10s; ///< CrashSettings::trialTimeout of a trial that waits for other tasks to end
+constexpr Duration GuiltMemory = std::chrono::minutes(10); ///< of crashes that are likely explained
+constexpr Duration SuspectLogInterval = 5s;
 constexpr Duration UnresolvedMargin
     = 5s; ///< beyond verdictTimeout: runs of a worker that does not come back are forgotten
 
@@ -60,7 +62,8 @@
 // Crashes
 // ---------------------------------------------------------------------------------------------------------------------
 
-LostRun WorkflowScheduler::describeLostRun(const TaskRef &ref, const WorkerState &worker, TimePoint lostAt) const
+/** @p workerStartedAtMs is the start time of the incarnation that had the run. */
+LostRun WorkflowScheduler::describeLostRun(const TaskRef &ref, std::int64_t workerStartedAtMs, TimePoint lostAt) const
 {
     const TaskState &task = ref.task();
     LostRun it;
@@ -68,7 +71,7 @@
     it.isStarting = !task.hasStartedUp;
     it.isTrial = task.trial && task.trial->isOrdered && task.trial->attempt == task.attempt;
     it.isLongRunning = ref.spec().isLongRunning;
-    it.workerStartedAtMs = worker.record.startedAtMs;
+    it.workerStartedAtMs = workerStartedAtMs;
     it.lostAt = lostAt;
     return it;
 }
@@ -102,10 +105,12 @@
                          "first",
                          starting);
     m_recentCrashes.push_back({at, n > 0, worker.record.address});
-    const std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident);
+    std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident);
     for (std::size_t i = 0; i < lost.size(); ++i) {
         const auto ref = findTask(lost[i].run.task);
         if (ref && evidence[i]) {
+            evidence[i]->crash = {worker.record.id, lost[i].workerStartedAtMs};
+            evidence[i]->recordedMs = m_clock.wallNow().count();
             addEvidence(*ref, *evidence[i]);
         }
     }
@@ -145,6 +150,7 @@
     }
     task.crashes.push_back(evidence);
     ref.job->hasCrashEvidence = true;
+    noteExplainedCrashes(task);
     if (evidence.role != CrashRole::Present) {
         logTaskEvent("task_suspected",
                      ref,
@@ -163,6 +169,28 @@
     }
 }
 
+/** A task that has crashed a worker in its trial explains the other crashes in which it took part. */
+void WorkflowScheduler::noteExplainedCrashes(const TaskState &task)
+{
+    if (countCrashes(task.crashes, CrashRole::Trial) == 0) {
+        return;
+    }
+    for (const CrashEvidence &it : task.crashes) {
+        if (it.crash.isKnown()) {
+            m_explainedCrashes[it.crash] = m_now;
+        }
+    }
+}
+
+/** Whether each crash that the task is suspected for is explained by another task. */
+bool WorkflowScheduler::isExplainedByOthers(const TaskState &task) const
+{
+    return countCrashes(task.crashes, CrashRole::Trial) == 0
+           && std::all_of(task.crashes.begin(), task.crashes.end(), [this](const CrashEvidence &it) {
+                  return m_explainedCrashes.contains(it.crash);
+              });
+}
+
 /** The task's run has started up: it does not crash the workers that start it. */
 void WorkflowScheduler::onStartedUp(const TaskRef &ref)
 {
@@ -228,7 +256,7 @@
         return;
     }
     for (const TaskRef &it : worker.runs) {
-        worker.unresolvedRuns.push_back(describeLostRun(it, worker, m_now));
+        worker.unresolvedRuns.push_back(describeLostRun(it, worker.record.startedAtMs, m_now));
     }
 }
 
@@ -268,6 +296,7 @@
     while (!m_recentCrashes.empty() && now >= m_recentCrashes.front().at + m_settings.crashes.machineMemory) {
         m_recentCrashes.pop_front();
     }
+    std::erase_if(m_explainedCrashes, [now](const auto &it) { return now >= it.second + GuiltMemory; });
     const Duration unresolvedTime = m_settings.crashes.verdictTimeout + UnresolvedMargin;
     for (const auto &worker : m_workers) {
         std::erase_if(worker->unresolvedRuns,
@@ -472,6 +501,55 @@
     m_isPlacementDue = true;
 }
 
+/** Counts the suspects, and logs a line once in a while as long as any waits for its trial. */
+void WorkflowScheduler::reportSuspects(TimePoint now)
+{
+    SuspectCounts &counts = m_waitingTasks.suspects;
+    const std::int64_t wallMs = m_clock.wallNow().count();
+    for (const auto &[key, job] : m_activeJobs) {
+        if (!job->hasCrashEvidence || job->isCancelled) {
+            continue;
+        }
+        forEachTask(*job, [&](const TaskRef &ref) {
+            const TaskState &it = ref.task();
+            if (it.trial && (it.trial->isOrdered || it.phase != TaskPhase::Waiting)) {
+                ++counts.tried;
+            } else if (it.phase == TaskPhase::Waiting && isSuspected(m_settings.crashes, it.crashes)) {
+                ++counts.waiting;
+                counts.guilty += countCrashes(it.crashes, CrashRole::Trial) > 0 ? 1 : 0;
+                counts.explained += isExplainedByOthers(it) ? 1 : 0;
+                const std::int64_t sinceMs = it.crashes.back().recordedMs;
+                const Duration waited = sinceMs == 0 ? jobAge(*job) : std::chrono::milliseconds(wallMs - sinceMs);
+                counts.oldest = std::max(counts.oldest, waited);
+            }
+        });
+    }
+    if (counts.waiting == 0 || now < m_nextSuspectLogAt) {
+        return;
+    }
+    m_nextSuspectLogAt = now + SuspectLogInterval;
+    const TrialBudget budget = trialBudget(now);
+    m_log.write("suspects_wait",
+                "shard",
+                m_shard,
+                "epoch",
+                m_term.epoch,
+                "waiting",
+                counts.waiting,
+                "guilty",
+                counts.guilty,
+                "explained",
+                counts.explained,
+                "tried",
+                counts.tried,
+                "oldest_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(counts.oldest).count(),
+                "risk",
+                budget.risk(),
+                "limit",
+                budget.limit());
+}
+
 /** Ends the trials of a job that has ended. */
 void WorkflowScheduler::endTrials(JobState &job)
 {
@@ -495,6 +573,7 @@
 {
     TaskState &task = ref.task();
     ref.job->hasCrashEvidence = ref.job->hasCrashEvidence || !task.crashes.empty() || task.trial;
+    noteExplainedCrashes(task);
     if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
         task.trial->isOrdered = true;
         task.retryAt = m_clock.now() + m_settings.crashes.verdictTimeout;
--- a/packages/workflow/waiting.cpp
+++ b/packages/workflow/waiting.cpp
@@ -101,6 +101,7 @@
         addTurnedAway(it.longest.job->occurrences[it.longest.occurrence].steps[it.longest.step], it.waited);
     }
     m_recentStarts.clear();
+    reportSuspects(now);
 }
 
 void WorkflowScheduler::addTurnedAway(const StepState &step, Duration waited)
--- a/packages/workflow/waiting.h
+++ b/packages/workflow/waiting.h
@@ -69,9 +69,21 @@
     std::uint32_t tasks = 0; ///< that wait and are due, for however short a time
 };
 
+/** Tasks that are suspected of crashing their workers. */
+struct SuspectCounts
+{
+    std::uint32_t waiting = 0; ///< for their trials
+    std::uint32_t guilty = 0;  ///< of these, have crashed a worker in an earlier trial
+    std::uint32_t explained
+        = 0;                 ///< of these, are suspected only for crashes that another task is likely to have caused
+    std::uint32_t tried = 0; ///< run in a trial, or its outcome is not known yet
+    Duration oldest{};       ///< longest time since the last crash that a waiting one is suspected for
+};
+
 /** As of the last check. */
 struct WaitingTasks
 {
+    SuspectCounts suspects;
     std::uint32_t forUnreadWorkers
         = 0;                   ///< long-running tasks that have waited for seconds, as they may run on a worker
                                ///< not read yet
