A crash in a trial explains the earlier crashes of its task

Cause: every task that had just been started on a crashed worker was held until its own trial, one of a few at a time, also once another of them had crashed a worker alone. Class: a guard that is never taken back when its reason has gone. Change: evidence names its crash, so a crash in a trial releases whatever was started beside the guilty task at its earlier crashes. At most two crashes of a task are explained so; they still count towards the five after which it is given up, so a second deadly task that started on the same worker is found by its next crashes. The explanation is derived from stored evidence, so a successor draws it as well. Evidence: Trials.innocentSuspectsDoNotWaitForEachConvictionAcrossOutagesAndElections failed before (48 of 120 innocent tasks unfinished) and passes; innocentSuspectsDoNotWaitForEachConviction: 48 before, 6 now, still listed. Crashes.* and CrashDecisions.* pass.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -43,11 +43,52 @@
         std::count_if(crashes.begin(), crashes.end(), [role](const CrashEvidence &it) { return it.role == role; }));
 }
 
+std::uint32_t countUnexplained(std::span<const CrashEvidence> crashes, CrashRole role)
+{
+    return static_cast<std::uint32_t>(std::count_if(crashes.begin(), crashes.end(), [role](const CrashEvidence &it) {
+        return it.role == role && !it.isExplained;
+    }));
+}
+
+std::vector<CrashName> crashesExplainedBy(std::span<const CrashEvidence> crashes)
+{
+    std::vector<CrashName> names;
+    if (countCrashes(crashes, CrashRole::Trial) == 0) {
+        return names;
+    }
+    // A task that crashes its workers while it starts up does not explain those at which it had been running for long.
+    const bool crashesLater = countCrashes(crashes, CrashRole::Start) == 0;
+    for (const CrashEvidence &it : crashes) {
+        const bool isCause = it.role == CrashRole::Present ? crashesLater : it.role != CrashRole::Trial;
+        if (isCause && it.crash.isKnown()) {
+            names.push_back(it.crash);
+        }
+    }
+    return names;
+}
+
+bool explainCrash(const CrashSettings &settings, std::span<CrashEvidence> crashes, const CrashName &crash)
+{
+    const auto found = std::find_if(crashes.begin(), crashes.end(), [&crash](const CrashEvidence &it) {
+        return crash.isKnown() && it.crash == crash && it.role != CrashRole::Trial && !it.isExplained;
+    });
+    const auto explained
+        = std::count_if(crashes.begin(), crashes.end(), [](const CrashEvidence &it) { return it.isExplained; });
+    if (found == crashes.end() || explained >= static_cast<std::ptrdiff_t>(settings.maxExplained)
+        || countCrashes(crashes, CrashRole::Trial) > 0) {
+        return false;
+    }
+    found->isExplained = true;
+    return true;
+}
+
 bool isSuspected(const CrashSettings &settings, std::span<const CrashEvidence> crashes)
 {
+    const std::uint32_t strong
+        = countUnexplained(crashes, CrashRole::Start) + countUnexplained(crashes, CrashRole::Trial);
     const std::uint32_t weak
-        = countCrashes(crashes, CrashRole::Present) + countCrashes(crashes, CrashRole::CoincidentStart);
-    return weak < crashes.size() || weak >= settings.maxPresences;
+        = countUnexplained(crashes, CrashRole::Present) + countUnexplained(crashes, CrashRole::CoincidentStart);
+    return strong > 0 || weak >= settings.maxPresences;
 }
 
 bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes)
@@ -60,6 +101,9 @@
 {
     double guilt = 0;
     for (const CrashEvidence &it : crashes) {
+        if (it.isExplained) {
+            continue;
+        }
         const bool isTrial = it.role == CrashRole::Trial;
         guilt = std::max(guilt, isTrial ? 1 : 1 / static_cast<double>(std::max(1U, it.suspects)));
     }
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -7,7 +7,9 @@
  *      limited run time that had been running longer are only noted as present.
  *   2. A suspect is tried alone: on a worker where everything else has already started up, and that starts nothing else
  *      meanwhile. A task that starts up without a crash is no longer suspected.
- *   3. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials.
+ *   3. A task that has crashed a worker in its trial explains the crashes at which it had just been started. What was
+ *      started beside it is no longer suspected for them, and need not wait for trials of its own.
+ *   4. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials.
  * A crash next to one that no start explains (a power loss, a machine that crashes by itself) is not counted as a crash of a
  * trial, so that the victims of such crashes are not given up.
  *
@@ -19,6 +21,7 @@
  *   LostRun         a run that was on a worker when it crashed, or that has been silent since
  *   assessCrash()   what a crash says of each run that it ended
  *   isSuspected(), isGivenUp(), guiltEstimate()   the verdict on a task by its evidence
+ *   crashesExplainedBy(), explainCrash()          what the verdict on one task says of others
  *   TrialBudget     how many suspects may be tried at a time
  *
  * No I/O; suspects.cpp contains the scheduler's part.
@@ -50,6 +53,8 @@
         = 5; ///< a task is given up after so many crashes at its start, whatever the trials say
     std::uint32_t maxPresences
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
+    std::uint32_t maxExplained = 2; ///< crashes of a task that another one may explain; it is tried after the next, so
+                                    ///< that a task is not started without a trial again and again
     double maxShareAtRisk = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker
 };
 
@@ -80,6 +85,7 @@
     std::uint32_t suspects = 1; ///< number of jobs whose runs may have caused the crash, this one included
     CrashName crash{};
     std::int64_t recordedMs = 0; ///< wall time, Unix ms; zero: an older version has stored it
+    bool isExplained = false;    ///< by another task: no reason for a trial
 
     bool operator==(const CrashEvidence &) const = default;
 };
@@ -122,6 +128,15 @@
 /** Number of crashes in the given role. */
 std::uint32_t countCrashes(std::span<const CrashEvidence> crashes, CrashRole role);
 
+/** Number of crashes in the given role that no other task explains. */
+std::uint32_t countUnexplained(std::span<const CrashEvidence> crashes, CrashRole role);
+
+/** The crashes that the task is likely to have caused, apart from those in its trials; none before a crash in a trial. */
+std::vector<CrashName> crashesExplainedBy(std::span<const CrashEvidence> crashes);
+
+/** Releases a task from the suspicion of @p crash, which another task explains. False if that changes nothing. */
+bool explainCrash(const CrashSettings &settings, std::span<CrashEvidence> crashes, const CrashName &crash);
+
 /** Limits the number of workers that trials are expected to keep down at a time. */
 class TrialBudget
 {
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -101,7 +101,8 @@
                                     it.suspects,
                                     it.crash.worker,
                                     it.crash.workerStartedAtMs,
-                                    it.recordedMs}));
+                                    it.recordedMs,
+                                    it.isExplained}));
     }
     return rows;
 }
@@ -115,9 +116,10 @@
             throw InvalidArgument("crash", "unknown role");
         }
         CrashEvidence crash{it.at(0), static_cast<CrashRole>(role), it.at(2)};
-        if (it.size() > 5) { // older versions wrote none
+        if (it.size() > 6) { // older versions wrote none
             crash.crash = {it.at(3), it.at(4)};
             crash.recordedMs = it.at(5);
+            crash.isExplained = it.at(6);
         }
         crashes.push_back(std::move(crash));
     }
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -355,7 +355,8 @@
     void recordCrash(WorkerIndex index, std::span<const LostRun> lost);
     bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at) const;
     void addEvidence(const TaskRef &ref, const CrashEvidence &evidence);
-    void noteExplainedCrashes(const TaskState &task);
+    void explainCrashesOf(const TaskState &guilty);
+    void applyExplanations(const TaskRef &ref);
     bool isExplainedByOthers(const TaskState &task) const;
     void onStartedUp(const TaskRef &ref);
     bool isTriedUntilItsEnd(const TaskState &task) const;
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -150,7 +150,8 @@
     }
     task.crashes.push_back(evidence);
     ref.job->hasCrashEvidence = true;
-    noteExplainedCrashes(task);
+    applyExplanations(ref);
+    explainCrashesOf(task);
     if (evidence.role != CrashRole::Present) {
         logTaskEvent("task_suspected",
                      ref,
@@ -169,15 +170,41 @@
     }
 }
 
-/** A task that has crashed a worker in its trial explains the other crashes in which it took part. */
-void WorkflowScheduler::noteExplainedCrashes(const TaskState &task)
+/** Releases what was started beside a task that has crashed a worker in its trial. */
+void WorkflowScheduler::explainCrashesOf(const TaskState &guilty)
 {
-    if (countCrashes(task.crashes, CrashRole::Trial) == 0) {
+    const std::vector<CrashName> crashes = crashesExplainedBy(guilty.crashes);
+    if (crashes.empty()) {
         return;
     }
-    for (const CrashEvidence &it : task.crashes) {
-        if (it.crash.isKnown()) {
-            m_explainedCrashes[it.crash] = m_now;
+    for (const CrashName &it : crashes) {
+        m_explainedCrashes[it] = m_now;
+    }
+    for (const auto &[key, job] : m_activeJobs) {
+        if (job->hasCrashEvidence) {
+            forEachTask(*job, [this](const TaskRef &it) { applyExplanations(it); });
+        }
+    }
+}
+
+/** Releases the task from the suspicion of crashes that other tasks explain, also if its evidence shows only now. */
+void WorkflowScheduler::applyExplanations(const TaskRef &ref)
+{
+    TaskState &task = ref.task();
+    if (ref.job->isMoving || task.phase == TaskPhase::Done || task.phase == TaskPhase::Foreign) {
+        return;
+    }
+    const std::vector<CrashEvidence> crashes = task.crashes;
+    for (const CrashEvidence &it : crashes) {
+        if (m_explainedCrashes.contains(it.crash) && explainCrash(m_settings.crashes, task.crashes, it.crash)) {
+            logTaskEvent("crash_explained",
+                         ref,
+                         "worker",
+                         it.crash.worker,
+                         "suspected",
+                         isSuspected(m_settings.crashes, task.crashes));
+            markDirty(*ref.job);
+            m_isPlacementDue = true;
         }
     }
 }
@@ -210,8 +237,8 @@
 /** Whether the task was present at several crashes without having just been started at any of them. */
 bool WorkflowScheduler::isTriedUntilItsEnd(const TaskState &task) const
 {
-    return countCrashes(task.crashes, CrashRole::Present) >= m_settings.crashes.maxPresences
-           && countCrashes(task.crashes, CrashRole::Start) == 0;
+    return countUnexplained(task.crashes, CrashRole::Present) >= m_settings.crashes.maxPresences
+           && countUnexplained(task.crashes, CrashRole::Start) == 0;
 }
 
 /** Another shard's task returns to its job's shard, whose leader can store that the job has failed. */
@@ -573,7 +600,8 @@
 {
     TaskState &task = ref.task();
     ref.job->hasCrashEvidence = ref.job->hasCrashEvidence || !task.crashes.empty() || task.trial;
-    noteExplainedCrashes(task);
+    applyExplanations(ref);
+    explainCrashesOf(task);
     if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
         task.trial->isOrdered = true;
         task.retryAt = m_clock.now() + m_settings.crashes.verdictTimeout;
