Trials go to the least likely guilty first, and in order of waits after 10 s

Cause: suspects were tried in the order of their jobs, so a suspect that had crashed a worker in a trial, and takes one of few places for as long as a machine takes to come back, went before others that would have been cleared in half a second; and a suspect that takes the whole limit of a small shard had its turn only when no other suspect wanted one. Class: an order without a bound on the wait of what comes last. Change: all suspects of a shard are ordered at once (chooseTrials), by the number that are still suspected for the same crash, and those that have waited for 10 s since their last crash by their wait, which is stored. The limit of workers that trials keep down is as it was.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -1,7 +1,9 @@
 #include <workflow/crashes.h>
 
 #include <algorithm>
+#include <numeric>
 #include <set>
+#include <tuple>
 
 namespace QuetzalRock::Workflow {
 
@@ -97,19 +99,29 @@
     return countCrashes(crashes, CrashRole::Trial) >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes;
 }
 
-double guiltEstimate(std::span<const CrashEvidence> crashes)
+double guiltEstimate(std::span<const CrashEvidence> crashes, const SuspectsByCrash &suspects)
 {
     double guilt = 0;
     for (const CrashEvidence &it : crashes) {
         if (it.isExplained) {
             continue;
         }
-        const bool isTrial = it.role == CrashRole::Trial;
-        guilt = std::max(guilt, isTrial ? 1 : 1 / static_cast<double>(std::max(1U, it.suspects)));
+        const auto remaining = suspects.find(it.crash);
+        const std::uint32_t n = remaining == suspects.end() ? it.suspects : std::min(it.suspects, remaining->second);
+        guilt = std::max(guilt, it.role == CrashRole::Trial ? 1 : 1 / static_cast<double>(std::max(1U, n)));
     }
     return guilt;
 }
 
+std::int64_t suspectedSinceMs(std::span<const CrashEvidence> crashes)
+{
+    std::int64_t sinceMs = 0;
+    for (const CrashEvidence &it : crashes) {
+        sinceMs = it.isExplained ? sinceMs : std::max(sinceMs, it.recordedMs);
+    }
+    return sinceMs;
+}
+
 TrialBudget::TrialBudget(const CrashSettings &settings, std::size_t workers)
     : m_limit(std::max(1.0, settings.maxShareAtRisk * static_cast<double>(workers)))
 {
@@ -135,4 +147,33 @@
     return m_limit;
 }
 
+std::vector<std::size_t> chooseTrials(const CrashSettings &settings,
+                                      std::span<const WaitingSuspect> waiting,
+                                      std::int64_t nowMs,
+                                      TrialBudget budget)
+{
+    const auto isOverdue = [&](std::size_t i) {
+        return std::chrono::milliseconds(nowMs - waiting[i].sinceMs) >= settings.maxTrialDelay;
+    };
+    std::vector<std::size_t> order(waiting.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
+        const auto rankOf = [&](std::size_t i) {
+            const bool isLate = isOverdue(i);
+            return std::tuple(!isLate, isLate ? 0 : waiting[i].guilt, waiting[i].sinceMs);
+        };
+        return rankOf(a) < rankOf(b);
+    });
+    std::vector<std::size_t> chosen;
+    for (const std::size_t i : order) {
+        if (budget.allows(waiting[i].guilt)) {
+            budget.add(waiting[i].guilt);
+            chosen.push_back(i);
+        } else if (isOverdue(i)) {
+            break;
+        }
+    }
+    return chosen;
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -23,6 +23,7 @@
  *   isSuspected(), isGivenUp(), guiltEstimate()   the verdict on a task by its evidence
  *   crashesExplainedBy(), explainCrash()          what the verdict on one task says of others
  *   TrialBudget     how many suspects may be tried at a time
+ *   WaitingSuspect, chooseTrials()   which are tried next
  *
  * No I/O; suspects.cpp contains the scheduler's part.
  */
@@ -32,6 +33,7 @@
 
 #include <base/clock.h>
 
+#include <map>
 #include <optional>
 #include <span>
 #include <string>
@@ -55,6 +57,7 @@
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
     std::uint32_t maxExplained = 2; ///< crashes of a task that another one may explain; it is tried after the next, so
                                     ///< that a task is not started without a trial again and again
+    Duration maxTrialDelay = std::chrono::seconds(10); ///< a suspect that has waited longer is tried in order of waits
     double maxShareAtRisk = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker
 };
 
@@ -122,8 +125,17 @@
 bool isSuspected(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
 bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
 
-/** Probability, from 0 to 1, that the task crashes the worker of its next trial. */
-double guiltEstimate(std::span<const CrashEvidence> crashes);
+/** Number of jobs that are suspected for each crash. */
+using SuspectsByCrash = std::map<CrashName, std::uint32_t>;
+
+/**
+ * Probability, from 0 to 1, that the task crashes the worker of its next trial. Of a crash that @p suspects does not contain,
+ * all that were suspected at first still are.
+ */
+double guiltEstimate(std::span<const CrashEvidence> crashes, const SuspectsByCrash &suspects = {});
+
+/** Wall time of the last crash that the task is suspected for, Unix ms; zero: not known. */
+std::int64_t suspectedSinceMs(std::span<const CrashEvidence> crashes);
 
 /** Number of crashes in the given role. */
 std::uint32_t countCrashes(std::span<const CrashEvidence> crashes, CrashRole role);
@@ -153,4 +165,21 @@
     double m_risk = 0;
 };
 
+/** A suspect that waits for its trial; a gang counts as one. */
+struct WaitingSuspect
+{
+    double guilt = 0;         ///< see guiltEstimate()
+    std::int64_t sinceMs = 0; ///< see suspectedSinceMs()
+};
+
+/**
+ * Indices of those of @p waiting to be tried now, within @p budget. The least likely to be guilty go first: their trials end
+ * soon and cost nothing. One that has waited for maxTrialDelay goes before all that have waited for less time, and none of these
+ * is tried until it is, so that no suspect waits for more than those before it.
+ */
+std::vector<std::size_t> chooseTrials(const CrashSettings &settings,
+                                      std::span<const WaitingSuspect> waiting,
+                                      std::int64_t nowMs,
+                                      TrialBudget budget);
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -66,6 +66,7 @@
     listUsableWorkers(now);
     m_unplaced.clear();
     m_unpaced.clear();
+    placeTrials(now);
     placeOverdueJobs(now);
     for (JobState *job : m_jobOrder) {
         if (mayPlace(*job)) {
@@ -297,8 +298,8 @@
         if (task.phase != TaskPhase::Waiting || holdOf(ref, now) != WaitReason::None) {
             continue;
         }
-        if (task.trial || isSuspected(m_settings.crashes, task.crashes)) {
-            isWithoutRoom = !placeTrial(std::span(&ref, 1), now) || isWithoutRoom;
+        if (needsTrial(task)) {
+            isWithoutRoom = isWithoutRoom || task.isWithoutTrialRoom;
             continue;
         }
         const bool canShare = canShareSpareCpu(job);
@@ -375,16 +376,8 @@
         checkpoint = it.checkpoint.empty() ? checkpoint : it.checkpoint;
     }
     TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
-    const bool isTrial = std::any_of(tasks.begin(), tasks.end(), [this](const TaskState &it) {
-        return it.trial || isSuspected(m_settings.crashes, it.crashes);
-    });
-    if (isTrial) {
-        std::vector<TaskRef> refs;
-        for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-            refs.push_back({&job, occurrence, step, i});
-            tasks[i].checkpoint = checkpoint;
-        }
-        noRoomSince = placeTrial(refs, now) ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+    if (std::any_of(tasks.begin(), tasks.end(), [this](const TaskState &it) { return needsTrial(it); })) {
+        noRoomSince = !tasks.front().isWithoutTrialRoom ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
         return;
     }
     std::vector<WorkerIndex> chosen;
--- a/packages/workflow/pool.cpp
+++ b/packages/workflow/pool.cpp
@@ -1,5 +1,7 @@
 #include <workflow/pool.h>
 
+#include <algorithm>
+
 namespace QuetzalRock::Workflow {
 
 namespace {
@@ -45,4 +47,11 @@
     return m_receivedAt + Duration(static_cast<Duration::rep>(total));
 }
 
+bool WorkerState::hasStartingRun() const
+{
+    return std::any_of(runs.begin(), runs.end(), [](const TaskRef &it) { return !it.task().hasStartedUp; })
+           || std::any_of(
+               unresolvedRuns.begin(), unresolvedRuns.end(), [](const LostRun &it) { return it.isStarting; });
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -3,6 +3,7 @@
  *
  * Index of this file
  *   TaskRef              refers to a task of a job in memory
+ *   forEachTask()        visits the tasks of a job
  *   WorkerClock          converts between the leader's clock and the worker's
  *   UnacknowledgedEnd    an ended run that the worker must still report
  *   ServingGroup, WorkerOutlook   what placement decisions need to know of a worker, computed once for many of them
@@ -42,6 +43,19 @@
     }
 };
 
+/** Calls @p action with each task of @p job. */
+template<typename Action>
+void forEachTask(JobState &job, Action action)
+{
+    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
+        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
+            for (std::uint32_t i = 0; i < job.occurrences[k].steps[s].tasks.size(); ++i) {
+                action(TaskRef{&job, k, s, i});
+            }
+        }
+    }
+}
+
 constexpr double MinWorkerClockRate = 0.98; ///< a worker's steady clock may run up to 2% slow
 
 /** Estimates a worker's steady clock from its last reply. */
@@ -183,6 +197,7 @@
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
     }
+    bool hasStartingRun() const; ///< or had one when its lease expired
     /** Has accepted our fencing token, and has replied to the last renewal. */
     bool hasReplied() const
     {
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -123,7 +123,9 @@
     std::optional<TaskTrial> trial; ///< being tried alone; Waiting: the start is prepared, or its outcome is unknown
     /** An attempt that had just been started on a worker that is silent since; stored, as its leader may not see the end. */
     std::optional<TaskTrial> silentStart;
-    bool isGivenUp = false; ///< another shard's task that has crashed its workers: to be returned
+    bool isWithoutTrialRoom = false; ///< no worker was found for its trial; in a gang, set for the first member
+    TimePoint nextTrialSearchAt{};   ///< earliest next search for one
+    bool isGivenUp = false;          ///< another shard's task that has crashed its workers: to be returned
 
     // Transfers between shards
     bool isGivenAway = false;         ///< the job's progress says that it was given to another shard
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -269,6 +269,13 @@
         bool usesSpareCpu = false;
     };
 
+    /** A suspect that waits for its trial or the start of it, or the members of a gang with one. */
+    struct TrialCandidate
+    {
+        std::vector<TaskRef> refs;
+        bool isPrepared = false; ///< workers are chosen, and start nothing else
+    };
+
     struct MovingJob
     {
         JobKey key;
@@ -350,7 +357,7 @@
     WorkerTarget target(const WorkerState &worker) const;
     std::optional<TaskRef> findTask(const TaskName &name);
 
-    // Crashes of workers, and trials of suspected tasks (suspects.cpp)
+    // Crashes of workers, and evidence against tasks (suspects.cpp)
     LostRun describeLostRun(const TaskRef &ref, std::int64_t workerStartedAtMs, TimePoint lostAt) const;
     void recordCrash(WorkerIndex index, std::span<const LostRun> lost);
     bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at) const;
@@ -367,18 +374,24 @@
     void endVerdictWait(const RunName &run);
     void forgetOldCrashes(TimePoint now);
     bool isHeldBySuspect(const TaskRef &ref) const;
-    bool placeTrial(std::span<const TaskRef> refs, TimePoint now);
-    bool prepareTrial(std::span<const TaskRef> refs, TimePoint now);
+    void reportSuspects(TimePoint now);
+    void restoreSuspects(JobState &job);
+    void restoreSuspect(const TaskRef &ref);
+    bool restoreUnresolvedRun(const TaskRef &ref, const TaskTrial &start);
+
+    // Trials of suspected tasks (trials.cpp)
+    bool needsTrial(const TaskState &task) const;
+    void placeTrials(TimePoint now);
+    void listTrialCandidates(JobState &job, TimePoint now, std::vector<TrialCandidate> &candidates) const;
+    SuspectsByCrash suspectsByCrash() const;
+    void continueTrial(std::span<const TaskRef> refs, TimePoint now);
+    bool prepareTrial(std::span<const TaskRef> refs, double risk, TimePoint now);
     bool canTryOn(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
     bool isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const;
     WorkerIndex chooseTrialWorker(const TaskRef &ref, TimePoint now) const;
     TrialBudget trialBudget(TimePoint now) const;
     void endTrial(const TaskRef &ref);
-    void reportSuspects(TimePoint now);
     void endTrials(JobState &job);
-    void restoreSuspects(JobState &job);
-    void restoreSuspect(const TaskRef &ref);
-    bool restoreUnresolvedRun(const TaskRef &ref, const TaskTrial &start);
 
     // Placement (dispatch.cpp)
     void placeJobs(TimePoint now);
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -1,6 +1,6 @@
 /**
- * WorkflowScheduler: records crashes of workers, tries suspected tasks alone, and gives up tasks that crash their workers.
- * crashes.h has the decisions.
+ * WorkflowScheduler: records crashes of workers, and gives up tasks that crash their workers. crashes.h has the decisions,
+ * trials.cpp tries the suspected tasks.
  *
  * All evidence is stored with the job's progress, so that it outlives this leader and moves with the job; that of a task
  * given to this shard is stored in its GivenTask. A trial is stored
@@ -19,10 +19,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t MaxLoggedRuns = 6;
-constexpr Duration TrialRetryDelay = 200ms; ///< after a worker that was chosen for a trial cannot be used
-constexpr double LongRunningLoss = 10;      ///< of a long-running task that a crash ends, in tasks of limited run time
-constexpr Duration WholeRunTrialTimeout
-    = 10s; ///< CrashSettings::trialTimeout of a trial that waits for other tasks to end
 constexpr Duration GuiltMemory = std::chrono::minutes(10); ///< of crashes that are likely explained
 constexpr Duration SuspectLogInterval = 5s;
 constexpr Duration UnresolvedMargin
@@ -34,28 +30,6 @@
            + std::to_string(run.task.index) + "/" + std::to_string(run.attempt);
 }
 
-bool hasStartingRun(const WorkerState &worker)
-{
-    return std::any_of(
-               worker.runs.begin(), worker.runs.end(), [](const TaskRef &it) { return !it.task().hasStartedUp; })
-           || std::any_of(worker.unresolvedRuns.begin(), worker.unresolvedRuns.end(), [](const LostRun &it) {
-                  return it.isStarting;
-              });
-}
-
-/** Calls @p action with each task of @p job. */
-template<typename Action>
-void forEachTask(JobState &job, Action action)
-{
-    for (std::uint32_t k = 0; k < job.occurrences.size(); ++k) {
-        for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
-            for (std::uint32_t i = 0; i < job.occurrences[k].steps[s].tasks.size(); ++i) {
-                action(TaskRef{&job, k, s, i});
-            }
-        }
-    }
-}
-
 } // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -126,7 +100,7 @@
         const WorkerState &other = *m_workers[i];
         const bool isSilent = i != index && other.isRegistered && other.unansweredRenewals > 0
                               && other.record.condition != WorkerCondition::Draining;
-        if (isSilent && isNear(other.contactLostAt) && !hasStartingRun(other)) {
+        if (isSilent && isNear(other.contactLostAt) && !other.hasStartingRun()) {
             return true;
         }
     }
@@ -331,10 +305,6 @@
     }
 }
 
-// ---------------------------------------------------------------------------------------------------------------------
-// Trials
-// ---------------------------------------------------------------------------------------------------------------------
-
 /** While a task of the job has crashed a worker in its trial, the others wait: the job is likely to fail. */
 bool WorkflowScheduler::isHeldBySuspect(const TaskRef &ref) const
 {
@@ -349,185 +319,6 @@
     return isHeld;
 }
 
-/**
- * Tries suspected tasks alone; for a gang, @p refs are all its members, each on a worker of its own where possible. Returns
- * false if there is no room for them.
- */
-bool WorkflowScheduler::placeTrial(std::span<const TaskRef> refs, TimePoint now)
-{
-    JobState &job = *refs.front().job;
-    const bool isPrepared = std::all_of(
-        refs.begin(), refs.end(), [](const TaskRef &it) { return it.task().trial && !it.task().trial->isOrdered; });
-    if (!isPrepared) {
-        return prepareTrial(refs, now);
-    }
-    const TaskTrial trial = *refs.front().task().trial;
-    if (job.storedVersion < trial.version) {
-        return true;
-    }
-    std::size_t reserved = 0;
-    bool isUsable = true;
-    bool isQuiet = true;
-    for (; reserved < refs.size() && isUsable; ++reserved) {
-        const TaskRef &ref = refs[reserved];
-        const auto found = m_workerIndex.find(ref.task().trial->worker);
-        isUsable = found != m_workerIndex.end() && canTryOn(found->second, ref, now);
-        if (!isUsable) {
-            break;
-        }
-        isQuiet = isQuiet && isQuietForTrial(*m_workers[found->second], ref);
-        reserveResources(ref, found->second);
-    }
-    for (std::size_t i = 0; i < reserved; ++i) {
-        releaseResources(refs[i]);
-        refs[i].task().phase = TaskPhase::Waiting;
-    }
-    const Duration timeout
-        = isTriedUntilItsEnd(refs.front().task()) ? WholeRunTrialTimeout : m_settings.crashes.trialTimeout;
-    if (!isUsable || now >= trial.preparedAt + timeout) {
-        logTaskEvent("trial_abandoned", refs.front(), "worker", trial.worker, "usable", isUsable, "quiet", isQuiet);
-        for (const TaskRef &it : refs) {
-            endTrial(it);
-            it.task().retryAt = now + TrialRetryDelay;
-        }
-        return true;
-    }
-    for (const TaskRef &it : refs) {
-        if (isQuiet) {
-            it.task().trial->isOrdered = true;
-            logTaskEvent("trial_started", it, "attempt", trial.attempt, "worker", it.task().trial->worker);
-            startTask(it, m_workerIndex.at(it.task().trial->worker), trial.attempt, now);
-        }
-    }
-    return true;
-}
-
-/** Chooses workers, which start nothing else from now on, and stores the trial before the order is sent. */
-bool WorkflowScheduler::prepareTrial(std::span<const TaskRef> refs, TimePoint now)
-{
-    JobState &job = *refs.front().job;
-    double risk = 0;
-    std::uint64_t attempt = 0;
-    for (const TaskRef &it : refs) {
-        if (it.task().trial) { // an earlier one, whose outcome did not show in time
-            endTrial(it);
-        }
-        risk = std::max(risk, guiltEstimate(it.task().crashes));
-        attempt = std::max(attempt, nextAttempt(it.task()));
-    }
-    if (!trialBudget(now).allows(risk)) {
-        return true;
-    }
-    std::vector<WorkerIndex> chosen;
-    for (const TaskRef &it : refs) {
-        const WorkerIndex worker = chooseTrialWorker(it, now);
-        if (worker == NoWorker) {
-            break;
-        }
-        reserveResources(it, worker);
-        m_workers[worker]->trialJob = job.key();
-        chosen.push_back(worker);
-    }
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        releaseResources(refs[i]);
-        refs[i].task().phase = TaskPhase::Waiting;
-        m_workers[chosen[i]]->trialJob.reset();
-    }
-    if (chosen.size() < refs.size()) {
-        return false;
-    }
-    markDirty(job);
-    for (std::size_t i = 0; i < chosen.size(); ++i) {
-        WorkerState &worker = *m_workers[chosen[i]];
-        worker.trialJob = job.key();
-        worker.trialRisk = risk;
-        TaskTrial trial;
-        trial.attempt = attempt;
-        trial.worker = worker.record.id;
-        trial.workerStartedAtMs = worker.record.startedAtMs;
-        trial.version = job.version;
-        trial.preparedAt = now;
-        refs[i].task().trial = trial;
-    }
-    m_isPlacementDue = true;
-    return true;
-}
-
-bool WorkflowScheduler::canTryOn(WorkerIndex index, const TaskRef &ref, TimePoint now) const
-{
-    const WorkerState &worker = *m_workers[index];
-    return worker.record.startedAtMs == ref.task().trial->workerStartedAtMs && isEligible(worker, ref, now)
-           && scorePlacement(index, ref, canShareSpareCpu(*ref.job));
-}
-
-/** Whether a crash of the worker could be held against no other job. */
-bool WorkflowScheduler::isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const
-{
-    const bool isWholeRun = isTriedUntilItsEnd(ref.task());
-    return std::all_of(worker.runs.begin(), worker.runs.end(), [&ref, isWholeRun](const TaskRef &it) {
-        return it.job == ref.job || (it.task().hasStartedUp && (!isWholeRun || it.spec().isLongRunning));
-    });
-}
-
-/** The worker whose crash would cost the least, not one that has crashed again and again by itself. */
-WorkerIndex WorkflowScheduler::chooseTrialWorker(const TaskRef &ref, TimePoint now) const
-{
-    WorkerIndex best = NoWorker;
-    std::pair<bool, double> leastCost;
-    for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
-        const WorkerState &worker = *m_workers[i];
-        if (!isEligible(worker, ref, now) || !scorePlacement(i, ref, canShareSpareCpu(*ref.job))) {
-            continue;
-        }
-        const auto crashes = std::count_if(m_recentCrashes.begin(), m_recentCrashes.end(), [&worker](const auto &it) {
-            return it.address == worker.record.address;
-        });
-        double loss = 0;
-        for (const TaskRef &it : worker.runs) {
-            loss += it.spec().isLongRunning ? LongRunningLoss : 1;
-        }
-        const std::pair<bool, double> cost{crashes > 1, loss};
-        if (best == NoWorker || cost < leastCost) {
-            best = i;
-            leastCost = cost;
-        }
-    }
-    return best;
-}
-
-TrialBudget WorkflowScheduler::trialBudget(TimePoint now) const
-{
-    std::size_t workers = 0;
-    for (const auto &it : m_workers) {
-        workers += it->isLeaving() ? 0 : 1;
-    }
-    TrialBudget budget(m_settings.crashes, workers);
-    for (const auto &it : m_workers) {
-        const bool isSilent = it->unansweredRenewals > 0 && now < it->contactLostAt + m_settings.grantedLease();
-        if (it->trialJob) {
-            budget.add(isSilent ? 1 : it->trialRisk);
-        } else if (isSilent && !it->runs.empty() && hasStartingRun(*it)) {
-            budget.add(1); // possibly the first crash of a task that nobody suspects yet
-        }
-    }
-    return budget;
-}
-
-void WorkflowScheduler::endTrial(const TaskRef &ref)
-{
-    const TaskTrial trial = *std::exchange(ref.task().trial, std::nullopt);
-    bool isUsedByOthers = false; // by other members of a gang
-    forEachTask(*ref.job, [&](const TaskRef &it) {
-        isUsedByOthers = isUsedByOthers || (it.task().trial && it.task().trial->worker == trial.worker);
-    });
-    const auto found = m_workerIndex.find(trial.worker);
-    if (found != m_workerIndex.end() && !isUsedByOthers && m_workers[found->second]->trialJob == ref.job->key()) {
-        m_workers[found->second]->trialJob.reset();
-    }
-    markDirty(*ref.job); // a stored trial would be held against the task if the worker crashes later
-    m_isPlacementDue = true;
-}
-
 /** Counts the suspects, and logs a line once in a while as long as any waits for its trial. */
 void WorkflowScheduler::reportSuspects(TimePoint now)
 {
@@ -545,7 +336,7 @@
                 ++counts.waiting;
                 counts.guilty += countCrashes(it.crashes, CrashRole::Trial) > 0 ? 1 : 0;
                 counts.explained += isExplainedByOthers(it) ? 1 : 0;
-                const std::int64_t sinceMs = it.crashes.back().recordedMs;
+                const std::int64_t sinceMs = suspectedSinceMs(it.crashes);
                 const Duration waited = sinceMs == 0 ? jobAge(*job) : std::chrono::milliseconds(wallMs - sinceMs);
                 counts.oldest = std::max(counts.oldest, waited);
             }
@@ -577,18 +368,9 @@
                 budget.limit());
 }
 
-/** Ends the trials of a job that has ended. */
-void WorkflowScheduler::endTrials(JobState &job)
-{
-    if (!job.hasCrashEvidence) {
-        return;
-    }
-    forEachTask(job, [this](const TaskRef &it) {
-        if (it.task().trial) {
-            endTrial(it);
-        }
-    });
-}
+// ---------------------------------------------------------------------------------------------------------------------
+// Takeover
+// ---------------------------------------------------------------------------------------------------------------------
 
 /** The stored progress has evidence, or trials of a former leader, which this leader has not seen end. */
 void WorkflowScheduler::restoreSuspects(JobState &job)
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -2,8 +2,9 @@
  * Trials of suspected tasks: how long the innocent ones wait.
  *
  * Index of this file
- *   SuspectBurst   jobs that start beside tasks which crash their workers
- *   Trials         bounds on the wait of suspects
+ *   SuspectBurst     jobs that start beside tasks which crash their workers
+ *   TrialDecisions   which suspects are tried next, and which crashes are explained
+ *   Trials           bounds on the wait of suspects
  */
 #include "rig.h"
 
@@ -96,6 +97,97 @@
 
 } // namespace
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Decisions
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+constexpr std::int64_t NowMs = 1'000'000;
+
+WaitingSuspect makeSuspect(double guilt, std::int64_t waitedMs)
+{
+    return {guilt, NowMs - waitedMs};
+}
+
+} // namespace
+
+TEST(TrialDecisions, leastLikelyGuiltyGoFirstAsFarAsTheLimitAllows)
+{
+    const CrashSettings settings;
+    const std::vector<WaitingSuspect> waiting{
+        makeSuspect(1, 5000), makeSuspect(0.5, 1000), makeSuspect(0.25, 100), makeSuspect(0.25, 200)};
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 20)), (std::vector<std::size_t>{3, 2, 1}));
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 40)),
+              (std::vector<std::size_t>{3, 2, 1, 0}));
+}
+
+// A suspect that takes the whole limit never had its turn while others, each of which takes a part, kept coming.
+TEST(TrialDecisions, nobodyIsTriedBeforeAnOverdueSuspect)
+{
+    const CrashSettings settings;
+    TrialBudget budget(settings, 20);
+    const std::vector<WaitingSuspect> waiting{
+        makeSuspect(0.25, 9000), makeSuspect(1, 11'000), makeSuspect(0.5, 12'000)};
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, budget), (std::vector<std::size_t>{2}));
+    budget.add(0.25); // a trial is under way
+    const std::span<const WaitingSuspect> others(waiting.data(), 2);
+    EXPECT_TRUE(chooseTrials(settings, others, NowMs, budget).empty());
+}
+
+// Evidence of older versions says neither which crash it is of nor when that was.
+TEST(TrialDecisions, suspectsOfUnknownAgeAreOverdue)
+{
+    const CrashSettings settings;
+    const std::vector<WaitingSuspect> waiting{makeSuspect(0.5, 100), {1, 0}};
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 20)), (std::vector<std::size_t>{1}));
+}
+
+TEST(TrialDecisions, guiltGrowsAsOthersAreCleared)
+{
+    const CrashName crash{"w1", 7};
+    const std::vector<CrashEvidence> crashes{{1, CrashRole::Start, 4, crash}};
+    EXPECT_DOUBLE_EQ(guiltEstimate(crashes), 0.25);
+    EXPECT_DOUBLE_EQ(guiltEstimate(crashes, {{crash, 2}}), 0.5);
+}
+
+TEST(TrialDecisions, crashInATrialExplainsTheCrashesAtStartsOfTheSameTask)
+{
+    const CrashName first{"w1", 7};
+    const CrashName second{"w2", 8};
+    std::vector<CrashEvidence> guilty{{1, CrashRole::Start, 3, first}, {2, CrashRole::Present, 5, second}};
+    EXPECT_TRUE(crashesExplainedBy(guilty).empty());
+    guilty.push_back({3, CrashRole::Trial, 1, {"w3", 9}});
+    EXPECT_EQ(crashesExplainedBy(guilty), (std::vector<CrashName>{first})) << "it had run for long at the second";
+}
+
+// A deadly task that starts beside others again and again must not be released each time.
+TEST(TrialDecisions, aFewCrashesOfATaskCanBeExplained)
+{
+    const CrashSettings settings;
+    std::vector<CrashEvidence> crashes;
+    for (std::int64_t i = 1; i <= 3; ++i) {
+        crashes.push_back({static_cast<std::uint64_t>(i), CrashRole::Start, 2, {"w", i}});
+        EXPECT_TRUE(isSuspected(settings, crashes));
+        EXPECT_EQ(explainCrash(settings, crashes, {"w", i}), i <= 2);
+        EXPECT_EQ(isSuspected(settings, crashes), i > 2);
+    }
+    crashes.push_back({4, CrashRole::Trial, 1, {"w", 4}});
+    EXPECT_FALSE(explainCrash(settings, crashes, {"w", 3})) << "it is likely guilty itself";
+    crashes.push_back({5, CrashRole::CoincidentStart, 1, {"w", 5}});
+    EXPECT_TRUE(isGivenUp(settings, crashes)) << "explained crashes count towards the limit of crashes at a start";
+}
+
+TEST(TrialDecisions, crashesWithoutANameAreNotExplained)
+{
+    std::vector<CrashEvidence> crashes{{1, CrashRole::Start, 2}};
+    EXPECT_FALSE(explainCrash(CrashSettings{}, crashes, CrashName{}));
+}
+
+// ---------------------------------------------------------------------------------------------------------------------
+// With a scheduler
+// ---------------------------------------------------------------------------------------------------------------------
+
 // Innocent suspects waited for trials of their own, behind two crashes of each deadly task.
 TEST(Trials, innocentSuspectsDoNotWaitForEachConviction)
 {
