Guilty and other suspects have places of their own; crashes of unknown times do not release suspects

Cause: after an outage every suspect had waited for 10 s, so all went in order of waits, and tasks that crash a worker in each trial took most places again. While tasks that nobody suspected kept crashing workers, these used up the limit, and nothing was tried. Both suspects of a crash were tried at once, which takes a worker down in any case. Change: with room for two trials, one place is kept for tasks that are likely guilty, the rest goes to the others first; workers that are down for other reasons leave two places; about half of the suspects of one crash are tried at a time; idle workers, where a crash interrupts nothing, leave room for half as many more trials, below a tenth of the workers in all; a start before a crash at an unknown time is suspected.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -281,7 +281,7 @@
         lost.push_back(describeLostRun(it, worker.record.startedAtMs, {}));
     }
     if (worker.isRegistered || !lost.empty()) { // otherwise its entry was removed before, as when it leaves
-        recordCrash(index, lost);
+        recordCrash(index, lost, worker.reportCount > 0);
     }
     for (const LostRun &it : lost) {
         endVerdictWait(it.run);
@@ -567,7 +567,7 @@
         }
     }
     if ((isNewIncarnation && worker.hasCrashed) || !crashed.empty()) {
-        recordCrash(index, crashed);
+        recordCrash(index, crashed, worker.reportCount > 1);
         for (const LostRun &it : crashed) {
             endVerdictWait(it.run);
         }
--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -7,7 +7,15 @@
 
 namespace QuetzalRock::Workflow {
 
-std::vector<std::optional<CrashEvidence>> assessCrash(std::span<const LostRun> lost, bool isCoincident)
+namespace {
+
+constexpr double PlacesForTrials = 2;   ///< one for suspects that are likely guilty, one for the others
+constexpr double MaxTriedOfCrash = 0.5; ///< sum of the guilt of the suspects of one crash that are tried at a time
+
+} // namespace
+
+std::vector<std::optional<CrashEvidence>>
+assessCrash(std::span<const LostRun> lost, bool isCoincident, bool isTimeKnown)
 {
     std::set<JobKey> starting;
     std::set<JobKey> present;
@@ -31,7 +39,8 @@
         // A task that was suspected of crashing its workers later is tried until it ends.
         const std::set<JobKey> &suspects = it.isStarting ? starting : present;
         crash.suspects = static_cast<std::uint32_t>(suspects.size());
-        crash.role = isCoincident                         ? CrashRole::CoincidentStart
+        const bool mayBeUnrelated = isCoincident && (isTimeKnown || it.isTrial);
+        crash.role = mayBeUnrelated                       ? CrashRole::CoincidentStart
                      : it.isTrial && suspects.size() == 1 ? CrashRole::Trial
                                                           : CrashRole::Start;
         evidence.push_back(crash);
@@ -113,6 +122,17 @@
     return guilt;
 }
 
+std::vector<CrashName> suspectedCrashes(std::span<const CrashEvidence> crashes)
+{
+    std::vector<CrashName> names;
+    for (const CrashEvidence &it : crashes) {
+        if (it.crash.isKnown() && !it.isExplained) {
+            names.push_back(it.crash);
+        }
+    }
+    return names;
+}
+
 std::int64_t suspectedSinceMs(std::span<const CrashEvidence> crashes)
 {
     std::int64_t sinceMs = 0;
@@ -127,9 +147,25 @@
 {
 }
 
-void TrialBudget::add(double risk)
+void TrialBudget::addTrial(double risk, bool isOfGuilty)
 {
     m_risk += risk;
+    m_hasTrialOfGuilty = m_hasTrialOfGuilty || isOfGuilty;
+}
+
+void TrialBudget::addDown(std::size_t workers)
+{
+    m_risk += std::min(static_cast<double>(workers), m_limit - std::min(m_limit, PlacesForTrials));
+}
+
+void TrialBudget::addIdle(std::size_t workers)
+{
+    m_limit += std::min(m_limit, static_cast<double>(workers)) / 2;
+}
+
+bool TrialBudget::hasTrialOfGuilty() const
+{
+    return m_hasTrialOfGuilty;
 }
 
 bool TrialBudget::allows(double risk) const
@@ -150,27 +186,45 @@
 std::vector<std::size_t> chooseTrials(const CrashSettings &settings,
                                       std::span<const WaitingSuspect> waiting,
                                       std::int64_t nowMs,
-                                      TrialBudget budget)
+                                      TrialBudget budget,
+                                      TriedByCrash tried)
 {
+    const bool areGuiltyApart = budget.limit() >= PlacesForTrials;
+    const auto isGuilty = [&](std::size_t i) { return waiting[i].guilt >= LikelyGuilty; };
     const auto isOverdue = [&](std::size_t i) {
         return std::chrono::milliseconds(nowMs - waiting[i].sinceMs) >= settings.maxTrialDelay;
     };
+    const auto rankOf = [&](std::size_t i) {
+        const bool isLate = isOverdue(i);
+        return std::tuple(areGuiltyApart && isGuilty(i), !isLate, isLate ? 0 : waiting[i].guilt, waiting[i].sinceMs);
+    };
     std::vector<std::size_t> order(waiting.size());
     std::iota(order.begin(), order.end(), std::size_t{0});
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) {
-        const auto rankOf = [&](std::size_t i) {
-            const bool isLate = isOverdue(i);
-            return std::tuple(!isLate, isLate ? 0 : waiting[i].guilt, waiting[i].sinceMs);
-        };
-        return rankOf(a) < rankOf(b);
-    });
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return rankOf(a) < rankOf(b); });
+    const bool isPlaceKept = areGuiltyApart && !budget.hasTrialOfGuilty() && !order.empty() && isGuilty(order.back());
     std::vector<std::size_t> chosen;
+    bool isTurnOfOthers = true; // no overdue suspect waits for a place
+    bool isTurnOfGuilty = true;
+    const auto areOthersTried = [&](std::size_t i) {
+        const auto &crashes = waiting[i].crashes;
+        return std::any_of(crashes.begin(), crashes.end(), [&](const CrashName &it) {
+            return tried[it] > 0 && tried[it] + waiting[i].guilt > MaxTriedOfCrash;
+        });
+    };
     for (const std::size_t i : order) {
-        if (budget.allows(waiting[i].guilt)) {
-            budget.add(waiting[i].guilt);
+        if (areOthersTried(i)) {
+            continue;
+        }
+        bool &isTurn = areGuiltyApart && isGuilty(i) ? isTurnOfGuilty : isTurnOfOthers;
+        const double kept = isPlaceKept && !isGuilty(i) ? LikelyGuilty : 0;
+        if (isTurn && budget.allows(waiting[i].guilt + kept)) {
+            budget.addTrial(waiting[i].guilt, isGuilty(i));
             chosen.push_back(i);
-        } else if (isOverdue(i)) {
-            break;
+            for (const CrashName &it : waiting[i].crashes) {
+                tried[it] += waiting[i].guilt;
+            }
+        } else {
+            isTurn = isTurn && !isOverdue(i);
         }
     }
     return chosen;
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -117,9 +117,11 @@
 
 /**
  * What the crash of a worker says of each of @p lost, in the same order; none for long-running tasks that had started up.
- * @p isCoincident: another worker crashed at about the same time, and none of its runs had just been started.
+ * @p isCoincident: another worker crashed at about the same time, and none of its runs had just been started. If the time is
+ * not known, that spares the task of a trial, and what had just been started is suspected all the same.
  */
-std::vector<std::optional<CrashEvidence>> assessCrash(std::span<const LostRun> lost, bool isCoincident);
+std::vector<std::optional<CrashEvidence>>
+assessCrash(std::span<const LostRun> lost, bool isCoincident, bool isTimeKnown = true);
 
 /** Whether the task has to be tried alone. */
 bool isSuspected(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
@@ -134,6 +136,9 @@
  */
 double guiltEstimate(std::span<const CrashEvidence> crashes, const SuspectsByCrash &suspects = {});
 
+/** The crashes that the task is suspected for, as far as they are known by name. */
+std::vector<CrashName> suspectedCrashes(std::span<const CrashEvidence> crashes);
+
 /** Wall time of the last crash that the task is suspected for, Unix ms; zero: not known. */
 std::int64_t suspectedSinceMs(std::span<const CrashEvidence> crashes);
 
@@ -149,37 +154,54 @@
 /** Releases a task from the suspicion of @p crash, which another task explains. False if that changes nothing. */
 bool explainCrash(const CrashSettings &settings, std::span<CrashEvidence> crashes, const CrashName &crash);
 
+constexpr double LikelyGuilty
+    = 1; ///< guiltEstimate() of a task that is the only suspect, or has crashed a worker alone
+
 /** Limits the number of workers that trials are expected to keep down at a time. */
 class TrialBudget
 {
 public:
     TrialBudget(const CrashSettings &settings, std::size_t workers);
 
-    void add(double risk); ///< a worker that is down has the risk 1
+    /** A trial under way; it has the risk 1 once its worker is down. */
+    void addTrial(double risk, bool isOfGuilty);
+    /** Workers that are down for another reason; some places are left for trials, however many are. */
+    void addDown(std::size_t workers);
+    /** Workers where a crash would interrupt nothing: half of them may be down as well, up to half the limit. */
+    void addIdle(std::size_t workers);
     bool allows(double risk) const;
+    bool hasTrialOfGuilty() const;
     double risk() const;
     double limit() const;
 
 private:
     double m_limit;
     double m_risk = 0;
+    bool m_hasTrialOfGuilty = false;
 };
 
 /** A suspect that waits for its trial; a gang counts as one. */
 struct WaitingSuspect
 {
-    double guilt = 0;         ///< see guiltEstimate()
-    std::int64_t sinceMs = 0; ///< see suspectedSinceMs()
+    double guilt = 0;               ///< see guiltEstimate()
+    std::int64_t sinceMs = 0;       ///< see suspectedSinceMs()
+    std::vector<CrashName> crashes; ///< that it is suspected for
 };
 
+/** For each crash, the probability that one of its suspects which are being tried now has caused it. */
+using TriedByCrash = std::map<CrashName, double>;
+
 /**
  * Indices of those of @p waiting to be tried now, within @p budget. The least likely to be guilty go first: their trials end
  * soon and cost nothing. One that has waited for maxTrialDelay goes before all that have waited for less time, and none of these
- * is tried until it is, so that no suspect waits for more than those before it.
+ * is tried until it is, so that no suspect waits for more than those before it. Of the suspects of one crash about half are
+ * tried at a time, see @p tried: if these are innocent, fewer trials of the others are needed, or none. If the limit has room for two, those that are
+ * likely guilty have a place of their own and what the others leave, so that neither wait for the others.
  */
 std::vector<std::size_t> chooseTrials(const CrashSettings &settings,
                                       std::span<const WaitingSuspect> waiting,
                                       std::int64_t nowMs,
-                                      TrialBudget budget);
+                                      TrialBudget budget,
+                                      TriedByCrash tried = {});
 
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -249,6 +249,7 @@
     {
         TimePoint at;
         bool hasStartingRun = false; ///< a run had just been started there
+        bool isTimeKnown = false;    ///< otherwise it was before this leader first reached the worker
         std::string address;         ///< of the worker
     };
 
@@ -359,8 +360,8 @@
 
     // Crashes of workers, and evidence against tasks (suspects.cpp)
     LostRun describeLostRun(const TaskRef &ref, std::int64_t workerStartedAtMs, TimePoint lostAt) const;
-    void recordCrash(WorkerIndex index, std::span<const LostRun> lost);
-    bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at) const;
+    void recordCrash(WorkerIndex index, std::span<const LostRun> lost, bool isTimeKnown);
+    bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at, bool isTimeKnown) const;
     void addEvidence(const TaskRef &ref, const CrashEvidence &evidence);
     void explainCrashesOf(const TaskState &guilty);
     void applyExplanations(const TaskRef &ref);
@@ -384,6 +385,7 @@
     void placeTrials(TimePoint now);
     void listTrialCandidates(JobState &job, TimePoint now, std::vector<TrialCandidate> &candidates) const;
     SuspectsByCrash suspectsByCrash() const;
+    TriedByCrash triedByCrash(const SuspectsByCrash &suspects) const;
     void continueTrial(std::span<const TaskRef> refs, TimePoint now);
     bool prepareTrial(std::span<const TaskRef> refs, double risk, TimePoint now);
     bool canTryOn(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -50,8 +50,11 @@
     return it;
 }
 
-/** Records that the worker has restarted, or was replaced, without draining, and what it says of the @p lost runs. */
-void WorkflowScheduler::recordCrash(WorkerIndex index, std::span<const LostRun> lost)
+/**
+ * Records that the worker has restarted, or was replaced, without draining, and what it says of the @p lost runs.
+ * @p isTimeKnown: this leader had reached the worker before the crash.
+ */
+void WorkflowScheduler::recordCrash(WorkerIndex index, std::span<const LostRun> lost, bool isTimeKnown)
 {
     const WorkerState &worker = *m_workers[index];
     const TimePoint at = worker.contactLostAt == TimePoint{} ? m_now : worker.contactLostAt;
@@ -62,7 +65,7 @@
             starting += (starting.empty() ? "" : ",") + formatRun(it.run);
         }
     }
-    const bool isCoincident = isNextToUnexplainedCrash(index, at);
+    const bool isCoincident = isNextToUnexplainedCrash(index, at, isTimeKnown);
     ++m_counters.workerCrashes;
     m_counters.workerCrashesAtStart += n > 0 ? 1 : 0;
     m_log.writeImportant("worker_crashed",
@@ -78,8 +81,8 @@
                          isCoincident,
                          "first",
                          starting);
-    m_recentCrashes.push_back({at, n > 0, worker.record.address});
-    std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident);
+    m_recentCrashes.push_back({at, n > 0, isTimeKnown, worker.record.address});
+    std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident, isTimeKnown);
     for (std::size_t i = 0; i < lost.size(); ++i) {
         const auto ref = findTask(lost[i].run.task);
         if (ref && evidence[i]) {
@@ -90,8 +93,11 @@
     }
 }
 
-/** Whether another worker crashed or fell silent at about the same time, although nothing had just been started there. */
-bool WorkflowScheduler::isNextToUnexplainedCrash(WorkerIndex index, TimePoint at) const
+/**
+ * Whether another worker crashed or fell silent at about the same time, although nothing had just been started there. Crashes
+ * at unknown times may be near each other.
+ */
+bool WorkflowScheduler::isNextToUnexplainedCrash(WorkerIndex index, TimePoint at, bool isTimeKnown) const
 {
     const auto isNear = [this, at](TimePoint other) {
         return other - at <= m_settings.crashes.coincidenceTime && at - other <= m_settings.crashes.coincidenceTime;
@@ -100,12 +106,13 @@
         const WorkerState &other = *m_workers[i];
         const bool isSilent = i != index && other.isRegistered && other.unansweredRenewals > 0
                               && other.record.condition != WorkerCondition::Draining;
-        if (isSilent && isNear(other.contactLostAt) && !other.hasStartingRun()) {
+        const bool isOtherKnown = other.reportCount > 0;
+        if (isSilent && isOtherKnown == isTimeKnown && isNear(other.contactLostAt) && !other.hasStartingRun()) {
             return true;
         }
     }
     return std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&](const RecentCrash &it) {
-        return !it.hasStartingRun && isNear(it.at);
+        return !it.hasStartingRun && it.isTimeKnown == isTimeKnown && isNear(it.at);
     });
 }
 
--- a/packages/workflow/tests/crashtest.cpp
+++ b/packages/workflow/tests/crashtest.cpp
@@ -109,6 +109,17 @@
     EXPECT_EQ(assessCrash(std::vector{trial}, true)[0]->role, CrashRole::CoincidentStart);
 }
 
+// A new leader learnt of crashes that lay seconds apart at one moment, and released what had just been started at each.
+TEST(CrashDecisions, startBeforeACrashAtAnUnknownTimeIsSuspected)
+{
+    const LostRun start = makeLostRun("a", true);
+    const LostRun trial = makeLostRun("b", true, true);
+    EXPECT_EQ(assessCrash(std::vector{start}, true)[0]->role, CrashRole::CoincidentStart);
+    EXPECT_EQ(assessCrash(std::vector{start}, true, false)[0]->role, CrashRole::Start);
+    EXPECT_EQ(assessCrash(std::vector{trial}, true, false)[0]->role, CrashRole::CoincidentStart);
+    EXPECT_EQ(assessCrash(std::vector{trial}, false, false)[0]->role, CrashRole::Trial);
+}
+
 TEST(CrashDecisions, taskIsGivenUpAfterTwoCrashesInTrials)
 {
     const CrashSettings settings;
@@ -126,7 +137,7 @@
     TrialBudget budget(CrashSettings{}, 60);
     for (int i = 0; i < 3; ++i) {
         EXPECT_TRUE(budget.allows(1));
-        budget.add(1);
+        budget.addTrial(1, true);
     }
     EXPECT_FALSE(budget.allows(0.2));
     EXPECT_TRUE(TrialBudget(CrashSettings{}, 4).allows(1)) << "one in the smallest shard";
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -24,20 +24,23 @@
     {
         rig.fleet.crashBehaviour.delay = 50ms;
         rig.run(1s);
-        for (int i = 0; i < deadlyTasks * (JobsPerDeadlyTask + 1); ++i) {
-            const bool isDeadly = i % (JobsPerDeadlyTask + 1) == 0;
-            const JobKey key = (isDeadly ? "deadly" : "other") + std::to_string(i);
-            if (isDeadly) {
-                rig.fleet.deadlyTasks.insert({key, 0, 0, 0});
-                deadly.push_back(key);
-            } else {
-                others.push_back(key);
+        for (int i = 0; i < deadlyTasks; ++i) {
+            submitDeadly();
+            for (int k = 0; k < JobsPerDeadlyTask; ++k) {
+                others.push_back("other" + std::to_string(others.size()));
+                rig.submit(rig.leader(), Rig::makeJob(others.back(), 1));
             }
-            rig.submit(rig.leader(), Rig::makeJob(key, 1));
         }
         rig.run(400ms);
     }
 
+    void submitDeadly()
+    {
+        deadly.push_back("deadly" + std::to_string(deadly.size()));
+        rig.fleet.deadlyTasks.insert({deadly.back(), 0, 0, 0});
+        rig.submit(rig.leader(), Rig::makeJob(deadly.back(), 1));
+    }
+
     /** Kills the leader, and boots its node again once another one leads. */
     void changeLeader()
     {
@@ -61,11 +64,15 @@
         }
     }
 
+    std::size_t unfinishedOf(std::span<const JobKey> jobs) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            jobs.begin(), jobs.end(), [this](const JobKey &it) { return rig.state(it) != WorkflowState::Completed; }));
+    }
+
     std::size_t unfinishedOthers() const
     {
-        return static_cast<std::size_t>(std::count_if(others.begin(), others.end(), [this](const JobKey &it) {
-            return rig.state(it) != WorkflowState::Completed;
-        }));
+        return unfinishedOf(others);
     }
 
     /** In which one crash of each deadly task can show if trials keep down as many workers as they may, and a margin. */
@@ -107,7 +114,7 @@
 
 WaitingSuspect makeSuspect(double guilt, std::int64_t waitedMs)
 {
-    return {guilt, NowMs - waitedMs};
+    return {guilt, NowMs - waitedMs, {}};
 }
 
 } // namespace
@@ -120,6 +127,7 @@
     EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 20)), (std::vector<std::size_t>{3, 2, 1}));
     EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 40)),
               (std::vector<std::size_t>{3, 2, 1, 0}));
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 30)), (std::vector<std::size_t>{3, 2, 1}));
 }
 
 // A suspect that takes the whole limit never had its turn while others, each of which takes a part, kept coming.
@@ -130,16 +138,74 @@
     const std::vector<WaitingSuspect> waiting{
         makeSuspect(0.25, 9000), makeSuspect(1, 11'000), makeSuspect(0.5, 12'000)};
     EXPECT_EQ(chooseTrials(settings, waiting, NowMs, budget), (std::vector<std::size_t>{2}));
-    budget.add(0.25); // a trial is under way
+    budget.addTrial(0.25, false); // under way
     const std::span<const WaitingSuspect> others(waiting.data(), 2);
     EXPECT_TRUE(chooseTrials(settings, others, NowMs, budget).empty());
 }
 
+// Tasks that crash a worker each time they are tried took all places once they had waited for long, and innocent ones none.
+TEST(TrialDecisions, guiltyAndOtherSuspectsDoNotWaitForEachOther)
+{
+    const CrashSettings settings;
+    const std::vector<WaitingSuspect> waiting{makeSuspect(1, 40'000),
+                                              makeSuspect(1, 39'000),
+                                              makeSuspect(1, 38'000),
+                                              makeSuspect(0.5, 20'000),
+                                              makeSuspect(0.5, 21'000),
+                                              makeSuspect(0.5, 22'000),
+                                              makeSuspect(0.5, 23'000),
+                                              makeSuspect(0.5, 24'000)};
+    TrialBudget budget(settings, 60);
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, budget), (std::vector<std::size_t>{7, 6, 5, 4, 0}));
+    budget.addTrial(1, true);
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, budget), (std::vector<std::size_t>{7, 6, 5, 4}));
+    const std::span<const WaitingSuspect> guilty(waiting.data(), 3);
+    EXPECT_EQ(chooseTrials(settings, guilty, NowMs, budget), (std::vector<std::size_t>{0, 1}));
+}
+
+// Both suspects of a crash were tried at once, which takes a worker down in any case.
+TEST(TrialDecisions, suspectsOfOneCrashAreTriedInTurn)
+{
+    const CrashSettings settings;
+    const CrashName crash{"w1", 7};
+    std::vector<WaitingSuspect> waiting{{0.5, NowMs - 100, {crash}}, {0.5, NowMs - 100, {crash}}};
+    EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 60)).size(), 1U);
+    EXPECT_TRUE(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 60), {{crash, 0.5}}).empty());
+    const std::vector<WaitingSuspect> eight(8, {0.125, NowMs - 100, {crash}});
+    EXPECT_EQ(chooseTrials(settings, eight, NowMs, TrialBudget(settings, 60)).size(), 4U);
+    waiting[0].guilt = LikelyGuilty; // a crash in a trial has shown that since
+    EXPECT_FALSE(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 60)).empty());
+}
+
+TEST(TrialDecisions, idleWorkersLeaveRoomForMoreTrials)
+{
+    const CrashSettings settings;
+    TrialBudget budget(settings, 60);
+    budget.addIdle(2);
+    EXPECT_DOUBLE_EQ(budget.limit(), 4);
+    TrialBudget idleFleet(settings, 60);
+    idleFleet.addIdle(60);
+    EXPECT_DOUBLE_EQ(idleFleet.limit(), 4.5);
+}
+
+// While tasks that nobody suspected crashed worker after worker, no suspect was tried.
+TEST(TrialDecisions, workersThatAreDownLeavePlacesForTrials)
+{
+    const CrashSettings settings;
+    const std::vector<WaitingSuspect> waiting{makeSuspect(1, 11'000), makeSuspect(0.5, 11'000)};
+    for (const std::size_t workers : {20U, 60U, 200U}) {
+        TrialBudget budget(settings, workers);
+        budget.addDown(50);
+        EXPECT_FALSE(chooseTrials(settings, waiting, NowMs, budget).empty()) << workers;
+        EXPECT_EQ(chooseTrials(settings, waiting, NowMs, budget).size(), workers < 40 ? 1U : 2U);
+    }
+}
+
 // Evidence of older versions says neither which crash it is of nor when that was.
 TEST(TrialDecisions, suspectsOfUnknownAgeAreOverdue)
 {
     const CrashSettings settings;
-    const std::vector<WaitingSuspect> waiting{makeSuspect(0.5, 100), {1, 0}};
+    const std::vector<WaitingSuspect> waiting{makeSuspect(0.5, 100), {1, 0, {}}};
     EXPECT_EQ(chooseTrials(settings, waiting, NowMs, TrialBudget(settings, 20)), (std::vector<std::size_t>{1}));
 }
 
@@ -200,6 +266,20 @@
     }
 }
 
+// Deadly tasks kept coming, and their first crashes left no place for the trial of anything.
+TEST(Trials, innocentSuspectsDoNotWaitForTheEndOfABurst)
+{
+    SuspectBurst burst(0);
+    std::vector<JobKey> wide;
+    for (int i = 0; i < 30; ++i) {
+        burst.submitDeadly();
+        wide.push_back("wide" + std::to_string(i));
+        burst.rig.submit(burst.rig.leader(), Rig::makeJob(wide.back(), 2 * Workers)); // some beside the deadly task
+        burst.rig.run(1s);
+    }
+    EXPECT_EQ(burst.unfinishedOf(std::span(wide).first(12)), 0U) << "submitted 18 s before the end of the burst";
+}
+
 // The same with the store away and changes of leaders between the crashes and the trials.
 TEST(Trials, innocentSuspectsDoNotWaitForEachConvictionAcrossOutagesAndElections)
 {
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -56,6 +56,7 @@
         return it.isPrepared || now < it.refs.front().task().nextTrialSearchAt;
     });
     const SuspectsByCrash suspects = suspectsByCrash();
+    TriedByCrash tried = triedByCrash(suspects);
     std::vector<WaitingSuspect> waiting;
     for (const TrialCandidate &it : candidates) {
         WaitingSuspect suspect;
@@ -63,11 +64,13 @@
             const auto &crashes = ref.task().crashes;
             suspect.guilt = std::max(suspect.guilt, guiltEstimate(crashes, suspects));
             suspect.sinceMs = std::max(suspect.sinceMs, suspectedSinceMs(crashes));
+            const std::vector<CrashName> names = suspectedCrashes(crashes);
+            suspect.crashes.insert(suspect.crashes.end(), names.begin(), names.end());
         }
         waiting.push_back(suspect);
     }
     const std::int64_t wallMs = m_clock.wallNow().count();
-    for (const std::size_t i : chooseTrials(m_settings.crashes, waiting, wallMs, trialBudget(now))) {
+    for (const std::size_t i : chooseTrials(m_settings.crashes, waiting, wallMs, trialBudget(now), std::move(tried))) {
         const TaskRef &first = candidates[i].refs.front();
         const bool hasRoom = prepareTrial(candidates[i].refs, waiting[i].guilt, now);
         first.task().isWithoutTrialRoom = !hasRoom;
@@ -133,6 +136,22 @@
     return suspects;
 }
 
+TriedByCrash WorkflowScheduler::triedByCrash(const SuspectsByCrash &suspects) const
+{
+    TriedByCrash tried;
+    for (const auto &[key, job] : m_activeJobs) {
+        if (job->hasCrashEvidence) {
+            forEachTask(*job, [&](const TaskRef &ref) {
+                const TaskState &task = ref.task();
+                for (const CrashName &it : task.trial ? suspectedCrashes(task.crashes) : std::vector<CrashName>{}) {
+                    tried[it] += guiltEstimate(task.crashes, suspects);
+                }
+            });
+        }
+    }
+    return tried;
+}
+
 /** Starts a prepared trial once it is stored and its workers are quiet, or abandons it. */
 void WorkflowScheduler::continueTrial(std::span<const TaskRef> refs, TimePoint now)
 {
@@ -274,14 +293,21 @@
         workers += it->isLeaving() ? 0 : 1;
     }
     TrialBudget budget(m_settings.crashes, workers);
+    std::size_t down = 0; // by the first crash of a task that nobody suspects yet, possibly
+    std::size_t idle = 0;
     for (const auto &it : m_workers) {
         const bool isSilent = it->unansweredRenewals > 0 && now < it->contactLostAt + m_settings.grantedLease();
         if (it->trialJob) {
-            budget.add(isSilent ? 1 : it->trialRisk);
+            budget.addTrial(isSilent ? 1 : it->trialRisk, it->trialRisk >= LikelyGuilty);
         } else if (isSilent && !it->runs.empty() && it->hasStartingRun()) {
-            budget.add(1); // possibly the first crash of a task that nobody suspects yet
+            ++down;
         }
+        const bool isInterrupted
+            = std::any_of(it->runs.begin(), it->runs.end(), [](const TaskRef &ref) { return !ref.task().trial; });
+        idle += !isInterrupted && isUsable(*it, now) ? 1 : 0;
     }
+    budget.addIdle(idle);
+    budget.addDown(down);
     return budget;
 }
 
