--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -262,7 +262,9 @@
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
     if (std::exchange(worker.contactLostAt, {}) != TimePoint{}) {
         for (const TaskRef &it : worker.runs) {
-            it.task().silentStart.reset();
+            if (std::exchange(it.task().silentStart, std::nullopt)) {
+                markDirty(*it.job); // a stored one would be held against the task if the worker crashes later
+            }
         }
     }
     if (isFirst) {
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -297,4 +297,33 @@
     }
 }
 
+// A stored trial may have ended well, or never have begun, when its leader ended. Its worker's crash convicted the task.
+TEST(Trials, crashAfterAnEndedLeadershipIsNoProof)
+{
+    Rig rig(1, 4);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        worker.isReachable = false; // so that nothing starts yet
+    }
+    rig.run(1s);
+    rig.submit(0, Rig::makeJob("innocent", 1));
+    rig.run(500ms);
+    rig.kill(0);
+    JobState job;
+    job.accepted.spec = Rig::makeJob("innocent", 1);
+    job.state = WorkflowState::Running;
+    resetTasks(job);
+    TaskState &task = job.occurrences[0].steps[0].tasks[0];
+    task.crashes = {{1, CrashRole::Start, 2}, {2, CrashRole::Trial, 1}};
+    task.trial = TaskTrial{3, "w0", rig.fleet.workers["w0"].startedAtMs, 0, {}, false};
+    rig.backend.write("out/innocent", encodeProgress(job));
+    rig.fleet.restartWorker("w0");
+    rig.backend.write("workers/w0", "back");
+    for (auto &[id, worker] : rig.fleet.workers) {
+        worker.isReachable = true;
+    }
+    rig.boot(0);
+    rig.run(30s);
+    EXPECT_EQ(rig.state("innocent"), WorkflowState::Completed);
+}
+
 } // namespace QuetzalRock::Workflow
