Tasks of one job that had just been started share the suspicion

Cause: the guilt of a task counted the jobs suspected for its crash. Three tasks of one job that had just been started on one worker were all taken for guilty, and tried last. Change: tasks are counted, and a gang has the guilt of all its members. What counts as a crash of a trial still goes by jobs. Evidence: TrialDecisions.tasksOfOneJobShareTheSuspicion failed before by construction (1 for 0.25); Trials.*, Crashes.* pass.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -116,7 +116,7 @@
             continue;
         }
         const auto remaining = suspects.find(it.crash);
-        const std::uint32_t n = remaining == suspects.end() ? it.suspects : std::min(it.suspects, remaining->second);
+        const std::uint32_t n = remaining == suspects.end() ? it.suspects : remaining->second;
         guilt = std::max(guilt, it.role == CrashRole::Trial ? 1 : 1 / static_cast<double>(std::max(1U, n)));
     }
     return guilt;
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -127,12 +127,12 @@
 bool isSuspected(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
 bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
 
-/** Number of jobs that are suspected for each crash. */
+/** Number of tasks that are suspected for each crash. */
 using SuspectsByCrash = std::map<CrashName, std::uint32_t>;
 
 /**
  * Probability, from 0 to 1, that the task crashes the worker of its next trial. Of a crash that @p suspects does not contain,
- * all that were suspected at first still are.
+ * as many tasks are suspected as jobs were at first.
  */
 double guiltEstimate(std::span<const CrashEvidence> crashes, const SuspectsByCrash &suspects = {});
 
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -217,6 +217,14 @@
     EXPECT_DOUBLE_EQ(guiltEstimate(crashes, {{crash, 2}}), 0.5);
 }
 
+// Tasks of one job that had just been started on one worker were all taken for guilty, and tried last.
+TEST(TrialDecisions, tasksOfOneJobShareTheSuspicion)
+{
+    const CrashName crash{"w1", 7};
+    const std::vector<CrashEvidence> crashes{{1, CrashRole::Start, 1, crash}}; // one job
+    EXPECT_DOUBLE_EQ(guiltEstimate(crashes, {{crash, 4}}), 0.25);
+}
+
 TEST(TrialDecisions, crashInATrialExplainsTheCrashesAtStartsOfTheSameTask)
 {
     const CrashName first{"w1", 7};
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -62,7 +62,7 @@
         WaitingSuspect suspect;
         for (const TaskRef &ref : it.refs) {
             const auto &crashes = ref.task().crashes;
-            suspect.guilt = std::max(suspect.guilt, guiltEstimate(crashes, suspects));
+            suspect.guilt = std::min(LikelyGuilty, suspect.guilt + guiltEstimate(crashes, suspects));
             suspect.sinceMs = std::max(suspect.sinceMs, suspectedSinceMs(crashes));
             const std::vector<CrashName> names = suspectedCrashes(crashes);
             suspect.crashes.insert(suspect.crashes.end(), names.begin(), names.end());
@@ -114,25 +114,19 @@
     }
 }
 
-/** Number of jobs that are still suspected for each crash: fewer than at the crash, once others were cleared. */
+/** Number of tasks that are still suspected for each crash: fewer than at the crash, once others were cleared. */
 SuspectsByCrash WorkflowScheduler::suspectsByCrash() const
 {
-    std::map<CrashName, std::set<JobKey>> jobs;
+    SuspectsByCrash suspects;
     for (const auto &[key, job] : m_activeJobs) {
         if (job->hasCrashEvidence) {
-            forEachTask(*job, [&jobs](const TaskRef &ref) {
-                for (const CrashEvidence &it : ref.task().crashes) {
-                    if (it.crash.isKnown() && !it.isExplained) {
-                        jobs[it.crash].insert(ref.job->key());
-                    }
+            forEachTask(*job, [&suspects](const TaskRef &ref) {
+                for (const CrashName &it : suspectedCrashes(ref.task().crashes)) {
+                    ++suspects[it];
                 }
             });
         }
     }
-    SuspectsByCrash suspects;
-    for (const auto &[crash, keys] : jobs) {
-        suspects[crash] = static_cast<std::uint32_t>(keys.size());
-    }
     return suspects;
 }
 
