Trials that show no outcome, or find no room, do not keep others waiting

Cause and change: an earlier trial whose worker never came back still counted against its own task and the limit, which kept all suspects of that crash waiting for good: it ends before trials are chosen. A prepared trial of a task that is held since, or while trials cannot be stored, kept its worker: it ends. A second explanation left no spare for a crash that is not recorded: one crash of a task is explained at most. Evidence from a clock ahead was not overdue for that time: it is cut at the restore. The held prepared trial has no test.

--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -55,8 +55,7 @@
         = 5; ///< a task is given up after so many crashes at its start, whatever the trials say
     std::uint32_t maxPresences
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
-    std::uint32_t maxExplained = 2; ///< crashes of a task that another one may explain; it is tried after the next, so
-                                    ///< that a task is not started without a trial again and again
+    std::uint32_t maxExplained = 1; ///< crashes of a task that another one may explain; it is tried after the next one
     Duration maxTrialDelay = std::chrono::seconds(10); ///< a suspect that has waited longer is tried in order of waits
     double maxShareAtRisk = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker
 };
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -384,6 +384,10 @@
     bool needsTrial(const TaskState &task) const;
     void placeTrials(TimePoint now);
     void listTrialCandidates(JobState &job, TimePoint now, std::vector<TrialCandidate> &candidates) const;
+    void endHeldTrials(JobState &job, TimePoint now);
+    void endOutwaitedTrials(std::span<const TaskRef> refs);
+    bool prepareTrials(std::vector<TrialCandidate> &candidates, TimePoint now);
+    WaitingSuspect describeSuspect(std::span<const TaskRef> refs, const SuspectsByCrash &suspects) const;
     SuspectsByCrash suspectsByCrash() const;
     TriedByCrash triedByCrash(const SuspectsByCrash &suspects) const;
     void continueTrial(std::span<const TaskRef> refs, TimePoint now);
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -344,7 +344,7 @@
                 counts.guilty += countCrashes(it.crashes, CrashRole::Trial) > 0 ? 1 : 0;
                 counts.explained += isExplainedByOthers(it) ? 1 : 0;
                 const std::int64_t sinceMs = suspectedSinceMs(it.crashes);
-                const Duration waited = sinceMs == 0 ? jobAge(*job) : std::chrono::milliseconds(wallMs - sinceMs);
+                const Duration waited = sinceMs == 0 ? jobAge(*ref.job) : std::chrono::milliseconds(wallMs - sinceMs);
                 counts.oldest = std::max(counts.oldest, waited);
             }
         });
@@ -389,6 +389,9 @@
 {
     TaskState &task = ref.task();
     ref.job->hasCrashEvidence = ref.job->hasCrashEvidence || !task.crashes.empty() || task.trial;
+    for (CrashEvidence &it : task.crashes) { // recorded by a leader whose wall clock may have been ahead
+        it.recordedMs = std::min(it.recordedMs, m_clock.wallNow().count());
+    }
     applyExplanations(ref);
     explainCrashesOf(task);
     if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
