The wait for the outcome of a trial does not begin anew under each leader

A suspect whose worker fell silent in its trial waits for the verdict before it is tried again. Each successor that found the stored trial began a wait of 10 s, also for a trial that was prepared and never ordered. If the worker was gone for good and no leader led for longer than that, an innocent task was never tried again.

The trial is stored with its wall time, and a successor waits until lease + verdictTimeout after it, as the leader that prepared it would have; at least 0 and at most verdictTimeout, as wall clocks step. Older records have no time and wait for the whole. The wait is for evidence only: leases and workers that have to be read first keep a task from running twice, also after the wait (trialOnAnUnreachableWorkerDoesNotRunTwice, terms of 3 to 12 s, also passes without the change).

Measured with the worker of the trial gone for good and the leader killed every 9, 10 and 11 s: waitForAnOutcomeDoesNotBeginAnewUnderEachLeader fails without the change in all six cases (trial ordered, only stored), and passes with it.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -122,6 +122,18 @@
     return sinceMs;
 }
 
+Duration
+remainingVerdictTime(const CrashSettings &settings, const TaskTrial &trial, Duration lease, std::int64_t wallMs)
+{
+    if (trial.preparedMs == 0) {
+        return settings.verdictTimeout;
+    }
+    // Wall clocks of nodes differ, and step.
+    const Duration left = std::chrono::milliseconds(trial.preparedMs) + lease + settings.verdictTimeout
+                          - std::chrono::milliseconds(wallMs);
+    return std::clamp(left, Duration::zero(), settings.verdictTimeout);
+}
+
 TrialBudget::TrialBudget(const CrashSettings &settings, std::size_t workers)
     : m_limit(std::max(1.0, settings.maxShareAtRisk * static_cast<double>(workers)))
 {
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -22,6 +22,7 @@
  *   assessCrash()   what a crash says of each run that it ended
  *   isSuspected(), isGivenUp(), guiltEstimate()   the verdict on a task by its evidence
  *   crashesExplainedBy(), explainCrash()          what the verdict on one task says of others
+ *   remainingVerdictTime()   the wait for the outcome of a former leader's trial
  *   TrialBudget     how many suspects may be tried at a time
  *   WaitingSuspect, chooseTrials()   which are tried next
  *
@@ -98,6 +99,7 @@
     std::uint64_t attempt = 0;
     WorkerId worker;
     std::int64_t workerStartedAtMs = 0; ///< start time of the worker: identifies its incarnation
+    std::int64_t preparedMs = 0;        ///< wall time, Unix ms; zero: an older version has stored it
 
     // Not stored
     std::uint64_t version = 0; ///< of the job: the order may be sent once it is stored
@@ -149,6 +151,13 @@
 /** Releases a task from the suspicion of @p crash, which another task explains. False if that changes nothing. */
 bool explainCrash(const CrashSettings &settings, std::span<CrashEvidence> crashes, const CrashName &crash);
 
+/**
+ * How long a leader waits for the outcome of @p trial, which a former one has stored, if the worker does not answer. The
+ * wait begins with the trial, not with the leader. @p lease: of workers; @p wallMs: the wall time, Unix ms.
+ */
+Duration
+remainingVerdictTime(const CrashSettings &settings, const TaskTrial &trial, Duration lease, std::int64_t wallMs);
+
 /** Limits the number of workers that trials are expected to keep down at a time. */
 class TrialBudget
 {
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -128,7 +128,8 @@
 
 json trialToJson(const std::optional<TaskTrial> &trial)
 {
-    return trial ? json::array({trial->attempt, trial->worker, trial->workerStartedAtMs}) : json::array();
+    return trial ? json::array({trial->attempt, trial->worker, trial->workerStartedAtMs, trial->preparedMs})
+                 : json::array();
 }
 
 std::optional<TaskTrial> trialFromJson(const json &row)
@@ -140,6 +141,7 @@
     trial.attempt = row.at(0);
     trial.worker = row.at(1);
     trial.workerStartedAtMs = row.at(2);
+    trial.preparedMs = row.size() > 3 ? row.at(3).get<std::int64_t>() : 0; // older versions wrote none
     return trial;
 }
 
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -386,7 +386,9 @@
     explainCrashesOf(task);
     if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
         task.trial->isOrdered = true;
-        task.retryAt = m_clock.now() + m_settings.crashes.verdictTimeout;
+        task.retryAt = m_clock.now()
+                       + remainingVerdictTime(
+                           m_settings.crashes, *task.trial, m_settings.grantedLease(), m_clock.wallNow().count());
     } else {
         task.trial.reset();
     }
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -95,6 +95,84 @@
 
 constexpr std::array<int, 3> BurstSizes{1, 10, 30};
 
+/** An innocent task that had just been started on a worker that crashes by itself. */
+class InnocentSuspect
+{
+public:
+    InnocentSuspect()
+        : rig(3, 8)
+    {
+        rig.decoder.catalog.version = 2;
+        rig.decoder.catalog.pools = {{"pool", true, true}};
+        rig.backend.write("operator/config", "2");
+        rig.run(1s);
+        rig.submit(rig.leader(), Rig::makeJob(key, 1));
+        runUntil([this] { return !holder().empty(); });
+        crashed = holder();
+        rig.fleet.crash(crashed);
+    }
+
+    template<typename Condition>
+    void runUntil(Condition isMet)
+    {
+        const TimePoint until = rig.clock.now() + 10s;
+        while (!isMet() && rig.clock.now() < until) {
+            rig.run(StepTime);
+        }
+        ASSERT_TRUE(isMet());
+    }
+
+    /** A worker that runs something; empty: none does. */
+    WorkerId holder() const
+    {
+        const auto it = std::find_if(rig.fleet.workers.begin(), rig.fleet.workers.end(), [](const auto &worker) {
+            return !worker.second.running.empty();
+        });
+        return it == rig.fleet.workers.end() ? WorkerId{} : it->first;
+    }
+
+    /** The suspect as stored. */
+    TaskState stored() const
+    {
+        JobState job;
+        job.accepted.spec = Rig::makeJob(key, 1);
+        resetTasks(job);
+        if (const auto it = rig.backend.items.find(std::string(ProgressPrefix) + key); it != rig.backend.items.end()) {
+            decodeProgress(it->second.value, job);
+        }
+        return job.occurrences[0].steps[0].tasks[0];
+    }
+
+    bool isCompleted() const
+    {
+        return rig.state(key) == WorkflowState::Completed;
+    }
+
+    /** Kills the leader now and after every @p term, and boots its node again, for @p time or until the suspect is done. */
+    void runUnderShortTerms(Duration term, Duration time)
+    {
+        const TimePoint until = rig.clock.now() + time;
+        TimePoint killAt = rig.clock.now();
+        int killed = -1;
+        while (!isCompleted() && rig.clock.now() < until) {
+            const int leader = rig.leader();
+            if (leader >= 0 && killed < 0 && rig.clock.now() >= killAt) {
+                rig.kill(leader);
+                killed = leader;
+                killAt = rig.clock.now() + term;
+            }
+            if (killed >= 0 && rig.clock.now() >= killAt - term + 2500ms) {
+                rig.boot(std::exchange(killed, -1));
+            }
+            rig.run(StepTime);
+        }
+    }
+
+    const JobKey key = "innocent";
+    Rig rig;
+    WorkerId crashed;
+};
+
 } // namespace
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -217,4 +295,54 @@
     }
 }
 
+// Each successor waited anew for the outcome of a trial whose worker was gone: under short terms, for ever.
+TEST(Trials, waitForAnOutcomeDoesNotBeginAnewUnderEachLeader)
+{
+    const Duration wait = WorkflowSettings{}.workerLease + CrashSettings{}.verdictTimeout;
+    for (const bool isOrdered : {true, false}) {
+        for (const Duration term : {9s, 10s, 11s}) {
+            InnocentSuspect it;
+            it.runUntil([&it] { return it.stored().trial.has_value(); });
+            if (isOrdered) {
+                it.runUntil([&it] { return !it.holder().empty(); });
+            }
+            it.rig.fleet.removeWorker(it.stored().trial->worker, false);
+            it.runUnderShortTerms(term, wait + term + 1s);
+            EXPECT_TRUE(it.isCompleted()) << std::chrono::duration_cast<std::chrono::seconds>(term).count() << " s";
+        }
+    }
+}
+
+// A worker that no leader reaches runs the trial until its lease has expired, also if the wait for the outcome is over.
+TEST(Trials, trialOnAnUnreachableWorkerDoesNotRunTwice)
+{
+    for (const Duration term : {3s, 6s, 9s, 12s}) {
+        InnocentSuspect it;
+        it.rig.fleet.workTime = 60s;
+        it.runUntil([&it] { return it.stored().trial.has_value() && !it.holder().empty(); });
+        for (const auto &node : it.rig.nodes) {
+            node->port.unreachableWorkers = {it.holder()};
+        }
+        it.runUnderShortTerms(term, 40s);
+        it.rig.fleet.workTime = 300ms;
+        it.rig.run(30s);
+        EXPECT_TRUE(it.isCompleted());
+        EXPECT_TRUE(it.rig.fleet.violations.empty()) << it.rig.fleet.violations.front();
+    }
+}
+
+// Clocks of nodes differ, and step: no wait is longer than verdictTimeout, and records of older versions say nothing.
+TEST(Trials, waitForAnOutcomeIsBoundedWhateverTheClocksSay)
+{
+    const CrashSettings settings;
+    TaskTrial trial;
+    EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 1'000'000), settings.verdictTimeout);
+    trial.preparedMs = 1'000'000;
+    EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 1'002'000), settings.verdictTimeout);
+    EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 1'012'000), Duration(3s));
+    EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 1'015'000), Duration::zero());
+    EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 9'000'000), Duration::zero());
+    EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 1), settings.verdictTimeout);
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -217,6 +217,7 @@
         trial.attempt = attempt;
         trial.worker = worker.record.id;
         trial.workerStartedAtMs = worker.record.startedAtMs;
+        trial.preparedMs = m_clock.wallNow().count();
         trial.version = job.version;
         trial.preparedAt = now;
         refs[i].task().trial = trial;
