Under grace no worker is kept for a trial that cannot be stored

The worker of a prepared trial starts nothing else until the trial is stored and begins. While the store was away the trial could not be stored, and its worker stood idle until the store answered or the leader lost its term.

A leader in its grace period abandons the trials that are not stored yet, and prepares none. Once it has full authority again, or under its successor, the suspect is tried as any other.

workersAreNotKeptForTrialsThatCannotBeStored fails without the change: two of eight workers start nothing for 6 s beside a job with work for all of them; it passes with it.

--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -345,4 +345,27 @@
     EXPECT_EQ(remainingVerdictTime(settings, trial, 5s, 1), settings.verdictTimeout);
 }
 
+// The worker of a trial that could not be stored started nothing else until the store answered again.
+TEST(Trials, workersAreNotKeptForTrialsThatCannotBeStored)
+{
+    InnocentSuspect it;
+    it.rig.fleet.workTime = 1s;
+    it.rig.submit(it.rig.leader(), Rig::makeJob("other", 1300, 1));
+    it.runUntil([&it] { return !it.stored().crashes.empty(); });
+    const auto setSilent = [&it](bool isSilent) {
+        for (const auto &node : it.rig.nodes) {
+            node->store.isSilent = isSilent;
+        }
+    };
+    setSilent(true);
+    const std::map<WorkerId, FakeWorker> before = it.rig.fleet.workers;
+    it.rig.run(6s);
+    for (const auto &[id, worker] : it.rig.fleet.workers) {
+        EXPECT_TRUE(id == it.crashed || !before.contains(id) || worker.startCount > before.at(id).startCount) << id;
+    }
+    setSilent(false);
+    it.rig.run(5s);
+    EXPECT_TRUE(it.isCompleted());
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -52,6 +52,9 @@
             continueTrial(it.refs, now);
         }
     }
+    if (m_authority != Authority::Full) {
+        return; // the store does not answer: workers chosen now would start nothing at all
+    }
     std::erase_if(candidates, [now](const TrialCandidate &it) {
         return it.isPrepared || now < it.refs.front().task().nextTrialSearchAt;
     });
@@ -137,7 +140,8 @@
 void WorkflowScheduler::continueTrial(std::span<const TaskRef> refs, TimePoint now)
 {
     const TaskTrial trial = *refs.front().task().trial;
-    if (refs.front().job->storedVersion < trial.version) {
+    const bool isStored = refs.front().job->storedVersion >= trial.version;
+    if (!isStored && m_authority == Authority::Full) {
         return;
     }
     std::size_t reserved = 0;
@@ -159,8 +163,17 @@
     }
     const Duration timeout
         = isTriedUntilItsEnd(refs.front().task()) ? WholeRunTrialTimeout : m_settings.crashes.trialTimeout;
-    if (!isUsable || now >= trial.preparedAt + timeout) {
-        logTaskEvent("trial_abandoned", refs.front(), "worker", trial.worker, "usable", isUsable, "quiet", isQuiet);
+    if (!isStored || !isUsable || now >= trial.preparedAt + timeout) {
+        logTaskEvent("trial_abandoned",
+                     refs.front(),
+                     "worker",
+                     trial.worker,
+                     "stored",
+                     isStored,
+                     "usable",
+                     isUsable,
+                     "quiet",
+                     isQuiet);
         for (const TaskRef &it : refs) {
             endTrial(it);
             it.task().retryAt = now + TrialRetryDelay;
