--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -42,7 +42,7 @@
     for (JobState *job : m_jobOrder) {
         if (job->hasCrashEvidence) {
             endHeldTrials(*job, now);
-            if (mayPlace(*job) && m_authority == Authority::Full) { // otherwise no trial can be stored
+            if (mayPlace(*job)) {
                 listTrialCandidates(*job, now, candidates);
             }
         }
@@ -54,6 +54,9 @@
             endOutwaitedTrials(it.refs);
         }
     }
+    if (m_authority != Authority::Full) {
+        return; // the store does not answer: workers chosen now would start nothing at all
+    }
     std::erase_if(candidates, [now](const TrialCandidate &it) {
         return it.isPrepared || now < it.refs.front().task().nextTrialSearchAt;
     });
@@ -64,10 +67,10 @@
 /** Ends prepared trials whose start may not be sent: they would keep their workers from other starts. */
 void WorkflowScheduler::endHeldTrials(JobState &job, TimePoint now)
 {
-    const bool mayTry = mayPlace(job) && m_authority == Authority::Full;
     forEachTask(job, [&](const TaskRef &ref) {
         const TaskState &task = ref.task();
-        if (isPrepared(task) && (!mayTry || task.phase != TaskPhase::Waiting || holdOf(ref, now) != WaitReason::None)) {
+        if (isPrepared(task)
+            && (!mayPlace(job) || task.phase != TaskPhase::Waiting || holdOf(ref, now) != WaitReason::None)) {
             endTrial(ref);
         }
     });
@@ -198,7 +201,8 @@
 void WorkflowScheduler::continueTrial(std::span<const TaskRef> refs, TimePoint now)
 {
     const TaskTrial trial = *refs.front().task().trial;
-    if (refs.front().job->storedVersion < trial.version) {
+    const bool isStored = refs.front().job->storedVersion >= trial.version;
+    if (!isStored && m_authority == Authority::Full) {
         return;
     }
     std::size_t reserved = 0;
@@ -220,8 +224,17 @@
     }
     const Duration timeout
         = isTriedUntilItsEnd(refs.front().task()) ? WholeRunTrialTimeout : m_settings.crashes.trialTimeout;
-    if (!isUsable || now >= trial.preparedAt + timeout) {
-        logTaskEvent("trial_abandoned", refs.front(), "worker", trial.worker, "usable", isUsable, "quiet", isQuiet);
+    if (!isStored || !isUsable || now >= trial.preparedAt + timeout) {
+        logTaskEvent("trial_abandoned",
+                     refs.front(),
+                     "worker",
+                     trial.worker,
+                     "stored",
+                     isStored,
+                     "usable",
+                     isUsable,
+                     "quiet",
+                     isQuiet);
         for (const TaskRef &it : refs) {
             endTrial(it);
             it.task().retryAt = now + TrialRetryDelay;
@@ -275,11 +288,12 @@
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         WorkerState &worker = *m_workers[chosen[i]];
         worker.trialJob = job.key();
-        worker.trialRisk = risk;
+        worker.trialRisk = i == 0 ? risk : 0; // of a gang as a whole
         TaskTrial trial;
         trial.attempt = attempt;
         trial.worker = worker.record.id;
         trial.workerStartedAtMs = worker.record.startedAtMs;
+        trial.preparedMs = m_clock.wallNow().count();
         trial.version = job.version;
         trial.preparedAt = now;
         refs[i].task().trial = trial;
@@ -339,12 +353,10 @@
     TrialBudget budget(m_settings.crashes, workers);
     std::size_t down = 0; // by the first crash of a task that nobody suspects yet, possibly
     std::size_t idle = 0;
-    std::set<JobKey> tried;
     for (const auto &it : m_workers) {
         const bool isSilent = it->unansweredRenewals > 0 && now < it->contactLostAt + m_settings.grantedLease();
         if (it->trialJob) {
-            const bool isOtherMember = !tried.insert(*it->trialJob).second; // of a gang that is counted already
-            budget.addTrial(isSilent ? 1 : isOtherMember ? 0 : it->trialRisk, it->trialRisk >= LikelyGuilty);
+            budget.addTrial(isSilent ? 1 : it->trialRisk, it->trialRisk >= LikelyGuilty);
         } else if (isSilent && !it->runs.empty() && it->hasStartingRun()) {
             ++down;
         }
