--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -210,33 +210,34 @@
         const bool isLate = isOverdue(i);
         return std::tuple(areGuiltyApart && isGuilty(i), !isLate, isLate ? 0 : waiting[i].guilt, waiting[i].sinceMs);
     };
-    std::vector<std::size_t> order(waiting.size());
-    std::iota(order.begin(), order.end(), std::size_t{0});
-    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return rankOf(a) < rankOf(b); });
-    const bool isPlaceKept = areGuiltyApart && !budget.hasTrialOfGuilty() && !order.empty() && isGuilty(order.back());
-    std::vector<std::size_t> chosen;
-    bool isTurnOfOthers = true; // no overdue suspect waits for a place
-    bool isTurnOfGuilty = true;
     const auto areOthersTried = [&](std::size_t i) {
         const auto &crashes = waiting[i].crashes;
         return std::any_of(crashes.begin(), crashes.end(), [&](const CrashName &it) {
-            return tried[it] > 0 && tried[it] + waiting[i].guilt > MaxTriedOfCrash;
+            const auto found = tried.find(it);
+            return found != tried.end() && found->second + waiting[i].guilt > MaxTriedOfCrash;
         });
     };
+    std::vector<std::size_t> order(waiting.size());
+    std::iota(order.begin(), order.end(), std::size_t{0});
+    std::stable_sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return rankOf(a) < rankOf(b); });
+    const bool isPlaceKept = areGuiltyApart && !budget.hasTrialOfGuilty() && !order.empty() && isGuilty(order.back());
+    std::vector<std::size_t> chosen;
+    bool doesGuiltyWait = false; // an overdue one has no place: none after it gets one
+    bool doesOtherWait = false;
     for (const std::size_t i : order) {
         if (areOthersTried(i)) {
             continue;
         }
-        bool &isTurn = areGuiltyApart && isGuilty(i) ? isTurnOfGuilty : isTurnOfOthers;
-        const double kept = isPlaceKept && !isGuilty(i) ? LikelyGuilty : 0;
-        if (isTurn && budget.allows(waiting[i].guilt + kept)) {
-            budget.addTrial(waiting[i].guilt, isGuilty(i));
-            chosen.push_back(i);
-            for (const CrashName &it : waiting[i].crashes) {
-                tried[it] += waiting[i].guilt;
-            }
-        } else {
-            isTurn = isTurn && !isOverdue(i);
+        const double keptRisk = isPlaceKept && !isGuilty(i) ? LikelyGuilty : 0; // of the trial of a guilty one
+        bool &doesWait = areGuiltyApart && isGuilty(i) ? doesGuiltyWait : doesOtherWait;
+        if (doesWait || !budget.allows(waiting[i].guilt + keptRisk)) {
+            doesWait = doesWait || isOverdue(i);
+            continue;
+        }
+        budget.addTrial(waiting[i].guilt, isGuilty(i));
+        chosen.push_back(i);
+        for (const CrashName &it : waiting[i].crashes) {
+            tried[it] += waiting[i].guilt;
         }
     }
     return chosen;
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -42,6 +42,8 @@
 
 namespace QuetzalRock::Workflow {
 
+constexpr double LikelyGuilty = 1; ///< guiltEstimate() of the only suspect, and of one that has crashed a worker alone
+
 struct CrashSettings
 {
     Duration startupTime = std::chrono::milliseconds(500);      ///< a run that is listed so long after its start has
@@ -58,7 +60,9 @@
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
     std::uint32_t maxExplained = 1; ///< crashes of a task that another one may explain; it is tried after the next one
     Duration maxTrialDelay = std::chrono::seconds(10); ///< a suspect that has waited longer is tried in order of waits
-    double maxShareAtRisk = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker
+    double maxShareAtRisk
+        = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker, and
+                ///< half as many more while workers are idle
 };
 
 enum class CrashRole : std::uint8_t {
@@ -155,9 +159,6 @@
 /** Releases a task from the suspicion of @p crash, which another task explains. False if that changes nothing. */
 bool explainCrash(const CrashSettings &settings, std::span<CrashEvidence> crashes, const CrashName &crash);
 
-constexpr double LikelyGuilty
-    = 1; ///< guiltEstimate() of a task that is the only suspect, or has crashed a worker alone
-
 /**
  * How long a leader waits for the outcome of @p trial, which a former one has stored, if the worker does not answer. The
  * wait begins with the trial, not with the leader. @p lease: of workers; @p wallMs: the wall time, Unix ms.
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -19,7 +19,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::size_t MaxLoggedRuns = 6;
-constexpr Duration GuiltMemory = std::chrono::minutes(10); ///< of crashes that are likely explained
+constexpr Duration ExplanationMemory = std::chrono::minutes(10); ///< of m_explainedCrashes
 constexpr Duration SuspectLogInterval = 5s;
 constexpr Duration UnresolvedMargin
     = 5s; ///< beyond verdictTimeout: runs of a worker that does not come back are forgotten
@@ -304,7 +304,7 @@
     while (!m_recentCrashes.empty() && now >= m_recentCrashes.front().at + m_settings.crashes.machineMemory) {
         m_recentCrashes.pop_front();
     }
-    std::erase_if(m_explainedCrashes, [now](const auto &it) { return now >= it.second + GuiltMemory; });
+    std::erase_if(m_explainedCrashes, [now](const auto &it) { return now >= it.second + ExplanationMemory; });
     const Duration unresolvedTime = m_settings.crashes.verdictTimeout + UnresolvedMargin;
     for (const auto &worker : m_workers) {
         std::erase_if(worker->unresolvedRuns,
