--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -202,10 +202,10 @@
 
 /**
  * Indices of those of @p waiting to be tried now, within @p budget. The least likely to be guilty go first: their trials end
- * soon and cost nothing. One that has waited for maxTrialDelay goes before all that have waited for less time, and none of these
- * is tried until it is, so that no suspect waits for more than those before it. Of the suspects of one crash about half are
- * tried at a time, see @p tried: if these are innocent, fewer trials of the others are needed, or none. If the limit has room for two, those that are
- * likely guilty have a place of their own and what the others leave, so that neither wait for the others.
+ * soon and cost nothing. Before them go, by their waits, those that have waited for maxTrialDelay; nobody is tried before
+ * one of these. About half of the suspects of one crash are tried at a time (@p tried: those under way), as fewer trials of
+ * the others are needed if these are innocent. If the limit has room for two, suspects that are likely guilty have a place
+ * of their own and what the others leave, so that neither kind waits for the other.
  */
 std::vector<std::size_t> chooseTrials(const CrashSettings &settings,
                                       std::span<const WaitingSuspect> waiting,
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -3,6 +3,8 @@
  *
  * Index of this file
  *   SuspectBurst     jobs that start beside tasks which crash their workers
+ *   InnocentSuspect  a suspect of an ordinary crash
+ *   StoredSuspects   suspects that a new leader finds in the store
  *   TrialDecisions   which suspects are tried next, and which crashes are explained
  *   Trials           bounds on the wait of suspects
  */
