A successor counts the crash of a stored trial as one of the trial again

Callers would have seen more workers crash: in Transfer.crashesUnderAGivenTaskOutliveTheLeadersOfItsShard, where the leaders of a task's shard are killed one after the other, a deadly task crashed six workers, five are allowed. Cause: a crash at a start needs five for a verdict, and one may be lost with its leader; crashes in trials need two.

--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -407,10 +407,7 @@
     }
 }
 
-/**
- * False if the worker is not known in this shard. A crash of the worker counts as one at a start, also for a trial: that may
- * not have begun, or have ended well and something else have been started there since, without being stored.
- */
+/** False if the worker is not known in this shard. */
 bool WorkflowScheduler::restoreUnresolvedRun(const TaskRef &ref, const TaskTrial &start)
 {
     const auto found = m_workerIndex.find(start.worker);
@@ -420,6 +417,7 @@
     LostRun run;
     run.run = {ref.name(), start.attempt};
     run.isStarting = true;
+    run.isTrial = ref.task().trial && ref.task().trial->attempt == start.attempt;
     run.isLongRunning = ref.spec().isLongRunning;
     run.workerStartedAtMs = start.workerStartedAtMs;
     run.lostAt = m_clock.now();
