Log lines: age of trials, progress that waits to be stored, suspects that had started up before

Cause: the logs did not tell whether a prepared trial was given up because its record was stored late, nor how many suspects had already started up without a crash. Change: trial_started and trial_abandoned give the age of the trial; progress_waits, once in 5 s while a job waits for over a second to be stored; task_suspected says whether a run of the task had started up before. No decision changes.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -283,6 +283,13 @@
         ShardId to = 0;
     };
 
+    /** Progress that waits to be stored. */
+    struct DirtyJob
+    {
+        JobKey key;
+        TimePoint since;
+    };
+
     /** A write that moves jobs to other shards. No other write is sent until its outcome is known. */
     struct JobMove
     {
@@ -542,6 +549,7 @@
     // Persistence (storing.cpp)
     void markDirty(JobState &job);
     void storeProgress(TimePoint now);
+    void reportStoreWait(Duration waited, TimePoint now);
     void onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
                   const std::vector<std::string> &values,
                   const StoreReply &reply);
@@ -688,11 +696,13 @@
     TimePoint m_nextEndCheckAt{};
 
     // Persistence
-    std::deque<JobKey> m_dirtyQueue; ///< jobs to be stored, in order
-    std::set<JobKey> m_dirtyKeys;    ///< the same keys
-    std::set<JobKey> m_dirtyGuests;  ///< other shards' jobs whose GivenTask records are to be stored
+    std::deque<DirtyJob> m_dirtyQueue; ///< in the order of the writes
+    std::set<JobKey> m_dirtyKeys;      ///< the same keys
+    std::set<JobKey> m_dirtyGuests;    ///< other shards' jobs whose GivenTask records are to be stored
     bool m_isStoring = false;
     TimePoint m_nextStoreAt{};
+    Duration m_longestStoreWait{}; ///< since the last log line on it
+    TimePoint m_nextStoreWaitLogAt{};
     ShardStatus m_storedStatus;        ///< as last written, without its revision
     TimePoint m_nextStatusAt{};        ///< earliest next write of ShardStatus
     TimePoint m_nextPressureStoreAt{}; ///< earliest next write of the pressure model
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -2,6 +2,7 @@
 #include <workflow/scheduler.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace QuetzalRock::Workflow {
 
@@ -13,6 +14,8 @@
 constexpr Duration StatusCheckInterval = std::chrono::milliseconds(100); ///< while the status does not change
 constexpr std::size_t GivenTasksPerChange = (MaxChangeEntries - 1) / 2;  ///< each takes a condition and a put
 constexpr std::size_t MaxRemovals = MaxChangeEntries - 1;                ///< beside the condition on the leader key
+constexpr Duration LoggedStoreWait = std::chrono::seconds(1);            ///< of progress that waits to be stored
+constexpr Duration StoreWaitLogInterval = std::chrono::seconds(5);
 
 /** Adds the best-effort work of @p job that waits, in CPU millis x ms, by image. */
 void addBacklogByImage(const JobState &job, CpuByImage &sums)
@@ -67,10 +70,29 @@
     }
     ++job.version;
     if (m_dirtyKeys.insert(job.key()).second) {
-        m_dirtyQueue.push_back(job.key());
+        m_dirtyQueue.push_back({job.key(), m_clock.now()});
     }
 }
 
+/** Logs a line once in a while as long as progress waits for long to be stored. @p waited: of a job in the next write. */
+void WorkflowScheduler::reportStoreWait(Duration waited, TimePoint now)
+{
+    m_longestStoreWait = std::max(m_longestStoreWait, waited);
+    if (m_longestStoreWait < LoggedStoreWait || now < m_nextStoreWaitLogAt) {
+        return;
+    }
+    m_nextStoreWaitLogAt = now + StoreWaitLogInterval;
+    m_log.write("progress_waits",
+                "shard",
+                m_shard,
+                "jobs",
+                m_dirtyQueue.size(),
+                "longest_ms",
+                std::chrono::duration_cast<std::chrono::milliseconds>(std::exchange(m_longestStoreWait, {})).count(),
+                "writes",
+                m_counters.writes);
+}
+
 void WorkflowScheduler::storeProgress(TimePoint now)
 {
     if (m_isStoring || now < m_nextStoreAt) {
@@ -117,9 +139,10 @@
     std::vector<std::pair<JobKey, std::uint64_t>> batch;
     std::vector<std::string> values;
     while (!m_dirtyQueue.empty() && batch.size() < JobsPerChange) {
-        const JobKey key = m_dirtyQueue.front();
+        const auto [key, dirtySince] = m_dirtyQueue.front();
         m_dirtyQueue.pop_front();
         m_dirtyKeys.erase(key);
+        reportStoreWait(now - dirtySince, now);
         const JobState *job = findJob(key);
         if (job == nullptr || job->storedVersion == job->version) {
             continue;
@@ -254,7 +277,7 @@
             }
         }
         if (job != nullptr && job->storedVersion < job->version && m_dirtyKeys.insert(key).second) {
-            m_dirtyQueue.push_back(key);
+            m_dirtyQueue.push_back({key, m_clock.now()});
         }
     }
 }
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -143,7 +143,9 @@
                      "suspects",
                      evidence.suspects,
                      "crashes",
-                     task.crashes.size());
+                     task.crashes.size(),
+                     "started_before",
+                     task.hasEverStartedUp);
     }
     markDirty(*ref.job);
     if (isGivenUp(m_settings.crashes, task.crashes)) {
@@ -203,6 +205,7 @@
 void WorkflowScheduler::onStartedUp(const TaskRef &ref)
 {
     TaskState &task = ref.task();
+    task.hasEverStartedUp = true;
     if (isTriedUntilItsEnd(task)) {
         return;
     }
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -234,7 +234,9 @@
                      "usable",
                      isUsable,
                      "quiet",
-                     isQuiet);
+                     isQuiet,
+                     "age_ms",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(now - trial.preparedAt).count());
         for (const TaskRef &it : refs) {
             endTrial(it);
             it.task().retryAt = now + TrialRetryDelay;
@@ -249,7 +251,14 @@
         if (isQuiet) {
             it.task().checkpoint = checkpoint;
             it.task().trial->isOrdered = true;
-            logTaskEvent("trial_started", it, "attempt", trial.attempt, "worker", it.task().trial->worker);
+            logTaskEvent("trial_started",
+                         it,
+                         "attempt",
+                         trial.attempt,
+                         "worker",
+                         it.task().trial->worker,
+                         "age_ms",
+                         std::chrono::duration_cast<std::chrono::milliseconds>(now - trial.preparedAt).count());
             startTask(it, m_workerIndex.at(it.task().trial->worker), trial.attempt, now);
         }
     }
