Records that something waits for are stored first; a trial's timeout counts from its record

Cause: progress was stored in the order in which jobs changed, 14 jobs a write, one write in flight. A trial starts once it is stored, and its timeout of 3 s counted from its preparation and was looked at only when it was stored: with 130 to 200 jobs to be stored each trial was abandoned at the moment at which it could start, which made its job dirty once more.

Change: StoreQueue chooses the records of the next write. Four classes: trials, their ends and verdicts; evidence of crashes; jobs that have ended; the rest. Trials go before evidence, as their number is limited and that of evidence is not. Two places of each write are kept for each lower class, and the order within a class is that of the waits, so each class has a bound of its own (waiting records of the class / 2, in writes). A class rises while the record waits, and a write that failed does not begin the wait anew. A trial that is stored starts whatever its age. Its timeout counts from when it is stored, for the worker to become quiet. One that isn't stored is given up once two writes of its job have failed, or without full authority: a count of failed writes holds for a store of any speed, where a time would bring the fault back for a slower one. FakeStore has an answer time, and a delay of the execution of changes.

No check was changed.

--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -107,7 +107,9 @@
     // Not stored
     std::uint64_t version = 0; ///< of the job: the order may be sent once it is stored
     TimePoint preparedAt{};
-    bool isOrdered = false; ///< the start was sent, by this leader or a former one
+    bool isOrdered = false;         ///< the start was sent, by this leader or a former one
+    TimePoint storedAt{};           ///< when this leader first knew that it is stored; zero: not yet
+    std::uint32_t failedWrites = 0; ///< JobState::failedWrites when it was prepared
 };
 
 struct LostRun
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -426,6 +426,7 @@
     std::erase(m_overdueJobs, job);
     std::erase_if(m_departures, [job](const TaskRef &it) { return it.job == job; });
     m_storedRevisions.erase(key);
+    m_storeQueue.forget(key);
     m_jobs.erase(key);
     if (const auto returned = m_returnedJobs.find(key); returned != m_returnedJobs.end()) {
         const StoreItem item = std::move(returned->second);
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -190,6 +190,7 @@
     std::uint32_t heldTasks = 0;     ///< tasks that are starting, running or stopping
     std::uint64_t version = 0;       ///< incremented at each change of what is to be stored
     std::uint64_t storedVersion = 0; ///< last version that is durable
+    std::uint32_t failedWrites = 0;  ///< number of writes of it without effect, or without an answer
     bool isMoving = false;           ///< a move to another shard has an unknown outcome: nothing of it may change
     std::uint32_t moves = 0;         ///< number of moves to another shard so far
     TimePoint nextMoveAt{};          ///< earliest next move
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -41,6 +41,7 @@
 #include <workflow/pool.h>
 #include <workflow/pressure.h>
 #include <workflow/scarcity.h>
+#include <workflow/storequeue.h>
 #include <workflow/waiting.h>
 #include <workflow/withheldleases.h>
 
@@ -283,11 +284,12 @@
         ShardId to = 0;
     };
 
-    /** Progress that waits to be stored. */
-    struct DirtyJob
+    /** The progress of a job in a write. */
+    struct WrittenJob
     {
-        JobKey key;
-        TimePoint since;
+        StoreRecord record;
+        std::uint64_t version = 0; ///< of the job in that progress
+        std::string progress;
     };
 
     /** A write that moves jobs to other shards. No other write is sent until its outcome is known. */
@@ -398,6 +400,7 @@
     SuspectsByCrash suspectsByCrash() const;
     TriedByCrash triedByCrash(const SuspectsByCrash &suspects) const;
     void continueTrial(std::span<const TaskRef> refs, TimePoint now);
+    void startTrial(std::span<const TaskRef> refs, TimePoint now);
     bool prepareTrial(std::span<const TaskRef> refs, double risk, TimePoint now);
     bool canTryOn(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
     bool isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const;
@@ -547,12 +550,12 @@
     std::map<std::string, int> bestEffortTolerance() const; ///< see ShardStatus::tolerance
 
     // Persistence (storing.cpp)
-    void markDirty(JobState &job);
+    void markDirty(JobState &job, StoreClass storeClass = StoreClass::Progress);
     void storeProgress(TimePoint now);
-    void reportStoreWait(Duration waited, TimePoint now);
-    void onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
-                  const std::vector<std::string> &values,
-                  const StoreReply &reply);
+    void reportStoreWait(const StoreRecord &record, TimePoint now);
+    std::vector<WrittenJob> addProgress(StoreChange &change, TimePoint now);
+    void onStored(std::span<const WrittenJob> written, const StoreReply &reply);
+    void onNotStored(const WrittenJob &written, const StoreReply &reply);
     void storeGivenTasks();
     void onGivenTasksStored(std::span<const TaskRef> refs, std::uint64_t version, const StoreReply &reply);
     void storeWorkers();
@@ -696,12 +699,11 @@
     TimePoint m_nextEndCheckAt{};
 
     // Persistence
-    std::deque<DirtyJob> m_dirtyQueue; ///< in the order of the writes
-    std::set<JobKey> m_dirtyKeys;      ///< the same keys
-    std::set<JobKey> m_dirtyGuests;    ///< other shards' jobs whose GivenTask records are to be stored
+    StoreQueue m_storeQueue;        ///< jobs whose progress is to be stored
+    std::set<JobKey> m_dirtyGuests; ///< other shards' jobs whose GivenTask records are to be stored
     bool m_isStoring = false;
     TimePoint m_nextStoreAt{};
-    Duration m_longestStoreWait{}; ///< since the last log line on it
+    std::array<Duration, StoreClassCount> m_longestStoreWaits{}; ///< by class, since the last log line on them
     TimePoint m_nextStoreWaitLogAt{};
     ShardStatus m_storedStatus;        ///< as last written, without its revision
     TimePoint m_nextStatusAt{};        ///< earliest next write of ShardStatus
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -59,7 +59,7 @@
     return it == m_jobs.end() ? nullptr : it->second.get();
 }
 
-void WorkflowScheduler::markDirty(JobState &job)
+void WorkflowScheduler::markDirty(JobState &job, StoreClass storeClass)
 {
     if (job.isGuest) { // its progress is its own shard's, apart from what its GivenTask records hold
         job.version += job.hasCrashEvidence ? 1 : 0;
@@ -69,26 +69,35 @@
         return;
     }
     ++job.version;
-    if (m_dirtyKeys.insert(job.key()).second) {
-        m_dirtyQueue.push_back({job.key(), m_clock.now()});
-    }
+    const StoreClass least = isFinal(job.state) ? StoreClass::Final : StoreClass::Progress;
+    m_storeQueue.add(job.key(), std::min(storeClass, least), m_clock.now());
 }
 
-/** Logs a line once in a while as long as progress waits for long to be stored. @p waited: of a job in the next write. */
-void WorkflowScheduler::reportStoreWait(Duration waited, TimePoint now)
+/** Logs a line once in a while as long as records wait for long. @p record: in the next write. */
+void WorkflowScheduler::reportStoreWait(const StoreRecord &record, TimePoint now)
 {
-    m_longestStoreWait = std::max(m_longestStoreWait, waited);
-    if (m_longestStoreWait < LoggedStoreWait || now < m_nextStoreWaitLogAt) {
+    Duration &longest = m_longestStoreWaits[static_cast<std::size_t>(record.storeClass)];
+    longest = std::max(longest, now - record.since);
+    if (now - record.since < LoggedStoreWait || now < m_nextStoreWaitLogAt) {
         return;
     }
     m_nextStoreWaitLogAt = now + StoreWaitLogInterval;
+    const auto waits = std::exchange(m_longestStoreWaits, {});
+    const auto longestMs
+        = [&waits](StoreClass storeClass) { return toMilliseconds(waits[static_cast<std::size_t>(storeClass)]); };
     m_log.write("progress_waits",
                 "shard",
                 m_shard,
                 "jobs",
-                m_dirtyQueue.size(),
-                "longest_ms",
-                std::chrono::duration_cast<std::chrono::milliseconds>(std::exchange(m_longestStoreWait, {})).count(),
+                m_storeQueue.size(),
+                "trial_ms",
+                longestMs(StoreClass::Trial),
+                "evidence_ms",
+                longestMs(StoreClass::Evidence),
+                "final_ms",
+                longestMs(StoreClass::Final),
+                "progress_ms",
+                longestMs(StoreClass::Progress),
                 "writes",
                 m_counters.writes);
 }
@@ -118,7 +127,7 @@
         m_nextStatusAt = now + StatusCheckInterval;
     }
     const bool isPressureDue = now >= m_nextPressureStoreAt && m_pressure.hasNeighbours();
-    if (m_dirtyQueue.empty() && status == m_storedStatus && !isPressureDue) {
+    if (m_storeQueue.readyCount() == 0 && status == m_storedStatus && !isPressureDue) {
         return;
     }
     StoreChange change;
@@ -136,23 +145,7 @@
         stored.writtenAtMs = m_settings.scarcity.enabled ? m_clock.wallNow().count() : 0;
         change.puts.push_back({m_keys.status, encodeStatus(stored), 0});
     }
-    std::vector<std::pair<JobKey, std::uint64_t>> batch;
-    std::vector<std::string> values;
-    while (!m_dirtyQueue.empty() && batch.size() < JobsPerChange) {
-        const auto [key, dirtySince] = m_dirtyQueue.front();
-        m_dirtyQueue.pop_front();
-        m_dirtyKeys.erase(key);
-        reportStoreWait(now - dirtySince, now);
-        const JobState *job = findJob(key);
-        if (job == nullptr || job->storedVersion == job->version) {
-            continue;
-        }
-        const std::string stored = std::string(ProgressPrefix) + key;
-        change.conditions.push_back({stored, m_storedRevisions[key]});
-        values.push_back(encodeProgress(*job));
-        change.puts.push_back({stored, values.back(), 0});
-        batch.emplace_back(key, job->version);
-    }
+    std::vector<WrittenJob> written = addProgress(change, now);
     if (change.puts.empty()) {
         return;
     }
@@ -160,9 +153,26 @@
     m_nextStoreAt = now + m_settings.storeInterval;
     ++m_counters.writes;
     m_store.change(std::move(change),
-                   ifAlive([this, batch = std::move(batch), values = std::move(values)](const StoreReply &it) {
-                       onStored(batch, values, it);
-                   }));
+                   ifAlive([this, written = std::move(written)](const StoreReply &it) { onStored(written, it); }));
+}
+
+/** Adds the records whose turn it is. */
+std::vector<WorkflowScheduler::WrittenJob> WorkflowScheduler::addProgress(StoreChange &change, TimePoint now)
+{
+    std::vector<WrittenJob> written;
+    for (const StoreRecord &it : m_storeQueue.take(JobsPerChange)) {
+        const JobState *job = findJob(it.key);
+        if (job == nullptr || job->storedVersion == job->version) {
+            m_storeQueue.release(it.key);
+            continue;
+        }
+        reportStoreWait(it, now);
+        const std::string stored = std::string(ProgressPrefix) + it.key;
+        written.push_back({it, job->version, encodeProgress(*job)});
+        change.conditions.push_back({stored, m_storedRevisions[it.key]});
+        change.puts.push_back({stored, written.back().progress, 0});
+    }
+    return written;
 }
 
 /** Stores what is known of crashes under the tasks of one job that were given to this shard. */
@@ -229,6 +239,7 @@
         return;
     }
     m_dirtyGuests.insert(job.key());
+    job.failedWrites += reply.status == StoreStatus::Conflict ? 0 : 1;
     m_nextStoreAt = m_clock.now() + m_settings.storeRetryDelay;
     for (const StoreItem &item : reply.items) { // of a conflict: also of an earlier write whose reply was lost
         m_isDeposed = m_isDeposed || (item.key == m_keys.leader && item.revision != m_term.keyRevision);
@@ -240,16 +251,15 @@
     }
 }
 
-void WorkflowScheduler::onStored(const std::vector<std::pair<JobKey, std::uint64_t>> &batch,
-                                 const std::vector<std::string> &values,
-                                 const StoreReply &reply)
+void WorkflowScheduler::onStored(std::span<const WrittenJob> written, const StoreReply &reply)
 {
     m_isStoring = false;
     if (reply.status == StoreStatus::Ok) {
-        for (const auto &[key, version] : batch) {
-            m_storedRevisions[key] = reply.revision;
-            if (JobState *job = findJob(key)) {
-                job->storedVersion = std::max(job->storedVersion, version);
+        for (const WrittenJob &it : written) {
+            m_storeQueue.release(it.record.key);
+            m_storedRevisions[it.record.key] = reply.revision;
+            if (JobState *job = findJob(it.record.key)) {
+                job->storedVersion = std::max(job->storedVersion, it.version);
             }
         }
         return;
@@ -265,20 +275,33 @@
             m_isDeposed = true;
         }
     }
-    for (std::size_t i = 0; i < batch.size(); ++i) {
-        const auto &[key, version] = batch[i];
-        JobState *job = findJob(key);
-        for (const StoreItem &it : reply.items) {
-            if (it.key == std::string(ProgressPrefix) + key) {
-                m_storedRevisions[key] = it.revision;
-                if (job != nullptr && it.value == values[i]) {
-                    job->storedVersion = std::max(job->storedVersion, version);
-                }
+    for (const WrittenJob &it : written) {
+        onNotStored(it, reply);
+    }
+}
+
+/** The record waits on, unless the conflict that @p reply reports shows it as stored by an earlier write. */
+void WorkflowScheduler::onNotStored(const WrittenJob &written, const StoreReply &reply)
+{
+    const JobKey &key = written.record.key;
+    JobState *job = findJob(key);
+    for (const StoreItem &it : reply.items) {
+        if (it.key == std::string(ProgressPrefix) + key) {
+            m_storedRevisions[key] = it.revision;
+            if (job != nullptr && it.value == written.progress) {
+                job->storedVersion = std::max(job->storedVersion, written.version);
             }
         }
-        if (job != nullptr && job->storedVersion < job->version && m_dirtyKeys.insert(key).second) {
-            m_dirtyQueue.push_back({key, m_clock.now()});
-        }
+    }
+    if (job == nullptr) {
+        m_storeQueue.release(key);
+        return;
+    }
+    job->failedWrites += reply.status == StoreStatus::Conflict ? 0 : 1;
+    if (job->storedVersion < written.version) {
+        m_storeQueue.giveBack(written.record);
+    } else {
+        m_storeQueue.release(key); // what has changed since waits already
     }
 }
 
@@ -514,6 +537,7 @@
                        for (const JobKey &key : keys) {
                            if (reply.status == StoreStatus::Ok) {
                                m_jobs.erase(key);
+                               m_storeQueue.forget(key);
                                m_storedRevisions.erase(key);
                            } else {
                                m_finalJobs.emplace_back(m_clock.now(), key);
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -147,7 +147,7 @@
                      "started_before",
                      task.hasEverStartedUp);
     }
-    markDirty(*ref.job);
+    markDirty(*ref.job, StoreClass::Evidence);
     if (isGivenUp(m_settings.crashes, task.crashes)) {
         giveUpTask(ref);
     }
@@ -186,7 +186,7 @@
                          it.crash.worker,
                          "suspected",
                          isSuspected(m_settings.crashes, task.crashes));
-            markDirty(*ref.job);
+            markDirty(*ref.job, StoreClass::Evidence);
             m_isPlacementDue = true;
         }
     }
@@ -214,7 +214,7 @@
     }
     if (std::erase_if(task.crashes, [](const CrashEvidence &it) { return it.role != CrashRole::Present; }) > 0) {
         logTaskEvent("task_cleared", ref, "attempt", task.attempt);
-        markDirty(*ref.job);
+        markDirty(*ref.job, StoreClass::Evidence);
     }
 }
 
@@ -239,6 +239,7 @@
         task.isGivenUp = true;
     } else {
         failJob(*ref.job, why);
+        markDirty(*ref.job, StoreClass::Trial);
     }
 }
 
@@ -256,7 +257,7 @@
         start.workerStartedAtMs = worker.record.startedAtMs;
         task.silentStart = start;
         it.job->hasCrashEvidence = true;
-        markDirty(*it.job);
+        markDirty(*it.job, StoreClass::Evidence);
     }
 }
 
@@ -291,7 +292,7 @@
     const auto ref = findTask(run.task);
     if (ref && ref->task().silentStart && ref->task().silentStart->attempt == run.attempt) {
         ref->task().silentStart.reset();
-        markDirty(*ref->job);
+        markDirty(*ref->job, StoreClass::Evidence);
     }
     if (!ref || ref->task().phase != TaskPhase::Waiting || !ref->task().trial
         || ref->task().trial->attempt != run.attempt) {
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -8,7 +8,7 @@
  *   FakeDecoder    registry entries and configuration
  *   RigNode, Rig   nodes, store and fleet; Rig::run() advances time in small steps
  *
- * Replies are delivered in the step after the call. A call without a reply completes after CallTimeout, as Unknown
+ * Replies are delivered in the step after the call, or after FakeStore::answerTime. A call without a reply completes after CallTimeout, as Unknown
  * (store) or Unanswered (workers); a watch completes WatchReplyTimeout after its own wait.
  */
 #pragma once
@@ -91,12 +91,15 @@
     {
     }
 
-    bool isRefusing = false;             ///< every call fails as NotTaken
-    bool isSilent = false;               ///< calls are neither executed nor answered, also those that have been waiting
-    Duration callTimeout = CallTimeout;  ///< of calls without an answer, except watches
-    bool isLosingRenewalReplies = false; ///< renewals of leases are executed and not answered
-    int lostChangeReplies = 0;           ///< number of changes to be executed without a reply
-    Duration lostChangeDelay{};          ///< delay of the execution of these changes
+    bool isRefusing = false;            ///< every call fails as NotTaken
+    bool isSilent = false;              ///< calls are neither executed nor answered, also those that have been waiting
+    Duration callTimeout = CallTimeout; ///< of calls without an answer, except watches
+    Duration answerTime = StepTime;     ///< from the execution of a call to its answer, except watches
+    std::function<Duration()>
+        changeDelay; ///< from a change to its execution; none: at once. Unanswered after callTimeout
+    bool isLosingRenewalReplies = false;               ///< renewals of leases are executed and not answered
+    int lostChangeReplies = 0;                         ///< number of changes to be executed without a reply
+    Duration lostChangeDelay{};                        ///< delay of the execution of these changes
     std::function<void(const StoreChange &)> onChange; ///< called for each change that was executed
 
     void get(std::string_view key, StoreDone done) override
@@ -145,6 +148,10 @@
             m_replies.schedule(CallTimeout, [done] { done({}); });
             return;
         }
+        if (changeDelay && !isRefusing && !isSilent) {
+            executeLater(std::move(change), done);
+            return;
+        }
         reply(done, [this, change = std::move(change)] { return execute(change); });
     }
 
@@ -206,6 +213,7 @@
     {
         m_replies.clear();
         m_watches.clear();
+        ++m_process;
     }
 
 private:
@@ -232,7 +240,22 @@
             });
         } else {
             const StoreReply it = executeCall(); // executed now, reply delivered in the next step
-            m_replies.schedule(StepTime, [done, it] { done(it); });
+            m_replies.schedule(answerTime, [done, it] { done(it); });
+        }
+    }
+
+    void executeLater(StoreChange change, const StoreDone &done)
+    {
+        const Duration delay = changeDelay();
+        const bool isAnswered = delay + answerTime < callTimeout;
+        m_inTransit.schedule(delay, [this, change = std::move(change), done, isAnswered, process = m_process] {
+            const StoreReply it = execute(change);
+            if (isAnswered && process == m_process) {
+                m_replies.schedule(answerTime, [done, it] { done(it); });
+            }
+        });
+        if (!isAnswered) {
+            m_replies.schedule(callTimeout, [done] { done({}); });
         }
     }
 
@@ -278,6 +301,7 @@
     DelayedCalls m_replies;
     DelayedCalls m_inTransit; ///< changes that are executed later
     std::vector<Watch> m_watches;
+    int m_process = 0; ///< number of the calling process, see dropPendingReplies()
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -22,6 +22,8 @@
 constexpr double LongRunningLoss = 10; ///< of a long-running task that a crash ends, in tasks of limited run time
 constexpr Duration WholeRunTrialTimeout
     = 10s; ///< CrashSettings::trialTimeout of a trial that waits for other tasks to end
+constexpr std::uint32_t MaxFailedWrites
+    = 2; ///< a trial that so many writes have not stored leaves its worker to others
 
 bool isPrepared(const TaskState &task)
 {
@@ -197,14 +199,22 @@
     return tried;
 }
 
-/** Starts a prepared trial once it is stored and its workers are quiet, or abandons it. */
+/**
+ * Starts a prepared trial once it is stored and its workers are quiet, whatever its age, or abandons it: it then holds
+ * neither its workers nor a part of the limit. The time in which workers become quiet counts from when it is stored. A
+ * trial waits for its write as long as the store answers writes, since its record goes first in each.
+ */
 void WorkflowScheduler::continueTrial(std::span<const TaskRef> refs, TimePoint now)
 {
-    const TaskTrial trial = *refs.front().task().trial;
-    const bool isStored = refs.front().job->storedVersion >= trial.version;
-    if (!isStored && m_authority == Authority::Full) {
+    JobState &job = *refs.front().job;
+    TaskTrial &trial = *refs.front().task().trial;
+    const bool isStored = job.storedVersion >= trial.version;
+    if (!isStored && m_authority == Authority::Full && job.failedWrites - trial.failedWrites < MaxFailedWrites) {
         return;
     }
+    if (isStored && trial.storedAt == TimePoint{}) {
+        trial.storedAt = now;
+    }
     std::size_t reserved = 0;
     bool isUsable = true;
     bool isQuiet = true;
@@ -224,7 +234,8 @@
     }
     const Duration timeout
         = isTriedUntilItsEnd(refs.front().task()) ? WholeRunTrialTimeout : m_settings.crashes.trialTimeout;
-    if (!isStored || !isUsable || now >= trial.preparedAt + timeout) {
+    const bool isLate = !isQuiet && now >= trial.storedAt + timeout;
+    if (!isStored || !isUsable || isLate) {
         logTaskEvent("trial_abandoned",
                      refs.front(),
                      "worker",
@@ -236,31 +247,38 @@
                      "quiet",
                      isQuiet,
                      "age_ms",
-                     std::chrono::duration_cast<std::chrono::milliseconds>(now - trial.preparedAt).count());
+                     toMilliseconds(now - trial.preparedAt));
         for (const TaskRef &it : refs) {
             endTrial(it);
             it.task().retryAt = now + TrialRetryDelay;
         }
         return;
     }
+    if (isQuiet) {
+        startTrial(refs, now);
+    }
+}
+
+/** Sends the starts of a trial that is stored. */
+void WorkflowScheduler::startTrial(std::span<const TaskRef> refs, TimePoint now)
+{
     std::string checkpoint; // of a gang: valid for all members, which must use the same
     for (const TaskRef &it : refs) {
         checkpoint = it.task().checkpoint.empty() ? checkpoint : it.task().checkpoint;
     }
     for (const TaskRef &it : refs) {
-        if (isQuiet) {
-            it.task().checkpoint = checkpoint;
-            it.task().trial->isOrdered = true;
-            logTaskEvent("trial_started",
-                         it,
-                         "attempt",
-                         trial.attempt,
-                         "worker",
-                         it.task().trial->worker,
-                         "age_ms",
-                         std::chrono::duration_cast<std::chrono::milliseconds>(now - trial.preparedAt).count());
-            startTask(it, m_workerIndex.at(it.task().trial->worker), trial.attempt, now);
-        }
+        TaskTrial &trial = *it.task().trial;
+        it.task().checkpoint = checkpoint;
+        trial.isOrdered = true;
+        logTaskEvent("trial_started",
+                     it,
+                     "attempt",
+                     trial.attempt,
+                     "worker",
+                     trial.worker,
+                     "age_ms",
+                     toMilliseconds(now - trial.preparedAt));
+        startTask(it, m_workerIndex.at(trial.worker), trial.attempt, now);
     }
 }
 
@@ -293,7 +311,7 @@
     if (chosen.size() < refs.size()) {
         return false;
     }
-    markDirty(job);
+    markDirty(job, StoreClass::Trial);
     for (std::size_t i = 0; i < chosen.size(); ++i) {
         WorkerState &worker = *m_workers[chosen[i]];
         worker.trialJob = job.key();
@@ -305,6 +323,7 @@
         trial.preparedMs = m_clock.wallNow().count();
         trial.version = job.version;
         trial.preparedAt = now;
+        trial.failedWrites = job.failedWrites;
         refs[i].task().trial = trial;
     }
     m_isPlacementDue = true;
@@ -389,7 +408,7 @@
     if (found != m_workerIndex.end() && !isUsedByOthers && m_workers[found->second]->trialJob == ref.job->key()) {
         m_workers[found->second]->trialJob.reset();
     }
-    markDirty(*ref.job); // a stored trial would be held against the task if the worker crashes later
+    markDirty(*ref.job, StoreClass::Trial); // a stored trial would be held against the task if the worker crashes later
     m_isPlacementDue = true;
 }
 
