Crashes: a task that has started up before is not held for one crash at its start

Cause: serving tasks that had run for a minute waited for trials of their own behind all other suspects, as any run counts as just started until a report lists it half a second later. That an earlier run had started up counted for nothing.

Such a run now counts as present. The crash is noted all the same, as explained: the next crash at a start is held against the task, five of all kinds give it up as before, and with such a crash it is given up after one crash in a trial instead of two, so that a task which has become deadly costs no more workers than any other. The flag is stored with the row of a task that has one anyway; records of older versions lack it, and a run that ends done or failed sets it too.

Failed before: Crashes.taskThatHasStartedUpBeforeIsNotHeldForACrashAtItsStart.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -510,6 +510,7 @@
     }
     if (entry.how == RunEnd::Done || entry.how == RunEnd::Failed) {
         task.crashes.clear(); // it has run without a crash
+        task.hasEverStartedUp = true;
     }
     if (isFinal(ref.job->state) || task.phase == TaskPhase::Done) {
         return;
--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -23,7 +23,7 @@
         if (it.isStarting) {
             starting.insert(it.run.task.job);
         }
-        if (it.isStarting || !it.isLongRunning) {
+        if (it.isStarting || it.hasStartedBefore || !it.isLongRunning) {
             present.insert(it.run.task.job);
         }
     }
@@ -33,7 +33,9 @@
         crash.attempt = it.run.attempt;
         if (!it.isStarting && !it.isTrial) {
             crash.suspects = static_cast<std::uint32_t>(present.size());
-            evidence.push_back(it.isLongRunning ? std::nullopt : std::optional(crash));
+            crash.role = it.hasStartedBefore ? CrashRole::CoincidentStart : CrashRole::Present;
+            crash.isExplained = it.hasStartedBefore;
+            evidence.push_back(it.isLongRunning && !it.hasStartedBefore ? std::nullopt : std::optional(crash));
             continue;
         }
         // A task that was suspected of crashing its workers later is tried until it ends.
@@ -48,6 +50,12 @@
     return evidence;
 }
 
+bool hasCrashAtStart(std::span<const CrashEvidence> crashes)
+{
+    return std::any_of(
+        crashes.begin(), crashes.end(), [](const CrashEvidence &it) { return it.role != CrashRole::Present; });
+}
+
 std::uint32_t countCrashes(std::span<const CrashEvidence> crashes, CrashRole role)
 {
     return static_cast<std::uint32_t>(
@@ -105,7 +113,12 @@
 bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes)
 {
     const auto starts = static_cast<std::uint32_t>(crashes.size()) - countCrashes(crashes, CrashRole::Present);
-    return countCrashes(crashes, CrashRole::Trial) >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes;
+    const std::uint32_t alone = countCrashes(crashes, CrashRole::Trial);
+    // It had started up before, so that one of its crashes was not held against it.
+    const bool wasSpared
+        = countCrashes(crashes, CrashRole::CoincidentStart) > countUnexplained(crashes, CrashRole::CoincidentStart);
+    const bool hasCrashedSince = wasSpared && alone > 0 && countCrashes(crashes, CrashRole::Start) > 0;
+    return alone >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes || hasCrashedSince;
 }
 
 double guiltEstimate(std::span<const CrashEvidence> crashes, const SuspectsByCrash &suspects)
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -5,6 +5,8 @@
  * A crash is evidence against what ran on the worker, not a proof.
  *   1. A crash is held against the runs that had just been started, as a deadly task brings its worker down soon. Tasks of
  *      limited run time that had been running longer are only noted as present.
+ *      A task of which an earlier run has started up is not what crashes its worker at a start: it counts as present, once.
+ *      It may have become deadly since, so that the next crash at its start is held against it.
  *   2. A suspect is tried alone: on a worker where everything else has already started up, and that starts nothing else
  *      meanwhile. A task that starts up without a crash is no longer suspected.
  *   3. A task that has crashed a worker in its trial explains the crashes at which it had just been started. What was
@@ -66,10 +68,12 @@
 };
 
 enum class CrashRole : std::uint8_t {
-    Present = 0,         ///< it had been running for longer than startupTime
-    CoincidentStart = 1, ///< it had just been started, but another worker crashed at the same time for no such reason
-    Start = 2,           ///< it had just been started, possibly beside others
-    Trial = 3,           ///< it was being tried alone
+    Present = 0, ///< it had been running for longer than startupTime
+    CoincidentStart
+        = 1,   ///< it had just been started, but another worker crashed at the same time for no such reason, or
+               ///< an earlier run of it had started up (then explained at once)
+    Start = 2, ///< it had just been started, possibly beside others
+    Trial = 3, ///< it was being tried alone
 };
 
 /** The worker that crashed, and which of its incarnations ended. */
@@ -92,7 +96,7 @@
     std::uint32_t suspects = 1; ///< number of jobs whose runs may have caused the crash, this one included
     CrashName crash{};
     std::int64_t recordedMs = 0; ///< wall time, Unix ms; zero: an older version has stored it
-    bool isExplained = false;    ///< by another task: no reason for a trial
+    bool isExplained = false;    ///< by another task, or the task had started up before: no reason for a trial
 
     bool operator==(const CrashEvidence &) const = default;
 };
@@ -113,9 +117,10 @@
 struct LostRun
 {
     RunName run;
-    bool isStarting = false;    ///< no report had listed it startupTime after its start
-    bool isTrial = false;       ///< its task was being tried alone
-    bool isLongRunning = false; ///< its task has no limited run time
+    bool isStarting = false; ///< no report had listed it startupTime after its start, nor any earlier run of its task
+    bool hasStartedBefore = false; ///< it had just been started, but an earlier run of its task had started up
+    bool isTrial = false;          ///< its task was being tried alone
+    bool isLongRunning = false;    ///< its task has no limited run time
     std::int64_t workerStartedAtMs = 0;
     TimePoint lostAt{}; ///< zero: at the crash; otherwise when the lease expired
 };
@@ -147,6 +152,9 @@
 /** Wall time of the last crash that the task is suspected for, Unix ms; zero: not known. */
 std::int64_t suspectedSinceMs(std::span<const CrashEvidence> crashes);
 
+/** Whether any crash was at a start of the task, in whatever role. */
+bool hasCrashAtStart(std::span<const CrashEvidence> crashes);
+
 /** Number of crashes in the given role. */
 std::uint32_t countCrashes(std::span<const CrashEvidence> crashes, CrashRole role);
 
--- a/packages/workflow/pool.cpp
+++ b/packages/workflow/pool.cpp
@@ -49,7 +49,7 @@
 
 bool WorkerState::hasStartingRun() const
 {
-    return std::any_of(runs.begin(), runs.end(), [](const TaskRef &it) { return !it.task().hasStartedUp; })
+    return std::any_of(runs.begin(), runs.end(), [](const TaskRef &it) { return it.task().isStartUncertain(); })
            || std::any_of(
                unresolvedRuns.begin(), unresolvedRuns.end(), [](const LostRun &it) { return it.isStarting; });
 }
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -197,7 +197,7 @@
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
     }
-    bool hasStartingRun() const; ///< or had one when its lease expired
+    bool hasStartingRun() const; ///< of a task not known to start up; or had one when its lease expired
     /** Has accepted our fencing token, and has replied to the last renewal. */
     bool hasReplied() const
     {
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -166,6 +166,7 @@
         task.trial = trialFromJson(row.at(7));
         task.silentStart = trialFromJson(row.at(8));
     }
+    task.hasEverStartedUp = row.size() > 9 && row.at(9).get<bool>();
 }
 
 } // namespace
@@ -353,7 +354,8 @@
                                                 isDone ? std::string() : it.checkpoint,
                                                 isDone ? json::array() : crashesToJson(it.crashes),
                                                 isDone ? json::array() : trialToJson(it.trial),
-                                                isDone ? json::array() : trialToJson(it.silentStart)}));
+                                                isDone ? json::array() : trialToJson(it.silentStart),
+                                                it.hasEverStartedUp}));
                 }
             }
         }
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -102,16 +102,17 @@
     std::int64_t validUntilMs = 0;        ///< Starting: worker's clock; the worker rejects the order after that
     TimePoint orderedAt{};                ///< when the last start or stop order was sent
     TimePoint answeredAt{};               ///< when it was answered
-    TimePoint startedAt{};         ///< when the run was ordered, or when a report first listed it if unknown before
-    TimePoint retryAt{};           ///< Waiting: earliest time of the next placement
-    TimePoint waitingSince{};      ///< Waiting, Starting: end of its last run; zero: not known, see longestWaitSince()
-    bool hasBegun = false;         ///< the worker has accepted the start of the current or last run, or listed it
-    bool hasStartedUp = false;     ///< a report has listed the run CrashSettings::startupTime after its start
-    bool hasEverStartedUp = false; ///< some run of it has, as far as this leader knows
-    std::int64_t gauge = 0;        ///< see RunningEntry::gauge
-    TimePoint overTargetSince{};   ///< serving tasks: start of tail latency above target; zero: not above
-    TimePoint stalledSince{};      ///< start of a throttle of PressureSettings::stalledPercent or less; zero: none
-    TimePoint idleSince{};         ///< start of using no CPU; zero: uses some, or unknown
+    TimePoint startedAt{};     ///< when the run was ordered, or when a report first listed it if unknown before
+    TimePoint retryAt{};       ///< Waiting: earliest time of the next placement
+    TimePoint waitingSince{};  ///< Waiting, Starting: end of its last run; zero: not known, see longestWaitSince()
+    bool hasBegun = false;     ///< the worker has accepted the start of the current or last run, or listed it
+    bool hasStartedUp = false; ///< a report has listed the run CrashSettings::startupTime after its start
+    bool hasEverStartedUp
+        = false;                 ///< some run of it has, as far as this leader knows; stored with evidence and the like
+    std::int64_t gauge = 0;      ///< see RunningEntry::gauge
+    TimePoint overTargetSince{}; ///< serving tasks: start of tail latency above target; zero: not above
+    TimePoint stalledSince{};    ///< start of a throttle of PressureSettings::stalledPercent or less; zero: none
+    TimePoint idleSince{};       ///< start of using no CPU; zero: uses some, or unknown
     std::uint64_t lastReportNumber = 0; ///< number of the worker's last report that listed the run
     std::uint8_t percent = 100;         ///< throttle last ordered: share of its CPU that the run may use
     /** Throttle to be ordered as soon as the run is known to be there; none: nothing is to be ordered. */
@@ -136,6 +137,17 @@
     TimePoint takenAt{};              ///< when another shard last gave it to this one; zero: none has, or not known
     std::uint64_t recordRevision = 0; ///< of the last GivenTask seen
     std::uint64_t attemptBase = 0;    ///< attempts of earlier shards are not higher than that
+
+    /** A run of it has started up, and no worker has crashed at a start of it since. */
+    bool isKnownToStartUp() const
+    {
+        return hasEverStartedUp && !hasCrashAtStart(crashes);
+    }
+    /** Neither the current run, nor one before it, has shown that the task starts up without a crash. */
+    bool isStartUncertain() const
+    {
+        return !hasStartedUp && !isKnownToStartUp();
+    }
 };
 
 struct StepState
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -42,8 +42,9 @@
     const TaskState &task = ref.task();
     LostRun it;
     it.run = {ref.name(), task.attempt};
-    it.isStarting = !task.hasStartedUp;
     it.isTrial = task.trial && task.trial->isOrdered && task.trial->attempt == task.attempt;
+    it.hasStartedBefore = !it.isTrial && !task.hasStartedUp && task.isKnownToStartUp();
+    it.isStarting = !task.hasStartedUp && !it.hasStartedBefore;
     it.isLongRunning = ref.spec().isLongRunning;
     it.workerStartedAtMs = workerStartedAtMs;
     it.lostAt = lostAt;
@@ -419,8 +420,9 @@
     }
     LostRun run;
     run.run = {ref.name(), start.attempt};
-    run.isStarting = true;
     run.isTrial = ref.task().trial && ref.task().trial->attempt == start.attempt;
+    run.hasStartedBefore = !run.isTrial && ref.task().isKnownToStartUp();
+    run.isStarting = !run.hasStartedBefore;
     run.isLongRunning = ref.spec().isLongRunning;
     run.workerStartedAtMs = start.workerStartedAtMs;
     run.lostAt = m_clock.now();
--- a/packages/workflow/tests/crashtest.cpp
+++ b/packages/workflow/tests/crashtest.cpp
@@ -120,6 +120,23 @@
     EXPECT_EQ(assessCrash(std::vector{trial}, false, false)[0]->role, CrashRole::Trial);
 }
 
+// Tasks that had served for minutes were tried alone, behind all others, for crashes next to their next start.
+TEST(CrashDecisions, startOfATaskThatHasStartedUpBeforeExplainsNoCrash)
+{
+    const CrashSettings settings;
+    LostRun again = makeLostRun("again", false, false, true);
+    again.hasStartedBefore = true;
+    const auto evidence = assessCrash(std::vector{makeLostRun("a", true), again}, false);
+    EXPECT_EQ(evidence[0], (CrashEvidence{1, CrashRole::Start, 1}));
+    ASSERT_TRUE(evidence[1]);
+    EXPECT_FALSE(isSuspected(settings, std::vector{*evidence[1]}));
+    TaskState task;
+    task.hasEverStartedUp = true;
+    EXPECT_FALSE(task.isStartUncertain());
+    task.crashes.push_back(*evidence[1]);
+    EXPECT_TRUE(task.isStartUncertain()) << "it may have become deadly since";
+}
+
 TEST(CrashDecisions, taskIsGivenUpAfterTwoCrashesInTrials)
 {
     const CrashSettings settings;
@@ -277,6 +294,118 @@
     EXPECT_EQ(rig.fleet.runningTasks(), 6U);
 }
 
+namespace {
+
+/** A task that has run for long, and then starts again beside others. */
+class StartedBefore
+{
+public:
+    explicit StartedBefore(bool isLongRunning)
+        : rig(3, Workers)
+    {
+        rig.fleet.workTime = 60s;
+        rig.run(1s);
+        WorkflowSpec spec = Rig::makeJob(task.job, 1);
+        spec.steps[0].isLongRunning = isLongRunning;
+        if (isLongRunning) {
+            rig.fleet.longRunningJobs.insert(task.job);
+        }
+        rig.submit(rig.leader(), spec);
+        rig.run(2s);
+    }
+
+    WorkerId holder() const
+    {
+        for (const auto &[id, worker] : rig.fleet.workers) {
+            for (const FakeRun &it : worker.running) {
+                if (it.run.task == task) {
+                    return id;
+                }
+            }
+        }
+        return {};
+    }
+
+    /** Its worker drains; returns when it has been started on another one. */
+    void drainHolder()
+    {
+        const WorkerId former = holder();
+        rig.fleet.workers[former].condition = WorkerCondition::Draining;
+        rig.backend.write("workers/" + former, "draining");
+        runUntilElsewhere(former);
+    }
+
+    /** Its worker crashes; returns when it has been started on another one. */
+    void crashHolder()
+    {
+        const WorkerId former = holder();
+        rig.fleet.crash(former);
+        runUntilElsewhere(former);
+    }
+
+    void runUntilElsewhere(const WorkerId &former)
+    {
+        const TimePoint until = rig.clock.now() + 20s;
+        while ((holder().empty() || holder() == former) && rig.clock.now() < until) {
+            rig.run(StepTime);
+        }
+        ASSERT_FALSE(holder().empty() || holder() == former);
+    }
+
+    /** What the store has of it. */
+    TaskState stored() const
+    {
+        JobState job;
+        job.accepted.spec = Rig::makeJob(task.job, 1);
+        resetTasks(job);
+        decodeProgress(rig.backend.items.at(std::string(ProgressPrefix) + task.job).value, job);
+        return job.occurrences[0].steps[0].tasks[0];
+    }
+
+    const TaskName task{"again", 0, 0, 0};
+    Rig rig;
+};
+
+} // namespace
+
+// A serving task that had run for a minute waited for a trial, behind all others that were suspected for the same crash.
+TEST(Crashes, taskThatHasStartedUpBeforeIsNotHeldForACrashAtItsStart)
+{
+    for (const bool isLongRunning : {true, false}) {
+        StartedBefore it(isLongRunning);
+        for (int i = 0; i < 2; ++i) { // again once it has started up
+            it.drainHolder();
+            it.crashHolder(); // just after its start
+            EXPECT_EQ(it.stored().crashes.size(), 1U);
+            EXPECT_FALSE(isSuspected(CrashSettings{}, it.stored().crashes)) << i;
+            it.rig.run(2s);
+        }
+    }
+}
+
+// A checkpoint, or data of its own, may make a task deadly that has started up before: the pass must be for one crash only.
+TEST(Crashes, taskThatBecomesDeadlyIsGivenUp)
+{
+    for (const bool isLongRunning : {true, false}) {
+        for (const Duration pause : {0ms, 900ms, 4100ms}) { // until the leader is killed; none: it is not
+            StartedBefore it(isLongRunning);
+            const std::vector<JobKey> before = submitOthers(it.rig, 1s, "before");
+            it.rig.fleet.deadlyTasks.insert(it.task); // its worker crashes now, and each one that starts it again
+            for (int i = 0; i < 4 && pause > Duration::zero(); ++i) {
+                it.rig.run(pause);
+                killLeader(it.rig);
+            }
+            it.rig.fleet.workTime = 300ms;
+            const std::vector<JobKey> others = submitOthers(it.rig, 10s);
+            it.rig.run(60s);
+            SCOPED_TRACE((isLongRunning ? "long " : "short ") + std::to_string(pause.count()));
+            expectGivenUp(it.rig, it.task);
+            expectCompleted(it.rig, before);
+            expectCompleted(it.rig, others);
+        }
+    }
+}
+
 // A cut, a freeze and a departure end runs as a crash does, and say nothing against them.
 TEST(Crashes, cutsAndDeparturesAreNoCrashes)
 {
@@ -368,12 +497,14 @@
     TaskState &task = job.occurrences[0].steps[0].tasks[1];
     task.crashes = {{3, CrashRole::Start, 4}, {5, CrashRole::Trial, 1}};
     task.trial = TaskTrial{7, "w1", 99, 1234, 0, {}, false};
+    task.hasEverStartedUp = true;
     JobState read;
     read.accepted = job.accepted;
     resetTasks(read);
     decodeProgress(encodeProgress(job), read);
     const TaskState &readTask = read.occurrences[0].steps[0].tasks[1];
     EXPECT_EQ(readTask.crashes, task.crashes);
+    EXPECT_TRUE(readTask.hasEverStartedUp);
     ASSERT_TRUE(readTask.trial);
     EXPECT_EQ(readTask.trial->attempt, 7U);
     EXPECT_EQ(readTask.trial->worker, "w1");
