Trials: idle workers of a shard take more of them; machines crashed by guilty tasks are not bad ones

And chooseTrialWorker() took machines that deadly tasks had crashed twice for bad ones, although these come back empty: the next trials went to workers with running tasks. All crashes of a task that is given up are explained: they are not the machine's.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -169,6 +169,7 @@
 
 TrialBudget::TrialBudget(const CrashSettings &settings, std::size_t workers)
     : m_limit(std::max(1.0, settings.maxShareAtRisk * static_cast<double>(workers)))
+    , m_maxShareOfSpare(settings.maxShareOfSpare)
 {
 }
 
@@ -183,9 +184,9 @@
     m_risk += std::min(static_cast<double>(workers), m_limit - std::min(m_limit, PlacesForTrials));
 }
 
-void TrialBudget::addIdle(std::size_t workers)
+void TrialBudget::addIdle(std::size_t idle, double spare)
 {
-    m_limit += std::min(m_limit, static_cast<double>(workers)) / 2;
+    m_limit += std::min(static_cast<double>(idle), std::max(m_limit, m_maxShareOfSpare * spare));
 }
 
 bool TrialBudget::hasTrialOfGuilty() const
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -62,9 +62,8 @@
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
     std::uint32_t maxExplained = 1; ///< crashes of a task that another one may explain; it is tried after the next one
     Duration maxTrialDelay = std::chrono::seconds(10); ///< a suspect that has waited longer is tried in order of waits
-    double maxShareAtRisk
-        = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker, and
-                ///< half as many more while workers are idle
+    double maxShareAtRisk = 0.05;  ///< of a shard's workers: expected number that trials keep down; at least one worker
+    double maxShareOfSpare = 0.25; ///< as many more, where nothing else runs, of the workers that the shard can spare
 };
 
 enum class CrashRole : std::uint8_t {
@@ -186,8 +185,11 @@
     void addTrial(double risk, bool isOfGuilty);
     /** Workers that are down for another reason; some places are left for trials, however many are. */
     void addDown(std::size_t workers);
-    /** Workers where a crash would interrupt nothing: half of them may be down as well, up to half the limit. */
-    void addIdle(std::size_t workers);
+    /**
+     * As many more may be down as there are @p idle workers, where a crash interrupts nothing: up to the limit again, and
+     * up to maxShareOfSpare of the @p spare ones, without which what runs would need half of the room.
+     */
+    void addIdle(std::size_t idle, double spare);
     bool allows(double risk) const;
     bool hasTrialOfGuilty() const;
     double risk() const;
@@ -195,6 +197,7 @@
 
 private:
     double m_limit;
+    double m_maxShareOfSpare;
     double m_risk = 0;
     bool m_hasTrialOfGuilty = false;
 };
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -252,6 +252,7 @@
         bool hasStartingRun = false; ///< a run had just been started there
         bool isTimeKnown = false;    ///< otherwise it was before this leader first reached the worker
         std::string address;         ///< of the worker
+        CrashName crash;
     };
 
     /** A step some of whose tasks wait. */
@@ -406,6 +407,7 @@
     bool isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const;
     WorkerIndex chooseTrialWorker(const TaskRef &ref, TimePoint now) const;
     TrialBudget trialBudget(TimePoint now) const;
+    double spareWorkers(TimePoint now) const;
     void endTrial(const TaskRef &ref);
     void endTrials(JobState &job);
 
@@ -630,7 +632,7 @@
 
     std::deque<RecentCrash> m_recentCrashes; ///< for CrashSettings::machineMemory, in the order in which they showed
     std::map<CrashName, TimePoint>
-        m_explainedCrashes; ///< by a task that has crashed another worker alone; when that showed
+        m_explainedCrashes; ///< by a task that has crashed another worker alone, or was given up; when that showed
     TimePoint m_nextSuspectLogAt{};
 
     PressureModel m_pressure;
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -82,7 +82,8 @@
                          isCoincident,
                          "first",
                          starting);
-    m_recentCrashes.push_back({at, n > 0, isTimeKnown, worker.record.address});
+    const CrashName crash{worker.record.id, lost.empty() ? 0 : lost.front().workerStartedAtMs};
+    m_recentCrashes.push_back({at, n > 0, isTimeKnown, worker.record.address, crash});
     std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident, isTimeKnown);
     for (std::size_t i = 0; i < lost.size(); ++i) {
         const auto ref = findTask(lost[i].run.task);
@@ -235,6 +236,9 @@
                             + std::to_string(task.crashes.size()) + " workers that started it, " + std::to_string(alone)
                             + " of them while it was tried alone";
     ++m_counters.tasksGivenUp;
+    for (const CrashEvidence &it : task.crashes) {
+        m_explainedCrashes[it.crash] = m_now; // not by the machines
+    }
     m_log.writeImportant("task_given_up", "job", ref.job->key(), "step", ref.step, "task", ref.index, "why", why);
     if (ref.job->isGuest) {
         task.isGivenUp = true;
