Crashes: evidence says whether workers hardly crash otherwise

Cause: two crashes in trials were needed for each verdict, however many workers had crashed at starts and however few otherwise. Change: CrashEvidence::areStartsToBlame, stored with the evidence; isGivenUp() takes one crash in a trial after one at a start if it is set.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -113,12 +113,12 @@
 bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes)
 {
     const auto starts = static_cast<std::uint32_t>(crashes.size()) - countCrashes(crashes, CrashRole::Present);
-    const std::uint32_t alone = countCrashes(crashes, CrashRole::Trial);
-    // It had started up before, so that one of its crashes was not held against it.
-    const bool wasSpared
-        = countCrashes(crashes, CrashRole::CoincidentStart) > countUnexplained(crashes, CrashRole::CoincidentStart);
-    const bool hasCrashedSince = wasSpared && alone > 0 && countCrashes(crashes, CrashRole::Start) > 0;
-    return alone >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes || hasCrashedSince;
+    const bool isTrialEnough = std::any_of(crashes.begin(), crashes.end(), [](const CrashEvidence &it) {
+        return it.role == CrashRole::Trial && it.areStartsToBlame;
+    });
+    const std::uint32_t trials = countCrashes(crashes, CrashRole::Trial);
+    return trials >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes
+           || (isTrialEnough && countUnexplained(crashes, CrashRole::Start) > 0);
 }
 
 double guiltEstimate(std::span<const CrashEvidence> crashes, const SuspectsByCrash &suspects)
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -11,7 +11,8 @@
  *      meanwhile. A task that starts up without a crash is no longer suspected.
  *   3. A task that has crashed a worker in its trial explains the crashes at which it had just been started. What was
  *      started beside it is no longer suspected for them, and need not wait for trials of its own.
- *   4. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials.
+ *   4. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials. One is enough
+ *      after a crash at its start, as long as workers hardly crash otherwise.
  * A crash next to one that no start explains (a power loss, a machine that crashes by itself) is not counted as a crash of a
  * trial, so that the victims of such crashes are not given up.
  *
@@ -56,6 +57,9 @@
     Duration trialTimeout = std::chrono::seconds(3);            ///< a trial that could not start chooses another worker
     Duration machineMemory = std::chrono::seconds(60);          ///< machines that crash twice in it get no trials
     std::uint32_t maxTrialCrashes = 2;                          ///< a task is given up after so many
+    std::uint32_t startCrashesPerOther
+        = 10; ///< as long as so many crashes in machineMemory were at a start for each other one, a crash in a trial
+              ///< convicts a task that has crashed at a start before
     std::uint32_t maxStartCrashes
         = 5; ///< a task is given up after so many crashes at its start, whatever the trials say
     std::uint32_t maxPresences
@@ -94,8 +98,9 @@
     CrashRole role = CrashRole::Present;
     std::uint32_t suspects = 1; ///< number of jobs whose runs may have caused the crash, this one included
     CrashName crash{};
-    std::int64_t recordedMs = 0; ///< wall time, Unix ms; zero: an older version has stored it
-    bool isExplained = false;    ///< by another task, or the task had started up before: no reason for a trial
+    std::int64_t recordedMs = 0;   ///< wall time, Unix ms; zero: an older version has stored it
+    bool isExplained = false;      ///< by another task, or the task had started up before: no reason for a trial
+    bool areStartsToBlame = false; ///< workers hardly crashed otherwise at that time, see CrashSettings
 
     bool operator==(const CrashEvidence &) const = default;
 };
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -102,7 +102,8 @@
                                     it.crash.worker,
                                     it.crash.workerStartedAtMs,
                                     it.recordedMs,
-                                    it.isExplained}));
+                                    it.isExplained,
+                                    it.areStartsToBlame}));
     }
     return rows;
 }
@@ -121,6 +122,7 @@
             crash.recordedMs = it.at(5);
             crash.isExplained = it.at(6);
         }
+        crash.areStartsToBlame = it.size() > 7 && it.at(7).get<bool>();
         crashes.push_back(std::move(crash));
     }
     return crashes;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -372,6 +372,7 @@
     LostRun describeLostRun(const TaskRef &ref, std::int64_t workerStartedAtMs, TimePoint lostAt) const;
     void recordCrash(WorkerIndex index, std::span<const LostRun> lost, bool isTimeKnown);
     bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at, bool isTimeKnown) const;
+    bool areStartsToBlame() const;
     void addEvidence(const TaskRef &ref, const CrashEvidence &evidence);
     void explainCrashesOf(const TaskState &guilty);
     void applyExplanations(const TaskRef &ref);
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -90,6 +90,7 @@
         if (ref && evidence[i]) {
             evidence[i]->crash = {worker.record.id, lost[i].workerStartedAtMs};
             evidence[i]->recordedMs = m_clock.wallNow().count();
+            evidence[i]->areStartsToBlame = isTimeKnown && areStartsToBlame();
             addEvidence(*ref, *evidence[i]);
         }
     }
@@ -118,6 +119,21 @@
     });
 }
 
+/** Whether hardly any worker crashes but at the start of a task. Crashes at about the same time count as one. */
+bool WorkflowScheduler::areStartsToBlame() const
+{
+    std::size_t atStart = 0;
+    std::size_t others = 0;
+    TimePoint lastOther{};
+    for (const RecentCrash &it : m_recentCrashes) {
+        const bool isSameEvent = lastOther != TimePoint{} && it.at - lastOther <= m_settings.crashes.coincidenceTime;
+        atStart += it.hasStartingRun ? 1 : 0;
+        others += !it.hasStartingRun && !isSameEvent ? 1 : 0;
+        lastOther = it.hasStartingRun ? lastOther : it.at;
+    }
+    return atStart >= others * m_settings.crashes.startCrashesPerOther;
+}
+
 /** Adds what a crash says of a task. Each attempt counts once, even if its crash shows twice. */
 void WorkflowScheduler::addEvidence(const TaskRef &ref, const CrashEvidence &evidence)
 {
--- a/packages/workflow/tests/crashtest.cpp
+++ b/packages/workflow/tests/crashtest.cpp
@@ -149,6 +149,24 @@
     EXPECT_TRUE(isSuspected(settings, victim)) << "it may crash its workers later";
 }
 
+// A second trial of each deadly task kept a worker down, and the verdicts on all others waiting.
+TEST(CrashDecisions, oneCrashInATrialIsEnoughWhileWorkersHardlyCrashOtherwise)
+{
+    const CrashSettings settings;
+    const CrashEvidence start{1, CrashRole::Start, 3, {"w1", 7}};
+    const CrashEvidence trial{2, CrashRole::Trial, 1, {"w2", 8}, 0, false, true};
+    std::vector<CrashEvidence> crashes{start, trial};
+    EXPECT_TRUE(isGivenUp(settings, crashes));
+    crashes[0].isExplained = true;
+    EXPECT_FALSE(isGivenUp(settings, crashes)) << "another task has caused the first one";
+    crashes[0].isExplained = false;
+    crashes[1].areStartsToBlame = false;
+    EXPECT_FALSE(isGivenUp(settings, crashes)) << "workers crash by themselves as well";
+    EXPECT_FALSE(isGivenUp(settings, std::vector{trial})) << "nothing but the trial";
+    EXPECT_FALSE(isGivenUp(settings, std::vector{start, {2, CrashRole::Start, 2, {"w2", 8}, 0, false, true}}))
+        << "it was not tried";
+}
+
 TEST(CrashDecisions, trialsMayKeepDownATwentiethOfTheWorkers)
 {
     TrialBudget budget(CrashSettings{}, 60);
@@ -484,7 +502,10 @@
         rig.run(100ms);
         ASSERT_TRUE(reply);
         EXPECT_EQ(reply->state, Failed);
-        EXPECT_NE(reply->failure.find("task 0 of step 0 crashed 3 workers"), std::string::npos) << reply->failure;
+        EXPECT_NE(reply->failure.find(
+                      "task 0 of step 0 crashed 2 workers that started it, 1 of them while it was tried alone"),
+                  std::string::npos)
+            << reply->failure;
     }
 }
 
