Several writes of progress in flight; transfers, moves and the list of workers no longer stop all others

Cause: one write was in flight for progress, the list of workers, given tasks, transfers, moves and removals together. With answers after 90 ms it took 140 ms a write, every third one for the list of workers; while the outcome of a transfer or of a move was unknown, nothing at all was stored, and no worker could forget an end.

Change: a job is in at most one write at a time (StoreQueue), so each write has the conditions that it had: the leader key and the revisions of its own records. Up to four writes of progress are in flight, the fourth for trials, verdicts and evidence only. Beside another one a write begins only if it is full or something waits for a record of it: a calm shard makes as many calls as before. Status and pressure are in one write at a time. The list of workers, given tasks and the removal of ended jobs have one write in flight each. A transfer and a move need only that their jobs are in no other write, and reserve them until their outcome is known. A transfer reserves its job as soon as it is prepared: else progress that changes all the time would keep it waiting. An ended job is removed only once it is stored and in no write. A conflict that shows its record as gone (a removal whose answer was lost) ends its wait, where it made every write with it meet the same conflict.

Given tasks: records were stored in the order of job keys, and a job whose record conflicts was tried again and again; of a job with more than 15 suspects only the first 15 were ever stored, and all were taken for stored, so trials of the others started unstored. Now by wait, a conflict goes behind the others, and a job is stored once the last of its records is.

What else waits for records, read in the sources: steps don't wait for the records of their predecessors; cancels are written by the node that takes them, and show as an end once stored; a worker leaves the stored list once its ends are stored; a move needs all progress of its job stored; withheld leases have had a write of their own.

No check was changed.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -263,7 +263,8 @@
     if (std::exchange(worker.contactLostAt, {}) != TimePoint{}) {
         for (const TaskRef &it : worker.runs) {
             if (std::exchange(it.task().silentStart, std::nullopt)) {
-                markDirty(*it.job, StoreClass::Evidence); // a stored one would be held against the task if the worker crashes later
+                // A stored one would be held against the task if the worker crashes later.
+                markDirty(*it.job, StoreClass::Evidence);
             }
         }
     }
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -191,7 +191,7 @@
         return;
     }
     checkEndsOfMovedJobs(now);
-    if (m_isStoring || m_isReadingStatusesForMove || now < m_nextJobMoveAt) {
+    if (m_isReadingStatusesForMove || now < m_nextJobMoveAt) {
         return;
     }
     std::vector<JobState *> jobs;
@@ -201,7 +201,7 @@
     std::copy_if(m_jobOrder.begin(), m_jobOrder.end(), std::back_inserter(jobs), [&](JobState *it) {
         return now >= it->nextMoveAt
                && (reason == MoveReason::Evacuation || hasLongFoundNoRoom(*it, now, m_settings.jobMoveDelay))
-               && canMoveWhole(*it) && isKnownToRunNowhere(*it);
+               && canMoveWhole(*it) && !isInWrite(it->key()) && isKnownToRunNowhere(*it);
     });
     if (jobs.empty()) {
         m_nextJobMoveAt = now + SearchInterval;
@@ -286,7 +286,6 @@
         return;
     }
     m_jobMove = std::move(move);
-    m_isStoring = true;
     sendJobMove();
 }
 
@@ -309,6 +308,7 @@
     change.removals.push_back(m_keys.jobs + key);
     move.jobs.push_back({key, to});
     job.isMoving = true;
+    reserveForWrite(key);
 }
 
 /** No attempt of any of the job's tasks so far has a higher number. */
@@ -356,7 +356,6 @@
 {
     const JobMove move = std::move(*m_jobMove);
     m_jobMove.reset();
-    m_isStoring = false;
     m_isPlacementDue = true;
     const TimePoint now = m_clock.now();
     if (reply.status == StoreStatus::Conflict) {
@@ -364,6 +363,7 @@
         m_isDeposed = m_isDeposed || leader == nullptr || leader->revision != m_term.keyRevision;
     }
     for (const MovingJob &it : move.jobs) {
+        cancelReservation(it.key);
         JobState &job = *findJob(it.key);
         // Only leaders of this shard remove the record, by a move of the job. Another shard may have moved it back since.
         const StoreItem *record = findItem(reply, m_keys.jobs + it.key);
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -131,7 +131,8 @@
     // Transfers between shards
     bool isGivenAway = false;         ///< the job's progress says that it was given to another shard
     bool hasRecord = false;           ///< belongs to this shard by a GivenTask
-    bool isSuspectInRecord = false;   ///< its GivenTask, as last stored, says something of crashes
+    bool isSuspectInRecord = false;   ///< its GivenTask, as last stored, may say something of crashes
+    std::uint64_t recordVersion = 0;  ///< of the job when its GivenTask was last stored by this leader
     std::uint32_t moves = 0;          ///< number of transfers so far
     TimePoint takenAt{};              ///< when another shard last gave it to this one; zero: none has, or not known
     std::uint64_t recordRevision = 0; ///< of the last GivenTask seen
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -69,7 +69,12 @@
     Duration formerLeaderOrderTime = std::chrono::milliseconds(9700);
 
     // Store
-    Duration storeInterval = std::chrono::milliseconds(50);   ///< least time between writes; batches ends of runs
+    Duration storeInterval
+        = std::chrono::milliseconds(50); ///< least time between writes of one kind; batches ends of runs
+    Duration awaitedStoreInterval = std::chrono::milliseconds(20); ///< the same while something waits for a record
+    /** Writes of progress in flight. Beside another one, a write begins only if it is full, or something waits for a record of it. */
+    std::size_t maxProgressWrites = 4;
+    std::size_t awaitedProgressWrites = 1;                    ///< of these, kept for records that something waits for
     Duration statusInterval = std::chrono::milliseconds(700); ///< between writes of ShardStatus; counts reported to
                                                               ///< callers may be up to two seconds old
     Duration pressureStoreInterval = std::chrono::seconds(4); ///< between writes of the pressure model
@@ -197,6 +202,8 @@
     const WaitingTasks &waitingTasks() const;                            ///< checked about once a second
     std::map<std::string, std::uint32_t> runsInEvacuatedDomains() const; ///< number of runs by queue
     std::size_t activeJobs() const;
+    StoreBacklogs storeBacklogs() const; ///< jobs whose progress waits to be stored, apart from those in a write
+    std::size_t writesInFlight() const;  ///< of progress
 
 private:
     using JobPtr = std::unique_ptr<JobState>;
@@ -208,7 +215,7 @@
         std::int64_t bestEffort = 0; ///< of tasks that use spare CPU
     };
 
-    /** Tasks of a step are to be given away once no other write is in flight. */
+    /** Tasks of a step are to be given away once the job is in no other write. */
     struct PreparedTransfer
     {
         JobKey key;
@@ -223,7 +230,7 @@
         int percent = 100;
     };
 
-    /** A write that gives tasks of one job to another shard. No other write is sent until its outcome is known. */
+    /** A write that gives tasks of one job to another shard. No other write takes the job until its outcome is known. */
     struct Transfer
     {
         ShardId to = 0;
@@ -292,7 +299,15 @@
         std::string progress;
     };
 
-    /** A write that moves jobs to other shards. No other write is sent until its outcome is known. */
+    /** A GivenTask in a write. */
+    struct GivenTaskRecord
+    {
+        TaskRef ref;
+        std::uint64_t version = 0; ///< of the job in that record
+        bool isSuspect = false;    ///< it says something of crashes
+    };
+
+    /** A write that moves jobs to other shards. No other write takes them until its outcome is known. */
     struct JobMove
     {
         MoveReason reason = MoveReason::Evacuation;
@@ -553,13 +568,25 @@
     void markDirty(JobState &job, StoreClass storeClass = StoreClass::Progress);
     void storeProgress(TimePoint now);
     void reportStoreWait(const StoreRecord &record, TimePoint now);
+    void storeProgressOfJobs(TimePoint now);
+    bool mayStoreProgress(TimePoint now) const;
+    bool addStatus(StoreChange &change, TimePoint now);
     std::vector<WrittenJob> addProgress(StoreChange &change, TimePoint now);
-    void onStored(std::span<const WrittenJob> written, const StoreReply &reply);
+    void noteAnswer(const StoreReply &reply);
+    void onStored(std::span<const WrittenJob> written, bool hasStatus, const StoreReply &reply);
     void onNotStored(const WrittenJob &written, const StoreReply &reply);
-    void storeGivenTasks();
-    void onGivenTasksStored(std::span<const TaskRef> refs, std::uint64_t version, const StoreReply &reply);
-    void storeWorkers();
+    bool isInWrite(const JobKey &key) const;
+    void reserveForWrite(const JobKey &key);
+    void cancelReservation(const JobKey &key);
+    void storeGivenTasks(TimePoint now);
+    std::vector<GivenTaskRecord> listGivenTaskRecords(JobState &job) const;
+    void
+    onGivenTasksStored(const StoreRecord &record, std::span<const GivenTaskRecord> records, const StoreReply &reply);
+    void storeWorkers(TimePoint now);
+    void onWorkersStored(const std::set<WorkerId> &ids, const StoreReply &reply);
+    bool isSettled(const JobKey &key);
     void removeExpiredJobs(TimePoint now);
+    void onExpiredJobsRemoved(std::span<const JobKey> keys, bool areRemoved);
     std::vector<std::string> recordsOf(const JobKey &key);
     void forgetRecords(const JobKey &key, const std::vector<std::string> &records);
     void addQueuedWork(const JobState &job, QueuedWork &sums) const;
@@ -699,10 +726,19 @@
     TimePoint m_nextEndCheckAt{};
 
     // Persistence
-    StoreQueue m_storeQueue;        ///< jobs whose progress is to be stored
-    std::set<JobKey> m_dirtyGuests; ///< other shards' jobs whose GivenTask records are to be stored
-    bool m_isStoring = false;
-    TimePoint m_nextStoreAt{};
+    StoreQueue m_storeQueue;          ///< jobs whose progress is to be stored
+    StoreQueue m_guestQueue;          ///< other shards' jobs whose GivenTask records are to be stored
+    std::size_t m_progressWrites = 0; ///< in flight
+    std::uint32_t m_failedWrites
+        = 0; ///< of progress and of GivenTask records, since the last one that the store answered
+    bool m_isStoringStatus = false; ///< one of them has ShardStatus or the pressure model
+    bool m_isStoringGivenTasks = false;
+    bool m_isRemovingJobs = false;
+    TimePoint m_lastStoreAt{};                                   ///< start of the last write of progress
+    TimePoint m_storeRetryAt{};                                  ///< earliest next write of progress after a failed one
+    TimePoint m_nextGivenTasksAt{};                              ///< earliest next write of GivenTask records
+    TimePoint m_nextWorkersAt{};                                 ///< earliest next write of the list of workers
+    TimePoint m_nextRemovalAt{};                                 ///< earliest next removal of expired jobs
     std::array<Duration, StoreClassCount> m_longestStoreWaits{}; ///< by class, since the last log line on them
     TimePoint m_nextStoreWaitLogAt{};
     ShardStatus m_storedStatus;        ///< as last written, without its revision
--- a/packages/workflow/storequeue.cpp
+++ b/packages/workflow/storequeue.cpp
@@ -41,7 +41,7 @@
         for (std::size_t lower = c + 1; lower < StoreClassCount; ++lower) {
             kept += std::min(PlacesPerLowerClass, m_ready[lower].size());
         }
-        while (!m_ready[c].empty() && records.size() + kept < limit) {
+        while (!m_ready[c].empty() && (records.empty() ? limit > 0 : records.size() + kept < limit)) {
             const auto [place, key] = *m_ready[c].begin();
             m_ready[c].erase(m_ready[c].begin());
             m_waiting.erase(key);
--- a/packages/workflow/storequeue.h
+++ b/packages/workflow/storequeue.h
@@ -71,7 +71,7 @@
     /** The record has changed at @p now. If it waits already, its wait goes on, and its class rises if this one is higher. */
     void add(const JobKey &key, StoreClass storeClass, TimePoint now);
 
-    /** At most @p limit records for a write: none that is in another one, or reserved. */
+    /** At most @p limit records for a write, the most urgent first: none that is in another one, or reserved. */
     std::vector<StoreRecord> take(std::size_t limit);
 
     void release(const JobKey &key);          ///< its write is over
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -64,7 +64,7 @@
     if (job.isGuest) { // its progress is its own shard's, apart from what its GivenTask records hold
         job.version += job.hasCrashEvidence ? 1 : 0;
         if (job.hasCrashEvidence) {
-            m_dirtyGuests.insert(job.key());
+            m_guestQueue.add(job.key(), std::min(storeClass, StoreClass::Evidence), m_clock.now());
         }
         return;
     }
@@ -104,16 +104,36 @@
 
 void WorkflowScheduler::storeProgress(TimePoint now)
 {
-    if (m_isStoring || now < m_nextStoreAt) {
-        return;
+    if (m_workersDirty && !m_isStoringWorkers && now >= m_nextWorkersAt) {
+        storeWorkers(now);
     }
-    if (m_workersDirty) {
-        storeWorkers();
-        return;
+    if (!m_isStoringGivenTasks && now >= m_nextGivenTasksAt) {
+        storeGivenTasks(now);
     }
-    if (!m_dirtyGuests.empty()) {
-        storeGivenTasks();
-        return;
+    if (mayStoreProgress(now)) {
+        storeProgressOfJobs(now);
+    }
+}
+
+/** A write of its own is worth its price beside others if it is full, or if something waits for one of its records. */
+bool WorkflowScheduler::mayStoreProgress(TimePoint now) const
+{
+    const bool isAwaited = m_storeQueue.isAwaitedReady();
+    const Duration interval = isAwaited ? m_settings.awaitedStoreInterval : m_settings.storeInterval;
+    if (now < m_storeRetryAt || now < m_lastStoreAt + interval) {
+        return false;
+    }
+    const std::size_t most
+        = isAwaited ? m_settings.maxProgressWrites : m_settings.maxProgressWrites - m_settings.awaitedProgressWrites;
+    const bool isWorthwhile = m_progressWrites == 0 || isAwaited || m_storeQueue.readyCount() >= JobsPerChange;
+    return isWorthwhile && m_progressWrites < most;
+}
+
+/** Adds the shard's status and its pressure model, as far as they are due. False if neither is. */
+bool WorkflowScheduler::addStatus(StoreChange &change, TimePoint now)
+{
+    if (m_isStoringStatus) {
+        return false; // two writes could be executed in either order
     }
     ShardStatus status = m_storedStatus;
     if (now >= m_nextStatusAt) {
@@ -127,17 +147,13 @@
         m_nextStatusAt = now + StatusCheckInterval;
     }
     const bool isPressureDue = now >= m_nextPressureStoreAt && m_pressure.hasNeighbours();
-    if (m_storeQueue.readyCount() == 0 && status == m_storedStatus && !isPressureDue) {
-        return;
-    }
-    StoreChange change;
-    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     if (isPressureDue) {
         change.puts.push_back({m_keys.pressure, encodePressure(m_pressure.save()), 0});
         m_nextPressureStoreAt
             = now + (m_hasOtherShards ? m_settings.pressureShareInterval : m_settings.pressureStoreInterval);
     }
-    if (status != m_storedStatus) {
+    const bool isStatusDue = status != m_storedStatus;
+    if (isStatusDue) {
         m_storedStatus = status;
         m_nextStatusAt = now + m_settings.statusInterval;
         ShardStatus stored = status;
@@ -145,15 +161,25 @@
         stored.writtenAtMs = m_settings.scarcity.enabled ? m_clock.wallNow().count() : 0;
         change.puts.push_back({m_keys.status, encodeStatus(stored), 0});
     }
+    return isPressureDue || isStatusDue;
+}
+
+void WorkflowScheduler::storeProgressOfJobs(TimePoint now)
+{
+    StoreChange change;
+    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
+    const bool hasStatus = addStatus(change, now);
     std::vector<WrittenJob> written = addProgress(change, now);
     if (change.puts.empty()) {
         return;
     }
-    m_isStoring = true;
-    m_nextStoreAt = now + m_settings.storeInterval;
+    ++m_progressWrites;
+    m_isStoringStatus = m_isStoringStatus || hasStatus;
+    m_lastStoreAt = now;
     ++m_counters.writes;
-    m_store.change(std::move(change),
-                   ifAlive([this, written = std::move(written)](const StoreReply &it) { onStored(written, it); }));
+    m_store.change(std::move(change), ifAlive([this, written = std::move(written), hasStatus](const StoreReply &it) {
+                       onStored(written, hasStatus, it);
+                   }));
 }
 
 /** Adds the records whose turn it is. */
@@ -175,85 +201,145 @@
     return written;
 }
 
-/** Stores what is known of crashes under the tasks of one job that were given to this shard. */
-void WorkflowScheduler::storeGivenTasks()
+bool WorkflowScheduler::isInWrite(const JobKey &key) const
 {
-    const JobKey key = *m_dirtyGuests.begin();
-    m_dirtyGuests.erase(m_dirtyGuests.begin());
-    JobState *job = findJob(key);
-    if (job == nullptr || !job->isGuest) {
-        return;
-    }
-    StoreChange change;
-    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
-    std::vector<TaskRef> refs;
-    for (std::uint32_t s = 0; s < job->accepted.spec.steps.size(); ++s) {
-        auto &tasks = job->occurrences.front().steps[s].tasks;
+    return m_storeQueue.isInWrite(key) || m_guestQueue.isInWrite(key);
+}
+
+/** No write of progress or of GivenTask records takes the job until cancelReservation(). */
+void WorkflowScheduler::reserveForWrite(const JobKey &key)
+{
+    m_storeQueue.reserve(key);
+    m_guestQueue.reserve(key);
+}
+
+void WorkflowScheduler::cancelReservation(const JobKey &key)
+{
+    m_storeQueue.cancelReservation(key);
+    m_guestQueue.cancelReservation(key);
+}
+
+/** Records of the job's tasks here that say something of crashes, or may; those stored least recently first. */
+std::vector<WorkflowScheduler::GivenTaskRecord> WorkflowScheduler::listGivenTaskRecords(JobState &job) const
+{
+    std::vector<GivenTaskRecord> records;
+    for (std::uint32_t s = 0; s < job.accepted.spec.steps.size(); ++s) {
+        const auto &tasks = job.occurrences.front().steps[s].tasks;
         for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-            TaskState &it = tasks[i];
+            const TaskState &it = tasks[i];
             const bool isSuspect = !it.crashes.empty() || it.trial || it.silentStart;
-            if (!it.hasRecord || !(isSuspect || it.isSuspectInRecord) || refs.size() == GivenTasksPerChange) {
-                continue;
+            if (it.hasRecord && (isSuspect || it.isSuspectInRecord)) {
+                records.push_back({{&job, 0, s, i}, job.version, isSuspect});
             }
-            it.isSuspectInRecord = isSuspect;
-            const std::string record = givenTaskKey(m_keys, key, s, i);
-            change.conditions.push_back({record, it.recordRevision});
-            change.puts.push_back({record,
-                                   encodeGivenTask({job->accepted,
-                                                    s,
-                                                    i,
-                                                    it.attemptBase,
-                                                    it.checkpoint,
-                                                    it.moves,
-                                                    it.crashes,
-                                                    it.trial,
-                                                    it.silentStart}),
-                                   0});
-            refs.push_back({job, 0, s, i});
         }
     }
-    if (refs.empty() || isFinal(job->state)) {
-        job->storedVersion = job->version;
+    std::stable_sort(records.begin(), records.end(), [](const GivenTaskRecord &a, const GivenTaskRecord &b) {
+        return a.ref.task().recordVersion < b.ref.task().recordVersion;
+    });
+    return records;
+}
+
+/** Stores what is known of crashes under the tasks of one job that were given to this shard. */
+void WorkflowScheduler::storeGivenTasks(TimePoint now)
+{
+    const std::vector<StoreRecord> next = m_guestQueue.take(1);
+    if (next.empty()) {
         return;
     }
-    m_isStoring = true;
+    const StoreRecord &record = next.front();
+    JobState *job = findJob(record.key);
+    std::vector<GivenTaskRecord> records;
+    if (job != nullptr && job->isGuest) {
+        records = listGivenTaskRecords(*job);
+        if (records.empty() || isFinal(job->state)) {
+            job->storedVersion = job->version;
+            records.clear();
+        }
+    }
+    if (records.empty()) {
+        m_guestQueue.release(record.key);
+        return;
+    }
+    records.resize(std::min(records.size(), GivenTasksPerChange));
+    StoreChange change;
+    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
+    for (const GivenTaskRecord &it : records) {
+        TaskState &task = it.ref.task();
+        task.isSuspectInRecord = task.isSuspectInRecord || it.isSuspect;
+        const std::string key = givenTaskKey(m_keys, record.key, it.ref.step, it.ref.index);
+        change.conditions.push_back({key, task.recordRevision});
+        change.puts.push_back({key,
+                               encodeGivenTask({job->accepted,
+                                                it.ref.step,
+                                                it.ref.index,
+                                                task.attemptBase,
+                                                task.checkpoint,
+                                                task.moves,
+                                                task.crashes,
+                                                task.trial,
+                                                task.silentStart}),
+                               0});
+    }
+    m_isStoringGivenTasks = true;
+    m_nextGivenTasksAt = now + m_settings.awaitedStoreInterval;
     ++m_counters.writes;
-    m_store.change(std::move(change), ifAlive([this, key, version = job->version, refs](const StoreReply &reply) {
-                       m_isStoring = false;
-                       if (findJob(key) == refs.front().job) {
-                           onGivenTasksStored(refs, version, reply);
+    m_store.change(std::move(change), ifAlive([this, record, records](const StoreReply &reply) {
+                       m_isStoringGivenTasks = false;
+                       if (findJob(record.key) == records.front().ref.job) {
+                           onGivenTasksStored(record, records, reply);
                        }
+                       m_guestQueue.release(record.key);
                    }));
 }
 
-void WorkflowScheduler::onGivenTasksStored(std::span<const TaskRef> refs,
-                                           std::uint64_t version,
+/** The job waits on if there was not room for all of its records; after a failure, behind those that wait now. */
+void WorkflowScheduler::onGivenTasksStored(const StoreRecord &record,
+                                           std::span<const GivenTaskRecord> records,
                                            const StoreReply &reply)
 {
-    JobState &job = *refs.front().job;
+    JobState &job = *records.front().ref.job;
+    const TimePoint now = m_clock.now();
+    noteAnswer(reply);
     if (reply.status == StoreStatus::Ok) {
-        for (const TaskRef &it : refs) {
-            it.task().recordRevision = std::max(it.task().recordRevision, reply.revision);
+        for (const GivenTaskRecord &it : records) {
+            TaskState &task = it.ref.task();
+            task.recordRevision = std::max(task.recordRevision, reply.revision);
+            task.recordVersion = it.version;
+            task.isSuspectInRecord = it.isSuspect;
+        }
+        const std::vector<GivenTaskRecord> all = listGivenTaskRecords(job);
+        const std::uint64_t written = records.front().version;
+        const std::uint64_t oldest = all.empty() ? written : std::min(written, all.front().ref.task().recordVersion);
+        job.storedVersion = std::max(job.storedVersion, oldest);
+        if (oldest < written) {
+            m_guestQueue.add(record.key, record.storeClass, record.since);
         }
-        job.storedVersion = std::max(job.storedVersion, version);
         return;
     }
-    m_dirtyGuests.insert(job.key());
     job.failedWrites += reply.status == StoreStatus::Conflict ? 0 : 1;
-    m_nextStoreAt = m_clock.now() + m_settings.storeRetryDelay;
+    m_guestQueue.add(record.key, StoreClass::Evidence, now); // one that always conflicts would keep all others waiting
+    m_nextGivenTasksAt = now + m_settings.storeRetryDelay;
     for (const StoreItem &item : reply.items) { // of a conflict: also of an earlier write whose reply was lost
         m_isDeposed = m_isDeposed || (item.key == m_keys.leader && item.revision != m_term.keyRevision);
-        for (const TaskRef &it : refs) {
-            if (item.key == givenTaskKey(m_keys, job.key(), it.step, it.index)) {
-                it.task().recordRevision = item.revision;
+        for (const GivenTaskRecord &it : records) {
+            if (item.key == givenTaskKey(m_keys, job.key(), it.ref.step, it.ref.index)) {
+                it.ref.task().recordRevision = item.revision;
             }
         }
     }
 }
 
-void WorkflowScheduler::onStored(std::span<const WrittenJob> written, const StoreReply &reply)
+void WorkflowScheduler::noteAnswer(const StoreReply &reply)
 {
-    m_isStoring = false;
+    const bool isAnswered = reply.status == StoreStatus::Ok || reply.status == StoreStatus::Conflict;
+    m_failedWrites = isAnswered ? 0 : m_failedWrites + 1;
+}
+
+void WorkflowScheduler::onStored(std::span<const WrittenJob> written, bool hasStatus, const StoreReply &reply)
+{
+    --m_progressWrites;
+    noteAnswer(reply);
+    m_isStoringStatus = m_isStoringStatus && !hasStatus;
     if (reply.status == StoreStatus::Ok) {
         for (const WrittenJob &it : written) {
             m_storeQueue.release(it.record.key);
@@ -264,9 +350,7 @@
         }
         return;
     }
-    m_storedStatus = {};
-    m_nextStoreAt
-        = m_clock.now() + (reply.status == StoreStatus::Conflict ? Duration::zero() : m_settings.storeRetryDelay);
+    m_storedStatus = hasStatus ? ShardStatus{} : m_storedStatus;
     if (reply.status == StoreStatus::Conflict) {
         // Either another node leads, or an earlier write took effect although its reply was lost.
         const auto leader = std::find_if(
@@ -274,6 +358,8 @@
         if (leader == reply.items.end() || leader->revision != m_term.keyRevision) {
             m_isDeposed = true;
         }
+    } else {
+        m_storeRetryAt = m_clock.now() + m_settings.storeRetryDelay;
     }
     for (const WrittenJob &it : written) {
         onNotStored(it, reply);
@@ -285,8 +371,10 @@
 {
     const JobKey &key = written.record.key;
     JobState *job = findJob(key);
+    bool isGone = reply.status == StoreStatus::Conflict && !m_isDeposed && m_storedRevisions[key] != 0;
     for (const StoreItem &it : reply.items) {
         if (it.key == std::string(ProgressPrefix) + key) {
+            isGone = false;
             m_storedRevisions[key] = it.revision;
             if (job != nullptr && it.value == written.progress) {
                 job->storedVersion = std::max(job->storedVersion, written.version);
@@ -297,6 +385,11 @@
         m_storeQueue.release(key);
         return;
     }
+    if (isGone && isFinal(job->state)) { // by a removal whose reply was lost: nothing of it is to be stored any more
+        job->storedVersion = std::max(job->storedVersion, written.version);
+    } else if (isGone) { // else each write with it would meet the same conflict
+        m_log.write("progress_missing", "job", key, "revision", std::exchange(m_storedRevisions[key], 0));
+    }
     job->failedWrites += reply.status == StoreStatus::Conflict ? 0 : 1;
     if (job->storedVersion < written.version) {
         m_storeQueue.giveBack(written.record);
@@ -435,7 +528,7 @@
  * Stores the list of workers that a successor has to read: new ones before the first order to them, leaving ones until
  * nothing runs there any more.
  */
-void WorkflowScheduler::storeWorkers()
+void WorkflowScheduler::storeWorkers(TimePoint now)
 {
     std::vector<KnownWorker> knownWorkers;
     std::set<WorkerId> ids;
@@ -450,26 +543,31 @@
     StoreChange change;
     change.conditions = {{m_keys.leader, m_term.keyRevision}, {m_keys.workers, m_workersRevision}};
     change.puts = {{m_keys.workers, encodeWorkers(knownWorkers), 0}};
-    m_isStoring = true;
+    m_isStoringWorkers = true;
     m_workersDirty = false;
-    m_store.change(std::move(change), ifAlive([this, ids = std::move(ids)](const StoreReply &reply) {
-                       m_isStoring = false;
-                       if (reply.status == StoreStatus::Ok) {
-                           m_workersRevision = reply.revision;
-                           m_storedWorkers.insert(ids.begin(), ids.end());
-                           m_isPlacementDue = true;
-                           return;
-                       }
-                       m_workersDirty = true;
-                       m_nextStoreAt = m_clock.now() + m_settings.storeRetryDelay;
-                       for (const StoreItem &it : reply.items) {
-                           if (it.key == m_keys.workers) {
-                               m_workersRevision = it.revision;
-                           } else if (it.key == m_keys.leader && it.revision != m_term.keyRevision) {
-                               m_isDeposed = true;
-                           }
-                       }
-                   }));
+    m_nextWorkersAt = now + m_settings.storeInterval;
+    m_store.change(std::move(change),
+                   ifAlive([this, ids = std::move(ids)](const StoreReply &reply) { onWorkersStored(ids, reply); }));
+}
+
+void WorkflowScheduler::onWorkersStored(const std::set<WorkerId> &ids, const StoreReply &reply)
+{
+    m_isStoringWorkers = false;
+    if (reply.status == StoreStatus::Ok) {
+        m_workersRevision = reply.revision;
+        m_storedWorkers.insert(ids.begin(), ids.end());
+        m_isPlacementDue = true;
+        return;
+    }
+    m_workersDirty = true;
+    m_nextWorkersAt = m_clock.now() + m_settings.storeRetryDelay;
+    for (const StoreItem &it : reply.items) {
+        if (it.key == m_keys.workers) {
+            m_workersRevision = it.revision;
+        } else if (it.key == m_keys.leader && it.revision != m_term.keyRevision) {
+            m_isDeposed = true;
+        }
+    }
 }
 
 /** The stored records of a job that has ended, in the order in which they may be removed. */
@@ -494,20 +592,27 @@
     return records;
 }
 
-/** Removes jobs that ended more than finalJobRetention ago, a few at a time and only while no write is pending. */
+/** Whether nothing of a job that has ended is to be stored, or in a write. */
+bool WorkflowScheduler::isSettled(const JobKey &key)
+{
+    const JobState *job = findJob(key);
+    return job == nullptr || (job->heldTasks == 0 && job->storedVersion == job->version && !isInWrite(key));
+}
+
+/** Removes jobs that ended more than finalJobRetention ago, a few at a time. */
 void WorkflowScheduler::removeExpiredJobs(TimePoint now)
 {
-    if (m_isStoring || m_finalJobs.empty() || now < m_finalJobs.front().first + m_settings.finalJobRetention) {
+    const TimePoint endedBy = now - m_settings.finalJobRetention;
+    if (m_isRemovingJobs || now < m_nextRemovalAt || m_finalJobs.empty() || endedBy < m_finalJobs.front().first) {
         return;
     }
     StoreChange change;
     change.conditions.push_back({m_keys.leader, m_term.keyRevision});
     std::vector<JobKey> keys;
     JobKey partlyRemoved;
-    while (!m_finalJobs.empty() && now >= m_finalJobs.front().first + m_settings.finalJobRetention) {
+    while (!m_finalJobs.empty() && endedBy >= m_finalJobs.front().first) {
         const JobKey key = m_finalJobs.front().second;
-        const JobState *job = findJob(key);
-        if (job != nullptr && job->heldTasks > 0) {
+        if (!isSettled(key)) {
             break;
         }
         const std::vector<std::string> removals = recordsOf(key);
@@ -516,34 +621,57 @@
             if (keys.empty()) {
                 change.removals.assign(removals.begin(), removals.begin() + MaxRemovals);
                 partlyRemoved = key;
+                reserveForWrite(key);
             }
             break;
         }
         m_finalJobs.pop_front();
         keys.push_back(key);
+        reserveForWrite(key);
         change.removals.insert(change.removals.end(), removals.begin(), removals.end());
     }
     if (change.removals.empty()) {
         return;
     }
-    m_isStoring = true;
+    m_isRemovingJobs = true;
+    m_nextRemovalAt = now + m_settings.storeInterval;
     const std::vector<std::string> removed = change.removals;
     m_store.change(std::move(change), ifAlive([this, keys, partlyRemoved, removed](const StoreReply &reply) {
-                       m_isStoring = false;
                        if (reply.status == StoreStatus::Ok) {
                            forgetRecords(partlyRemoved, removed);
+                       } else {
+                           m_nextRemovalAt = m_clock.now() + m_settings.storeRetryDelay;
                        }
-                       m_log.write("expired_jobs_removed", "jobs", keys.size(), "ok", reply.status == StoreStatus::Ok);
-                       for (const JobKey &key : keys) {
-                           if (reply.status == StoreStatus::Ok) {
-                               m_jobs.erase(key);
-                               m_storeQueue.forget(key);
-                               m_storedRevisions.erase(key);
-                           } else {
-                               m_finalJobs.emplace_back(m_clock.now(), key);
-                           }
-                       }
+                       cancelReservation(partlyRemoved);
+                       onExpiredJobsRemoved(keys, reply.status == StoreStatus::Ok);
                    }));
 }
 
+void WorkflowScheduler::onExpiredJobsRemoved(std::span<const JobKey> keys, bool areRemoved)
+{
+    m_isRemovingJobs = false;
+    m_log.write("expired_jobs_removed", "jobs", keys.size(), "ok", areRemoved);
+    for (const JobKey &key : keys) {
+        cancelReservation(key);
+        if (areRemoved) {
+            m_jobs.erase(key);
+            m_storeQueue.forget(key);
+            m_guestQueue.forget(key);
+            m_storedRevisions.erase(key);
+        } else {
+            m_finalJobs.emplace_back(m_clock.now(), key);
+        }
+    }
+}
+
+StoreBacklogs WorkflowScheduler::storeBacklogs() const
+{
+    return m_storeQueue.backlogs();
+}
+
+std::size_t WorkflowScheduler::writesInFlight() const
+{
+    return m_progressWrites;
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -80,12 +80,6 @@
     return it;
 }
 
-std::uint64_t readEnvironment(const char *name, std::uint64_t fallback)
-{
-    const char *text = std::getenv(name);
-    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
-}
-
 class FaultScenario
 {
 public:
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -33,6 +33,12 @@
 constexpr Duration StepTime = 10ms;
 constexpr Duration CallTimeout = 500ms;
 
+inline std::uint64_t readEnvironment(const char *name, std::uint64_t fallback)
+{
+    const char *text = std::getenv(name);
+    return text == nullptr ? fallback : std::strtoull(text, nullptr, 10);
+}
+
 /** Replies in transit: callbacks, each of which runs at its time. */
 class DelayedCalls
 {
@@ -95,6 +101,7 @@
     bool isSilent = false;              ///< calls are neither executed nor answered, also those that have been waiting
     Duration callTimeout = CallTimeout; ///< of calls without an answer, except watches
     Duration answerTime = StepTime;     ///< from the execution of a call to its answer, except watches
+    std::function<bool(const StoreChange &)> isLost; ///< such changes are neither executed nor answered
     std::function<Duration()>
         changeDelay; ///< from a change to its execution; none: at once. Unanswered after callTimeout
     bool isLosingRenewalReplies = false;               ///< renewals of leases are executed and not answered
@@ -148,6 +155,10 @@
             m_replies.schedule(CallTimeout, [done] { done({}); });
             return;
         }
+        if (isLost && isLost(change)) {
+            m_replies.schedule(callTimeout, [done] { done({}); });
+            return;
+        }
         if (changeDelay && !isRefusing && !isSilent) {
             executeLater(std::move(change), done);
             return;
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -72,8 +72,12 @@
         return;
     }
     if (m_preparedTransfer) {
-        if (!m_isStoring) {
-            chooseDestination(*std::exchange(m_preparedTransfer, std::nullopt), now);
+        if (!isInWrite(m_preparedTransfer->key)) {
+            const PreparedTransfer prepared = *std::exchange(m_preparedTransfer, std::nullopt);
+            chooseDestination(prepared, now);
+            if (!m_transfer) {
+                cancelReservation(prepared.key);
+            }
         }
         return;
     }
@@ -203,6 +207,8 @@
                     m_isPreparingTransfer = false;
                     if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
                         m_preparedTransfer = PreparedTransfer{key, step, reply.items.front()};
+                        reserveForWrite(
+                            key); // progress that changes again and again would be in one write after another
                     }
                 }));
 }
@@ -323,7 +329,6 @@
     }
     transfer.tasks = std::move(tasks);
     m_transfer = std::move(transfer);
-    m_isStoring = true;
     sendTransfer();
 }
 
@@ -354,6 +359,7 @@
         break;
     case StoreStatus::Unknown:
         m_transfer->mayBeStored = true;
+        ++m_transfer->tasks.front().job->failedWrites; // a trial of another task of the job waits for this one
         break;
     }
     m_transfer->retryAt = m_clock.now() + WriteRetryDelay;
@@ -386,9 +392,9 @@
 {
     const Transfer transfer = std::move(*m_transfer);
     m_transfer.reset();
-    m_isStoring = false;
     m_isPlacementDue = true;
     JobState &job = *transfer.tasks.front().job;
+    cancelReservation(job.key());
     job.occurrences.front().steps[transfer.tasks.front().step].nextTransferAt
         = isExecuted ? TimePoint{} : m_clock.now() + WriteRetryDelay;
     const bool isFromRecord = transfer.progress.empty();
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -56,7 +56,7 @@
             endOutwaitedTrials(it.refs);
         }
     }
-    if (m_authority != Authority::Full) {
+    if (m_authority != Authority::Full || m_failedWrites >= MaxFailedWrites) {
         return; // the store does not answer: workers chosen now would start nothing at all
     }
     std::erase_if(candidates, [now](const TrialCandidate &it) {
