Metrics of records that wait to be stored: number and longest wait by class, writes in flight

The log line progress_waits names the longest wait of each class once one waits for a second; between such lines a dashboard had nothing that tells a backlog from a slow store. unstored_jobs and oldest_unstored_seconds don't cover what is in a write, which progress_writes_in_flight shows.

--- a/packages/workflow/metrics.cpp
+++ b/packages/workflow/metrics.cpp
@@ -85,6 +85,28 @@
         addIncrease("writes_total", {{"shard", name}}, counters.writes, before.writes);
     }
 
+    /** Sets the metrics of records that wait to be stored. */
+    void setUnstored(std::span<const WorkflowScheduler *const> schedulers, TimePoint now)
+    {
+        StoreBacklogs sums;
+        std::size_t writes = 0;
+        for (const WorkflowScheduler *scheduler : schedulers) {
+            const StoreBacklogs backlogs = scheduler->storeBacklogs();
+            writes += scheduler->writesInFlight();
+            for (std::size_t c = 0; c < StoreClassCount; ++c) {
+                sums[c].records += backlogs[c].records;
+                const TimePoint since = std::min(backlogs[c].since.value_or(now), sums[c].since.value_or(now));
+                sums[c].since = since;
+            }
+        }
+        for (std::size_t c = 0; c < StoreClassCount; ++c) {
+            const Labels labels{{"class", std::string(storeClassName(static_cast<StoreClass>(c)))}};
+            set("unstored_jobs", static_cast<double>(sums[c].records), labels);
+            set("oldest_unstored_seconds", toSeconds(now - sums[c].since.value_or(now)), labels);
+        }
+        set("progress_writes_in_flight", static_cast<double>(writes));
+    }
+
     /** Sets the metrics of waiting tasks. The gauges of queues and reasons without any return to 0. */
     void setWaits(std::span<const WorkflowScheduler *const> schedulers)
     {
@@ -224,6 +246,7 @@
         it.set("evacuated_domain_runs", runs, {{"queue", queue}});
     }
     it.lastEvacuatedRuns = std::move(evacuatedRuns);
+    it.setUnstored(node.schedulers(), now);
     it.set("catalog_version", static_cast<double>(node.catalog().version));
     it.set("catalog_age_seconds", toSeconds(now - node.catalogConfirmedAt()));
 }
--- a/packages/workflow/metrics.h
+++ b/packages/workflow/metrics.h
@@ -36,6 +36,10 @@
  *   waiting_long_running_tasks{why}   gauge: long-running tasks that have waited for seconds, for unread workers or room
  *   suspected_tasks{state}            gauge: tasks that may crash their workers: waiting for a trial, or tried
  *   oldest_suspect_wait_seconds       gauge: longest time since the last crash that a waiting one is suspected for
+ *   unstored_jobs{class}, oldest_unstored_seconds{class}
+ *                                     gauges: jobs whose progress waits to be stored, apart from those in a write, and the
+ *                                     longest wait, by StoreClass; see storequeue.h
+ *   progress_writes_in_flight         gauge
  *   log_lines_left_out_total          log lines suppressed by the rate limit
  */
 #pragma once
