--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -117,7 +117,11 @@
         return it.role == CrashRole::Trial && it.areStartsToBlame;
     });
     const std::uint32_t trials = countCrashes(crashes, CrashRole::Trial);
-    return trials >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes
+    // It had started up before, so that one of its crashes was not held against it.
+    const bool wasSpared
+        = countCrashes(crashes, CrashRole::CoincidentStart) > countUnexplained(crashes, CrashRole::CoincidentStart);
+    const bool hasCrashedSince = wasSpared && trials > 0 && countCrashes(crashes, CrashRole::Start) > 0;
+    return trials >= settings.maxTrialCrashes || starts >= settings.maxStartCrashes || hasCrashedSince
            || (isTrialEnough && countUnexplained(crashes, CrashRole::Start) > 0);
 }
 
--- a/packages/workflow/tests/waitingtest.cpp
+++ b/packages/workflow/tests/waitingtest.cpp
@@ -358,10 +358,15 @@
         rig.fleet.workers[id].leavesInMs = 600'000;
         onReturn(former, id);
     };
+    rig.scheduler.crashes.machineMemory = 600s;
+    rig.kill(0);
+    rig.boot(0);
     rig.addWorker("crashes by itself"); // so that one crash in a trial does not convict
-    rig.run(1s);
+    rig.run(4s);
+    rig.fleet.crashBehaviour.keepsId = true;
     rig.fleet.crash("crashes by itself");
     rig.run(6s);
+    rig.fleet.crashBehaviour.keepsId = false;
     rig.fleet.deadlyTasks.insert({"deadly", 0, 0, 0});
     WorkflowSpec spec = Rig::makeJob("deadly", 1, 2);
     spec.steps[1].after.clear();
