Starts of different jobs are kept apart while tasks crash the workers that start them

Cause: each crash held all jobs that had just been started on that worker, each of them needed a trial of its own, and trials may keep down a twentieth of the workers: suspects came faster than verdicts.

From the moment at which a worker falls silent under a start that may be deadly (or has crashed so), until 15 s after the last one, a task that has never started up is not placed where another job is starting up. A crash then names one job. Tasks of one job start together, and go where the job is starting already; tasks that have started up before are neither held up nor an obstacle. The check is a refusal (others_starting) of chooseWorker(); reservations, evictions, trials and promises of room leave it out, and a step that waits only for that is not without room. After 5 s it starts beside others, gangs included. Workers report by the time a start can show, 0.6 s at the latest. A calm pool is placed and called as before.

As a crash now names one job, more suspects are likely guilty at once: idle workers no longer extend the limit for these (Crashes.trialsKeepFewWorkersDown had 6 of 60 down, less than 6 are asked for).

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -172,7 +172,7 @@
             = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
     if (worker.hasReported && worker.unansweredRenewals == 0 && worker.unacknowledgedEnds.empty()) {
-        order.wait = m_settings.renewInterval;
+        order.wait = renewalWait(worker, now);
     }
     worker.isRenewing = true;
     m_port.renew(target(worker), order, ifAlive([this, index, fence = worker.fence, now](const RenewReply &reply) {
@@ -209,6 +209,7 @@
         if (worker.unansweredRenewals == 1 && worker.contactLostAt == TimePoint{}) {
             worker.contactLostAt = now;
             storeSilentStarts(worker);
+            separateStartsAfterSilence(index);
             m_log.write("worker_contact_lost",
                         "worker",
                         worker.record.id,
--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -185,7 +185,8 @@
 
 void TrialBudget::addIdle(std::size_t workers)
 {
-    m_limit += std::min(m_limit, static_cast<double>(workers)) / 2;
+    m_idle = std::min(m_limit, static_cast<double>(workers)) / 2;
+    m_limit += m_idle;
 }
 
 bool TrialBudget::hasTrialOfGuilty() const
@@ -193,9 +194,9 @@
     return m_hasTrialOfGuilty;
 }
 
-bool TrialBudget::allows(double risk) const
+bool TrialBudget::allows(double risk, bool isOfGuilty) const
 {
-    return m_risk + risk <= m_limit;
+    return m_risk + risk <= m_limit - (isOfGuilty ? m_idle : 0);
 }
 
 double TrialBudget::risk() const
@@ -243,7 +244,7 @@
         }
         const double keptRisk = isPlaceKept && !isGuilty(i) ? LikelyGuilty : 0; // of the trial of a guilty one
         bool &doesWait = areGuiltyApart && isGuilty(i) ? doesGuiltyWait : doesOtherWait;
-        if (doesWait || !budget.allows(waiting[i].guilt + keptRisk)) {
+        if (doesWait || !budget.allows(waiting[i].guilt + keptRisk, isGuilty(i))) {
             doesWait = doesWait || isOverdue(i);
             continue;
         }
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -12,6 +12,9 @@
  *   3. A task that has crashed a worker in its trial explains the crashes at which it had just been started. What was
  *      started beside it is no longer suspected for them, and need not wait for trials of its own.
  *   4. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials.
+ * While tasks crash the workers that start them, tasks of one job at a time start up on a worker, so that a crash names its
+ * job (separation.cpp). Tasks that are known to start up are neither held up by that nor in the way of others.
+ *
  * A crash next to one that no start explains (a power loss, a machine that crashes by itself) is not counted as a crash of a
  * trial, so that the victims of such crashes are not given up.
  *
@@ -61,7 +64,12 @@
     std::uint32_t maxPresences
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
     std::uint32_t maxExplained = 1; ///< crashes of a task that another one may explain; it is tried after the next one
-    Duration maxTrialDelay = std::chrono::seconds(10); ///< a suspect that has waited longer is tried in order of waits
+    Duration maxTrialDelay = std::chrono::seconds(10);  ///< a suspect that has waited longer is tried in order of waits
+    Duration separationTime = std::chrono::seconds(15); ///< starts of different jobs are kept apart so long after a
+                                                        ///< worker crashed, or fell silent, under one
+    Duration maxSeparationDelay
+        = std::chrono::seconds(5); ///< a step that has waited longer for the starts of other jobs
+                                   ///< starts beside them
     double maxShareAtRisk
         = 0.05; ///< of a shard's workers: expected number that trials keep down; at least one worker, and
                 ///< half as many more while workers are idle
@@ -184,15 +192,19 @@
     void addTrial(double risk, bool isOfGuilty);
     /** Workers that are down for another reason; some places are left for trials, however many are. */
     void addDown(std::size_t workers);
-    /** Workers where a crash would interrupt nothing: half of them may be down as well, up to half the limit. */
+    /**
+     * Workers where a crash would interrupt nothing: half of them may be down as well, up to half the limit, but not by
+     * suspects that are likely guilty, whose trials clear nobody.
+     */
     void addIdle(std::size_t workers);
-    bool allows(double risk) const;
+    bool allows(double risk, bool isOfGuilty = false) const;
     bool hasTrialOfGuilty() const;
     double risk() const;
     double limit() const;
 
 private:
     double m_limit;
+    double m_idle = 0; ///< part of the limit that is there because of idle workers
     double m_risk = 0;
     bool m_hasTrialOfGuilty = false;
 };
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -66,6 +66,7 @@
     listUsableWorkers(now);
     m_unplaced.clear();
     m_unpaced.clear();
+    m_heldByStarts.clear();
     placeTrials(now);
     placeOverdueJobs(now);
     for (JobState *job : m_jobOrder) {
@@ -286,7 +287,8 @@
     const auto n = static_cast<std::uint32_t>(job.occurrences[occurrence].steps[step].tasks.size());
     std::uint32_t placed = 0;
     bool isWithoutRoom = false;
-    bool isCutShort = false; // the other tasks have their turn later in the same pass
+    bool isHeldByStarts = false; // some have room, but only where other jobs start
+    bool isCutShort = false;     // the other tasks have their turn later in the same pass
     sortTasks(job, occurrence, step);
     for (const std::uint32_t i : m_taskOrder) {
         if (!mayPlaceInThisPass(job, job.accepted.spec.steps[step])) {
@@ -305,7 +307,21 @@
         const bool canShare = canShareSpareCpu(job);
         const bool isHopeless
             = !hasLongRunningStep(job.accepted.spec) && m_unplaced.covers(ref.spec(), job.accepted.pool, canShare);
+        if (!isHopeless && mustStartApart(ref, now)) {
+            const bool isHeld
+                = isHeldByStarts
+                  || (job.heldTasks == 0 && m_heldByStarts.covers(ref.spec(), job.accepted.pool, canShare));
+            isHeldByStarts = isHeld;
+            if (isHeld) {
+                continue; // tasks that are known to start up may have room
+            }
+        }
         PacedStart start{isHopeless ? NoWorker : chooseWorker(ref, canShare, now)};
+        if (start.worker == NoWorker && !isHopeless && m_hasRoomBesideStarts) {
+            m_heldByStarts.add(ref.spec(), job.accepted.pool, canShare);
+            isHeldByStarts = true;
+            continue;
+        }
         if (start.worker == NoWorker) {
             if (!isHopeless) {
                 m_unplaced.add(ref.spec(), job.accepted.pool, canShare);
@@ -327,6 +343,7 @@
     TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
     if (!isCutShort) {
         noRoomSince = !isWithoutRoom ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+        noteHeldByStarts(job.occurrences[occurrence].steps[step], isHeldByStarts, now);
     }
     if (placed > 0) {
         m_log.write("tasks_started",
@@ -389,14 +406,18 @@
             break;
         }
         reserveResources(ref, worker);
+        noteStartingJob(*m_workers[worker], ref); // the others go there too, if they may
         chosen.push_back(worker);
     }
     for (std::uint32_t i = 0; i < chosen.size(); ++i) {
         releaseResources({&job, occurrence, step, i});
         tasks[i].phase = TaskPhase::Waiting;
+        listStartingJobs(*m_workers[chosen[i]]);
     }
+    const bool isHeldByStarts = chosen.size() < tasks.size() && m_hasRoomBesideStarts;
+    noteHeldByStarts(job.occurrences[occurrence].steps[step], isHeldByStarts, now);
     if (chosen.size() < tasks.size()) {
-        noRoomSince = noRoomSince == TimePoint{} ? now : noRoomSince;
+        noRoomSince = isHeldByStarts ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
         return;
     }
     noRoomSince = {};
@@ -407,10 +428,11 @@
     m_log.write("gang_started", "job", job.key(), "step", step, "tasks", tasks.size(), "attempt", attempt);
 }
 
-/** Whether @p worker may run the task, apart from free resources and interference. */
+/** Whether @p worker may run the task, apart from free resources, interference and what is starting up there now. */
 bool WorkflowScheduler::isEligible(const WorkerState &worker, const TaskRef &ref, TimePoint now) const
 {
-    return isUsable(worker, now) && isSuitable(worker, ref, now);
+    const Refusal refusal = isUsable(worker, now) ? unsuitableReason(worker, ref, now) : Refusal::Leaving;
+    return refusal == Refusal::None || refusal == Refusal::OthersStarting;
 }
 
 /** Whether @p worker may get starts at all. */
@@ -476,7 +498,11 @@
         return Refusal::LacksLabel;
     }
     const bool isBelowMax = step.maxPerWorker == 0 || countRunsOfStep(worker, ref) < step.maxPerWorker;
-    return isBelowMax ? Refusal::None : Refusal::MaxPerWorker;
+    if (!isBelowMax) {
+        return Refusal::MaxPerWorker;
+    }
+    const bool doOthersStart = worker.startingJob != nullptr && !isStartingJobOnly(worker, *ref.job);
+    return doOthersStart && mustStartApart(ref, now) ? Refusal::OthersStarting : Refusal::None;
 }
 
 /** A worker that rejects what exceeds its capacity may shrink unnoticed; any other one gets starts by a recent entry only. */
@@ -503,23 +529,32 @@
         if (isUsable(*m_workers[i], now)) {
             m_usableWorkers.push_back(i);
         }
+        listStartingJobs(*m_workers[i]);
     }
 }
 
 WorkerIndex WorkflowScheduler::chooseWorker(const TaskRef &ref, bool canShareSpareCpu, TimePoint now)
 {
     WorkerIndex best = NoWorker;
-    double bestScore = 0;
+    std::pair<bool, double> bestRank; // while starts are separated, workers where the job is starting go first
+    m_hasRoomBesideStarts = false;
     for (const WorkerIndex i : m_usableWorkers) {
-        if (!isSuitable(*m_workers[i], ref, now)) {
+        const WorkerState &worker = *m_workers[i];
+        const Refusal refusal = unsuitableReason(worker, ref, now);
+        const bool doOthersStart = refusal == Refusal::OthersStarting;
+        if ((refusal != Refusal::None && !doOthersStart) || (doOthersStart && m_hasRoomBesideStarts)) {
             continue;
         }
         const std::optional<double> score = scorePlacement(i, ref, canShareSpareCpu);
-        if (score && (best == NoWorker || *score > bestScore)) {
+        m_hasRoomBesideStarts = m_hasRoomBesideStarts || (score && doOthersStart);
+        const bool isPreferred = isStartingJobOnly(worker, *ref.job) && !ref.task().isKnownToStartUp()
+                                 && ref.task().avoidedWorker != i && worker.consecutiveFailures == 0;
+        if (score && !doOthersStart && (best == NoWorker || std::pair(isPreferred, *score) > bestRank)) {
             best = i;
-            bestScore = *score;
+            bestRank = {isPreferred, *score};
         }
     }
+    m_hasRoomBesideStarts = m_hasRoomBesideStarts && best == NoWorker;
     return best;
 }
 
@@ -537,11 +572,12 @@
     const WorkerState &worker = *m_workers[index];
     const Refusal unusable = unusableReason(worker, now);
     const Refusal refusal = unusable != Refusal::None ? unusable : unsuitableReason(worker, ref, now);
-    if (refusal != Refusal::None) {
+    if (refusal != Refusal::None && refusal != Refusal::OthersStarting) {
         return refusal;
     }
     const std::optional<Candidate> candidate = describeCandidate(index, ref, canShareSpareCpu(*ref.job));
-    return candidate ? refusalOf(m_settings.placement, ref.spec(), *candidate) : Refusal::ServingTasks;
+    const Refusal room = candidate ? refusalOf(m_settings.placement, ref.spec(), *candidate) : Refusal::ServingTasks;
+    return room == Refusal::None ? refusal : room;
 }
 
 /** A usable worker as a candidate for the task; none if a serving task there would suffer. */
@@ -663,6 +699,7 @@
     task.orderedAt = now;
     task.startedAt = now;
     task.hasStartedUp = false;
+    noteStartingJob(worker, ref);
     task.idleSince = {};
     task.percent = 100;
     task.pendingPercent = percent < 100 ? std::optional(static_cast<std::uint8_t>(percent)) : std::nullopt;
--- a/packages/workflow/placement.h
+++ b/packages/workflow/placement.h
@@ -81,7 +81,8 @@
     Reserved,     ///< for a task of another job
     TrialOfOther, ///< a suspected task of another job is tried there
     LacksLabel,
-    MaxPerWorker, ///< has enough tasks of the step
+    MaxPerWorker,   ///< has enough tasks of the step
+    OthersStarting, ///< tasks of another job are starting up there, while some crash the workers that start them
 
     // It has no room
     NoFreeMemory,
@@ -89,7 +90,7 @@
     NoIdleCpu,    ///< for a best-effort task
     ServingTasks, ///< a serving task there misses its target, or would
 };
-constexpr std::size_t RefusalCount = 19;
+constexpr std::size_t RefusalCount = 20;
 
 std::string_view refusalName(Refusal refusal); ///< e.g. "no_free_cpu"
 
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -142,6 +142,9 @@
     std::vector<LostRun> unresolvedRuns; ///< were there when the lease of the silent worker expired, or a trial's start
     std::optional<JobKey> trialJob;      ///< job of the suspect that is tried here; nothing else is started meanwhile
     double trialRisk = 0;                ///< see guiltEstimate()
+    const JobState *startingJob
+        = nullptr; ///< while starts are separated: job of a run that is starting up; see separation.cpp
+    bool hasSeveralStartingJobs = false; ///< runs of other jobs than startingJob are starting up as well
     std::uint32_t restartCount = 0;      ///< restarts seen in this term; part of the fencing token
     TimePoint drainSeenAt{};             ///< when its entry first said that it is draining
     TimePoint nextEvacuationAt{};        ///< draining: next check which of its runs must leave
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -160,6 +160,7 @@
     TimePoint readySince{};           ///< about when its predecessors were done and it was due; zero: not noticed yet
     TimePoint nextWaitReportAt{};     ///< earliest next report on its waiting tasks
     TimePoint noRoomSince{};          ///< since then a task has found no worker; zero: none waits so
+    TimePoint heldByStartsSince{};    ///< since then a task has room only where other jobs start; zero: none waits so
     TimePoint nextEvictionSearchAt{}; ///< earliest next search for a task to evict
     TimePoint nextTransferAt{};       ///< earliest next attempt to give tasks to another shard
     /** Main refusal when its wait was last diagnosed; None: none of its tasks has waited for long, or not for a worker. */
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -387,6 +387,18 @@
     void restoreSuspect(const TaskRef &ref);
     bool restoreUnresolvedRun(const TaskRef &ref, const TaskTrial &start);
 
+    // Keeping the starts of different jobs apart while tasks crash their workers (separation.cpp)
+    void separateStarts(const std::string &pool, Duration time, std::string_view why);
+    void separateStartsAfterSilence(WorkerIndex index);
+    void endSeparations(TimePoint now);
+    bool areStartsSeparated(const std::string &pool) const;
+    void listStartingJobs(WorkerState &worker);
+    void noteStartingJob(WorkerState &worker, const TaskRef &ref);
+    bool mustStartApart(const TaskRef &ref, TimePoint now) const;
+    bool isStartingJobOnly(const WorkerState &worker, const JobState &job) const;
+    void noteHeldByStarts(StepState &step, bool isHeld, TimePoint now) const;
+    Duration renewalWait(const WorkerState &worker, TimePoint now) const;
+
     // Trials of suspected tasks (trials.cpp)
     bool needsTrial(const TaskState &task) const;
     void placeTrials(TimePoint now);
@@ -629,6 +641,7 @@
     std::map<CrashName, TimePoint>
         m_explainedCrashes; ///< by a task that has crashed another worker alone; when that showed
     TimePoint m_nextSuspectLogAt{};
+    std::map<std::string, TimePoint> m_separatedUntil; ///< by pool; see separation.cpp
 
     PressureModel m_pressure;
     std::set<std::string> m_unreadablePressure; ///< keys of stored models that were logged as unreadable
@@ -648,11 +661,13 @@
     std::vector<std::uint32_t> m_taskOrder; ///< of a step's tasks, see sortTasks()
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
-    std::vector<WorkerIndex> m_usableWorkers;             ///< see listUsableWorkers()
-    UnplacedDemands m_unplaced;                           ///< in the current or last placement pass
-    UnplacedDemands m_unpaced;                            ///< the same for choosePacedStart()
-    const JobState *m_cpuSharingJob = nullptr;            ///< under scarcity, the one job that may exceed the idle CPU
-    TimePoint m_nextSortAt{};                             ///< m_jobOrder is sorted again then
+    std::vector<WorkerIndex> m_usableWorkers;  ///< see listUsableWorkers()
+    UnplacedDemands m_unplaced;                ///< in the current or last placement pass
+    UnplacedDemands m_unpaced;                 ///< the same for choosePacedStart()
+    UnplacedDemands m_heldByStarts;            ///< the same for tasks that have room only where other jobs start
+    bool m_hasRoomBesideStarts = false;        ///< chooseWorker() found room, but only where other jobs start
+    const JobState *m_cpuSharingJob = nullptr; ///< under scarcity, the one job that may exceed the idle CPU
+    TimePoint m_nextSortAt{};                  ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
     TimePoint m_nextPlacementAt{};
     TimePoint m_nextEvictionAt{};        ///< earliest next eviction by evictToMakeRoom()
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -83,6 +83,9 @@
                          "first",
                          starting);
     m_recentCrashes.push_back({at, n > 0, isTimeKnown, worker.record.address});
+    if (n > 0 && !isCoincident) {
+        separateStarts(worker.record.pool, m_settings.crashes.separationTime, "crash");
+    }
     std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident, isTimeKnown);
     for (std::size_t i = 0; i < lost.size(); ++i) {
         const auto ref = findTask(lost[i].run.task);
@@ -207,6 +210,7 @@
 {
     TaskState &task = ref.task();
     task.hasEverStartedUp = true;
+    m_isPlacementDue = m_isPlacementDue || areStartsSeparated(ref.job->accepted.pool);
     if (isTriedUntilItsEnd(task)) {
         return;
     }
@@ -305,6 +309,7 @@
 
 void WorkflowScheduler::forgetOldCrashes(TimePoint now)
 {
+    endSeparations(now);
     while (!m_recentCrashes.empty() && now >= m_recentCrashes.front().at + m_settings.crashes.machineMemory) {
         m_recentCrashes.pop_front();
     }
@@ -395,6 +400,10 @@
     ref.job->hasCrashEvidence = ref.job->hasCrashEvidence || !task.crashes.empty() || task.trial;
     for (CrashEvidence &it : task.crashes) { // recorded by a leader whose wall clock may have been ahead
         it.recordedMs = std::min(it.recordedMs, m_clock.wallNow().count());
+        if (it.role == CrashRole::Start || it.role == CrashRole::Trial) {
+            const auto age = std::chrono::milliseconds(m_clock.wallNow().count() - it.recordedMs);
+            separateStarts(ref.job->accepted.pool, m_settings.crashes.separationTime - age, "stored evidence");
+        }
     }
     applyExplanations(ref);
     explainCrashesOf(task);
@@ -409,6 +418,9 @@
     if (task.silentStart && !restoreUnresolvedRun(ref, *task.silentStart)) {
         task.silentStart.reset();
     }
+    if (task.silentStart) {
+        separateStarts(ref.job->accepted.pool, m_settings.crashes.separationTime, "stored start");
+    }
 }
 
 /** False if the worker is not known in this shard. */
