--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -13,6 +13,9 @@
  *      started beside it is no longer suspected for them, and need not wait for trials of its own.
  *   4. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials. One is enough
  *      after a crash at its start, as long as workers hardly crash otherwise.
+ * While tasks crash the workers that start them, tasks of one job at a time start up on a worker, so that a crash names its
+ * job (separation.cpp). Tasks that are known to start up are neither held up by that nor in the way of others.
+ *
  * A crash next to one that no start explains (a power loss, a machine that crashes by itself) is not counted as a crash of a
  * trial, so that the victims of such crashes are not given up.
  *
@@ -65,7 +68,12 @@
     std::uint32_t maxPresences
         = 2; ///< a task that was present at so many crashes is suspected without a crash at a start
     std::uint32_t maxExplained = 1; ///< crashes of a task that another one may explain; it is tried after the next one
-    Duration maxTrialDelay = std::chrono::seconds(10); ///< a suspect that has waited longer is tried in order of waits
+    Duration maxTrialDelay = std::chrono::seconds(10);  ///< a suspect that has waited longer is tried in order of waits
+    Duration separationTime = std::chrono::seconds(15); ///< starts of different jobs are kept apart so long after a
+                                                        ///< worker crashed, or fell silent, under one
+    Duration maxSeparationDelay
+        = std::chrono::seconds(5); ///< a step that has waited longer for the starts of other jobs
+                                   ///< starts beside them
     double maxShareAtRisk = 0.05;  ///< of a shard's workers: expected number that trials keep down; at least one worker
     double maxShareOfSpare = 0.25; ///< as many more, where nothing else runs, of the workers that the shard can spare
 };
