Model: a task that had started up before is not held for a crash at its start, once

spec/trials.pml with PASSES, the number of such tasks, and ORDINARY, crashes of workers by themselves. The first crash at a start of such a task is noted as explained. At most two starts after MAX_EXPLAINED + 1 stored crashes, and only alone, holds with it, also across an election whose successor does not know that the task had started up: 1.4 million states, 18 s; with starts kept apart after a crash 0.8 million, 13 s; four tasks 0.5 million, 7 s; three such tasks and an ordinary crash 1.0 million, 10 s. With three such tasks and an election it did not end within 100 s.

Fails if the pass is not spent, if such a crash does not count among those that others may explain, if these tasks start on the worker of a trial, and, new, if one of them is given up after one crash in its trial: an innocent task that was spared once, held at its next start beside a deadly one, and whose worker then crashes by itself in its trial, would fail its job. The bound of starts holds without that rule.

--- a/spec/storing.pml
+++ b/spec/storing.pml
@@ -9,8 +9,8 @@
  * A transfer changes a record and another shard's in one write, and may meet a cancel. It is sent again, unchanged, until its
  * outcome is known. With MOVES it moves the whole job: from then on the other shard's leader writes the record.
  *
- * Only the newest revision of a record fulfils a condition, and none returns: one bit for each known revision tells whether it is
- * the newest one.
+ * Only the newest revision of a record fulfils a condition, and none returns: one bit for each known revision tells
+ * whether it is the newest one. Removals are left out: after one, the condition that a record does not exist holds again.
  *
  * Parameters   JOBS, SLOTS (writes on their way, also those given up), IN_FLIGHT (awaited by a leader), CHANGES (of a job
  *              in the first term; one in the last), MOVES, NO_TRANSFERS
@@ -428,7 +428,8 @@
             :: leads[m] && m == office ->
                 assert(!isElsewhere[i] || (current[AT(m, i)] & GIVEN) || giving[m] == i + 1); /* runs */
                 findInFlight(m, i);
-                assert(stored[AT(m, i)] == current[AT(m, i)] || isQueued[AT(m, i)] || isFound || giving[m] == i + 1) /* queued */
+                isFound = isFound || isQueued[AT(m, i)] || giving[m] == i + 1;
+                assert(stored[AT(m, i)] == current[AT(m, i)] || isFound) /* queued */
             :: else
             fi
         }
--- a/spec/trials.pml
+++ b/spec/trials.pml
@@ -5,6 +5,10 @@
  * was not written when the leader ends is lost. A worker number stands for one incarnation of a worker. Each task is a job
  * of its own. A silent worker is back before its tasks are started elsewhere.
  *
+ * Parameters   TASKS, DEADLY, WORKERS, ENDS (of leaders), MAX_EXPLAINED, ORDINARY (crashes of workers by themselves; then
+ *              with MAY_BE_CONVICTED), PASSES: of the first tasks a run had started up before, which a successor may not
+ *              know. The first crash at a start of such a task is noted as explained, so that it is not suspected for it.
+ *              APART: once a worker has crashed, starts of others than these tasks are kept apart
  * Invariants   innocent    an innocent task is not given up, and no crash is counted as one of its trial (with
  *                          MAY_BE_CONVICTED only the former is checked)
  *              limited     a deadly task is started at most twice once MAX_EXPLAINED + 1 of its crashes are stored,
@@ -24,12 +28,17 @@
  *              NO_TRIALS    suspects start like other tasks
  *              BUSY_WORKER  a trial is stored for a worker on which others still start
  *              REUSE_EARLY  others start on a trial's worker before the end of the trial is stored
+ *              ANY_PASS     any number of crashes is not held against a task that had started up before
+ *              SPARED_APART such a crash does not count as one of the MAX_EXPLAINED
+ *              ONE_TRIAL    a task with such a crash is given up after one crash in its trial (ORDINARY=1)
+ *              PASS_BESIDE_TRIAL  tasks that had started up before start on a trial's worker
  * Reachability SEEN_PAIR     two deadly tasks crash one worker
  *              SEEN_EXPLAINED  a deadly task has been released MAX_EXPLAINED times
  *              SEEN_TWICE    an innocent task is suspected for two crashes
  *              SEEN_INHERITED  a leader counts the crash of a former leader's trial
  *              SEEN_LOST     a crash is not counted
  *              SEEN_OVERDUE  an overdue suspect is tried before one that is less likely guilty
+ *              SEEN_SPARED   a crash of a deadly task is not held against it
  *              SEEN_OVER     the trials of several leaders together exceed the limit
  */
 #ifndef TASKS
@@ -45,7 +54,13 @@
 #define ENDS 1          /* of leaders */
 #endif
 #ifndef MAX_EXPLAINED
-#define MAX_EXPLAINED 1 /* crashes of a task; 2 in the code */
+#define MAX_EXPLAINED 1 /* crashes of a task */
+#endif
+#ifndef PASSES
+#define PASSES 0        /* tasks, the first ones, of which a run had started up before */
+#endif
+#ifndef ORDINARY
+#define ORDINARY 0      /* crashes of workers by themselves */
 #endif
 #define MAX_TRIAL_CRASHES 2
 #define MAX_START_CRASHES (MAX_EXPLAINED + 3)
@@ -81,6 +96,10 @@
 short explained[TASKS]; /* of starts */
 short explanations;     /* crashes that a task explains which has crashed a worker in its trial */
 bool isDirty[TASKS];
+#if PASSES > 0
+bool hasStartedUp[TASKS]; /* known to the leader */
+short spared[TASKS];    /* of explained: a crash that was not held against it for that reason */
+#endif
 
 /* Stored with the job */
 byte storedPhase[TASKS]; /* Waiting, Done, GivenUp */
@@ -89,11 +108,18 @@
 short storedStarts[TASKS];
 short storedTrials[TASKS];
 short storedExplained[TASKS];
+#if PASSES > 0
+bool storedStartedUp[TASKS];
+short storedSpared[TASKS];
+#endif
 
 byte crashOf[WORKERS + 1]; /* 0: it is up */
 byte crashes = 0;
 byte horizon = 0;       /* suspects since this crash or an earlier one are overdue */
 byte ends = 0;
+#if ORDINARY > 0
+byte ordinary = 0;      /* crashes */
+#endif
 
 byte t = 0;             /* of the step; zero between steps */
 byte w = 0;
@@ -109,9 +135,28 @@
 #define REMOVE(m) m = ((m) & (BIT(j) - 1)) | (((m) >> 1) & ~(BIT(j) - 1))
 #define COUNT(m) (((m) >> 1 & 1) + ((m) >> 2 & 1) + ((m) >> 3 & 1) + ((m) >> 4 & 1) + ((m) >> 5 & 1) + ((m) >> 6 & 1) \
                   + ((m) >> 7 & 1) + ((m) >> 8 & 1) + ((m) >> 9 & 1) + ((m) >> 10 & 1) + ((m) >> 11 & 1) + ((m) >> 12 & 1))
+#ifdef SPARED_APART
+#define SUSPECTED_FOR(t) ((starts[t] & ~(explained[t] | spared[t])) | trials[t])
+#else
 #define SUSPECTED_FOR(t) ((starts[t] & ~explained[t]) | trials[t])
+#endif
 #define IS_WAITING_SUSPECT(t) (phase[t] == Waiting && SUSPECTED_FOR(t) != 0)
 #define IS_OVERDUE(t) (SUSPECTED_FOR(t) < BIT(horizon + 1)) /* the last crash counts */
+#if PASSES > 0
+#ifdef ANY_PASS
+#define HAS_PASS(t) (hasStartedUp[t] && !isTrial[t])
+#else
+#define HAS_PASS(t) (hasStartedUp[t] && !isTrial[t] && starts[t] == 0 && trials[t] == 0)
+#endif
+#ifdef ONE_TRIAL
+#define HAS_CRASHED_SINCE(t) (spared[t] != 0 && trials[t] != 0 && (starts[t] & ~spared[t]) != 0)
+#else
+#define HAS_CRASHED_SINCE(t) false
+#endif
+#else
+#define HAS_PASS(t) false
+#define HAS_CRASHED_SINCE(t) false
+#endif
 #define STORED_CRASHES(t) COUNT(storedStarts[t] | storedTrials[t])
 
 /* Used within a step only, not part of the state */
@@ -178,6 +223,11 @@
     fi;
     storedStarts[t] = starts[t];
     storedTrials[t] = trials[t];
+#if PASSES > 0
+    if :: phase[t] >= Done -> spared[t] = 0; hasStartedUp[t] = false :: else fi;
+    storedStartedUp[t] = hasStartedUp[t];
+    storedSpared[t] = spared[t];
+#endif
 #ifndef NO_EXPLAINED_STORED
     storedExplained[t] = explained[t];
 #endif
@@ -203,6 +253,10 @@
             REMOVE(released[i]);
             REMOVE(storedStarts[i]);
             REMOVE(storedTrials[i]);
+#if PASSES > 0
+            REMOVE(spared[i]);
+            REMOVE(storedSpared[i]);
+#endif
             REMOVE(storedExplained[i])
         }
         for (i : 1 .. WORKERS) { if :: crashOf[i] > j -> crashOf[i] = crashOf[i] - 1 :: else fi }
@@ -233,6 +287,9 @@
     }
     for (i : 0 .. TASKS - 1) {
         if :: !IS_WAITING_SUSPECT(i) -> passedBy[i] = 0 :: else fi;
+#if PASSES > 0
+        if :: phase[i] >= Done -> spared[i] = 0; hasStartedUp[i] = false; storedSpared[i] = 0; storedStartedUp[i] = false :: else fi;
+#endif
         if :: phase[i] >= Done && !isDirty[i] -> on[i] = 0 :: else fi
     }
 }
@@ -358,7 +415,7 @@
 inline assess(w)
 {
     sum = 0;
-    for (i : 0 .. TASKS - 1) { if :: phase[i] == Silent && on[i] == w -> sum++ :: else fi }
+    for (i : 0 .. TASKS - 1) { if :: phase[i] == Silent && on[i] == w && !HAS_PASS(i) -> sum++ :: else fi }
     for (i : 0 .. TASKS - 1) {
         if
         :: phase[i] == Silent && on[i] == w ->
@@ -368,6 +425,17 @@
                 assert(IS_DEADLY(i)); /* innocent */
 #endif
                 trials[i] = trials[i] | BIT(crashOf[w])
+#if PASSES > 0
+            :: HAS_PASS(i) ->
+#ifdef SEEN_SPARED
+                assert(!IS_DEADLY(i));
+#endif
+                starts[i] = starts[i] | BIT(crashOf[w]);
+#ifndef SPARED_APART
+                explained[i] = explained[i] | BIT(crashOf[w]);
+#endif
+                spared[i] = spared[i] | BIT(crashOf[w])
+#endif
             :: else -> starts[i] = starts[i] | BIT(crashOf[w])
             fi;
 #ifdef SEEN_INHERITED
@@ -386,7 +454,7 @@
     }
     for (i : 0 .. TASKS - 1) {
         if
-        :: phase[i] == Waiting && (COUNT(trials[i]) >= MAX_TRIAL_CRASHES || COUNT(starts[i] | trials[i]) >= MAX_START_CRASHES) ->
+        :: phase[i] == Waiting && (COUNT(trials[i]) >= MAX_TRIAL_CRASHES || COUNT(starts[i] | trials[i]) >= MAX_START_CRASHES || HAS_CRASHED_SINCE(i)) ->
             assert(IS_DEADLY(i)); /* innocent */
             phase[i] = GivenUp;
             isDirty[i] = true
@@ -410,6 +478,10 @@
             starts[i] = storedStarts[i];
             trials[i] = storedTrials[i];
             explained[i] = storedExplained[i];
+#if PASSES > 0
+            hasStartedUp[i] = storedStartedUp[i];
+            spared[i] = storedSpared[i];
+#endif
             if
             :: phase[i] == Running && crashOf[on[i]] == 0 -> /* the worker lists it */
                 isTrial[i] = storedTrial[i] && storedOn[i] == on[i];
@@ -479,11 +551,20 @@
 {
     other = crashOf[w] != 0;
     for (i : 0 .. TASKS - 1) {
+#ifdef PASS_BESIDE_TRIAL
+        if :: i != t && isTrial[i] && on[i] == w && phase[i] < Done && !HAS_PASS(t) -> other = 1 :: else fi;
+#else
         if :: i != t && isTrial[i] && on[i] == w && phase[i] < Done -> other = 1 :: else fi;
-#ifndef REUSE_EARLY
+#endif
+#if !defined(REUSE_EARLY) && !defined(PASS_BESIDE_TRIAL)
         if :: storedTrial[i] && storedOn[i] == w -> other = 1 :: else fi
 #endif
     }
+#ifdef APART
+    for (i : 0 .. TASKS - 1) {
+        if :: i != t && phase[i] == Running && on[i] == w && crashes > 0 && !HAS_PASS(i) && !HAS_PASS(t) -> other = 1 :: else fi
+    }
+#endif
     if /* of several unused workers, the first */
     :: w > 1 -> findLinks(w, n); if :: n == 0 -> findLinks(w - 1, n); if :: n == 0 -> other = 1 :: else fi :: else fi
     :: else
@@ -493,6 +574,13 @@
 /* Chooses a step, a task and a worker. A step that is not possible changes nothing. */
 active proctype System()
 {
+#if PASSES > 0
+    d_step { for (i : 0 .. PASSES - 1) { hasStartedUp[i] = true } }
+    if /* with the row of a task that has one anyway */
+    :: d_step { for (i : 0 .. PASSES - 1) { storedStartedUp[i] = true } }
+    :: skip
+    fi;
+#endif
 end:
     do
     :: atomic {
@@ -552,7 +640,13 @@
                 fi
             :: step == Order && phase[t] == Prepared ->
                 n = 0;
-                for (i : 0 .. TASKS - 1) { if :: i != t && phase[i] == Running && on[i] == on[t] -> n = 1 :: else fi }
+                for (i : 0 .. TASKS - 1) {
+#ifdef PASS_BESIDE_TRIAL
+                    if :: i != t && phase[i] == Running && on[i] == on[t] && !HAS_PASS(i) -> n = 1 :: else fi
+#else
+                    if :: i != t && phase[i] == Running && on[i] == on[t] -> n = 1 :: else fi
+#endif
+                }
                 if
                 :: crashOf[on[t]] != 0 -> /* abandoned: it passes nobody */
                     phase[t] = Waiting;
@@ -576,7 +670,12 @@
                 trials[t] = 0;
                 explained[t] = 0;
                 isDirty[t] = true
+#if ORDINARY > 0
+            :: step == Crash && phase[t] == Running && crashOf[on[t]] == 0 && (IS_DEADLY(t) || ordinary < ORDINARY) ->
+                ordinary = ordinary + (IS_DEADLY(t) -> 0 : 1);
+#else
             :: step == Crash && phase[t] == Running && IS_DEADLY(t) && crashOf[on[t]] == 0 ->
+#endif
                 crashes++;
                 assert(crashes <= 12);
                 crashOf[on[t]] = crashes;
