Model: a trial that is abandoned while its write has no answer

spec/trials.pml with LATE_WRITES: a prepared trial may be abandoned although its write can be executed later, which is new with a trial that is given up after failed writes. Fails if its worker is used again at once: the write arrives, the worker crashes under others, the leader ends, and its successor counts the crash as one of the trial.

--- a/spec/trials.pml
+++ b/spec/trials.pml
@@ -8,6 +8,7 @@
  * Parameters   TASKS, DEADLY, WORKERS, ENDS (of leaders), MAX_EXPLAINED, ORDINARY (crashes of workers by themselves; then
  *              with MAY_BE_CONVICTED), PASSES: of the first tasks a run had started up before, which a successor may not
  *              know. The first crash at a start of such a task is noted as explained, so that it is not suspected for it.
+ *              LATE_WRITES: a trial may be abandoned while its write has no answer, and the write be executed later.
  *              APART: once a worker has crashed, starts of others than these tasks are kept apart
  * Invariants   innocent    an innocent task is not given up, and no crash is counted as one of its trial (with
  *                          MAY_BE_CONVICTED only the former is checked)
@@ -28,6 +29,7 @@
  *              NO_TRIALS    suspects start like other tasks
  *              BUSY_WORKER  a trial is stored for a worker on which others still start
  *              REUSE_EARLY  others start on a trial's worker before the end of the trial is stored
+ *              REUSE_UNANSWERED  others start on the worker of a trial that was abandoned so (LATE_WRITES)
  *              ANY_PASS     any number of crashes is not held against a task that had started up before
  *              SPARED_APART such a crash does not count as one of the MAX_EXPLAINED
  *              ONE_TRIAL    a task with such a crash is given up after one crash in its trial (ORDINARY=1)
@@ -38,6 +40,7 @@
  *              SEEN_INHERITED  a leader counts the crash of a former leader's trial
  *              SEEN_LOST     a crash is not counted
  *              SEEN_OVERDUE  an overdue suspect is tried before one that is less likely guilty
+ *              SEEN_LATE     such a write is executed (LATE_WRITES)
  *              SEEN_SPARED   a crash of a deadly task is not held against it
  *              SEEN_OVER     the trials of several leaders together exceed the limit
  */
@@ -83,6 +86,8 @@
 #define Return 6
 #define Elect 7
 #define Wait 8
+#define Abandon 9
+#define StoreLate 10
 
 #define IS_DEADLY(t) ((t) < DEADLY)
 
@@ -113,6 +118,10 @@
 short storedSpared[TASKS];
 #endif
 
+#ifdef LATE_WRITES
+byte lateOn[TASKS];        /* worker of a trial that was abandoned, whose write may be executed yet */
+#endif
+
 byte crashOf[WORKERS + 1]; /* 0: it is up */
 byte crashes = 0;
 byte horizon = 0;       /* suspects since this crash or an earlier one are overdue */
@@ -197,7 +206,11 @@
     result = 0;
     for (j : 0 .. TASKS - 1) {
         if
+#ifdef LATE_WRITES
+        :: storedOn[j] == w || lateOn[j] == w || (on[j] == w && (phase[j] < Done || isDirty[j])) -> result = 1
+#else
         :: storedOn[j] == w || (on[j] == w && (phase[j] < Done || isDirty[j])) -> result = 1
+#endif
         :: else
         fi
     }
@@ -206,6 +219,9 @@
 inline store(t)
 {
     isDirty[t] = false;
+#ifdef LATE_WRITES
+    lateOn[t] = 0; /* another revision */
+#endif
     storedPhase[t] = (phase[t] >= Done -> phase[t] : Waiting);
     storedOn[t] = (phase[t] == Silent || (isTrial[t] && phase[t] < Done) -> on[t] : 0);
     storedTrial[t] = isTrial[t] && phase[t] < Done;
@@ -468,6 +484,9 @@
 {
     explanations = 0;
     for (i : 0 .. TASKS - 1) {
+#ifdef LATE_WRITES
+        lateOn[i] = 0; /* another leader key */
+#endif
         if /* a trial that has not begun passes nobody */
         :: phase[i] == Prepared -> for (j : 0 .. TASKS - 1) { passedBy[j] = passedBy[j] & ~BIT(i) }
         :: else
@@ -558,6 +577,9 @@
 #endif
 #if !defined(REUSE_EARLY) && !defined(PASS_BESIDE_TRIAL)
         if :: storedTrial[i] && storedOn[i] == w -> other = 1 :: else fi
+#endif
+#if defined(LATE_WRITES) && !defined(REUSE_UNANSWERED)
+        if :: lateOn[i] == w -> other = 1 :: else fi;
 #endif
     }
 #ifdef APART
@@ -584,9 +606,13 @@
 end:
     do
     :: atomic {
+#ifdef LATE_WRITES
+        select(step : Start .. StoreLate);
+#else
         select(step : Start .. Wait);
+#endif
         if
-        :: step <= Store -> select(t : 0 .. TASKS - 1)
+        :: step <= Store || step >= Abandon -> select(t : 0 .. TASKS - 1)
         :: else
         fi;
         if
@@ -699,6 +725,25 @@
                 if :: n == 1 -> assess(w) :: else fi
             :: step == Elect && ends < ENDS -> ends++; elect()
             :: step == Wait && horizon < crashes -> horizon++
+#ifdef LATE_WRITES
+            :: step == Abandon && phase[t] == Prepared && isDirty[t] -> /* its write had no answer; it passes nobody */
+                lateOn[t] = on[t];
+                phase[t] = Waiting;
+                on[t] = 0;
+                isTrial[t] = false;
+                risk[t] = 0;
+                for (j : 0 .. TASKS - 1) { passedBy[j] = passedBy[j] & ~BIT(t) }
+            :: step == StoreLate && lateOn[t] != 0 ->
+#ifdef SEEN_LATE
+                assert(ends > ENDS);
+#endif
+                storedTrial[t] = true;
+                storedOn[t] = lateOn[t];
+                storedStarts[t] = starts[t];
+                storedTrials[t] = trials[t];
+                storedExplained[t] = explained[t];
+                lateOn[t] = 0
+#endif
             :: else -> isStep = 0
             fi;
             if :: isStep == 1 -> finishStep() :: else fi;
