Separated starts: crashes in trials do not begin them

Cause: each crash in a trial separated the starts of all other jobs for 15 s from its confirmation, although it names its task. Change: crashes and silences under trials, and stored evidence of trials, do not separate; the time counts from the silence.

--- a/packages/workflow/separation.cpp
+++ b/packages/workflow/separation.cpp
@@ -4,7 +4,7 @@
  * that crashes its worker within moments.
  *
  * It begins for a pool as soon as a worker falls silent under a run that was starting up: the crash itself is confirmed only
- * seconds later. A task that has started up before is neither held up nor in the way of others. Tasks of one job may start
+ * seconds later. A crash in a trial does not begin it, as it names its task anyway. A task that has started up before is neither held up nor in the way of others. Tasks of one job may start
  * together, and go to few workers. What waits only for that does not count as without room: a start shows within a second.
  * No step waits so for longer than CrashSettings::maxSeparationDelay, after which it starts beside others.
  */
@@ -40,7 +40,7 @@
 void WorkflowScheduler::separateStartsAfterSilence(WorkerIndex index)
 {
     const WorkerState &worker = *m_workers[index];
-    if (!worker.isLeaving() && worker.hasStartingRun()
+    if (!worker.isLeaving() && !worker.trialJob && worker.hasStartingRun()
         && !isNextToUnexplainedCrash(index, worker.contactLostAt, worker.reportCount > 0)) {
         separateStarts(worker.record.pool, m_settings.crashes.separationTime, "silence");
     }
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -84,8 +84,10 @@
                          starting);
     const CrashName crash{worker.record.id, lost.empty() ? 0 : lost.front().workerStartedAtMs};
     m_recentCrashes.push_back({at, n > 0, isTimeKnown, worker.record.address, crash});
-    if (n > 0 && !isCoincident) {
-        separateStarts(worker.record.pool, m_settings.crashes.separationTime, "crash");
+    const bool isUnderUntried
+        = std::any_of(lost.begin(), lost.end(), [](const LostRun &it) { return it.isStarting && !it.isTrial; });
+    if (isUnderUntried && !isCoincident) {
+        separateStarts(worker.record.pool, at + m_settings.crashes.separationTime - m_now, "crash");
     }
     std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident, isTimeKnown);
     for (std::size_t i = 0; i < lost.size(); ++i) {
@@ -421,7 +423,7 @@
     ref.job->hasCrashEvidence = ref.job->hasCrashEvidence || !task.crashes.empty() || task.trial;
     for (CrashEvidence &it : task.crashes) { // recorded by a leader whose wall clock may have been ahead
         it.recordedMs = std::min(it.recordedMs, m_clock.wallNow().count());
-        if (it.role == CrashRole::Start || it.role == CrashRole::Trial) {
+        if (it.role == CrashRole::Start) {
             const auto age = std::chrono::milliseconds(m_clock.wallNow().count() - it.recordedMs);
             separateStarts(ref.job->accepted.pool, m_settings.crashes.separationTime - age, "stored evidence");
         }
