Separated starts: not begun by crashes in trials; each wait keeps its bound while room comes and goes

Cause: each crash in a trial, seconds after the first crash of its task, separated the starts of all others anew, although it names its task. A lone silence, also of a worker that was only cut off, did so for 15 s. And a step that found room only beside other starts in one pass and none in the next never reached the bound of either wait (review). Change: only crashes of untried tasks separate, counted from when the worker fell silent; a silence does so for a lease, which a crash extends once confirmed. Neither wait of a step (for other starts, for room) ends as the other begins. Other crashes are counted as events in the order of their times, whenever they were confirmed. Test: Separation.crashesInTrialsSeparateNothing. The wait of a step whose room comes and goes has no test yet.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -341,8 +341,11 @@
         ++placed;
     }
     TimePoint &noRoomSince = job.occurrences[occurrence].steps[step].noRoomSince;
-    if (!isCutShort) {
+    // Room may come and go: neither wait ends as the other begins.
+    if (!isCutShort && (isWithoutRoom || !isHeldByStarts)) {
         noRoomSince = !isWithoutRoom ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+    }
+    if (!isCutShort && (isHeldByStarts || !isWithoutRoom)) {
         noteHeldByStarts(job.occurrences[occurrence].steps[step], isHeldByStarts, now);
     }
     if (placed > 0) {
--- a/packages/workflow/gang.cpp
+++ b/packages/workflow/gang.cpp
@@ -45,9 +45,12 @@
         listStartingJobs(*m_workers[chosen[i]]);
     }
     const bool isHeldByStarts = chosen.size() < tasks.size() && m_hasRoomBesideStarts;
-    noteHeldByStarts(job.occurrences[occurrence].steps[step], isHeldByStarts, now);
+    if (isHeldByStarts
+        || chosen.size() == tasks.size()) { // room may come and go: neither wait ends as the other begins
+        noteHeldByStarts(job.occurrences[occurrence].steps[step], isHeldByStarts, now);
+    }
     if (chosen.size() < tasks.size()) {
-        noRoomSince = isHeldByStarts ? TimePoint{} : noRoomSince == TimePoint{} ? now : noRoomSince;
+        noRoomSince = isHeldByStarts || noRoomSince != TimePoint{} ? noRoomSince : now;
         return;
     }
     noRoomSince = {};
--- a/packages/workflow/separation.cpp
+++ b/packages/workflow/separation.cpp
@@ -42,7 +42,7 @@
     const WorkerState &worker = *m_workers[index];
     if (!worker.isLeaving() && !worker.trialJob && worker.hasStartingRun()
         && !isNextToUnexplainedCrash(index, worker.contactLostAt, worker.reportCount > 0)) {
-        separateStarts(worker.record.pool, m_settings.crashes.separationTime, "silence");
+        separateStarts(worker.record.pool, m_settings.grantedLease(), "silence"); // it may be cut off only
     }
 }
 
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -124,19 +124,23 @@
     });
 }
 
-/** Whether hardly any worker crashes but at the start of a task. Crashes at about the same time count as one. */
+/** Whether workers hardly ever crash but at the start of a task. Other crashes at about the same time count as one. */
 bool WorkflowScheduler::areStartsToBlame() const
 {
     std::size_t atStart = 0;
-    std::size_t others = 0;
-    TimePoint lastOther{};
+    std::vector<TimePoint> others;
     for (const RecentCrash &it : m_recentCrashes) {
-        const bool isSameEvent = lastOther != TimePoint{} && it.at - lastOther <= m_settings.crashes.coincidenceTime;
         atStart += it.hasStartingRun ? 1 : 0;
-        others += !it.hasStartingRun && !isSameEvent ? 1 : 0;
-        lastOther = it.hasStartingRun ? lastOther : it.at;
+        if (!it.hasStartingRun) {
+            others.push_back(it.at);
+        }
+    }
+    std::sort(others.begin(), others.end()); // they are noted as they are confirmed, which takes different times
+    std::size_t events = 0;
+    for (std::size_t i = 0; i < others.size(); ++i) {
+        events += i == 0 || others[i] - others[i - 1] > m_settings.crashes.coincidenceTime ? 1 : 0;
     }
-    return atStart >= others * m_settings.crashes.startCrashesPerOther;
+    return atStart >= events * m_settings.crashes.startCrashesPerOther;
 }
 
 /** Adds what a crash says of a task. Each attempt counts once, even if its crash shows twice. */
@@ -259,7 +263,9 @@
                             + " of them while it was tried alone";
     ++m_counters.tasksGivenUp;
     for (const CrashEvidence &it : task.crashes) {
-        m_explainedCrashes[it.crash] = m_now; // not by the machines
+        if (it.role != CrashRole::Present) {
+            m_explainedCrashes[it.crash] = m_now; // not by the machines
+        }
     }
     m_log.writeImportant("task_given_up", "job", ref.job->key(), "step", ref.step, "task", ref.index, "why", why);
     if (ref.job->isGuest) {
@@ -442,7 +448,7 @@
         task.silentStart.reset();
     }
     if (task.silentStart) {
-        separateStarts(ref.job->accepted.pool, m_settings.crashes.separationTime, "stored start");
+        separateStarts(ref.job->accepted.pool, m_settings.grantedLease(), "stored start");
     }
 }
 
--- a/packages/workflow/tests/separationtest.cpp
+++ b/packages/workflow/tests/separationtest.cpp
@@ -267,6 +267,21 @@
     EXPECT_EQ(it.rig.fleet.startedJobs.size(), 21U);
 }
 
+// The trial of each deadly task, seconds after its first crash, kept the starts of all others apart anew.
+TEST(Separation, crashesInTrialsSeparateNothing)
+{
+    DeadlyArrivals it(8);
+    it.submit("deadly", 1, true);
+    it.run(CrashSettings{}.separationTime + 2s);
+    ASSERT_EQ(it.rig.state("deadly"), WorkflowState::Failed);
+    it.rig.fleet.startedJobs.clear();
+    for (int i = 0; i < 20; ++i) {
+        it.submit("other" + std::to_string(i), 1, false);
+    }
+    it.run(300ms);
+    EXPECT_EQ(it.rig.fleet.startedJobs.size(), 20U);
+}
+
 // The bound on the wait of the others must not grow with the number of deadly tasks.
 TEST(Separation, othersDoNotWaitLongerBesideMoreDeadlyTasks)
 {
