--- a/packages/workflow/tests/separationtest.cpp
+++ b/packages/workflow/tests/separationtest.cpp
@@ -234,7 +234,7 @@
     EXPECT_LE(holders.size(), 2U) << "few workers per job";
     EXPECT_TRUE(it.rig.fleet.startedJobs.contains("other0"));
     for (auto &[id, worker] : it.rig.fleet.workers) { // the lasting tasks have to start again somewhere
-        if (worker.running.size() > 0 && worker.running.front().run.task.job == "lasting" && !holders.contains(id)) {
+        if (!worker.running.empty() && worker.running.front().run.task.job == "lasting" && !holders.contains(id)) {
             worker.condition = WorkerCondition::Draining;
             it.rig.backend.write("workers/" + id, "draining");
             break;
