A former leader that most workers reject is gone, and its grace period counts from the end of its term

Cause: a leader whose VM is gone never says so. Each successor counted its grace period (9.7 s) from its own election, and listed no silent worker meanwhile, so that nothing was handed over. "takeover_waits ... at_most_ms=13900" stands in the log under each epoch, and no "leases_withheld" before "former_leader_gone". Counting from a common event alone would have ended the wait near 25 s, too late.

Change: a grace period counts from when this node first saw a later term. A leader in its grace period sends orders only while half of the workers in use answer it; a successor that has read more than half of them takes it for gone 2.3 s later.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -15,6 +15,8 @@
 constexpr std::uint32_t MaxUnansweredBeforeReadOnly = 1; ///< then renewals no longer extend the lease
 constexpr Duration EndBatchDelay = 25ms;       ///< delays the renewal after a report with ends until these are stored
 constexpr Duration StorePendingDelay = 150ms;  ///< between renewals while ends wait to be stored: workers reply at once
+constexpr Duration GraceRenewalWait = 300ms;   ///< in a grace period, or while that of a former leader may last
+constexpr Duration StoreSilenceMargin = 700ms; ///< of the lease as leader that is left once renewals of it are missing
 constexpr Duration EvacuationInterval = 100ms; ///< between two checks of a draining worker's runs
 constexpr std::int64_t ClockMarginMs = 50;     ///< added to a start's validity before the start counts as void
 constexpr std::int64_t WaitMarginMs = 100;     ///< by which a worker may answer a waiting renewal late
@@ -98,6 +100,7 @@
     worker.fence = (m_term.epoch << FenceRestartBits) + worker.restartCount;
     worker.hasReported = false;
     worker.isConfirmed = false;
+    worker.answeredOrderSentAt = {};
     worker.isNewIncarnation = true;
     worker.hasCrashed = worker.record.condition != WorkerCondition::Draining;
     worker.clock.reset();
@@ -173,6 +176,10 @@
     }
     if (worker.hasReported && worker.unansweredRenewals == 0 && worker.unacknowledgedEnds.empty()) {
         order.wait = renewalWait(worker, now);
+        // See isAnsweredByHalf() and resolveFormerLeaders().
+        if (now + StoreSilenceMargin > m_fullAuthorityUntil || !m_formerLeaders.empty()) {
+            order.wait = std::min(order.wait, GraceRenewalWait);
+        }
     }
     worker.isRenewing = true;
     m_port.renew(target(worker), order, ifAlive([this, index, fence = worker.fence, now](const RenewReply &reply) {
@@ -261,6 +268,7 @@
     }
     worker.hasReported = true;
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
+    worker.answeredOrderSentAt = worker.isConfirmed ? sentAt : TimePoint{};
     if (std::exchange(worker.contactLostAt, {}) != TimePoint{}) {
         for (const TaskRef &it : worker.runs) {
             if (std::exchange(it.task().silentStart, std::nullopt)) {
--- a/packages/workflow/election.cpp
+++ b/packages/workflow/election.cpp
@@ -3,6 +3,7 @@
 #include <base/errors.h>
 
 #include <algorithm>
+#include <charconv>
 #include <functional>
 
 namespace QuetzalRock::Workflow {
@@ -12,9 +13,19 @@
 constexpr Duration KeyReadRetryDelay = std::chrono::milliseconds(250); ///< after a failed store call
 constexpr Duration EndedTermDelay = std::chrono::milliseconds(400);    ///< lets a campaign in progress finish first
 constexpr Duration SettledRetryDelay = std::chrono::milliseconds(500); ///< also the time allowed for a reply
+constexpr std::size_t MaxTermsSeen = 100; ///< for a term that was forgotten, the end of a later one counts
 
 } // namespace
 
+TimePoint Leadership::endSeenAt(std::uint64_t former) const
+{
+    TimePoint earliest = TimePoint::max();
+    for (auto it = seenAt.upper_bound(former); it != seenAt.end(); ++it) {
+        earliest = std::min(earliest, it->second);
+    }
+    return earliest;
+}
+
 Election::Election(RecordStore &store,
                    Clock &clock,
                    EventLog &log,
@@ -132,7 +143,7 @@
 
 EpochRecord Election::epochRecord(bool hasResigned) const
 {
-    return {m_term.epoch, m_node, m_bootId, hasResigned, m_former};
+    return {m_term.epoch, m_node, m_bootId, hasResigned, m_former, true};
 }
 
 void Election::settle()
@@ -238,9 +249,39 @@
     }
 }
 
+void Election::noteTerm(std::uint64_t epoch)
+{
+    m_termsSeen.emplace(epoch, m_clock.now());
+    if (m_termsSeen.size() > MaxTermsSeen) {
+        m_termsSeen.erase(m_termsSeen.begin());
+    }
+}
+
+/** The key's value is "NODE EPOCH RANDOM". */
+void Election::noteTermOf(const StoreItem &leaderKey)
+{
+    const std::string_view value = leaderKey.value;
+    const std::size_t begin = std::min(value.size(), value.find(' ')) + 1;
+    std::uint64_t epoch = 0;
+    if (begin < value.size()
+        && std::from_chars(value.data() + begin, value.data() + value.size(), epoch).ec == std::errc()) {
+        noteTerm(epoch);
+    }
+}
+
+/** The last campaign has succeeded. */
+void Election::beginTerm(std::uint64_t keyRevision)
+{
+    noteTerm(m_campaignEpoch);
+    m_term = {m_campaignEpoch, keyRevision, m_former, m_termsSeen};
+    m_validUntil = m_leaseSentAt + m_settings.leaseDuration;
+    m_log.write("leader_elected", "shard", m_shard, "epoch", m_term.epoch, "revision", m_term.keyRevision);
+}
+
 /** Updates the term from the current leader key, which this node or another one has written. */
 void Election::applyLeaderKey(const StoreItem &item)
 {
+    noteTermOf(item);
     const std::string name = item.value.substr(0, item.value.find(' '));
     if (name != m_leaderName) {
         m_log.write("leader_seen", "shard", m_shard, "leader", name, "revision", item.revision);
@@ -249,9 +290,7 @@
     const bool isOwnCampaign = item.value == m_ownValue && m_campaignEpoch > m_lastEndedEpoch;
     if (isOwnCampaign && m_term.epoch == 0 && !m_hasResigned) {
         m_isCampaignUnanswered = false;
-        m_term = {m_campaignEpoch, item.revision, m_former}; // the campaign succeeded, but its reply was lost
-        m_validUntil = m_leaseSentAt + m_settings.leaseDuration;
-        m_log.write("leader_elected", "shard", m_shard, "epoch", m_term.epoch, "revision", m_term.keyRevision);
+        beginTerm(item.revision); // the campaign succeeded, but its reply was lost
     } else if (m_term.epoch != 0 && item.revision != m_term.keyRevision) {
         endTerm("another node leads");
     } else if (!isOwnCampaign) {
@@ -325,6 +364,9 @@
 
 void Election::onLeaderKeyChanged(const StoreItem &item)
 {
+    if (!item.isDeleted) {
+        noteTermOf(item);
+    }
     if (item.isDeleted) {
         onLeaderKeyDeleted(item);
     } else if (m_stage == Stage::Following && item.revision > m_deletedRevision
@@ -403,7 +445,7 @@
     StoreChange change;
     change.conditions = {{m_keys.leader, 0}, {m_keys.epoch, m_campaignEpochRevision}};
     change.puts = {{m_keys.leader, m_ownValue, m_lease},
-                   {m_keys.epoch, encodeEpoch({m_campaignEpoch, m_node, m_bootId, false, m_former}), 0}};
+                   {m_keys.epoch, encodeEpoch({m_campaignEpoch, m_node, m_bootId, false, m_former, true}), 0}};
     m_store.change(std::move(change), guard([this](const StoreReply &it) { onLeaderKeyWritten(it); }));
 }
 
@@ -417,12 +459,10 @@
         m_nextActionAt += reply.status == StoreStatus::Conflict ? Duration::zero() : KeyReadRetryDelay;
         return;
     }
-    m_term = {m_campaignEpoch, reply.revision, m_former};
+    beginTerm(reply.revision);
     m_leaderName = m_node;
-    m_validUntil = m_leaseSentAt + m_settings.leaseDuration;
     m_renewAt = m_leaseSentAt + m_settings.renewInterval;
     m_needsKeyCheck = false;
-    m_log.write("leader_elected", "shard", m_shard, "epoch", m_term.epoch, "revision", m_term.keyRevision);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/election.h
+++ b/packages/workflow/election.h
@@ -23,6 +23,7 @@
 
 #include <base/eventlog.h>
 
+#include <map>
 #include <memory>
 #include <random>
 
@@ -39,6 +40,11 @@
     std::uint64_t epoch = 0;          ///< from 1; unique to this term; 0: no term
     std::uint64_t keyRevision = 0;    ///< of the leader key; condition of every write
     std::vector<FormerLeader> former; ///< leaders of earlier terms that may still send orders
+    std::map<std::uint64_t, TimePoint>
+        seenAt; ///< by epoch: when this node first saw terms, including this one. The store has confirmed no earlier term since
+
+    /** When this node first saw a later term than that of epoch @p former. */
+    TimePoint endSeenAt(std::uint64_t former) const;
 };
 
 struct ElectionSettings
@@ -120,6 +126,9 @@
     void renew(TimePoint now);
     void onRenewed(const StoreReply &reply, TimePoint sentAt);
     void applyLeaderKey(const StoreItem &item);
+    void noteTerm(std::uint64_t epoch);
+    void noteTermOf(const StoreItem &leaderKey);
+    void beginTerm(std::uint64_t keyRevision);
     void endTerm(std::string_view reason);
     void requireKeyCheck(); ///< withholds full authority until the leader key has been read again
     void scheduleKeyRead();
@@ -151,6 +160,7 @@
     std::uint64_t m_lease = 0;
     TimePoint m_leaseSentAt{}; ///< when the grant of m_lease was requested
 
+    std::map<std::uint64_t, TimePoint> m_termsSeen; ///< see Leadership::seenAt; the last MaxTermsSeen
     Leadership m_term;
     TimePoint m_validUntil{}; ///< local clock; counted from when the renewal was sent, so never later than the store's
     bool m_isRenewing = false;
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -158,6 +158,7 @@
     bool haveFormerCallsEnded = false; ///< a report shows that formerCallsEndMs has passed
     TimePoint nextRenewAt{};           ///< earliest time of the next renewal
     TimePoint lastReplyAt{};
+    TimePoint answeredOrderSentAt{}; ///< when the last order was sent that it has answered, while isConfirmed
     TimePoint leaseEndsBy{}; ///< by then its lease has expired and all its runs have ended, unless it is renewed
     std::uint32_t unansweredRenewals = 0; ///< consecutive renewals without a reply
     TimePoint noStartsUntil{};            ///< back-off after a rejected start
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -439,20 +439,26 @@
 {
     json earlier = json::array();
     for (const FormerLeader &it : record.earlier) {
-        earlier.push_back(json::array({it.epoch, it.node, it.bootId}));
+        earlier.push_back(json::array({it.epoch, it.node, it.bootId, it.needsAnswers}));
     }
-    return packRecord(
-        json::array({StoredVersion, record.epoch, record.node, record.bootId, record.hasResigned, std::move(earlier)}));
+    return packRecord(json::array({StoredVersion,
+                                   record.epoch,
+                                   record.node,
+                                   record.bootId,
+                                   record.hasResigned,
+                                   std::move(earlier),
+                                   record.needsAnswers}));
 }
 
 EpochRecord decodeEpoch(std::string_view bytes)
 {
     const json value = unpackRecord(bytes);
     try {
-        EpochRecord record{value.at(1), value.at(2), value.at(3), value.at(4), {}};
+        EpochRecord record{value.at(1), value.at(2), value.at(3), value.at(4), {}, false};
+        record.needsAnswers = value.size() > 6 && value.at(6).get<bool>();         // absent in older records
         for (std::size_t i = 0; value.size() > 5 && i < value.at(5).size(); ++i) { // absent in older records
             const json &row = value.at(5).at(i);
-            record.earlier.push_back({row.at(0), row.at(1), row.at(2)});
+            record.earlier.push_back({row.at(0), row.at(1), row.at(2), row.size() > 3 && row.at(3).get<bool>()});
         }
         return record;
     } catch (const json::exception &error) {
@@ -465,7 +471,7 @@
     std::vector<FormerLeader> leaders = last.earlier;
     std::erase_if(leaders, [&last](const FormerLeader &it) { return it.node == last.node; });
     if (last.epoch > 0 && !last.hasResigned) {
-        leaders.push_back({last.epoch, last.node, last.bootId});
+        leaders.push_back({last.epoch, last.node, last.bootId, last.needsAnswers});
     }
     std::erase_if(leaders, [node](const FormerLeader &it) { return it.node == node; });
     return leaders;
@@ -475,7 +481,7 @@
 {
     json rows = json::array({StoredVersion});
     for (const KnownWorker &it : workers) {
-        rows.push_back(json::array({it.id, it.startedAtMs, it.address, it.pool}));
+        rows.push_back(json::array({it.id, it.startedAtMs, it.address, it.pool, it.listedSince}));
     }
     return packRecord(rows);
 }
@@ -487,7 +493,8 @@
     try {
         for (std::size_t i = 1; i < value.size(); ++i) {
             const json &row = value[i];
-            workers.push_back({row.at(0), row.at(1), row.at(2), row.at(3)});
+            const std::uint64_t listedSince = row.size() > 4 ? row.at(4).get<std::uint64_t>() : 0;
+            workers.push_back({row.at(0), row.at(1), row.at(2), row.at(3), listedSince});
         }
     } catch (const json::exception &error) {
         throw InvalidArgument("workers", error.what());
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -288,7 +288,8 @@
 {
     std::uint64_t epoch = 0; ///< of its last term
     std::string node;
-    std::string bootId; ///< of the node while it led
+    std::string bootId;        ///< of the node while it led
+    bool needsAnswers = false; ///< see WorkflowSettings::graceAnswerAge; older versions sent orders without answers
 
     bool operator==(const FormerLeader &) const = default;
 };
@@ -301,6 +302,7 @@
     std::string bootId;                ///< of the node while it led
     bool hasResigned = false;          ///< sends no more orders
     std::vector<FormerLeader> earlier; ///< leaders before it that may still send orders; at most one per node
+    bool needsAnswers = false;         ///< see FormerLeader
 };
 
 /**
@@ -319,6 +321,8 @@
     std::int64_t startedAtMs = 0; ///< start time; identifies the worker's incarnation
     std::string address;
     std::string pool;
+    std::uint64_t listedSince
+        = 0; ///< epoch of the leader that added it to the list; 0: an older version has written it
 };
 
 std::string encodeWorkers(const std::vector<KnownWorker> &workers);
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -65,8 +65,13 @@
     // Takeover
     /** How long after our election a former leader may still accept jobs: its own lease plus a margin. */
     Duration formerLeaderIntakeTime = std::chrono::milliseconds(1700);
-    /** How long after our election a former leader may still send orders: as above, plus ElectionSettings::grace. */
+    /** How long after the end of its lease a former leader may still send orders: as above, plus ElectionSettings::grace. */
     Duration formerLeaderOrderTime = std::chrono::milliseconds(9700);
+    /**
+     * A leader's grace period ends once less than half of the workers in use have answered an order that it sent within this
+     * time. Then a former leader that most of them reject sends no orders any more. The same on all nodes.
+     */
+    Duration graceAnswerAge = std::chrono::milliseconds(2200);
 
     // Store
     Duration storeInterval
@@ -355,6 +360,12 @@
     void onEpochRecordRead(const StoreReply &reply);
     void onFormerLeaderBootRead(const FormerLeader &leader, const StoreReply &reply);
     void removeFormerLeader(const FormerLeader &leader, std::string_view why);
+    void resolveFormerLeaders(TimePoint now);
+    bool isRejectedByMost(const FormerLeader &leader, TimePoint since) const;
+    Authority limitGrace(Authority authority, TimePoint now);
+    bool isAnsweredByHalf(TimePoint now) const;
+    TimePoint endOf(const FormerLeader &leader) const;
+    TimePoint lastOrderOf(const FormerLeader &leader) const;
     TimePoint formerLeasesExpiry() const;
     TimePoint formerLeaseExpiry(const WorkerState &worker) const;
     Duration longestLease() const;
@@ -691,6 +702,13 @@
     bool m_isStoringWorkers = false;
     std::unordered_set<WorkerId> m_storedWorkers; ///< in ctl/workers as last written; only these get starts
     std::uint64_t m_workersRevision = 0;
+    std::map<WorkerId, std::uint64_t> m_listedSince; ///< KnownWorker::listedSince of those in ctl/workers
+    std::vector<std::set<WorkerId>>
+        m_possibleLists; ///< contents that ctl/workers may have: writes may have got no answer
+    std::map<WorkerId, std::uint64_t> m_formerWorkers; ///< KnownWorker::listedSince as loaded from ctl/workers
+    std::map<std::uint64_t, TimePoint>
+        m_rejectedSince;        ///< by epoch of a former leader: most of its workers reject it since
+    bool m_isGraceOver = false; ///< until authority is full again
 
     const WithheldLeases *m_withheldLeases = nullptr; ///< null: this node knows of none
     std::uint64_t m_withheldRevision = 0;             ///< of the stored list
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -563,10 +563,16 @@
     std::set<WorkerId> ids;
     for (const auto &it : m_workers) {
         if (!it->isLeaving() || it->mustBeRead()) {
-            knownWorkers.push_back({it->record.id, it->record.startedAtMs, it->record.address, it->record.pool});
+            std::uint64_t &listedSince = m_listedSince.emplace(it->record.id, m_term.epoch).first->second;
+            if (listedSince == 0 && m_formerLeaders.empty()) {
+                listedSince = m_term.epoch;
+            }
+            knownWorkers.push_back(
+                {it->record.id, it->record.startedAtMs, it->record.address, it->record.pool, listedSince});
             ids.insert(it->record.id);
         } else {
             m_storedWorkers.erase(it->record.id); // gets no starts until it is listed again
+            m_listedSince.erase(it->record.id);
         }
     }
     StoreChange change;
@@ -574,6 +580,9 @@
     change.puts = {{m_keys.workers, encodeWorkers(knownWorkers), 0}};
     m_isStoringWorkers = true;
     m_workersDirty = false;
+    if (std::find(m_possibleLists.begin(), m_possibleLists.end(), ids) == m_possibleLists.end()) {
+        m_possibleLists.push_back(ids);
+    }
     m_nextWorkersAt = now + m_settings.storeInterval;
     m_store.change(std::move(change),
                    ifAlive([this, ids = std::move(ids)](const StoreReply &reply) { onWorkersStored(ids, reply); }));
@@ -585,6 +594,7 @@
     if (reply.status == StoreStatus::Ok) {
         m_workersRevision = reply.revision;
         m_storedWorkers.insert(ids.begin(), ids.end());
+        m_possibleLists = {ids};
         m_isPlacementDue = true;
         return;
     }
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Duration LoadRetryDelay = std::chrono::milliseconds(200);
+constexpr Duration GraceMargin = std::chrono::milliseconds(100); ///< for clocks that run at different rates
 constexpr Duration LeaseMargin = std::chrono::milliseconds(100); ///< for orders in transit
 constexpr Duration TakeoverLogDelay = std::chrono::seconds(1);   ///< most takeovers are complete by then
 constexpr std::size_t MaxLoggedWorkers = 8;
@@ -158,6 +159,7 @@
 void WorkflowScheduler::tickGuarded(TimePoint now, Authority authority)
 {
     m_now = now;
+    authority = limitGrace(authority, now);
     m_authority = authority;
     m_lastFullAuthorityAt = authority == Authority::Full ? now : m_lastFullAuthorityAt;
     if (m_loadStage == LoadStage::Workers || m_loadStage == LoadStage::Progress) {
@@ -245,8 +247,11 @@
             }
             worker.mayRunFormerOrders = !worker.hasReported;
             m_storedWorkers.insert(known.id);
+            m_formerWorkers[known.id] = known.listedSince;
         }
     }
+    m_listedSince = m_formerWorkers;
+    m_possibleLists = {{m_storedWorkers.begin(), m_storedWorkers.end()}};
     loadWithheldLeases();
 }
 
@@ -261,7 +266,7 @@
     } catch (const Error &error) {
         m_log.write("workers_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
         m_workersDirty = true;
-        return {{"unreadable list", 0, {}, {}}};
+        return {{"unreadable list", 0, {}, {}, 0}};
     }
 }
 
@@ -507,6 +512,7 @@
         && m_inbox.lastReplyAt() >= m_electedAt + m_settings.formerLeaderIntakeTime) {
         m_maxFormerRevision = m_inbox.revision();
     }
+    resolveFormerLeaders(now);
     // In the grace period a successor may have read a worker and extended its lease.
     const bool mayConclude = m_authority == Authority::Full;
     std::size_t unread = 0;
@@ -575,10 +581,24 @@
                 std::chrono::duration_cast<std::chrono::milliseconds>(formerLeasesExpiry() - now).count());
 }
 
+/** The store has not confirmed the leader's lease since then. */
+TimePoint WorkflowScheduler::endOf(const FormerLeader &leader) const
+{
+    return std::min(m_electedAt, m_term.endSeenAt(leader.epoch));
+}
+
+/** The leader sends no order after that, whatever it can reach. */
+TimePoint WorkflowScheduler::lastOrderOf(const FormerLeader &leader) const
+{
+    return endOf(leader) + m_settings.formerLeaderOrderTime;
+}
+
 TimePoint WorkflowScheduler::formerLeasesExpiry() const
 {
-    const TimePoint lastOrder
-        = m_formerLeaders.empty() ? m_formerLeadersGoneAt : m_electedAt + m_settings.formerLeaderOrderTime;
+    TimePoint lastOrder = m_formerLeadersGoneAt;
+    for (const FormerLeader &it : m_formerLeaders) {
+        lastOrder = std::max(lastOrder, lastOrderOf(it));
+    }
     return lastOrder + longestLease();
 }
 
@@ -597,6 +617,73 @@
     return Duration(static_cast<Duration::rep>(lease)) + LeaseMargin;
 }
 
+/** Removes the former leaders whose grace period is over. */
+void WorkflowScheduler::resolveFormerLeaders(TimePoint now)
+{
+    const std::vector<FormerLeader> leaders = m_formerLeaders;
+    for (const FormerLeader &it : leaders) {
+        const bool isRejected = isRejectedByMost(it, TimePoint{});
+        const TimePoint since = isRejected ? m_rejectedSince.emplace(it.epoch, now).first->second : TimePoint::max();
+        if (!isRejected) {
+            m_rejectedSince.erase(it.epoch);
+        }
+        const TimePoint fullAuthorityEnd = endOf(it) + m_settings.formerLeaderIntakeTime;
+        if (isRejected && now >= since + m_settings.graceAnswerAge + GraceMargin
+            && isRejectedByMost(it, fullAuthorityEnd)) {
+            removeFormerLeader(it, "most of its workers reject its orders");
+        } else if (now >= lastOrderOf(it)) {
+            removeFormerLeader(it, "its grace period is over");
+        }
+    }
+}
+
+/**
+ * Whether less than half of the workers that the leader had in use can still answer it; only those count as rejecting it that
+ * have answered a call which was sent after @p since. Workers that were taken off the list since its term have been read, and
+ * a leader in its grace period does not count workers that have restarted.
+ */
+bool WorkflowScheduler::isRejectedByMost(const FormerLeader &leader, TimePoint since) const
+{
+    std::size_t workers = 0;
+    std::size_t rejecting = 0;
+    for (const auto &[id, listedSince] : m_formerWorkers) {
+        if (listedSince == 0) {
+            return false; // when it was listed is not known
+        }
+        if (listedSince <= leader.epoch) {
+            const WorkerState &worker = *m_workers[m_workerIndex.at(id)];
+            ++workers;
+            rejecting += worker.hasReported && worker.answeredOrderSentAt > since ? 1 : 0;
+        }
+    }
+    return leader.needsAnswers && 2 * rejecting > workers;
+}
+
+/** In the grace period, a leader without the answers of half of its workers may have a successor that has read the others. */
+Authority WorkflowScheduler::limitGrace(Authority authority, TimePoint now)
+{
+    if (authority != Authority::Grace || m_loadStage == LoadStage::Workers) {
+        m_isGraceOver = m_isGraceOver && authority != Authority::Full;
+        return authority;
+    }
+    if (!m_isGraceOver && !isAnsweredByHalf(now)) {
+        m_isGraceOver = true; // also if they answer again: this leader may have missed what happened meanwhile
+        m_log.write("grace_over", "shard", m_shard, "epoch", m_term.epoch, "why", "too few workers answer");
+    }
+    return m_isGraceOver ? Authority::None : authority;
+}
+
+bool WorkflowScheduler::isAnsweredByHalf(TimePoint now) const
+{
+    return std::all_of(m_possibleLists.begin(), m_possibleLists.end(), [this, now](const std::set<WorkerId> &list) {
+        const auto answering = std::count_if(list.begin(), list.end(), [this, now](const WorkerId &it) {
+            const WorkerState &worker = *m_workers[m_workerIndex.at(it)];
+            return worker.isConfirmed && now < worker.answeredOrderSentAt + m_settings.graceAnswerAge;
+        });
+        return 2 * static_cast<std::size_t>(answering) >= list.size();
+    });
+}
+
 /** Former leaders whose node has restarted, or that have stored the end of their term, need not be waited for. */
 void WorkflowScheduler::checkFormerLeaders(TimePoint now)
 {
--- a/packages/workflow/tests/takeovertest.cpp
+++ b/packages/workflow/tests/takeovertest.cpp
@@ -73,6 +73,36 @@
     return workers;
 }
 
+/** The leader is gone for good: its node does not come back, and its term is not reported as ended. */
+int loseLeader(Rig &rig)
+{
+    const int lost = rig.leader();
+    rig.kill(lost);
+    for (int i = 0; i < 500 && rig.leader() < 0; ++i) {
+        rig.run(StepTime);
+    }
+    return lost;
+}
+
+/** Cuts the leader off from the store and from all workers but @p reached, which nobody else reaches. */
+RigNode &cutLeaderOffWith(Rig &rig, const WorkerId &reached)
+{
+    const int leader = rig.leader();
+    for (int i = 0; i < static_cast<int>(rig.nodes.size()); ++i) {
+        if (i != leader) {
+            rig.nodes[static_cast<std::size_t>(i)]->port.unreachableWorkers = {reached};
+        }
+    }
+    RigNode &cutOff = *rig.nodes[static_cast<std::size_t>(leader)];
+    cutOff.store.isSilent = true;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        if (id != reached) {
+            cutOff.port.unreachableWorkers.insert(id);
+        }
+    }
+    return cutOff;
+}
+
 } // namespace
 
 // Guards against waits that neither logs nor metrics explain.
@@ -567,4 +597,181 @@
     EXPECT_EQ(runningTasksOf(rig, "a"), 2U) << "the leases that the first leader gave have expired";
 }
 
+// Guards against LOST: tasks on a worker that was lost together with the leader's VM waited for the whole grace period of a
+// leader that was gone for good, and then for a lease.
+TEST(Takeover, leaderThatIsGoneForGoodIsNotWaitedForOnceMostWorkersRejectIt)
+{
+    Rig rig(3, 4);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    rig.fleet.workers[used].isReachable = false;
+    rig.fleet.workers[used].running.clear();
+    loseLeader(rig);
+    rig.run(8s); // 1.5 s until the election, 2.3 s until the former leader's grace period is over, a lease of 5.1 s
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against LOST: beside leaders that were gone for good, each leader of a series waited anew for workers that were lost.
+TEST(Takeover, leadersThatAreGoneForGoodAreNotWaitedForAnewByEachLeader)
+{
+    for (const Duration lead : {1500ms, 2500ms, 3500ms, 4500ms}) {
+        Rig rig(6, 4);
+        rig.run(1s);
+        submitLongRunning(rig, "a", 4, 5000);
+        const auto [used, unused] = splitWorkersByUse(rig);
+        rig.fleet.workers[used].isReachable = false;
+        rig.fleet.workers[used].running.clear();
+        const std::set<int> lost{loseLeader(rig), loseLeader(rig)};
+        ASSERT_EQ(lost.size(), 2U);
+        const TimePoint since = rig.clock.now();
+        while (runningTasksOf(rig, "a") < 4 && rig.clock.now() < since + 30s) {
+            const int leader = rig.leader();
+            ASSERT_GE(leader, 0);
+            rig.run(lead);
+            rig.nodes[static_cast<std::size_t>(leader)]->node->beginDrain();
+            rig.run(500ms);
+            rig.kill(leader);
+            rig.boot(leader);
+            rig.run(500ms);
+        }
+        const Duration most
+            = lead < 2300ms ? 16s : 9s + lead; // without a leader for 2.3 s, its grace period is waited for
+        EXPECT_LT(rig.clock.now() - since, most) << toMilliseconds(lead);
+        EXPECT_TRUE(rig.fleet.violations.empty());
+    }
+}
+
+// Guards against LOST: a node that was up all the time counted a former leader's grace period from its own election, however
+// long ago that leader's term had ended. No worker answers, so that only the time tells that it is over.
+TEST(Takeover, gracePeriodCountsFromTheEndOfTheTermNotFromTheElection)
+{
+    Rig rig(4, 2);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 1, 5000);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        worker.isReachable = false;
+        worker.running.clear();
+    }
+    loseLeader(rig);
+    for (int i = 0; i < 2; ++i) {
+        rig.run(4s);
+        rig.nodes[static_cast<std::size_t>(rig.leader())]->node->beginDrain();
+        rig.run(200ms);
+    }
+    rig.run(1500ms);
+    rig.addWorker("w9", "r9", "d9");
+    rig.run(6s); // 9.7 s from the first election have passed; the last leader was elected 7.5 s ago
+    EXPECT_EQ(runningTasksOf(rig, "a"), 1U);
+}
+
+// Guards against TWICE: a leader that is cut off from the store, and reaches only a worker that its successor does not, must
+// not extend the lease there for longer than the successor assumes.
+TEST(Takeover, leaderInGraceWithoutHalfOfTheWorkersSendsNoOrders)
+{
+    Rig rig(2, 4);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    const TimePoint cutAt = rig.clock.now();
+    cutLeaderOffWith(rig, used);
+    rig.run(9500ms);
+    EXPECT_LT(rig.fleet.workers[used].leaseUntil, cutAt + 8500ms);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U) << "the successor has started it elsewhere";
+    rig.run(10s);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against TWICE: as above, but the cut-off leader is frozen in the meantime and wakes within its grace period.
+TEST(Takeover, leaderThatWakesInItsGraceWithoutWorkersSendsNoOrders)
+{
+    for (const Duration frozen : {1s, 2s, 3s, 4s, 6s, 8s}) {
+        Rig rig(2, 4);
+        rig.run(1s);
+        submitLongRunning(rig, "a", 4, 5000);
+        const auto [used, unused] = splitWorkersByUse(rig);
+        RigNode &cutOff = cutLeaderOffWith(rig, used);
+        rig.run(300ms);
+        cutOff.isFrozen = true;
+        rig.run(frozen);
+        cutOff.isFrozen = false;
+        rig.run(20s);
+        EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+        EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+    }
+}
+
+// Guards against TWICE: workers that restart forget the successor's fencing token, and must not count for a former leader.
+TEST(Takeover, restartedWorkersDoNotKeepALeaderInGrace)
+{
+    Rig rig(2, 4);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 4, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    RigNode &cutOff = cutLeaderOffWith(rig, used);
+    rig.run(2500ms); // the successor has read the others
+    for (const WorkerId &it : unused) {
+        rig.fleet.restartWorker(it);
+        rig.backend.write("workers/" + it, "restarted");
+    }
+    cutOff.port.unreachableWorkers.clear();
+    rig.nodes[static_cast<std::size_t>(rig.leader())]->port.unreachableWorkers = {used};
+    rig.run(20s);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 4U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against TWICE: workers that a later leader has added to the list say nothing of the one before, which may still be
+// answered by all of its own.
+TEST(Takeover, workersThatAFormerLeaderDidNotKnowDoNotRejectIt)
+{
+    Rig rig(3, 2);
+    rig.run(1s);
+    submitLongRunning(rig, "a", 2, 5000);
+    const auto [used, unused] = splitWorkersByUse(rig);
+    const int first = rig.leader();
+    RigNode &cutOff = *rig.nodes[static_cast<std::size_t>(first)];
+    cutOff.store.isSilent = true;
+    for (const auto &it : rig.nodes) {
+        if (it.get() != &cutOff) {
+            it->port.unreachableWorkers = {"w0", "w1"};
+        }
+    }
+    rig.run(1800ms);
+    const int second = rig.leader();
+    ASSERT_GE(second, 0);
+    for (int i = 10; i < 16; ++i) {
+        rig.addWorker("w" + std::to_string(i), "r9", "d9");
+    }
+    rig.run(1s);
+    rig.nodes[static_cast<std::size_t>(second)]->node->beginDrain();
+    rig.run(25s);
+    EXPECT_EQ(runningTasksOf(rig, "a"), 2U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against lost work: in an outage of the store, a leader goes on for all of its grace period, with some workers lost.
+TEST(Takeover, leaderGoesOnWithoutTheStoreWhileHalfOfTheWorkersAnswer)
+{
+    Rig rig(2, 4);
+    for (const auto &it : rig.nodes) {
+        it->port.renewalsWait = true;
+    }
+    rig.run(1s);
+    submitLongRunning(rig, "a", 6, 5000);
+    ASSERT_EQ(rig.fleet.runningTasks(), 6U);
+    for (const auto &it : rig.nodes) {
+        it->store.isSilent = true;
+    }
+    rig.run(3s);
+    for (auto &[id, worker] : rig.fleet.workers) {
+        worker.isReachable = !worker.running.empty(); // two of four
+    }
+    rig.run(9s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 6U);
+    EXPECT_EQ(rig.fleet.starts, 6U) << "no run has ended";
+}
+
 } // namespace QuetzalRock::Workflow
