Suspects do not wait for a trial whose worker is silent

Cause: at most half of the suspects of a crash are tried at a time, and a trial counted as under way until its outcome showed, which it never does on a lost worker: 15 s. suspects_wait says waiting=2 tried=1.

--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -224,7 +224,10 @@
     std::vector<CrashName> crashes; ///< that it is suspected for
 };
 
-/** For each crash, the probability that one of its suspects which are being tried now has caused it. */
+/**
+ * For each crash, the probability that one of its suspects which are being tried now has caused it. Trials on workers that have
+ * fallen silent are not among them: their outcomes may never show.
+ */
 using TriedByCrash = std::map<CrashName, double>;
 
 /**
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -446,6 +446,7 @@
     bool prepareTrials(std::vector<TrialCandidate> &candidates, TimePoint now);
     WaitingSuspect describeSuspect(std::span<const TaskRef> refs, const SuspectsByCrash &suspects) const;
     SuspectsByCrash suspectsByCrash() const;
+    bool isOutcomeHeldUp(const TaskTrial &trial) const;
     TriedByCrash triedByCrash(const SuspectsByCrash &suspects) const;
     void continueTrial(std::span<const TaskRef> refs, TimePoint now);
     void startTrial(std::span<const TaskRef> refs, TimePoint now);
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -377,6 +377,7 @@
             const TaskState &it = ref.task();
             if (it.trial && (it.trial->isOrdered || it.trial->isInherited || it.phase != TaskPhase::Waiting)) {
                 ++counts.tried;
+                counts.heldUp += it.trial && isOutcomeHeldUp(*it.trial) ? 1 : 0;
             } else if (it.phase == TaskPhase::Waiting && isSuspected(m_settings.crashes, it.crashes)) {
                 ++counts.waiting;
                 counts.guilty += countCrashes(it.crashes, CrashRole::Trial) > 0 ? 1 : 0;
@@ -405,6 +406,8 @@
                 counts.explained,
                 "tried",
                 counts.tried,
+                "held_up",
+                counts.heldUp,
                 "oldest_ms",
                 std::chrono::duration_cast<std::chrono::milliseconds>(counts.oldest).count(),
                 "risk",
--- a/packages/workflow/tests/trialtest.cpp
+++ b/packages/workflow/tests/trialtest.cpp
@@ -732,4 +732,101 @@
     EXPECT_TRUE(it.isCompleted());
 }
 
+namespace {
+
+/**
+ * Long-running tasks of @p jobs jobs start together on one worker, which crashes and is back soon. The worker of the first trial
+ * that is ordered then is lost for good. Returns the tasks that it ran, which have met two lost workers.
+ */
+std::set<JobKey> loseWorkerOfATrial(Rig &rig, int jobs)
+{
+    rig.fleet.crashBehaviour.keepsId = true;
+    rig.fleet.crashBehaviour.downTime = 700ms;
+    rig.run(1s);
+    for (int i = 0; i < jobs; ++i) {
+        WorkflowSpec spec = Rig::makeJob("watch" + std::to_string(i), 1);
+        spec.steps[0].isLongRunning = true;
+        rig.fleet.longRunningJobs.insert(spec.key);
+        rig.submit(rig.leader(), spec);
+    }
+    rig.run(300ms);
+    const auto workerThatRuns = [&rig](const WorkerId &except) {
+        WorkerId id;
+        for (const auto &[worker, state] : rig.fleet.workers) {
+            id = worker != except && !state.running.empty() ? worker : id;
+        }
+        return id;
+    };
+    const WorkerId first = workerThatRuns({});
+    EXPECT_EQ(rig.fleet.workers[first].running.size(), static_cast<std::size_t>(jobs));
+    rig.fleet.crash(first);
+    WorkerId second;
+    for (int i = 0; i < 500 && second.empty(); ++i) {
+        rig.run(StepTime);
+        second = workerThatRuns(first);
+    }
+    EXPECT_FALSE(second.empty());
+    rig.run(250ms);
+    FakeWorker &lost = rig.fleet.workers[second];
+    std::set<JobKey> tried;
+    for (const FakeRun &it : lost.running) {
+        tried.insert(it.run.task.job);
+    }
+    lost.running.clear();
+    lost.isReachable = false;
+    return tried;
+}
+
+std::size_t runningOthers(const Rig &rig, const std::set<JobKey> &except)
+{
+    std::size_t n = 0;
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        for (const FakeRun &it : worker.running) {
+            n += except.contains(it.run.task.job) ? 0 : 1;
+        }
+    }
+    return n;
+}
+
+} // namespace
+
+// Guards against LOST: the suspects of a crash waited 15 s for the outcome of the trial of one of them, whose worker was lost.
+TEST(Trials, othersDoNotWaitForATrialWhoseWorkerIsLost)
+{
+    for (const int workers : {4, 10, 66}) {
+        for (const int jobs : {2, 4, 8}) {
+            Rig rig(2, workers);
+            const std::set<JobKey> tried = loseWorkerOfATrial(rig, jobs);
+            rig.run(7500ms);
+            EXPECT_EQ(runningOthers(rig, tried), static_cast<std::size_t>(jobs) - tried.size())
+                << workers << " workers, " << jobs << " jobs";
+            EXPECT_TRUE(rig.fleet.violations.empty());
+        }
+    }
+}
+
+// The same across an election, and a short outage of the store.
+TEST(Trials, othersDoNotWaitForALostTrialOfAFormerLeader)
+{
+    for (const bool isOutage : {false, true}) {
+        Rig rig(2, 10);
+        const std::set<JobKey> tried = loseWorkerOfATrial(rig, 4);
+        rig.run(1s);
+        if (isOutage) {
+            for (const auto &node : rig.nodes) {
+                node->store.isSilent = true;
+            }
+            rig.run(2s);
+            for (const auto &node : rig.nodes) {
+                node->store.isSilent = false;
+            }
+        } else {
+            rig.kill(rig.leader());
+        }
+        rig.run(12s);
+        EXPECT_EQ(runningOthers(rig, tried), 4 - tried.size()) << isOutage;
+        EXPECT_TRUE(rig.fleet.violations.empty());
+    }
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -201,6 +201,16 @@
     return suspects;
 }
 
+/**
+ * Whether the worker of the trial is silent, so that its outcome shows late, if at all. Nobody else waits for that outcome: if the
+ * task has crashed the worker, the others of its crash are innocent.
+ */
+bool WorkflowScheduler::isOutcomeHeldUp(const TaskTrial &trial) const
+{
+    const auto found = m_workerIndex.find(trial.worker);
+    return found == m_workerIndex.end() || m_workers[found->second]->unansweredRenewals > 0;
+}
+
 /** A run that has started up is tried for what it may do later, which says nothing of the others. */
 TriedByCrash WorkflowScheduler::triedByCrash(const SuspectsByCrash &suspects) const
 {
@@ -209,7 +219,8 @@
         if (job->hasCrashEvidence) {
             forEachTask(*job, [&](const TaskRef &ref) {
                 const TaskState &task = ref.task();
-                if (task.trial && !(task.phase == TaskPhase::Running && task.hasStartedUp)) {
+                if (task.trial && !isOutcomeHeldUp(*task.trial)
+                    && !(task.phase == TaskPhase::Running && task.hasStartedUp)) {
                     for (const CrashName &it : suspectedCrashes(task.crashes)) {
                         tried[it] += guiltEstimate(task.crashes, suspects);
                     }
@@ -406,8 +417,10 @@
     std::size_t down = 0; // by the first crash of a task that nobody suspects yet, possibly
     std::size_t idle = 0;
     for (const auto &it : m_workers) {
-        const bool isSilent = it->unansweredRenewals > 0 && now < it->contactLostAt + m_settings.grantedLease();
-        if (it->trialJob) {
+        // A worker that is silent for longer is lost, which no trial that begins now could prevent.
+        const bool isLost = it->unansweredRenewals > 0 && now >= it->contactLostAt + m_settings.grantedLease();
+        const bool isSilent = it->unansweredRenewals > 0 && !isLost;
+        if (it->trialJob && !isLost) {
             budget.addTrial(isSilent ? 1 : it->trialRisk, it->trialRisk >= LikelyGuilty);
         } else if (isSilent && !it->runs.empty() && it->hasStartingRun()) {
             ++down;
--- a/packages/workflow/waiting.h
+++ b/packages/workflow/waiting.h
@@ -78,9 +78,10 @@
     std::uint32_t waiting = 0; ///< for their trials
     std::uint32_t guilty = 0;  ///< of these, have crashed a worker in an earlier trial
     std::uint32_t explained
-        = 0;                 ///< of these, are suspected only for crashes that another task is likely to have caused
-    std::uint32_t tried = 0; ///< run in a trial, or its outcome is not known yet
-    Duration oldest{};       ///< longest time since the last crash that a waiting one is suspected for
+        = 0;                  ///< of these, are suspected only for crashes that another task is likely to have caused
+    std::uint32_t tried = 0;  ///< run in a trial, or its outcome is not known yet
+    std::uint32_t heldUp = 0; ///< of these, on workers that are silent
+    Duration oldest{};        ///< longest time since the last crash that a waiting one is suspected for
 };
 
 /** As of the last check. */
