The lease of a restarted worker is the one that it was given, unless an order from before may reach it

Cause: beginIncarnation() took the lease to end 12.75 s after the restart, for fear of an order from before it, and nothing lowered that. Which orders have no answer is known, but one always had none: the renewal that waits at the worker. By reading: an order that came more than 2.5 s after the restart was noticed, and before the first report, exceeded the bound.

Change: renewals that wait do not extend the lease; those that extend it do not wait. Orders that extend the lease are counted until they are answered, or 15 s have passed. Without any, the lease is the one given since the restart; otherwise it is taken to end 10.2 s after the first report, from which on the worker rejects them. Orders of former leaders, answered starts of unknown incarnation and renewals that the next incarnation has answered count as such.

Measured: Workflow.leaseOfARestartedWorkerIsTheOneThatItWasGiven fails on the sources before and passes now.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -17,6 +17,8 @@
 constexpr Duration StorePendingDelay = 150ms;  ///< between renewals while ends wait to be stored: workers reply at once
 constexpr Duration GraceRenewalWait = 300ms;   ///< in a grace period, or while that of a former leader may last
 constexpr Duration StoreSilenceMargin = 700ms; ///< of the lease as leader that is left once renewals of it are missing
+constexpr Duration MinRenewalWait
+    = 100ms; ///< the lease is extended earlier by as much, rather than by a call of its own
 constexpr Duration EvacuationInterval = 100ms; ///< between two checks of a draining worker's runs
 constexpr std::int64_t ClockMarginMs = 50;     ///< added to a start's validity before the start counts as void
 constexpr std::int64_t WaitMarginMs = 100;     ///< by which a worker may answer a waiting renewal late
@@ -100,16 +102,16 @@
     worker.fence = (m_term.epoch << FenceRestartBits) + worker.restartCount;
     worker.hasReported = false;
     worker.isConfirmed = false;
-    worker.answeredOrderSentAt = {};
     worker.isNewIncarnation = true;
     worker.hasCrashed = worker.record.condition != WorkerCondition::Draining;
     worker.clock.reset();
     worker.formerCallsEndMs = 0;
     worker.haveFormerCallsEnded = false;
-    // By what clock the new incarnation measures leases is not known. It cuts each order that may still reach it.
-    const auto longestLease = static_cast<double>((m_settings.orderValidity + m_settings.maxWorkerLease).count());
-    const Duration localTime(static_cast<Duration::rep>(longestLease / MinWorkerClockRate));
-    worker.leaseEndsBy = std::max(worker.leaseEndsBy, m_clock.now() + localTime);
+    if (mayExtensionsReachNext(worker)) {
+        worker.mayHaveFormerLease = true;
+        worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(m_clock.now() + m_settings.orderValidity));
+    }
+    worker.answeredOrderSentAt = {};
     worker.processedSequence = 0;
     worker.durableSequence = 0;
     worker.unacknowledgedEnds.clear();
@@ -118,6 +120,37 @@
     worker.unansweredRenewals = 0;
 }
 
+/**
+ * Whether an order that was sent to the worker's present incarnation, and that extends its lease, may be executed by the next
+ * one. That forgets all fencing tokens, and measures the lease by another clock. Once it has accepted a token of its own, it
+ * rejects such orders.
+ */
+bool WorkflowScheduler::mayExtensionsReachNext(const WorkerState &worker) const
+{
+    const TimePoint now = m_clock.now();
+    const bool isUnanswered = worker.pendingExtensions > 0 || now < worker.lateExtensionsUntil;
+    const bool isStartUncertain
+        = worker.startAnsweredAt >= worker.answeredOrderSentAt && worker.startAnsweredAt != TimePoint{};
+    const bool areFormerOrdersPast = m_formerLeaders.empty() && now >= m_formerLeadersGoneAt + m_settings.maxOrderDelay;
+    const bool isFormer = m_formerWorkers.contains(worker.record.id) && !areFormerOrdersPast;
+    return isUnanswered || isStartUncertain || isFormer;
+}
+
+/** When a lease has expired that the worker was given until @p time, by a clock that is not its own. */
+TimePoint WorkflowScheduler::cutLeaseEnd(TimePoint time) const
+{
+    const auto longest = static_cast<double>(m_settings.maxWorkerLease.count());
+    return time + Duration(static_cast<Duration::rep>(longest / MinWorkerClockRate));
+}
+
+void WorkflowScheduler::noteExtensionAnswer(WorkerState &worker, OrderStatus status, TimePoint sentAt) const
+{
+    --worker.pendingExtensions;
+    if (status == OrderStatus::Unanswered) {
+        worker.lateExtensionsUntil = std::max(worker.lateExtensionsUntil, sentAt + m_settings.maxOrderDelay);
+    }
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Renewals
 // ---------------------------------------------------------------------------------------------------------------------
@@ -169,22 +202,33 @@
     const bool canExtendLease = worker.hasReported && worker.clock.isKnown()
                                 && worker.unansweredRenewals < MaxUnansweredBeforeReadOnly
                                 && worker.withheldNumber == 0;
-    if (canExtendLease) {
+    const bool canWait = worker.hasReported && worker.unansweredRenewals == 0 && worker.unacknowledgedEnds.empty();
+    // A renewal that waits does not extend the lease: if the worker crashes meanwhile, its next incarnation could execute it.
+    const Duration untilExtension = worker.leaseExtendedAt + m_settings.leaseExtensionInterval - now;
+    const bool isExtensionDue = untilExtension < MinRenewalWait || !canWait;
+    if (canExtendLease && isExtensionDue) {
+        worker.leaseExtendedAt = now;
+        ++worker.pendingExtensions;
         order.leaseUntilMs = worker.clock.workerTimeAfter(m_settings.grantedLease(), now);
         worker.leaseEndsBy
             = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
-    if (worker.hasReported && worker.unansweredRenewals == 0 && worker.unacknowledgedEnds.empty()) {
-        order.wait = renewalWait(worker, now);
+    if (canWait && !order.leaseUntilMs) {
+        order.wait = canExtendLease ? std::min(renewalWait(worker, now), untilExtension) : renewalWait(worker, now);
         // See isAnsweredByHalf() and resolveFormerLeaders().
         if (now + StoreSilenceMargin > m_fullAuthorityUntil || !m_formerLeaders.empty()) {
             order.wait = std::min(order.wait, GraceRenewalWait);
         }
     }
     worker.isRenewing = true;
-    m_port.renew(target(worker), order, ifAlive([this, index, fence = worker.fence, now](const RenewReply &reply) {
-                     onRenewed(index, fence, reply, now);
-                 }));
+    const auto onReply = [this, index, fence = worker.fence, now, isExtension = order.leaseUntilMs.has_value()](
+                             const RenewReply &reply) {
+        if (isExtension) {
+            noteExtensionAnswer(*m_workers[index], reply.order.status, now);
+        }
+        onRenewed(index, fence, reply, now, isExtension);
+    };
+    m_port.renew(target(worker), order, ifAlive(onReply));
 }
 
 void WorkflowScheduler::onRenewFailed(WorkerIndex index, OrderStatus status, TimePoint now)
@@ -229,7 +273,8 @@
     }
 }
 
-void WorkflowScheduler::onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt)
+void WorkflowScheduler::onRenewed(
+    WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt, bool isExtension)
 {
     WorkerState &worker = *m_workers[index];
     const TimePoint now = m_clock.now();
@@ -258,6 +303,10 @@
         WorkerRecord record = worker.record;
         record.startedAtMs = reply.report.startedAtMs;
         beginIncarnation(index, record);
+        if (isExtension) { // the new incarnation has executed it
+            worker.mayHaveFormerLease = true;
+            worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(now));
+        }
         return; // renews again with the token of the new incarnation
     }
     worker.clock.update(reply.report.clockMs, now);
@@ -266,9 +315,12 @@
         worker.leaseEndsBy
             = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
+    if (std::exchange(worker.mayHaveFormerLease, false)) { // it rejects such orders from now on
+        worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(now));
+    }
     worker.hasReported = true;
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
-    worker.answeredOrderSentAt = worker.isConfirmed ? sentAt : TimePoint{};
+    worker.answeredOrderSentAt = sentAt;
     if (std::exchange(worker.contactLostAt, {}) != TimePoint{}) {
         for (const TaskRef &it : worker.runs) {
             if (std::exchange(it.task().silentStart, std::nullopt)) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -686,10 +686,16 @@
         m_overdueShares[ref.job->accepted.pool].addStart(step);
     }
     m_recentStarts.push_back({ref.job->accepted.acceptedMs, ref.job->accepted.pool, step.usesSpareCpu});
+    ++worker.pendingExtensions;
     const auto onReply
-        = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence](const OrderReply &reply) {
+        = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence, now](const OrderReply &reply) {
+              WorkerState &worker = *m_workers[index];
+              noteExtensionAnswer(worker, reply.status, now);
+              if (reply.status != OrderStatus::Unanswered && reply.status != OrderStatus::NotSent) {
+                  worker.startAnsweredAt = m_clock.now();
+              }
               // Rejected because of our own newer token after the worker restarted: its first report decides.
-              if (reply.status != OrderStatus::Fenced || m_workers[index]->fence == fence) {
+              if (reply.status != OrderStatus::Fenced || worker.fence == fence) {
                   onStartReply(ref, key, index, attempt, reply);
               }
           };
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -158,8 +158,14 @@
     bool haveFormerCallsEnded = false; ///< a report shows that formerCallsEndMs has passed
     TimePoint nextRenewAt{};           ///< earliest time of the next renewal
     TimePoint lastReplyAt{};
-    TimePoint answeredOrderSentAt{}; ///< when the last order was sent that it has answered, while isConfirmed
+    TimePoint answeredOrderSentAt{}; ///< when the last renewal was sent that this incarnation has answered
+    TimePoint leaseExtendedAt{};     ///< when the last renewal was sent that extends its lease
     TimePoint leaseEndsBy{}; ///< by then its lease has expired and all its runs have ended, unless it is renewed
+    /** Orders that extend its lease, renewals and starts: an incarnation that has not accepted its token may execute them. */
+    std::uint32_t pendingExtensions = 0;  ///< without an answer so far
+    TimePoint lateExtensionsUntil{};      ///< one that gets no answer may be executed until then
+    TimePoint startAnsweredAt{};          ///< the last answer to a start, which does not tell the incarnation
+    bool mayHaveFormerLease = false;      ///< has not reported, and such an order may reach it, or has
     std::uint32_t unansweredRenewals = 0; ///< consecutive renewals without a reply
     TimePoint noStartsUntil{};            ///< back-off after a rejected start
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -61,6 +61,9 @@
     Duration workerLease = std::chrono::seconds(5);
     Duration maxWorkerLease = std::chrono::seconds(10);       ///< workers cut any longer lease to this
     Duration orderValidity = std::chrono::milliseconds(2500); ///< a worker rejects a start that arrives later than this
+    Duration leaseExtensionInterval = std::chrono::milliseconds(1000); ///< between two renewals that extend a lease
+    Duration maxOrderDelay
+        = std::chrono::seconds(15); ///< an order without an answer has been executed by then, if at all
 
     // Takeover
     /** How long after our election a former leader may still accept jobs: its own lease plus a margin. */
@@ -382,7 +385,10 @@
     void renewWorkerLeases(TimePoint now);
     void renewWorkerLease(WorkerIndex index, TimePoint now);
     void dropFromStoredWorkers(WorkerState &worker);
-    void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt);
+    void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt, bool isExtension);
+    bool mayExtensionsReachNext(const WorkerState &worker) const;
+    TimePoint cutLeaseEnd(TimePoint time) const;
+    void noteExtensionAnswer(WorkerState &worker, OrderStatus status, TimePoint sentAt) const;
     void onRenewFailed(WorkerIndex index, OrderStatus status, TimePoint now);
     void processReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
     void noteFormerCalls(WorkerState &worker, std::int64_t clockMs) const;
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -653,7 +653,7 @@
         if (listedSince <= leader.epoch) {
             const WorkerState &worker = *m_workers[m_workerIndex.at(id)];
             ++workers;
-            rejecting += worker.hasReported && worker.answeredOrderSentAt > since ? 1 : 0;
+            rejecting += worker.isConfirmed && worker.answeredOrderSentAt > since ? 1 : 0;
         }
     }
     return leader.needsAnswers && 2 * rejecting > workers;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -339,6 +339,7 @@
     Duration lostStartDelay{};                    ///< delay of the execution of these starts; negative: never executed
     int lostOrderReplies = 0;                     ///< number of renewals and stops that get no reply
     Duration lostOrderDelay{};                    ///< delay of the execution of these orders; negative: never executed
+    bool lostOrdersReachNextIncarnation = false;  ///< otherwise a connection ends with the worker's process
     std::map<WorkerId, Duration> renewReplyDelay; ///< additional delay of replies to renewals
     std::map<WorkerId, Duration> renewSendDelay;  ///< delay after which renewals reach the worker
     std::function<void()> beforeStart;            ///< called before each start is sent
@@ -484,7 +485,7 @@
         if (lostOrderDelay >= Duration::zero()) {
             // A connection ends with the worker's process, so a later incarnation does not get the order.
             const auto executeLate = [this, worker, act, startedAtMs = m_fleet.workers.at(worker.id).startedAtMs] {
-                if (m_fleet.workers.at(worker.id).startedAtMs == startedAtMs) {
+                if (lostOrdersReachNextIncarnation || m_fleet.workers.at(worker.id).startedAtMs == startedAtMs) {
                     act();
                 }
             };
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -802,4 +802,155 @@
     EXPECT_EQ(rig.state("a"), Done);
 }
 
+namespace {
+
+/** The worker starts again under its id; its clock begins anew. */
+void restartWithNewClock(Rig &rig, const WorkerId &id)
+{
+    FakeWorker &worker = rig.fleet.workers[id];
+    rig.fleet.restartWorker(id);
+    worker.leaseUntil = {};
+    worker.clockOffsetMs -= rig.fleet.clockMs(worker);
+}
+
+WorkflowSpec makeLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].isLongRunning = true;
+    rig.fleet.longRunningJobs.insert(key);
+    return spec;
+}
+
+void loseWorker(Rig &rig, const WorkerId &id)
+{
+    rig.fleet.workers[id].running.clear();
+    rig.fleet.workers[id].isReachable = false;
+}
+
+} // namespace
+
+// Guards against LOST: a worker that had restarted was taken to hold the longest lease that workers accept, though it had long
+// reported, and no order from before the restart could reach it any more.
+TEST(Workflow, leaseOfARestartedWorkerIsTheOneThatItWasGiven)
+{
+    for (const int restarts : {1, 2, 3}) {
+        Rig rig(1, 1);
+        rig.nodes[0]->port.renewalsWait = true;
+        rig.run(2s);
+        for (int i = 0; i < restarts; ++i) {
+            rig.fleet.workers["w0"].isReachable = false;
+            rig.run(700ms);
+            restartWithNewClock(rig, "w0");
+            rig.fleet.workers["w0"].isReachable = true;
+            rig.backend.write("workers/w0", "restarted");
+            rig.run(2s);
+        }
+        rig.submit(0, makeLongRunning(rig, "a", 4));
+        rig.run(1s);
+        ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 4U);
+        rig.addWorker("w1");
+        rig.run(500ms);
+        loseWorker(rig, "w0");
+        rig.run(6500ms);
+        EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 4U) << restarts << " restarts";
+        EXPECT_TRUE(rig.fleet.violations.empty());
+    }
+}
+
+// Guards against TWICE: a start from before the restart, without an answer, is executed by the next incarnation, which measures
+// its lease by another clock.
+TEST(Workflow, lateStartAtTheNextIncarnationIsOutwaited)
+{
+    Rig rig(1, 1);
+    FakePort &port = rig.nodes[0]->port;
+    rig.run(2s);
+    port.lostStartReplies = 1;
+    port.lostStartDelay = 200ms; // arrives after the restart
+    rig.submit(0, makeLongRunning(rig, "a", 1));
+    while (port.lostStartReplies > 0) {
+        rig.run(StepTime);
+    }
+    restartWithNewClock(rig, "w0");
+    rig.backend.write("workers/w0", "restarted");
+    rig.run(1s);
+    ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 1U);
+    rig.submit(0, makeLongRunning(rig, "b", 1));
+    rig.run(500ms);
+    ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 2U);
+    rig.addWorker("w1");
+    rig.run(500ms);
+    rig.fleet.workers["w0"].isReachable = false;
+    rig.run(20s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 2U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against TWICE: as above, for a renewal without an answer, and for one that the next incarnation has answered.
+TEST(Workflow, lateRenewalAtTheNextIncarnationIsOutwaited)
+{
+    for (const bool isAnswered : {false, true}) {
+        Rig rig(1, 1);
+        FakePort &port = rig.nodes[0]->port;
+        port.lostOrdersReachNextIncarnation = true;
+        rig.scheduler.leaseExtensionInterval = {}; // each renewal extends the lease
+        rig.kill(0);
+        rig.boot(0);
+        rig.run(3s);
+        if (isAnswered) {
+            restartWithNewClock(rig, "w0"); // the next renewal is executed before the restart is noticed
+        } else {
+            port.lostOrderReplies = 1;
+            port.lostOrderDelay = 200ms;
+            while (port.lostOrderReplies > 0) {
+                rig.run(StepTime);
+            }
+            restartWithNewClock(rig, "w0");
+        }
+        rig.run(300ms);
+        rig.backend.write("workers/w0", "restarted");
+        rig.run(700ms);
+        ASSERT_GT(rig.fleet.workers["w0"].leaseUntil, rig.clock.now() + 8s) << "by its own clock";
+        rig.submit(0, makeLongRunning(rig, "a", 2));
+        rig.run(500ms);
+        ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 2U);
+        rig.addWorker("w1");
+        rig.run(500ms);
+        rig.fleet.workers["w0"].isReachable = false;
+        rig.run(20s);
+        EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 2U);
+        EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+    }
+}
+
+// Guards against TWICE: orders of a former leader may reach a worker's next incarnation as well.
+TEST(Workflow, lateOrderOfAFormerLeaderAtTheNextIncarnationIsOutwaited)
+{
+    Rig rig(2, 1);
+    rig.run(2s);
+    const int former = rig.leader();
+    FakePort &port = rig.nodes[static_cast<std::size_t>(former)]->port;
+    port.lostOrdersReachNextIncarnation = true;
+    port.lostOrderReplies = 3;
+    port.lostOrderDelay = 2500ms;
+    rig.run(2s);
+    rig.kill(former);
+    for (int i = 0; i < 500 && rig.leader() < 0; ++i) {
+        rig.run(StepTime);
+    }
+    const int leader = rig.leader();
+    rig.run(100ms);
+    restartWithNewClock(rig, "w0");
+    rig.backend.write("workers/w0", "restarted");
+    rig.run(3s);
+    rig.submit(leader, makeLongRunning(rig, "a", 2));
+    rig.run(500ms);
+    ASSERT_EQ(rig.fleet.workers["w0"].running.size(), 2U);
+    rig.addWorker("w1");
+    rig.run(500ms);
+    rig.fleet.workers["w0"].isReachable = false;
+    rig.run(20s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 2U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
 } // namespace QuetzalRock::Workflow
