Configuration: times may have fractions, and an entry that cannot be read is left out by itself

Cause: readField() wanted an integer for times that the pages do not call whole, and parseCatalog() threw the whole version away for one entry, and all later ones with that entry.

--- a/packages/workflow/model.h
+++ b/packages/workflow/model.h
@@ -75,9 +75,9 @@
 /** Timing of an advice service, which decides which workers may run a step and issues tickets for them. */
 struct AdvicePolicy
 {
-    std::int64_t decideMs = 0;    ///< base time of one decision
-    std::int64_t perWorkerMs = 0; ///< additional time for each worker in the request
-    std::int64_t validMs = 0;     ///< lifetime of a ticket
+    double decideMs = 0;    ///< base time of one decision
+    double perWorkerMs = 0; ///< additional time for each worker in the request
+    double validMs = 0;     ///< lifetime of a ticket
 };
 
 /** A queue: which requests submit jobs to it, and the policy that applies to those jobs. */
@@ -92,6 +92,8 @@
     double stretch = 1;            ///< latency objective = stretch x critical path (criticalPathMs()) + slackMs
     std::int64_t slackMs = 0;      ///< constant part of the latency objective
     std::optional<AdvicePolicy> advice;
+    bool isUnreadable
+        = false; ///< its policy could not be parsed: it takes no new jobs, nor does a shorter prefix get them
 };
 
 struct Pool
@@ -101,12 +103,21 @@
     bool isStandby = false;        ///< its workers are powered off
 };
 
+/** An entry of the configuration that could not be parsed. It does not keep the others out of force. */
+struct UnreadableEntry
+{
+    std::string entry; ///< which list, and the name or the position in it
+    std::string field; ///< the invalid one; empty: the entry as a whole
+    std::string error;
+};
+
 /** A complete version of the operator's configuration. */
 struct Catalog
 {
     std::int64_t version = 0; ///< 0: no configuration received yet
     std::vector<Queue> queues;
-    std::vector<Pool> pools;
+    std::vector<Pool> pools; ///< without an entry, a pool is taken not to enforce its workers' capacity
+    std::vector<UnreadableEntry> unreadable;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/node.cpp
+++ b/packages/workflow/node.cpp
@@ -581,7 +581,24 @@
                     "revision",
                     item.revision,
                     "queues",
-                    m_catalog.queues.size());
+                    m_catalog.queues.size(),
+                    "unreadable",
+                    m_catalog.unreadable.size());
+        for (const UnreadableEntry &it : m_catalog.unreadable) {
+            m_log.writeImportant("catalog_entry_unreadable",
+                                 "key",
+                                 item.key,
+                                 "revision",
+                                 item.revision,
+                                 "entry",
+                                 it.entry,
+                                 "field",
+                                 it.field,
+                                 "error",
+                                 it.error);
+        }
+    } catch (const Error &error) {
+        m_log.write("catalog_unreadable", "revision", item.revision, "field", error.field(), "error", error.what());
     } catch (const std::exception &error) {
         m_log.write("catalog_unreadable", "revision", item.revision, "error", error.what());
     }
