Logs tell which incarnation answers a start, and which one a successor has waited out

The hypotheses of docs/incidents/orders-for-a-former-incarnation.md could not be told apart: worker_outwaited did not name the incarnation that the registry shows and the one that the former leader had listed, worker_restarted did not say whether orders of before may reach the new incarnation, and an answer to a start whose clock lies behind the worker's last report (start_answered_by_next) left no trace.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -87,6 +87,7 @@
 void WorkflowScheduler::beginIncarnation(WorkerIndex index, const WorkerRecord &record)
 {
     WorkerState &worker = *m_workers[index];
+    const bool mayHaveFormerOrders = mayExtensionsReachNext(worker);
     m_log.write("worker_restarted",
                 "worker",
                 worker.record.id,
@@ -95,7 +96,9 @@
                 "before",
                 worker.record.startedAtMs,
                 "runs",
-                worker.runs.size());
+                worker.runs.size(),
+                "former_orders",
+                mayHaveFormerOrders);
     worker.formerStartedAtMs = std::exchange(worker.record.startedAtMs, record.startedAtMs);
     worker.isEntryOutdated = true;
     ++worker.restartCount;
@@ -107,7 +110,7 @@
     worker.clock.reset();
     worker.formerCallsEndMs = 0;
     worker.haveFormerCallsEnded = false;
-    if (mayExtensionsReachNext(worker)) {
+    if (mayHaveFormerOrders) {
         worker.mayHaveFormerLease = true;
         worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(m_clock.now() + m_settings.orderValidity));
     }
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -691,6 +691,17 @@
         = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence, now](const OrderReply &reply) {
               WorkerState &worker = *m_workers[index];
               noteExtensionAnswer(worker, reply.status, now);
+              if (worker.clock.hasGoneBack(reply.clockMs) && reply.clockMs > 0) {
+                  m_log.write("start_answered_by_next",
+                              "worker",
+                              worker.record.id,
+                              "born",
+                              worker.record.startedAtMs,
+                              "clock_ms",
+                              reply.clockMs,
+                              "status",
+                              static_cast<int>(reply.status));
+              }
               if (reply.status != OrderStatus::Unanswered && reply.status != OrderStatus::NotSent) {
                   worker.startAnsweredAt = m_clock.now();
               }
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -67,6 +67,9 @@
     void reset();
     bool isKnown() const;
 
+    /** Whether @p clockMs, of a reply, lies further back than replies can overtake each other: the next incarnation has sent it. */
+    bool hasGoneBack(std::int64_t clockMs) const;
+
     /** A time on the worker's clock that it reaches @p delay after @p now, or slightly earlier. Requires isKnown(). */
     std::int64_t workerTimeAfter(Duration delay, TimePoint now) const;
 
@@ -132,10 +135,11 @@
     bool isEntryOutdated = false;
     std::int64_t formerStartedAtMs = 0; ///< start time of the incarnation before; 0: none was seen
 
-    bool mayRunFormerOrders = false; ///< a former leader used it and may have left runs on it that are unknown here
-    std::uint64_t fence = 0;         ///< fencing token of our orders to it: epoch and restart count
-    bool isNewIncarnation = false;   ///< has restarted and not reported since
-    bool hasCrashed = false;         ///< isNewIncarnation: the former incarnation was not draining
+    std::int64_t listedStartedAtMs = 0; ///< start time of the incarnation that a former leader has listed
+    bool mayRunFormerOrders = false;    ///< a former leader used it and may have left runs on it that are unknown here
+    std::uint64_t fence = 0;            ///< fencing token of our orders to it: epoch and restart count
+    bool isNewIncarnation = false;      ///< has restarted and not reported since
+    bool hasCrashed = false;            ///< isNewIncarnation: the former incarnation was not draining
 
     // Crashes, see crashes.h
     TimePoint contactLostAt{};           ///< when the first renewal without a reply ended; zero: in contact
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -246,6 +246,7 @@
                 worker.record.pool = known.pool;
             }
             worker.mayRunFormerOrders = !worker.hasReported;
+            worker.listedStartedAtMs = known.startedAtMs;
             m_storedWorkers.insert(known.id);
             m_formerWorkers[known.id] = known.listedSince;
         }
@@ -520,7 +521,15 @@
         if (it->mayRunFormerOrders && (it->hasReported || (mayConclude && now >= formerLeaseExpiry(*it)))) {
             if (!it->hasReported) {
                 ++m_outwaitedWorkerCount;
-                m_log.write("worker_outwaited", "worker", it->record.id, "registered", it->isRegistered);
+                m_log.write("worker_outwaited",
+                            "worker",
+                            it->record.id,
+                            "registered",
+                            it->isRegistered,
+                            "born",
+                            it->record.startedAtMs,
+                            "listed_born",
+                            it->listedStartedAtMs);
             }
             it->mayRunFormerOrders = false;
             m_isPlacementDue = true;
