A successor waits out the lease of a worker that has restarted

What callers saw: tasks that must run once ran on two workers, both up.

Cause: an order for a worker's former incarnation, executed by the next one, gives that the longest lease that workers accept (10 s), as its time limit lies on another clock. The leader that sent it reckons with that; its successor, which could not read the worker, waited 5.2 s, the lease that leaders grant. The same hole was there if the successor read the worker and the worker was cut off afterwards.

Change: each row of ctl/workers/N names the settled incarnation, whose lease leaders have certainly extended by its own clock only, or none. A leader writes none as soon as it sees a restart that such an order may have reached, and the incarnation once cutLeaseEnd() of its first report has passed. A successor waits for the longest lease if the row names none, or another incarnation than the present one; this also bounds withheld leases. It takes the lease of such a worker to end as late after its own first reading, too. All other workers are waited for as before. If the list cannot be read, or an older version has written it, each worker counts as unsettled. takeover_waits and worker_outwaited say which bound applied.

Evidence: RestartedWorker.* (new) play late starts and answered renewals; ends of the term by kill, resignation and loss of the store; a registry that shows the restart late; a successor that has read the worker; two successors; two restarts.

Checks changed: none. The stand-in of the tests got restartWithClock() and entries that the registry shows late.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -69,6 +69,7 @@
     const bool wasDraining = worker.record.condition == WorkerCondition::Draining;
     worker.record = record;
     worker.isRegistered = true;
+    settleUnusedWorker(worker);
     if (record.condition == WorkerCondition::Draining && !wasDraining) {
         worker.drainSeenAt = m_clock.now();
         m_log.write(
@@ -114,6 +115,9 @@
         worker.mayHaveFormerLease = true;
         worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(m_clock.now() + m_settings.orderValidity));
     }
+    worker.settledStartedAtMs = worker.mayHaveFormerLease ? 0 : record.startedAtMs;
+    worker.settlesAt = {};
+    m_workersDirty = true; // a successor may not be able to read it
     worker.answeredOrderSentAt = {};
     worker.processedSequence = 0;
     worker.durableSequence = 0;
@@ -146,6 +150,24 @@
     return time + Duration(static_cast<Duration::rep>(longest / MinWorkerClockRate));
 }
 
+/** No order from before can reach a worker that no leader has used. */
+void WorkflowScheduler::settleUnusedWorker(WorkerState &worker) const
+{
+    if (worker.restartCount == 0 && !m_areFormerWorkersUnknown && !m_formerWorkers.contains(worker.record.id)) {
+        worker.settledStartedAtMs = worker.record.startedAtMs;
+    }
+}
+
+/** The worker has rejected orders for former incarnations since its first report, and a lease that it had then has expired. */
+void WorkflowScheduler::settleLease(WorkerState &worker, TimePoint now)
+{
+    if (worker.settlesAt != TimePoint{} && now >= worker.settlesAt) {
+        worker.settlesAt = {};
+        worker.settledStartedAtMs = worker.record.startedAtMs;
+        m_workersDirty = true;
+    }
+}
+
 void WorkflowScheduler::noteExtensionAnswer(WorkerState &worker, OrderStatus status, TimePoint sentAt) const
 {
     --worker.pendingExtensions;
@@ -170,6 +192,7 @@
             requeueLostRuns(i, "lease expired");
         }
         dropFromStoredWorkers(worker);
+        settleLease(worker, now);
         const bool isNeeded = worker.isRegistered || worker.mayRunFormerOrders || !worker.runs.empty()
                               || !worker.unresolvedRuns.empty();
         if (isNeeded && !worker.isRenewing && now >= worker.nextRenewAt && !worker.record.address.empty()) {
@@ -299,6 +322,7 @@
     if (worker.record.startedAtMs == 0) {
         // Its registry entry is missing. Needed to detect a restart before the entry is back.
         worker.record.startedAtMs = reply.report.startedAtMs;
+        settleUnusedWorker(worker);
     }
     const bool isOtherIncarnation = worker.record.startedAtMs != 0 && reply.report.startedAtMs != 0
                                     && worker.record.startedAtMs != reply.report.startedAtMs;
@@ -308,6 +332,7 @@
         beginIncarnation(index, record);
         if (isExtension) { // the new incarnation has executed it
             worker.mayHaveFormerLease = true;
+            worker.settledStartedAtMs = 0;
             worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(now));
         }
         return; // renews again with the token of the new incarnation
@@ -318,8 +343,10 @@
         worker.leaseEndsBy
             = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.grantedLease(), now));
     }
-    if (std::exchange(worker.mayHaveFormerLease, false)) { // it rejects such orders from now on
-        worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(now));
+    const bool isUnsettled = !worker.hasReported && !worker.isSettled();
+    if (std::exchange(worker.mayHaveFormerLease, false) || isUnsettled) { // it rejects such orders from now on
+        worker.settlesAt = cutLeaseEnd(now);
+        worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.settlesAt);
     }
     worker.hasReported = true;
     worker.isConfirmed = worker.isConfirmed || m_authority == Authority::Full;
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -166,10 +166,12 @@
     TimePoint leaseExtendedAt{};     ///< when the last renewal was sent that extends its lease
     TimePoint leaseEndsBy{}; ///< by then its lease has expired and all its runs have ended, unless it is renewed
     /** Orders that extend its lease, renewals and starts: an incarnation that has not accepted its token may execute them. */
-    std::uint32_t pendingExtensions = 0;  ///< without an answer so far
-    TimePoint lateExtensionsUntil{};      ///< one that gets no answer may be executed until then
-    TimePoint startAnsweredAt{};          ///< the last answer to a start, which does not tell the incarnation
-    bool mayHaveFormerLease = false;      ///< has not reported, and such an order may reach it, or has
+    std::uint32_t pendingExtensions = 0; ///< without an answer so far
+    TimePoint lateExtensionsUntil{};     ///< one that gets no answer may be executed until then
+    TimePoint startAnsweredAt{};         ///< the last answer to a start, which does not tell the incarnation
+    bool mayHaveFormerLease = false;     ///< has not reported, and such an order may reach it, or has
+    std::int64_t settledStartedAtMs = 0; ///< see KnownWorker; as far as this leader knows
+    TimePoint settlesAt{}; ///< its present incarnation becomes the settled one then; zero: is not known, or past
     std::uint32_t unansweredRenewals = 0; ///< consecutive renewals without a reply
     TimePoint noStartsUntil{};            ///< back-off after a rejected start
 
@@ -208,6 +210,11 @@
     {
         return now < quarantinedUntil;
     }
+    /** Its lease has been extended by its own clock only. False if its incarnation is not the settled one, or none is. */
+    bool isSettled() const
+    {
+        return settledStartedAtMs != 0 && (record.startedAtMs == 0 || record.startedAtMs == settledStartedAtMs);
+    }
     bool isReservedForOther(const JobState &job, TimePoint now) const
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
--- a/packages/workflow/progress.cpp
+++ b/packages/workflow/progress.cpp
@@ -481,7 +481,8 @@
 {
     json rows = json::array({StoredVersion});
     for (const KnownWorker &it : workers) {
-        rows.push_back(json::array({it.id, it.startedAtMs, it.address, it.pool, it.listedSince}));
+        rows.push_back(
+            json::array({it.id, it.startedAtMs, it.address, it.pool, it.listedSince, it.settledStartedAtMs}));
     }
     return packRecord(rows);
 }
@@ -494,7 +495,8 @@
         for (std::size_t i = 1; i < value.size(); ++i) {
             const json &row = value[i];
             const std::uint64_t listedSince = row.size() > 4 ? row.at(4).get<std::uint64_t>() : 0;
-            workers.push_back({row.at(0), row.at(1), row.at(2), row.at(3), listedSince});
+            const std::int64_t settled = row.size() > 5 ? row.at(5).get<std::int64_t>() : 0;
+            workers.push_back({row.at(0), row.at(1), row.at(2), row.at(3), listedSince, settled});
         }
     } catch (const json::exception &error) {
         throw InvalidArgument("workers", error.what());
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -323,6 +323,12 @@
     std::string pool;
     std::uint64_t listedSince
         = 0; ///< epoch of the leader that added it to the list; 0: an older version has written it
+    /**
+     * Start time of the incarnation of which it is certain that leaders have extended its lease by its own clock only. 0: there
+     * is none, or an older version has written the list. Any other incarnation may have executed orders for the one before,
+     * and workers cut a lease that another clock measures to their maximum.
+     */
+    std::int64_t settledStartedAtMs = 0;
 };
 
 std::string encodeWorkers(const std::vector<KnownWorker> &workers);
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -369,7 +369,7 @@
     bool isAnsweredByHalf(TimePoint now) const;
     TimePoint endOf(const FormerLeader &leader) const;
     TimePoint lastOrderOf(const FormerLeader &leader) const;
-    TimePoint formerLeasesExpiry() const;
+    TimePoint lastFormerOrder() const;
     TimePoint formerLeaseExpiry(const WorkerState &worker) const;
     Duration longestLease() const;
 
@@ -388,6 +388,8 @@
     void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt, bool isExtension);
     bool mayExtensionsReachNext(const WorkerState &worker) const;
     TimePoint cutLeaseEnd(TimePoint time) const;
+    void settleUnusedWorker(WorkerState &worker) const;
+    void settleLease(WorkerState &worker, TimePoint now);
     void noteExtensionAnswer(WorkerState &worker, OrderStatus status, TimePoint sentAt) const;
     void onRenewFailed(WorkerIndex index, OrderStatus status, TimePoint now);
     void processReport(WorkerIndex index, const WorkerReport &report, TimePoint sentAt);
@@ -713,6 +715,7 @@
     std::vector<std::set<WorkerId>>
         m_possibleLists; ///< contents that ctl/workers may have: writes may have got no answer
     std::map<WorkerId, std::uint64_t> m_formerWorkers; ///< KnownWorker::listedSince as loaded from ctl/workers
+    bool m_areFormerWorkersUnknown = false;            ///< ctl/workers could not be read
     std::map<std::uint64_t, TimePoint>
         m_rejectedSince;        ///< by epoch of a former leader: most of its workers reject it since
     bool m_isGraceOver = false; ///< until authority is full again
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -567,8 +567,12 @@
             if (listedSince == 0 && m_formerLeaders.empty()) {
                 listedSince = m_term.epoch;
             }
-            knownWorkers.push_back(
-                {it->record.id, it->record.startedAtMs, it->record.address, it->record.pool, listedSince});
+            knownWorkers.push_back({it->record.id,
+                                    it->record.startedAtMs,
+                                    it->record.address,
+                                    it->record.pool,
+                                    listedSince,
+                                    it->isSettled() ? it->settledStartedAtMs : 0});
             ids.insert(it->record.id);
         } else {
             m_storedWorkers.erase(it->record.id); // gets no starts until it is listed again
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -247,6 +247,7 @@
             }
             worker.mayRunFormerOrders = !worker.hasReported;
             worker.listedStartedAtMs = known.startedAtMs;
+            worker.settledStartedAtMs = known.settledStartedAtMs;
             m_storedWorkers.insert(known.id);
             m_formerWorkers[known.id] = known.listedSince;
         }
@@ -267,7 +268,11 @@
     } catch (const Error &error) {
         m_log.write("workers_unreadable", "key", item.key, "revision", item.revision, "error", error.what());
         m_workersDirty = true;
-        return {{"unreadable list", 0, {}, {}, 0}};
+        m_areFormerWorkersUnknown = true;
+        for (const auto &it : m_workers) {
+            it->settledStartedAtMs = 0;
+        }
+        return {{"unreadable list", 0, {}, {}, 0, 0}};
     }
 }
 
@@ -529,7 +534,11 @@
                             "born",
                             it->record.startedAtMs,
                             "listed_born",
-                            it->listedStartedAtMs);
+                            it->listedStartedAtMs,
+                            "settled_born",
+                            it->settledStartedAtMs,
+                            "lease",
+                            it->isSettled() ? "granted" : "longest");
             }
             it->mayRunFormerOrders = false;
             m_isPlacementDue = true;
@@ -568,10 +577,17 @@
 {
     std::string names;
     std::size_t n = 0;
+    std::size_t unsettled = 0;
+    TimePoint expiry = now;
     for (const auto &it : m_workers) {
-        if (it->mayRunFormerOrders && n++ < MaxLoggedWorkers) {
+        if (!it->mayRunFormerOrders) {
+            continue;
+        }
+        if (n++ < MaxLoggedWorkers) {
             names += (names.empty() ? "" : ",") + it->record.id;
         }
+        unsettled += it->isSettled() ? 0 : 1;
+        expiry = std::max(expiry, formerLeaseExpiry(*it));
     }
     m_log.write("takeover_waits",
                 "shard",
@@ -586,8 +602,10 @@
                 m_unreadWorkerCount,
                 "workers",
                 names,
+                "longest_leases",
+                unsettled,
                 "at_most_ms",
-                std::chrono::duration_cast<std::chrono::milliseconds>(formerLeasesExpiry() - now).count());
+                std::chrono::duration_cast<std::chrono::milliseconds>(expiry - now).count());
 }
 
 /** The store has not confirmed the leader's lease since then. */
@@ -602,24 +620,30 @@
     return endOf(leader) + m_settings.formerLeaderOrderTime;
 }
 
-TimePoint WorkflowScheduler::formerLeasesExpiry() const
+/** No former leader sends an order after that. */
+TimePoint WorkflowScheduler::lastFormerOrder() const
 {
     TimePoint lastOrder = m_formerLeadersGoneAt;
     for (const FormerLeader &it : m_formerLeaders) {
         lastOrder = std::max(lastOrder, lastOrderOf(it));
     }
-    return lastOrder + longestLease();
+    return lastOrder;
 }
 
-/** When nothing that a former leader has started can run on the worker any more, unless it replies before. */
+/**
+ * When nothing that a former leader has started can run on the worker any more, unless it replies before. An incarnation that
+ * is not settled may have executed an order for the one before, which this leader may have seen end.
+ */
 TimePoint WorkflowScheduler::formerLeaseExpiry(const WorkerState &worker) const
 {
     const bool isWithheldByFormer = worker.withheldNumber != 0 && worker.withheldSince != TimePoint{};
-    return isWithheldByFormer ? std::min(formerLeasesExpiry(), worker.withheldSince + longestLease())
-                              : formerLeasesExpiry();
+    const TimePoint lastOrder
+        = isWithheldByFormer ? std::min(lastFormerOrder(), worker.withheldSince) : lastFormerOrder();
+    return worker.isSettled() ? lastOrder + longestLease()
+                              : std::max(cutLeaseEnd(lastOrder) + LeaseMargin, worker.leaseEndsBy);
 }
 
-/** From the last order that extends a worker's lease until the lease has expired, on our clock. */
+/** From the last order that extends a worker's lease by its own clock until the lease has expired, on our clock. */
 Duration WorkflowScheduler::longestLease() const
 {
     const double lease = static_cast<double>(m_settings.grantedLease().count()) / MinWorkerClockRate;
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -516,6 +516,7 @@
     }
 
     Catalog catalog;
+    std::map<WorkerId, WorkerRecord> staleEntries; ///< of workers that have not written their registry entries since
 
     std::string_view operatorPrefix() const override
     {
@@ -548,6 +549,9 @@
     }
     WorkerRecord parseWorker(std::string_view id, std::string_view) const override
     {
+        if (const auto stale = staleEntries.find(std::string(id)); stale != staleEntries.end()) {
+            return stale->second;
+        }
         const FakeWorker &worker = m_fleet.workers.at(std::string(id));
         WorkerRecord it;
         it.id = worker.id;
@@ -650,6 +654,15 @@
         it.node = std::make_unique<Node>(settings, it.store, it.port, decoder, clock, it.log);
     }
 
+    /** The worker starts again under its id, with a clock that begins at @p clockMs. Its registry entry is as before. */
+    void restartWithClock(const WorkerId &id, std::int64_t clockMs = 0)
+    {
+        FakeWorker &worker = fleet.workers.at(id);
+        fleet.restartWorker(id);
+        worker.leaseUntil = {};
+        worker.clockOffsetMs += clockMs - fleet.clockMs(worker);
+    }
+
     /** The address at which node @p i takes forwarded requests. */
     static std::string peerAddress(int i)
     {
