Crashes of a whole failure domain are held against nothing that had just been started there

Cause: all workers of one failure domain crashed at one moment, and on each of them something had just been started. A crash is excused next to one that no start explains; there was none.

Change: a failure domain is taken to have gone down as a whole if at least four of its workers, and half of them, crashed or fell silent within coincidenceTime, and of the workers elsewhere at most a quarter of that share (findDomainsDown()). What had just been started there counts as coincident, and the crashes count as one that no start explains. Evidence that was recorded before that showed is corrected, and stored so. A task is given up coincidenceTime after its last crash at the earliest and is not started until then; a successor that finds it convicted waits until it has read or outwaited all workers. worker_crashed says domain_down, and crash_excused names each task whose evidence is corrected.

Evidence: DomainCrashes.victimsOfTwoAreNotGivenUp and .verdictsAreCorrectedOnceTheRestGoesDown fail on the sources before, with the reason above; .deadlyTaskElsewhereIsGivenUp and .deadlyTasksThatStartAtOnceAreGivenUp pass there and guard the cure. No existing test was changed. Not played with real processes.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -50,6 +50,41 @@
     return evidence;
 }
 
+std::set<std::string> findDomainsDown(const CrashSettings &settings, const std::map<std::string, DomainToll> &domains)
+{
+    const auto shareOf = [](const DomainToll &it) {
+        return static_cast<double>(it.down) / static_cast<double>(std::max<std::size_t>(1, it.workers));
+    };
+    std::set<std::string> found;
+    DomainToll elsewhere;
+    for (const auto &[domain, it] : domains) {
+        if (!domain.empty() && it.down >= settings.minDomainCrashes && shareOf(it) >= settings.minDomainShare) {
+            found.insert(domain);
+        } else {
+            elsewhere.down += it.down;
+            elsewhere.workers += it.workers;
+        }
+    }
+    std::erase_if(found, [&](const std::string &it) {
+        return shareOf(elsewhere) > settings.maxShareElsewhere * shareOf(domains.at(it));
+    });
+    return found;
+}
+
+bool excuseCrash(std::span<CrashEvidence> crashes, const CrashName &crash)
+{
+    bool isChanged = false;
+    for (CrashEvidence &it : crashes) {
+        if (it.crash == crash && (it.role == CrashRole::Start || it.role == CrashRole::Trial)) {
+            it.role = CrashRole::CoincidentStart;
+            it.isExplained = false; // would say of this role that the task had started up before
+            it.areStartsToBlame = false;
+            isChanged = true;
+        }
+    }
+    return isChanged;
+}
+
 bool hasCrashAtStart(std::span<const CrashEvidence> crashes)
 {
     return std::any_of(
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -17,7 +17,9 @@
  * job (separation.cpp). Tasks that are known to start up are neither held up by that nor in the way of others.
  *
  * A crash next to one that no start explains (a power loss, a machine that crashes by itself) is not counted as a crash of a
- * trial, so that the victims of such crashes are not given up.
+ * trial, so that the victims of such crashes are not given up. Neither is any of a failure domain that crashes at one moment,
+ * whatever had been started there. As that may show only after the first of its crashes was recorded, evidence is corrected,
+ * and a task is given up coincidenceTime after its last crash.
  *
  * Index of this file
  *   CrashSettings   times and limits
@@ -26,6 +28,7 @@
  *   TaskTrial       a start of a suspect; stored before the order is sent
  *   LostRun         a run that was on a worker when it crashed, or that has been silent since
  *   assessCrash()   what a crash says of each run that it ended
+ *   DomainToll, findDomainsDown(), excuseCrash()   crashes of a whole failure domain
  *   isSuspected(), isGivenUp(), guiltEstimate()   the verdict on a task by its evidence
  *   crashesExplainedBy(), explainCrash()          what the verdict on one task says of others
  *   remainingVerdictTime()   the wait for the outcome of a former leader's trial
@@ -42,6 +45,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <vector>
@@ -55,11 +59,15 @@
     Duration startupTime = std::chrono::milliseconds(500);      ///< a run that is listed so long after its start has
                                                                 ///< started without crashing its worker
     Duration coincidenceTime = std::chrono::milliseconds(1500); ///< between two crashes that may have one cause
-    Duration verdictTimeout = std::chrono::seconds(10);         ///< a suspect whose worker does not come back waits so
-                                                                ///< long after the end of the worker's lease
-    Duration trialTimeout = std::chrono::seconds(3);            ///< a trial that could not start chooses another worker
-    Duration machineMemory = std::chrono::seconds(60);          ///< machines that crash twice in it get no trials
-    std::uint32_t maxTrialCrashes = 2;                          ///< a task is given up after so many
+    std::size_t minDomainCrashes = 4; ///< within coincidenceTime, of workers of one failure domain that may have
+                                      ///< gone down as a whole
+    double minDomainShare = 0.5;      ///< of its workers: go down with it
+    double maxShareElsewhere = 0.25;  ///< of that share: workers elsewhere that go down meanwhile
+    Duration verdictTimeout = std::chrono::seconds(10); ///< a suspect whose worker does not come back waits so
+                                                        ///< long after the end of the worker's lease
+    Duration trialTimeout = std::chrono::seconds(3);    ///< a trial that could not start chooses another worker
+    Duration machineMemory = std::chrono::seconds(60);  ///< machines that crash twice in it get no trials
+    std::uint32_t maxTrialCrashes = 2;                  ///< a task is given up after so many
     std::uint32_t startCrashesPerOther
         = 10; ///< as long as so many crashes in machineMemory were at a start for each other one, a crash in a trial
               ///< convicts a task that has crashed at a start before
@@ -148,6 +156,23 @@
 std::vector<std::optional<CrashEvidence>>
 assessCrash(std::span<const LostRun> lost, bool isCoincident, bool isTimeKnown = true);
 
+/** Workers of a failure domain, and those of them that crashed or fell silent at about the same time. */
+struct DomainToll
+{
+    std::size_t down = 0;
+    std::size_t workers = 0; ///< those that are down included
+};
+
+/**
+ * The failure domains whose crashes have a cause of their own, given all of the shard: few workers elsewhere went down. Those
+ * under deadly tasks that start all at once are spread over all domains. If no workers are left to compare with, as in a shard
+ * of one failure domain, the share of its own decides. Of fewer workers than minDomainCrashes nothing is concluded.
+ */
+std::set<std::string> findDomainsDown(const CrashSettings &settings, const std::map<std::string, DomainToll> &domains);
+
+/** No task has caused @p crash: what had just been started there counts as coincident. False if that changes nothing. */
+bool excuseCrash(std::span<CrashEvidence> crashes, const CrashName &crash);
+
 /** Whether the task has to be tried alone. */
 bool isSuspected(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
 bool isGivenUp(const CrashSettings &settings, std::span<const CrashEvidence> crashes);
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -275,7 +275,9 @@
         bool hasStartingRun = false; ///< a run had just been started there
         bool isTimeKnown = false;    ///< otherwise it was before this leader first reached the worker
         std::string address;         ///< of the worker
+        std::string failureDomain;   ///< of the worker
         CrashName crash;
+        bool isOfDomain = false; ///< the whole failure domain crashed, see findDomainsDown()
     };
 
     /** A step some of whose tasks wait. */
@@ -412,6 +414,12 @@
     LostRun describeLostRun(const TaskRef &ref, std::int64_t workerStartedAtMs, TimePoint lostAt) const;
     void recordCrash(WorkerIndex index, std::span<const LostRun> lost, bool isTimeKnown);
     bool isNextToUnexplainedCrash(WorkerIndex index, TimePoint at, bool isTimeKnown) const;
+    bool isNear(TimePoint a, TimePoint b) const;
+    bool isDomainDown(const std::string &failureDomain, TimePoint at, bool isTimeKnown) const;
+    void reviewCrashes();
+    void excuseRunsOf(const RecentCrash &crash);
+    void giveUpConvicted(TimePoint now);
+    bool isVerdictDue(const TaskState &task, TimePoint now) const;
     bool areStartsToBlame() const;
     void addEvidence(const TaskRef &ref, const CrashEvidence &evidence);
     void explainCrashesOf(const TaskState &guilty);
@@ -727,6 +735,7 @@
     std::deque<RecentCrash> m_recentCrashes; ///< for CrashSettings::machineMemory, in the order in which they showed
     std::map<CrashName, TimePoint>
         m_explainedCrashes; ///< by a task that has crashed another worker alone, or was given up; when that showed
+    bool m_mayBeConvicted = false; ///< some task may have to be given up
     TimePoint m_nextSuspectLogAt{};
     std::map<std::string, TimePoint> m_separatedUntil; ///< by pool; see separation.cpp
 
--- a/packages/workflow/separation.cpp
+++ b/packages/workflow/separation.cpp
@@ -40,10 +40,13 @@
 void WorkflowScheduler::separateStartsAfterSilence(WorkerIndex index)
 {
     const WorkerState &worker = *m_workers[index];
+    const bool isTimeKnown = worker.reportCount > 0;
     if (!worker.isLeaving() && !worker.trialJob && worker.hasStartingRun()
-        && !isNextToUnexplainedCrash(index, worker.contactLostAt, worker.reportCount > 0)) {
+        && !isNextToUnexplainedCrash(index, worker.contactLostAt, isTimeKnown)
+        && !isDomainDown(worker.record.failureDomain, worker.contactLostAt, isTimeKnown)) {
         separateStarts(worker.record.pool, m_settings.grantedLease(), "silence"); // it may be cut off only
     }
+    reviewCrashes();
 }
 
 void WorkflowScheduler::endSeparations(TimePoint now)
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -66,7 +66,13 @@
             starting += (starting.empty() ? "" : ",") + formatRun(it.run);
         }
     }
-    const bool isCoincident = isNextToUnexplainedCrash(index, at, isTimeKnown);
+    const CrashName crash{worker.record.id, lost.empty() ? 0 : lost.front().workerStartedAtMs};
+    bool isCoincident = isNextToUnexplainedCrash(index, at, isTimeKnown);
+    m_recentCrashes.push_back(
+        {at, n > 0, isTimeKnown, worker.record.address, worker.record.failureDomain, crash, false});
+    reviewCrashes();
+    const bool isOfDomain = m_recentCrashes.back().isOfDomain;
+    isCoincident = isCoincident || isOfDomain;
     ++m_counters.workerCrashes;
     m_counters.workerCrashesAtStart += n > 0 ? 1 : 0;
     m_log.writeImportant("worker_crashed",
@@ -80,16 +86,17 @@
                          n,
                          "coincident",
                          isCoincident,
+                         "domain_down",
+                         isOfDomain,
                          "first",
                          starting);
-    const CrashName crash{worker.record.id, lost.empty() ? 0 : lost.front().workerStartedAtMs};
-    m_recentCrashes.push_back({at, n > 0, isTimeKnown, worker.record.address, crash});
     const bool isUnderUntried
         = std::any_of(lost.begin(), lost.end(), [](const LostRun &it) { return it.isStarting && !it.isTrial; });
     if (isUnderUntried && !isCoincident) {
         separateStarts(worker.record.pool, at + m_settings.crashes.separationTime - m_now, "crash");
     }
-    std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident, isTimeKnown);
+    // That the whole failure domain crashed shows whenever it was.
+    std::vector<std::optional<CrashEvidence>> evidence = assessCrash(lost, isCoincident, isTimeKnown || isOfDomain);
     for (std::size_t i = 0; i < lost.size(); ++i) {
         const auto ref = findTask(lost[i].run.task);
         if (ref && evidence[i]) {
@@ -107,31 +114,99 @@
  */
 bool WorkflowScheduler::isNextToUnexplainedCrash(WorkerIndex index, TimePoint at, bool isTimeKnown) const
 {
-    const auto isNear = [this, at](TimePoint other) {
-        return other - at <= m_settings.crashes.coincidenceTime && at - other <= m_settings.crashes.coincidenceTime;
-    };
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         const WorkerState &other = *m_workers[i];
         const bool isSilent = i != index && other.isRegistered && other.unansweredRenewals > 0
                               && other.record.condition != WorkerCondition::Draining;
         const bool isOtherKnown = other.reportCount > 0;
-        if (isSilent && isOtherKnown == isTimeKnown && isNear(other.contactLostAt) && !other.hasStartingRun()) {
+        if (isSilent && isOtherKnown == isTimeKnown && isNear(other.contactLostAt, at) && !other.hasStartingRun()) {
             return true;
         }
     }
     return std::any_of(m_recentCrashes.begin(), m_recentCrashes.end(), [&](const RecentCrash &it) {
-        return !it.hasStartingRun && it.isTimeKnown == isTimeKnown && isNear(it.at);
+        return !it.hasStartingRun && it.isTimeKnown == isTimeKnown && isNear(it.at, at);
     });
 }
 
-/** Whether workers hardly ever crash but at the start of a task. Other crashes at about the same time count as one. */
+bool WorkflowScheduler::isNear(TimePoint a, TimePoint b) const
+{
+    return a - b <= m_settings.crashes.coincidenceTime && b - a <= m_settings.crashes.coincidenceTime;
+}
+
+/**
+ * Whether the failure domain went down as a whole at about the time @p at. A worker and its successor at its address count
+ * once.
+ */
+bool WorkflowScheduler::isDomainDown(const std::string &failureDomain, TimePoint at, bool isTimeKnown) const
+{
+    std::map<std::string, std::string> domains; // by address
+    std::set<std::string> down;                 // addresses
+    for (const auto &it : m_workers) {
+        const bool isSilent = it->contactLostAt != TimePoint{} && isNear(it->contactLostAt, at)
+                              && (it->reportCount > 0) == isTimeKnown
+                              && it->record.condition != WorkerCondition::Draining;
+        if (isSilent) {
+            down.insert(it->record.address);
+        }
+        if (isSilent || !it->isLeaving()) {
+            domains[it->record.address] = it->record.failureDomain;
+        }
+    }
+    for (const RecentCrash &it : m_recentCrashes) {
+        if (it.isTimeKnown == isTimeKnown && isNear(it.at, at)) {
+            down.insert(it.address);
+            domains[it.address] = it.failureDomain;
+        }
+    }
+    std::map<std::string, DomainToll> tolls;
+    for (const auto &[address, domain] : domains) {
+        ++tolls[domain].workers;
+        tolls[domain].down += down.contains(address) ? 1 : 0;
+    }
+    return findDomainsDown(m_settings.crashes, tolls).contains(failureDomain);
+}
+
+/** A worker has crashed or fallen silent: crashes that were recorded before may turn out to be those of their whole domain. */
+void WorkflowScheduler::reviewCrashes()
+{
+    for (RecentCrash &it : m_recentCrashes) {
+        if (!it.isOfDomain && isNear(it.at, m_now) && isDomainDown(it.failureDomain, it.at, it.isTimeKnown)) {
+            it.isOfDomain = true;
+            excuseRunsOf(it);
+        }
+    }
+}
+
+/** What had just been started at the crash is no longer held for it. */
+void WorkflowScheduler::excuseRunsOf(const RecentCrash &crash)
+{
+    m_explainedCrashes.erase(crash.crash);
+    for (const auto &[key, job] : m_activeJobs) {
+        if (!crash.crash.isKnown() || !job->hasCrashEvidence || job->isMoving) {
+            continue;
+        }
+        forEachTask(*job, [&](const TaskRef &ref) {
+            if (excuseCrash(ref.task().crashes, crash.crash)) {
+                logTaskEvent("crash_excused", ref, "worker", crash.crash.worker, "domain", crash.failureDomain);
+                markDirty(*ref.job, StoreClass::Evidence);
+                m_isPlacementDue = true;
+            }
+        });
+    }
+}
+
+/**
+ * Whether workers hardly ever crash but at the start of a task. Other crashes at about the same time count as one, as those of
+ * a whole failure domain do.
+ */
 bool WorkflowScheduler::areStartsToBlame() const
 {
     std::size_t atStart = 0;
     std::vector<TimePoint> others;
     for (const RecentCrash &it : m_recentCrashes) {
-        atStart += it.hasStartingRun ? 1 : 0;
-        if (!it.hasStartingRun) {
+        const bool isAtStart = it.hasStartingRun && !it.isOfDomain;
+        atStart += isAtStart ? 1 : 0;
+        if (!isAtStart) {
             others.push_back(it.at);
         }
     }
@@ -176,10 +251,61 @@
     }
     markDirty(*ref.job, StoreClass::Evidence);
     if (isGivenUp(m_settings.crashes, task.crashes)) {
-        giveUpTask(ref);
+        m_mayBeConvicted = true;
+        giveUpConvicted(m_now);
+    }
+}
+
+/**
+ * Gives up the tasks that their evidence convicts, once it would have shown that the whole failure domain crashed. Until then
+ * they are not started.
+ */
+void WorkflowScheduler::giveUpConvicted(TimePoint now)
+{
+    if (!std::exchange(m_mayBeConvicted, false)) {
+        return;
+    }
+    std::vector<TaskRef> convicted;
+    for (const auto &[key, job] : m_activeJobs) {
+        if (!job->hasCrashEvidence) {
+            continue;
+        }
+        forEachTask(*job, [&](const TaskRef &ref) {
+            const TaskState &it = ref.task();
+            if (it.phase != TaskPhase::Done && it.phase != TaskPhase::Foreign && !it.isGivenUp
+                && isGivenUp(m_settings.crashes, it.crashes)) {
+                convicted.push_back(ref);
+            }
+        });
+    }
+    for (const TaskRef &it : convicted) {
+        if (isFinal(it.job->state)) {
+            continue; // for another one of its tasks
+        }
+        if (!it.job->isMoving && isVerdictDue(it.task(), now)) {
+            giveUpTask(it);
+        } else {
+            m_mayBeConvicted = true;
+        }
     }
 }
 
+/** Whether no crash that the task is held for can turn out any more to be one of its whole failure domain. */
+bool WorkflowScheduler::isVerdictDue(const TaskState &task, TimePoint now) const
+{
+    const Duration wait = m_settings.crashes.coincidenceTime;
+    const std::chrono::milliseconds wall = m_clock.wallNow();
+    return std::all_of(task.crashes.begin(), task.crashes.end(), [&](const CrashEvidence &it) {
+        const auto recent = std::find_if(m_recentCrashes.begin(),
+                                         m_recentCrashes.end(),
+                                         [&it](const RecentCrash &crash) { return crash.crash == it.crash; });
+        // A former leader's: this one has to know first which other workers have crashed.
+        return recent != m_recentCrashes.end()
+                   ? now >= recent->at + wait
+                   : isTakeoverComplete() && wall >= std::chrono::milliseconds(it.recordedMs) + wait;
+    });
+}
+
 /** Releases what was started beside a task that has crashed a worker in its trial. */
 void WorkflowScheduler::explainCrashesOf(const TaskState &guilty)
 {
@@ -437,6 +563,7 @@
             separateStarts(ref.job->accepted.pool, m_settings.crashes.separationTime - age, "stored evidence");
         }
     }
+    m_mayBeConvicted = m_mayBeConvicted || isGivenUp(m_settings.crashes, task.crashes);
     applyExplanations(ref);
     explainCrashesOf(task);
     if (task.trial && restoreUnresolvedRun(ref, *task.trial)) {
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -196,6 +196,7 @@
     }
     resolveUnreadWorkers(now);
     forgetOldCrashes(now);
+    giveUpConvicted(now);
     loadSharedPressure(now);
     updateWithheldLeases(now);
     renewWorkerLeases(now);
--- a/packages/workflow/tests/crashtest.cpp
+++ b/packages/workflow/tests/crashtest.cpp
@@ -4,6 +4,7 @@
  * Index of this file
  *   CrashDecisions   what a crash says of a task, without a scheduler
  *   Crashes          a scheduler with deadly tasks and with ordinary crashes
+ *   DomainCrashes    whole failure domains that crash at one moment, while tasks start there
  *   Capacity         workers whose capacity shrinks while tasks run there
  */
 #include "rig.h"
@@ -167,6 +168,28 @@
         << "it was not tried";
 }
 
+// A failure domain that goes down takes few workers elsewhere along; tasks that crash their workers do so everywhere.
+TEST(CrashDecisions, failureDomainsThatGoDownAreToldFromDeadlyTasks)
+{
+    using Names = std::set<std::string>;
+    const CrashSettings settings;
+    EXPECT_EQ(findDomainsDown(settings, {{"a", {16, 16}}, {"b", {1, 16}}, {"c", {0, 16}}}), Names{"a"});
+    EXPECT_EQ(findDomainsDown(settings, {{"a", {16, 16}}, {"b", {15, 16}}, {"c", {2, 16}}}), (Names{"a", "b"}));
+    EXPECT_EQ(findDomainsDown(settings, {{"a", {9, 16}}, {"b", {7, 16}}, {"c", {6, 16}}}), Names{}) << "all over";
+    EXPECT_EQ(findDomainsDown(settings, {{"a", {6, 16}}, {"b", {0, 16}}}), Names{}) << "fewer than half";
+    EXPECT_EQ(findDomainsDown(settings, {{"a", {3, 3}}, {"b", {0, 16}}}), Names{}) << "too few to conclude from";
+    EXPECT_EQ(findDomainsDown(settings, {{"", {16, 16}}, {"b", {0, 16}}}), Names{}) << "not known where";
+    std::vector<CrashEvidence> crashes{{1, CrashRole::Start, 2, {"w1", 7}, 5, true},
+                                       {2, CrashRole::Trial, 1, {"w2", 8}, 6, false, true}};
+    EXPECT_TRUE(excuseCrash(crashes, {"w1", 7}));
+    EXPECT_TRUE(excuseCrash(crashes, {"w2", 8}));
+    EXPECT_FALSE(excuseCrash(crashes, {"w2", 8}));
+    const std::vector<CrashEvidence> excused{{1, CrashRole::CoincidentStart, 2, {"w1", 7}, 5},
+                                             {2, CrashRole::CoincidentStart, 1, {"w2", 8}, 6}};
+    EXPECT_EQ(crashes, excused);
+    EXPECT_FALSE(isGivenUp(settings, crashes));
+}
+
 TEST(CrashDecisions, trialsMayKeepDownATwentiethOfTheWorkers)
 {
     TrialBudget budget(CrashSettings{}, 60);
@@ -538,6 +561,182 @@
     EXPECT_EQ(decodeGivenTask(encodeGivenTask(given)).crashes, task.crashes);
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Whole failure domains
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+constexpr int BusyWorkers = 24;
+
+/** Three failure domains, on all workers of which single tasks start all along. */
+class BusyDomains
+{
+public:
+    explicit BusyDomains(bool keepsId)
+        : rig(2, 0)
+    {
+        rig.fleet.crashBehaviour = {10ms, 600ms, keepsId};
+        for (int i = 0; i < BusyWorkers; ++i) {
+            rig.addWorker("w" + std::to_string(i), "r" + std::to_string(i / 4), "d" + std::to_string(i / 8));
+        }
+        rig.run(1s);
+    }
+
+    /** One step of the clock; every twentieth one submits as many jobs as there are workers. */
+    void step()
+    {
+        if (m_steps++ % 20 == 0) {
+            for (int i = 0; i < BusyWorkers; ++i) {
+                others.push_back("other" + std::to_string(others.size()));
+                rig.submit(std::max(0, rig.leader()), Rig::makeJob(others.back(), 1));
+            }
+        }
+        rig.run(StepTime);
+    }
+
+    /** The worker that has the task; empty: none. */
+    WorkerId holderOf(const TaskName &task) const
+    {
+        for (const auto &[id, worker] : rig.fleet.workers) {
+            for (const FakeRun &it : worker.running) {
+                if (it.run.task == task) {
+                    return id;
+                }
+            }
+        }
+        return {};
+    }
+
+    /** The failure domain of the worker that has the task, if each worker there has been given something; else empty. */
+    std::string busyDomainOf(const TaskName &task) const
+    {
+        const auto &workers = rig.fleet.workers;
+        const WorkerId holder = holderOf(task);
+        if (holder.empty()) {
+            return {};
+        }
+        const std::string domain = workers.at(holder).failureDomain;
+        const bool areAllBusy = std::all_of(workers.begin(), workers.end(), [&domain](const auto &it) {
+            return it.second.failureDomain != domain || it.second.isGone || !it.second.running.empty();
+        });
+        return areAllBusy ? domain : std::string();
+    }
+
+    /** Runs until the task has started in a failure domain where each worker has something to do, and returns it. */
+    std::string awaitStart(const TaskName &task)
+    {
+        const TimePoint until = rig.clock.now() + 20s;
+        while (rig.clock.now() < until) {
+            step();
+            if (std::string domain = busyDomainOf(task); !domain.empty()) {
+                return domain;
+            }
+        }
+        ADD_FAILURE() << "it has not started";
+        return {};
+    }
+
+    /** Crashes those of its workers that are up. */
+    void crashDomain(const std::string &domain)
+    {
+        std::vector<WorkerId> ids;
+        for (const auto &[id, worker] : rig.fleet.workers) {
+            if (worker.failureDomain == domain && worker.isReachable && !worker.isGone) {
+                ids.push_back(id);
+            }
+        }
+        for (const WorkerId &it : ids) {
+            rig.fleet.crash(it);
+        }
+    }
+
+    Rig rig;
+    std::vector<JobKey> others;
+
+private:
+    int m_steps = 0;
+};
+
+} // namespace
+
+// Guards against LOST: a failure domain crashed under the start of a task, then under its trial, and its job failed.
+TEST(DomainCrashes, victimsOfTwoAreNotGivenUp)
+{
+    for (const bool keepsId : {true, false}) {
+        BusyDomains it(keepsId);
+        const TaskName victim{"victim", 0, 0, 0};
+        it.rig.submit(it.rig.leader(), Rig::makeJob(victim.job, 1));
+        for (int i = 0; i < 3; ++i) {
+            it.crashDomain(it.awaitStart(victim));
+        }
+        it.rig.run(30s);
+        EXPECT_EQ(it.rig.state(victim.job), Done) << keepsId;
+        expectCompleted(it.rig, it.others);
+        EXPECT_TRUE(it.rig.fleet.violations.empty());
+    }
+}
+
+// Guards against LOST: one worker was back before the rest of its failure domain crashed, and its verdict stood.
+TEST(DomainCrashes, verdictsAreCorrectedOnceTheRestGoesDown)
+{
+    for (const bool keepsId : {true, false}) {
+        BusyDomains it(keepsId);
+        const TaskName victim{"victim", 0, 0, 0};
+        it.rig.submit(it.rig.leader(), Rig::makeJob(victim.job, 1));
+        for (int i = 0; i < 2; ++i) {
+            const std::string domain = it.awaitStart(victim);
+            it.rig.fleet.crashBehaviour.downTime = 20ms;
+            it.rig.fleet.crash(it.holderOf(victim));
+            it.rig.fleet.crashBehaviour.downTime = 600ms;
+            for (int step = 0; step < 60; ++step) {
+                it.step();
+            }
+            it.crashDomain(domain);
+        }
+        it.rig.run(30s);
+        EXPECT_EQ(it.rig.state(victim.job), Done) << keepsId;
+        expectCompleted(it.rig, it.others);
+    }
+}
+
+// Guards against BUDGET: what is excused for a failure domain must not spare a deadly task that starts elsewhere meanwhile.
+TEST(DomainCrashes, deadlyTaskElsewhereIsGivenUp)
+{
+    for (const bool keepsId : {true, false}) {
+        BusyDomains it(keepsId);
+        const TaskName deadly = makeDeadly(it.rig, "deadly");
+        it.rig.submit(it.rig.leader(), Rig::makeJob(deadly.job, 1));
+        const std::string domain = it.awaitStart(deadly);
+        it.crashDomain(domain == "d0" ? "d1" : "d0");
+        for (int i = 0; i < 500; ++i) {
+            it.step();
+        }
+        it.rig.run(30s);
+        expectGivenUp(it.rig, deadly);
+        expectCompleted(it.rig, it.others);
+    }
+}
+
+// Guards against BUDGET: deadly tasks that bring down half of the workers at one moment are not taken for a failure domain.
+TEST(DomainCrashes, deadlyTasksThatStartAtOnceAreGivenUp)
+{
+    BusyDomains it(true);
+    std::vector<TaskName> deadly;
+    for (int i = 0; i < BusyWorkers / 2; ++i) {
+        deadly.push_back(makeDeadly(it.rig, "deadly" + std::to_string(i)));
+        it.rig.submit(it.rig.leader(), Rig::makeJob(deadly.back().job, 1));
+    }
+    for (int i = 0; i < 500; ++i) {
+        it.step();
+    }
+    it.rig.run(60s);
+    for (const TaskName &task : deadly) {
+        expectGivenUp(it.rig, task);
+    }
+    expectCompleted(it.rig, it.others);
+}
+
 // ---------------------------------------------------------------------------------------------------------------------
 // Capacity that shrinks
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -168,7 +168,8 @@
             for (std::uint32_t i = 0; i < step.tasks.size(); ++i) {
                 const TaskRef ref{&job, k, s, i};
                 const TaskState &task = step.tasks[i];
-                const bool canStart = task.phase == TaskPhase::Waiting && holdOf(ref, now) == WaitReason::None;
+                const bool canStart = task.phase == TaskPhase::Waiting && holdOf(ref, now) == WaitReason::None
+                                      && !isGivenUp(m_settings.crashes, task.crashes);
                 if (spec.steps[s].isGang && canStart) {
                     isAnyNeeded = isAnyNeeded || needsTrial(task);
                     refs.push_back(ref);
