The lease of a start is reckoned by the clock that has executed it

Cause: an answer to a start does not name the incarnation. The next incarnation executes a start that was meant for the former one if its clock begins further back; the start's time limit then lies far ahead, and the worker cuts the lease to 10 s. The leader reckoned 2.5 s, by the clock of the former incarnation, and started the task elsewhere. The registry entry may come late, and a renewal that waits at the former incarnation is awaited until it times out, so nothing else told of the restart.

Change: - Each answer to a start tells a clock. The lease that the start may have extended (accepted, superseded or rejected for room) is reckoned from the receipt of the answer by that clock, at most the longest lease of a worker. So is that of a renewal that the next incarnation has answered, in place of the longest lease in any case. - A clock behind the time of sending shows a restart: the worker gets a new token and is read at once, and no renewal with the former clock is sent any more. It no longer waits for the answer to a renewal that was meant for the former incarnation; this holds for restarts seen in the registry as well. - As answered starts are known, they no longer put the lease of a restarted worker in doubt; only answers without a clock do.

Evidence: Incarnations.leaseOfAStartIsReckonedByTheClockThatExecutedIt and .answerToAStartShowsARestart fail on the sources before (the first one with "runs twice at the same time"), with the registry entry late or missing. .clockThatIsAheadOrNotNewIsOutwaitedByTheGrantedLease holds before and after: nobody is waited for longer.

Stand-ins of the tests: a waiting renewal ends with the worker's process, as other late orders do by default, and a start that is superseded extends the lease, as the protocol says.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -23,6 +23,19 @@
 constexpr std::int64_t ClockMarginMs = 50;     ///< added to a start's validity before the start counts as void
 constexpr std::int64_t WaitMarginMs = 100;     ///< by which a worker may answer a waiting renewal late
 
+/** The longest time in which a worker's clock advances by @p time. */
+Duration longestLocalTime(Duration time)
+{
+    return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) / MinWorkerClockRate));
+}
+
+/** Whether a start that was answered so may have extended the worker's lease. */
+bool extendsLease(OrderStatus status)
+{
+    return status == OrderStatus::Accepted || status == OrderStatus::Superseded
+           || status == OrderStatus::InsufficientCapacity;
+}
+
 } // namespace
 
 WorkerTarget WorkflowScheduler::target(const WorkerState &worker) const
@@ -119,6 +132,7 @@
     worker.durableSequence = 0;
     worker.unacknowledgedEnds.clear();
     worker.unknownRuns.clear();
+    worker.isRenewing = false; // a renewal of the former incarnation may wait for an answer until it times out
     worker.nextRenewAt = {};
     worker.unansweredRenewals = 0;
 }
@@ -132,8 +146,8 @@
 {
     const TimePoint now = m_clock.now();
     const bool isUnanswered = worker.pendingExtensions > 0 || now < worker.lateExtensionsUntil;
-    const bool isStartUncertain
-        = worker.startAnsweredAt >= worker.answeredOrderSentAt && worker.startAnsweredAt != TimePoint{};
+    const bool isStartUncertain = worker.startAnsweredWithoutClockAt >= worker.answeredOrderSentAt
+                                  && worker.startAnsweredWithoutClockAt != TimePoint{};
     const bool areFormerOrdersPast = m_formerLeaders.empty() && now >= m_formerLeadersGoneAt + m_settings.maxOrderDelay;
     const bool isFormer = m_formerWorkers.contains(worker.record.id) && !areFormerOrdersPast;
     return isUnanswered || isStartUncertain || isFormer;
@@ -142,8 +156,50 @@
 /** When a lease has expired that the worker was given until @p time, by a clock that is not its own. */
 TimePoint WorkflowScheduler::cutLeaseEnd(TimePoint time) const
 {
-    const auto longest = static_cast<double>(m_settings.maxWorkerLease.count());
-    return time + Duration(static_cast<Duration::rep>(longest / MinWorkerClockRate));
+    return time + longestLocalTime(m_settings.maxWorkerLease);
+}
+
+/**
+ * When the lease has expired that a start, answered just now, may have extended. The answer does not tell the incarnation, but
+ * its clock does: the one that the order was meant for has not gone back behind the time of sending.
+ */
+void WorkflowScheduler::noteStartAnswer(WorkerIndex index,
+                                        std::int64_t validUntilMs,
+                                        bool isOfThisFence,
+                                        const OrderReply &reply)
+{
+    WorkerState &worker = *m_workers[index];
+    if (reply.status == OrderStatus::Unanswered || reply.status == OrderStatus::NotSent) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    if (reply.clockMs <= 0) {
+        worker.startAnsweredWithoutClockAt = now;
+        return;
+    }
+    if (extendsLease(reply.status)) {
+        const Duration lease = std::chrono::milliseconds(validUntilMs - reply.clockMs);
+        worker.leaseEndsBy
+            = std::max(worker.leaseEndsBy, now + longestLocalTime(std::min(lease, m_settings.maxWorkerLease)));
+    }
+    const std::int64_t sentMs = validUntilMs - toMilliseconds(m_settings.orderValidity);
+    if (!isOfThisFence || reply.clockMs + ClockMarginMs >= sentMs) {
+        return;
+    }
+    m_log.write("start_answered_by_next",
+                "worker",
+                worker.record.id,
+                "born",
+                worker.record.startedAtMs,
+                "clock_ms",
+                reply.clockMs,
+                "sent_ms",
+                sentMs,
+                "status",
+                static_cast<int>(reply.status));
+    WorkerRecord record = worker.record;
+    record.startedAtMs = 0; // its first report tells
+    beginIncarnation(index, record);
 }
 
 void WorkflowScheduler::noteExtensionAnswer(WorkerState &worker, OrderStatus status, TimePoint sentAt) const
@@ -224,13 +280,13 @@
         }
     }
     worker.isRenewing = true;
-    const auto onReply = [this, index, fence = worker.fence, now, isExtension = order.leaseUntilMs.has_value()](
-                             const RenewReply &reply) {
-        if (isExtension) {
-            noteExtensionAnswer(*m_workers[index], reply.order.status, now);
-        }
-        onRenewed(index, fence, reply, now, isExtension);
-    };
+    const auto onReply
+        = [this, index, fence = worker.fence, now, leaseUntilMs = order.leaseUntilMs](const RenewReply &reply) {
+              if (leaseUntilMs) {
+                  noteExtensionAnswer(*m_workers[index], reply.order.status, now);
+              }
+              onRenewed(index, fence, reply, now, leaseUntilMs);
+          };
     m_port.renew(target(worker), order, ifAlive(onReply));
 }
 
@@ -276,16 +332,19 @@
     }
 }
 
-void WorkflowScheduler::onRenewed(
-    WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt, bool isExtension)
+void WorkflowScheduler::onRenewed(WorkerIndex index,
+                                  std::uint64_t fence,
+                                  const RenewReply &reply,
+                                  TimePoint sentAt,
+                                  std::optional<std::int64_t> leaseUntilMs)
 {
     WorkerState &worker = *m_workers[index];
     const TimePoint now = m_clock.now();
     m_now = now;
-    worker.isRenewing = false;
     if (fence != worker.fence) {
         return; // sent to an earlier incarnation
     }
+    worker.isRenewing = false;
     if (reply.order.status != OrderStatus::Accepted) {
         onRenewFailed(index, reply.order.status, now);
         return;
@@ -297,7 +356,7 @@
     worker.unansweredRenewals = 0;
     worker.lastReplyAt = now;
     if (worker.record.startedAtMs == 0) {
-        // Its registry entry is missing. Needed to detect a restart before the entry is back.
+        // Its registry entry is missing, or was outdated. Needed to detect a restart before the entry is back.
         worker.record.startedAtMs = reply.report.startedAtMs;
     }
     const bool isOtherIncarnation = worker.record.startedAtMs != 0 && reply.report.startedAtMs != 0
@@ -306,9 +365,10 @@
         WorkerRecord record = worker.record;
         record.startedAtMs = reply.report.startedAtMs;
         beginIncarnation(index, record);
-        if (isExtension) { // the new incarnation has executed it
-            worker.mayHaveFormerLease = true;
-            worker.leaseEndsBy = std::max(worker.leaseEndsBy, cutLeaseEnd(now));
+        if (leaseUntilMs) { // the new incarnation has executed it
+            const Duration lease = std::chrono::milliseconds(*leaseUntilMs - reply.report.clockMs);
+            worker.leaseEndsBy
+                = std::max(worker.leaseEndsBy, now + longestLocalTime(std::min(lease, m_settings.maxWorkerLease)));
         }
         return; // renews again with the token of the new incarnation
     }
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -687,29 +687,17 @@
     }
     m_recentStarts.push_back({ref.job->accepted.acceptedMs, ref.job->accepted.pool, step.usesSpareCpu});
     ++worker.pendingExtensions;
-    const auto onReply
-        = [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence, now](const OrderReply &reply) {
-              WorkerState &worker = *m_workers[index];
-              noteExtensionAnswer(worker, reply.status, now);
-              if (worker.clock.hasGoneBack(reply.clockMs) && reply.clockMs > 0) {
-                  m_log.write("start_answered_by_next",
-                              "worker",
-                              worker.record.id,
-                              "born",
-                              worker.record.startedAtMs,
-                              "clock_ms",
-                              reply.clockMs,
-                              "status",
-                              static_cast<int>(reply.status));
-              }
-              if (reply.status != OrderStatus::Unanswered && reply.status != OrderStatus::NotSent) {
-                  worker.startAnsweredAt = m_clock.now();
-              }
-              // Rejected because of our own newer token after the worker restarted: its first report decides.
-              if (reply.status != OrderStatus::Fenced || worker.fence == fence) {
-                  onStartReply(ref, key, index, attempt, reply);
-              }
-          };
+    const auto onReply =
+        [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence, now, validUntilMs = order.validUntilMs](
+            const OrderReply &reply) {
+            const bool isOfThisFence = m_workers[index]->fence == fence;
+            noteExtensionAnswer(*m_workers[index], reply.status, now);
+            noteStartAnswer(index, validUntilMs, isOfThisFence, reply);
+            // Rejected because of our own newer token after the worker restarted: its first report decides.
+            if (reply.status != OrderStatus::Fenced || isOfThisFence) {
+                onStartReply(ref, key, index, attempt, reply);
+            }
+        };
     m_port.start(target(worker), order, ifAlive(onReply));
 }
 
--- a/packages/workflow/pool.cpp
+++ b/packages/workflow/pool.cpp
@@ -6,8 +6,6 @@
 
 namespace {
 
-constexpr std::int64_t MaxOvertakingMs = 1000; ///< by which a reply may be older than one that came before it
-
 std::int64_t milliseconds(Duration duration)
 {
     return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -36,11 +34,6 @@
     return m_isKnown;
 }
 
-bool WorkerClock::hasGoneBack(std::int64_t clockMs) const
-{
-    return m_isKnown && clockMs + MaxOvertakingMs < m_clockMs;
-}
-
 std::int64_t WorkerClock::workerTimeAfter(Duration delay, TimePoint now) const
 {
     const auto elapsed = static_cast<double>(milliseconds(now - m_receivedAt)) * MinWorkerClockRate;
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -67,9 +67,6 @@
     void reset();
     bool isKnown() const;
 
-    /** Whether @p clockMs, of a reply, lies further back than replies can overtake each other: the next incarnation has sent it. */
-    bool hasGoneBack(std::int64_t clockMs) const;
-
     /** A time on the worker's clock that it reaches @p delay after @p now, or slightly earlier. Requires isKnown(). */
     std::int64_t workerTimeAfter(Duration delay, TimePoint now) const;
 
@@ -166,12 +163,12 @@
     TimePoint leaseExtendedAt{};     ///< when the last renewal was sent that extends its lease
     TimePoint leaseEndsBy{}; ///< by then its lease has expired and all its runs have ended, unless it is renewed
     /** Orders that extend its lease, renewals and starts: an incarnation that has not accepted its token may execute them. */
-    std::uint32_t pendingExtensions = 0;  ///< without an answer so far
-    TimePoint lateExtensionsUntil{};      ///< one that gets no answer may be executed until then
-    TimePoint startAnsweredAt{};          ///< the last answer to a start, which does not tell the incarnation
-    bool mayHaveFormerLease = false;      ///< has not reported, and such an order may reach it, or has
-    std::uint32_t unansweredRenewals = 0; ///< consecutive renewals without a reply
-    TimePoint noStartsUntil{};            ///< back-off after a rejected start
+    std::uint32_t pendingExtensions = 0;     ///< without an answer so far
+    TimePoint lateExtensionsUntil{};         ///< one that gets no answer may be executed until then
+    TimePoint startAnsweredWithoutClockAt{}; ///< the last answer to a start that tells neither clock nor incarnation
+    bool mayHaveFormerLease = false;         ///< has not reported, and such an order may reach it, or has
+    std::uint32_t unansweredRenewals = 0;    ///< consecutive renewals without a reply
+    TimePoint noStartsUntil{};               ///< back-off after a rejected start
 
     // Withheld lease, see withheldleases.h
     std::uint64_t withheldNumber = 0; ///< of its entry, which may be stored; 0: none
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -385,7 +385,12 @@
     void renewWorkerLeases(TimePoint now);
     void renewWorkerLease(WorkerIndex index, TimePoint now);
     void dropFromStoredWorkers(WorkerState &worker);
-    void onRenewed(WorkerIndex index, std::uint64_t fence, const RenewReply &reply, TimePoint sentAt, bool isExtension);
+    void onRenewed(WorkerIndex index,
+                   std::uint64_t fence,
+                   const RenewReply &reply,
+                   TimePoint sentAt,
+                   std::optional<std::int64_t> leaseUntilMs);
+    void noteStartAnswer(WorkerIndex index, std::int64_t validUntilMs, bool isOfThisFence, const OrderReply &reply);
     bool mayExtensionsReachNext(const WorkerState &worker) const;
     TimePoint cutLeaseEnd(TimePoint time) const;
     void noteExtensionAnswer(WorkerState &worker, OrderStatus status, TimePoint sentAt) const;
--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -169,6 +169,15 @@
         worker.highestEnded.clear();
     }
 
+    /** Restarts the worker under the same id, and its clock begins anew, at @p clockMs. */
+    void restartWithClock(const WorkerId &id, std::int64_t clockMs)
+    {
+        FakeWorker &worker = workers.at(id);
+        restartWorker(id);
+        worker.leaseUntil = {};
+        worker.clockOffsetMs += clockMs - this->clockMs(worker);
+    }
+
     /** The worker exits for good: its runs end unreported. With @p isReplaced another worker gets its address. */
     void removeWorker(const WorkerId &id, bool isReplaced)
     {
@@ -195,6 +204,7 @@
         }
         const auto highestEnded = worker.highestEnded.find(order.run.task);
         if (highestEnded != worker.highestEnded.end() && highestEnded->second >= order.run.attempt) {
+            extendLease(worker, order.validUntilMs);
             return {OrderStatus::Superseded, clockMs(worker)};
         }
         if (acknowledgedTasks.contains(order.run.task)) {
--- /dev/null
+++ b/packages/workflow/tests/incarnationtest.cpp
@@ -0,0 +1,101 @@
+/** Workers that restart under their ids, and whose next incarnations execute orders that were meant for the former ones. */
+#include "rig.h"
+
+namespace QuetzalRock::Workflow {
+
+namespace {
+
+WorkflowSpec makeLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks)
+{
+    WorkflowSpec spec = Rig::makeJob(key, tasks);
+    spec.steps[0].isLongRunning = true;
+    rig.fleet.longRunningJobs.insert(key);
+    return spec;
+}
+
+void runUntilStarts(Rig &rig, std::uint64_t starts)
+{
+    for (int i = 0; i < 500 && rig.fleet.starts < starts; ++i) {
+        rig.run(StepTime);
+    }
+    ASSERT_EQ(rig.fleet.starts, starts);
+}
+
+/** A worker restarts unnoticed and executes a start that was meant for its former incarnation. */
+void startAtTheNextIncarnation(Rig &rig, bool isEntryMissing, std::int64_t clockMs)
+{
+    rig.nodes[0]->port.renewalsWait = true;
+    rig.run(2500ms);
+    rig.fleet.restartWithClock("w0", clockMs);
+    rig.submit(0, makeLongRunning(rig, "a", 1));
+    runUntilStarts(rig, 1);
+    if (isEntryMissing) {
+        ++rig.backend.revision;
+        rig.backend.remove("workers/w0");
+    }
+    rig.addWorker("w1");
+}
+
+} // namespace
+
+// Guards against TWICE: the next incarnation executes a start, and is cut off before its restart is noticed. By its own clock the
+// start's time limit lies far ahead, so that its lease lasts up to 10 s, not the 2.5 s that the start was valid for.
+TEST(Incarnations, leaseOfAStartIsReckonedByTheClockThatExecutedIt)
+{
+    for (const bool isEntryMissing : {false, true}) {
+        for (const std::int64_t clockMs : {0, 1000}) {
+            Rig rig(1, 1);
+            startAtTheNextIncarnation(rig, isEntryMissing, clockMs);
+            rig.run(2 * StepTime); // the answer to the start
+            rig.fleet.workers["w0"].isReachable = false;
+            rig.run(9s);
+            EXPECT_EQ(rig.fleet.starts, 1U) << "its lease lasts";
+            rig.run(4s);
+            EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 1U);
+            EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+        }
+    }
+}
+
+// Guards against TWICE: an unnoticed next incarnation gets no longer lease by renewals with the former one's clock. The answer to
+// the start shows the restart, and the worker is read while a renewal still waits at the former incarnation.
+TEST(Incarnations, answerToAStartShowsARestart)
+{
+    Rig rig(1, 1);
+    startAtTheNextIncarnation(rig, false, 0);
+    rig.run(100ms);
+    EXPECT_GT(rig.fleet.workers["w0"].fence & 0xffffU, 0U) << "a token for the next incarnation";
+    EXPECT_EQ(rig.fleet.workers["w0"].running.size(), 1U);
+    rig.run(1s);
+    rig.backend.write("workers/w0", "restarted");
+    rig.run(500ms);
+    rig.submit(0, makeLongRunning(rig, "b", 40));
+    rig.run(1s);
+    EXPECT_GT(rig.fleet.workers["w0"].running.size(), 1U) << "it gets starts again";
+    EXPECT_EQ(rig.fleet.starts, 32U) << "none was started again";
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against TWICE and LOST: a next incarnation whose clock is ahead holds a shorter lease than the leader takes it for, and
+// one that has not restarted is outwaited as soon as its lease has ended.
+TEST(Incarnations, clockThatIsAheadOrNotNewIsOutwaitedByTheGrantedLease)
+{
+    for (const bool isRestarted : {false, true}) {
+        Rig rig(1, 1);
+        rig.nodes[0]->port.renewalsWait = true;
+        rig.run(2500ms);
+        if (isRestarted) {
+            rig.fleet.restartWithClock("w0", rig.fleet.clockMs(rig.fleet.workers["w0"]) + 2000);
+        }
+        rig.submit(0, makeLongRunning(rig, "a", 1));
+        runUntilStarts(rig, 1);
+        rig.addWorker("w1");
+        rig.run(2 * StepTime);
+        rig.fleet.workers["w0"].isReachable = false;
+        rig.run(5500ms);
+        EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 1U);
+        EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+    }
+}
+
+} // namespace QuetzalRock::Workflow
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -402,7 +402,8 @@
         if (renewalsWait && order.wait > Duration::zero() && lostOrderReplies == 0 && isReached(worker.id)) {
             const RenewReply reply = m_fleet.renew(worker, order);
             if (reply.order.status == OrderStatus::Accepted && reply.report.ended.empty()) {
-                m_waiting.push_back({worker.id, m_clock.now() + order.wait, std::move(done)});
+                const std::int64_t startedAtMs = m_fleet.workers.at(worker.id).startedAtMs;
+                m_waiting.push_back({worker.id, startedAtMs, m_clock.now() + order.wait, std::move(done)});
             } else {
                 m_replies.schedule(StepTime, [done, reply] { done(reply); });
             }
@@ -422,7 +423,8 @@
         waiting.swap(m_waiting);
         for (WaitingRenewal &it : waiting) {
             const FakeWorker &worker = m_fleet.workers.at(it.worker);
-            if (isReached(it.worker) && (!worker.ended.empty() || m_clock.now() >= it.until)) {
+            const bool isThere = isReached(it.worker) && worker.startedAtMs == it.startedAtMs;
+            if (isThere && (!worker.ended.empty() || m_clock.now() >= it.until)) {
                 it.done(m_fleet.report(worker)); // whatever tokens it has accepted meanwhile
             } else if (m_clock.now() >= it.until + CallTimeout) {
                 it.done({});
@@ -452,6 +454,7 @@
     struct WaitingRenewal
     {
         WorkerId worker;
+        std::int64_t startedAtMs; ///< of the incarnation at which it waits
         TimePoint until;
         std::function<void(const RenewReply &)> done;
     };
--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -807,10 +807,7 @@
 /** The worker starts again under its id; its clock begins anew. */
 void restartWithNewClock(Rig &rig, const WorkerId &id)
 {
-    FakeWorker &worker = rig.fleet.workers[id];
-    rig.fleet.restartWorker(id);
-    worker.leaseUntil = {};
-    worker.clockOffsetMs -= rig.fleet.clockMs(worker);
+    rig.fleet.restartWithClock(id, 0);
 }
 
 WorkflowSpec makeLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks)
