A silence from before a restart does not shorten the wait for the lease

A worker is silent, its leader lists it as withheld, and it restarts seconds later and executes an order from before the silence. The leader ends before it has read the worker, and its successor counts the longest lease from when the silence was listed, not from the restart.

Cause: an entry of ctl/board/withheld/N bounds what leaders send, and for a known clock also what the worker may execute. After a restart an order from before the entry may still be executed and begin a new lease.

Change: an entry names the incarnation that was silent. For a worker that is not settled, it counts for that incarnation only; a leader that sees another one makes the entry anew, so that a series of short leaderships still waits once.

--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -176,7 +176,8 @@
     TimePoint noStartsUntil{};            ///< back-off after a rejected start
 
     // Withheld lease, see withheldleases.h
-    std::uint64_t withheldNumber = 0; ///< of its entry, which may be stored; 0: none
+    std::uint64_t withheldNumber = 0;     ///< of its entry, which may be stored; 0: none
+    std::int64_t withheldStartedAtMs = 0; ///< of the incarnation that the entry names
     TimePoint withheldSince{}; ///< when this node learned of an entry of an earlier leader; zero: own entry or none
 
     // Ended runs
@@ -215,6 +216,11 @@
     {
         return settledStartedAtMs != 0 && (record.startedAtMs == 0 || record.startedAtMs == settledStartedAtMs);
     }
+    /** Start time of its present incarnation as far as it is known, else of the one that a former leader has listed. */
+    std::int64_t incarnation() const
+    {
+        return record.startedAtMs != 0 ? record.startedAtMs : listedStartedAtMs;
+    }
     bool isReservedForOther(const JobState &job, TimePoint now) const
     {
         return reservedFor != nullptr && reservedFor != &job && now < reservedUntil;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -377,6 +377,7 @@
     void loadWithheldLeases();
     void onWithheldLeasesLoaded(const StoreReply &reply);
     void updateWithheldLeases(TimePoint now);
+    static bool isWithheldLeaseCurrent(const WorkerState &worker);
     void storeWithheldLeases(TimePoint now);
     void onWithheldLeasesStored(const StoreReply &reply, std::span<const WorkerIndex> released);
 
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -636,7 +636,8 @@
  */
 TimePoint WorkflowScheduler::formerLeaseExpiry(const WorkerState &worker) const
 {
-    const bool isWithheldByFormer = worker.withheldNumber != 0 && worker.withheldSince != TimePoint{};
+    const bool isWithheldByFormer
+        = worker.withheldNumber != 0 && worker.withheldSince != TimePoint{} && isWithheldLeaseCurrent(worker);
     const TimePoint lastOrder
         = isWithheldByFormer ? std::min(lastFormerOrder(), worker.withheldSince) : lastFormerOrder();
     return worker.isSettled() ? lastOrder + longestLease()
--- a/packages/workflow/tests/restartedworkertest.cpp
+++ b/packages/workflow/tests/restartedworkertest.cpp
@@ -22,16 +22,16 @@
     rig.submit(rig.leader(), spec);
 }
 
-/** A leader and a successor; the worker w0, whose clock is far ahead of that of its next incarnation, and as much as this. */
+/** A leader and its successors; the worker w0, whose clock is far ahead of that of its next incarnation, and as much as this. */
 class RestartRig : public Rig
 {
 public:
-    RestartRig()
+    explicit RestartRig(int nodeCount = 2)
         : Rig(0, 1)
     {
         fleet.workers["w0"].clockOffsetMs = 3'600'000;
         scheduler.leaseExtensionInterval = {}; // each renewal that does not wait extends the lease
-        for (int i = 0; i < 2; ++i) {
+        for (int i = 0; i < nodeCount; ++i) {
             nodes.push_back(std::make_unique<RigNode>(backend, fleet, clock));
             nodes.back()->port.renewalsWait = true;
             boot(i);
@@ -47,17 +47,24 @@
     /** The worker restarts and executes a start for its former incarnation, of which the leader knows nothing yet. */
     void executeLateStart(const JobKey &job = "a")
     {
-        leaderPort().lostStartReplies = 1;
-        leaderPort().lostStartDelay = 2 * StepTime;
-        submitLongRunning(*this, job, 1);
-        for (int i = 0; i < 100 && leaderPort().lostStartReplies > 0; ++i) {
-            run(StepTime);
-        }
+        sendLateStart(job, 2 * StepTime);
         restartWithClock("w0", fleet.clockMs(fleet.workers["w0"]) / 2);
         run(2 * StepTime);
         checkLateLease();
     }
 
+    /** As above; the worker is silent from the start order on, for @p silence, and restarts then. */
+    void executeLateStartAfterSilence(Duration silence)
+    {
+        sendLateStart("a", silence);
+        fleet.workers["w0"].isReachable = false;
+        run(silence - 3 * StepTime);
+        restartWithClock("w0");
+        backend.write("workers/w0", "restarted");
+        run(3 * StepTime);
+        checkLateLease();
+    }
+
     /** As above, by a renewal that the next incarnation answers; the task starts once the leader has read that. */
     void executeLateRenewal()
     {
@@ -70,6 +77,16 @@
     }
 
 private:
+    void sendLateStart(const JobKey &job, Duration delay)
+    {
+        leaderPort().lostStartReplies = 1;
+        leaderPort().lostStartDelay = delay;
+        submitLongRunning(*this, job, 1);
+        for (int i = 0; i < 100 && leaderPort().lostStartReplies > 0; ++i) {
+            run(StepTime);
+        }
+    }
+
     void checkLateLease()
     {
         ASSERT_EQ(fleet.workers["w0"].running.size(), 1U);
@@ -259,6 +276,41 @@
     expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
 }
 
+// Guards against TWICE: the worker was silent before it restarted, and the lease was taken to have begun before that silence.
+TEST(RestartedWorker, lateLeaseIsNotCountedFromASilenceBefore)
+{
+    for (const bool hasLeaderSeenIt : {false, true}) {
+        RestartRig rig;
+        rig.executeLateStartAfterSilence(4s);
+        ASSERT_EQ(decodeWithheldLeases(rig.backend.items.at("ctl/board/withheld/0").value).size(), 1U);
+        rig.run(hasLeaderSeenIt ? 500ms : 0ms);
+        endTerm(rig, TermEnd::Killed, "w0");
+        rig.addWorker("w1");
+        expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
+    }
+}
+
+// Guards against LOST: each leader of a series waited from its own election for a worker that had restarted and was lost.
+TEST(RestartedWorker, lostOneIsNotWaitedForAnewByEachLeader)
+{
+    RestartRig rig(8); // a node that has restarted counts from its start
+    rig.executeLateStartAfterSilence(4s);
+    rig.addWorker("w1");
+    const TimePoint since = rig.clock.now();
+    while (rig.fleet.workers["w1"].running.empty() && rig.clock.now() < since + 40s) { // each leads for about 2 s
+        const int former = rig.leader();
+        rig.kill(former);
+        while (rig.leader() < 0) {
+            rig.run(StepTime);
+        }
+        rig.boot(former); // so that it is known to be gone
+        timeUntilUsed(rig, "w1", 2s);
+    }
+    EXPECT_LT(rig.clock.now(), since + 16s);
+    EXPECT_GE(rig.clock.now(), rig.fleet.workers["w0"].leaseUntil);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
 // Guards against LOST: a longer wait for workers that no order from before a restart can have reached.
 TEST(RestartedWorker, isWaitedForNoLongerOnceItsLeaseIsKnown)
 {
--- a/packages/workflow/withheldleases.cpp
+++ b/packages/workflow/withheldleases.cpp
@@ -40,7 +40,7 @@
 {
     json list = json::array();
     for (const WithheldLease &it : leases) {
-        list.push_back(json::array({it.worker, it.number}));
+        list.push_back(json::array({it.worker, it.number, it.startedAtMs}));
     }
     return packRecord(json::array({StoredVersion, std::move(list)}));
 }
@@ -51,7 +51,8 @@
     try {
         std::vector<WithheldLease> leases;
         for (const json &it : value.at(1)) {
-            leases.push_back({it.at(0).get<std::string>(), it.at(1).get<std::uint64_t>()});
+            const std::int64_t startedAtMs = it.size() > 2 ? it.at(2).get<std::int64_t>() : 0; // 0: of an older version
+            leases.push_back({it.at(0).get<std::string>(), it.at(1).get<std::uint64_t>(), startedAtMs});
         }
         return leases;
     } catch (const json::exception &error) {
@@ -86,6 +87,7 @@
             for (const WithheldLease &lease : decodeWithheldLeases(it.value)) {
                 WorkerState &worker = findOrAddWorker(lease.worker);
                 worker.withheldNumber = lease.number;
+                worker.withheldStartedAtMs = lease.startedAtMs;
                 const auto learnedAt = m_withheldLeases == nullptr ? std::nullopt : m_withheldLeases->learnedAt(lease);
                 worker.withheldSince = learnedAt.value_or(m_clock.now());
             }
@@ -112,8 +114,12 @@
     bool isOutdated = m_isWithheldDirty;
     for (const auto &it : m_workers) {
         const bool isSilent = it->unansweredRenewals > 0 && now >= it->contactLostAt + WithholdDelay;
-        if (it->withheldNumber == 0 && isSilent && areOthersBound && m_storedWorkers.contains(it->record.id)) {
+        const bool isNew = it->withheldNumber == 0 && isSilent && m_storedWorkers.contains(it->record.id);
+        const bool isOfFormer = it->withheldNumber != 0 && !it->hasReplied() && !isWithheldLeaseCurrent(*it);
+        if ((isNew || isOfFormer) && areOthersBound) {
             it->withheldNumber = (m_term.epoch << NumberBits) + ++m_withheldCount;
+            it->withheldStartedAtMs = it->incarnation();
+            it->withheldSince = it->withheldSince == TimePoint{} ? TimePoint{} : now;
             isOutdated = true;
         }
         isOutdated = isOutdated || (it->withheldNumber != 0 && it->hasReplied());
@@ -123,6 +129,12 @@
     }
 }
 
+/** Whether the worker can have got no lease since its entry was made. */
+bool WorkflowScheduler::isWithheldLeaseCurrent(const WorkerState &worker)
+{
+    return worker.isSettled() || worker.withheldStartedAtMs == worker.incarnation();
+}
+
 void WorkflowScheduler::storeWithheldLeases(TimePoint now)
 {
     std::vector<WithheldLease> listed;
@@ -133,7 +145,7 @@
         if (it.withheldNumber != 0 && (it.hasReplied() || isGone)) {
             released.push_back(i);
         } else if (it.withheldNumber != 0) {
-            listed.push_back({it.record.id, it.withheldNumber});
+            listed.push_back({it.record.id, it.withheldNumber, it.withheldStartedAtMs});
         }
     }
     StoreChange change;
--- a/packages/workflow/withheldleases.h
+++ b/packages/workflow/withheldleases.h
@@ -9,7 +9,8 @@
  * A leader that gets no reply from a worker lists it under ctl/board/withheld/N, and from then on sends it nothing that
  * extends its lease or starts a task, until the worker replies and is off the list again. Each later leader reads the list
  * before its first order and is bound by it in the same way. So the lease has expired once its length has passed since any
- * node learned of the entry, however many leaders there were in between.
+ * node learned of the entry, however many leaders there were in between. A restart may begin a lease after that, see
+ * KnownWorker::settledStartedAtMs, so the entry of a worker that is not settled counts for the incarnation that it names only.
  */
 #pragma once
 
@@ -26,7 +27,8 @@
 struct WithheldLease
 {
     WorkerId worker;
-    std::uint64_t number = 0; ///< tells apart two entries of the same worker; unique among all leaders of the shard
+    std::uint64_t number = 0;     ///< tells apart two entries of the same worker; unique among all leaders of the shard
+    std::int64_t startedAtMs = 0; ///< start time of the incarnation that was silent; 0: not known
 
     bool operator==(const WithheldLease &) const = default;
 };
