RestartedWorker: a paused leader, and a list that an older version has written

Two orders of events that the tests left out: the former leader is paused and resumes after the election, and the list of workers is of a version that says nothing of restarts, as in a rolling upgrade.

Checks changed: none weakened; the loops over ends of terms got one case more.

--- a/packages/workflow/tests/restartedworkertest.cpp
+++ b/packages/workflow/tests/restartedworkertest.cpp
@@ -1,6 +1,8 @@
 /** Takeovers from a leader whose orders have reached a worker's next incarnation: how long its runs are waited for. */
 #include "rig.h"
 
+#include <workflow/records.h>
+
 #include <array>
 
 namespace QuetzalRock::Workflow {
@@ -10,9 +12,10 @@
 enum class TermEnd {
     Killed,
     Resigned,
-    CutOff
+    CutOff,
+    Paused
 };
-constexpr std::array AllTermEnds{TermEnd::Killed, TermEnd::Resigned, TermEnd::CutOff};
+constexpr std::array AllTermEnds{TermEnd::Killed, TermEnd::Resigned, TermEnd::CutOff, TermEnd::Paused};
 
 void submitLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks)
 {
@@ -102,6 +105,8 @@
     successor.port.unreachableWorkers = {lost};
     if (how == TermEnd::CutOff) {
         rig.nodes[static_cast<std::size_t>(former)]->store.isSilent = true;
+    } else if (how == TermEnd::Paused) {
+        rig.nodes[static_cast<std::size_t>(former)]->isFrozen = true;
     } else {
         if (how == TermEnd::Resigned) {
             rig.nodes[static_cast<std::size_t>(former)]->node->beginDrain();
@@ -115,6 +120,7 @@
         rig.run(StepTime);
     }
     EXPECT_EQ(rig.leader(), 1 - former);
+    rig.nodes[static_cast<std::size_t>(former)]->isFrozen = false;
     return successor;
 }
 
@@ -131,7 +137,7 @@
 /** The tasks of w0 start on w1 once the longest lease has passed since @p how has ended the term, and not before its own. */
 void expectStartElsewhereAfterTheLease(RestartRig &rig, TermEnd how, Duration most = 10500ms)
 {
-    most += how == TermEnd::CutOff ? rig.scheduler.formerLeaderOrderTime : Duration{};
+    most += how == TermEnd::CutOff || how == TermEnd::Paused ? rig.scheduler.formerLeaderOrderTime : Duration{};
     EXPECT_LE(timeUntilUsed(rig, "w1", 30s), most);
     EXPECT_GE(rig.clock.now(), rig.fleet.workers["w0"].leaseUntil);
     rig.run(500ms);
@@ -311,6 +317,22 @@
     EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
 }
 
+// Guards against TWICE: a list of an older version says nothing of restarts, and its workers were taken to hold known leases.
+TEST(RestartedWorker, listOfAnOlderVersionSettlesNone)
+{
+    RestartRig rig;
+    rig.executeLateRenewal();
+    rig.addWorker("w1");
+    rig.run(200ms);
+    nlohmann::json list = nlohmann::json::array({StoredVersion});
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        list.push_back(nlohmann::json::array({id, worker.startedAtMs, id, "pool", 1}));
+    }
+    rig.backend.items.at("ctl/workers/0").value = packRecord(list);
+    endTerm(rig, TermEnd::Killed, "w0");
+    expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
+}
+
 // Guards against LOST: a longer wait for workers that no order from before a restart can have reached.
 TEST(RestartedWorker, isWaitedForNoLongerOnceItsLeaseIsKnown)
 {
