--- a/packages/workflow/tests/restartedworkertest.cpp
+++ b/packages/workflow/tests/restartedworkertest.cpp
@@ -1,6 +1,8 @@
 /** Takeovers from a leader whose orders have reached a worker's next incarnation: how long its runs are waited for. */
 #include "rig.h"
 
+#include <workflow/records.h>
+
 #include <array>
 
 namespace QuetzalRock::Workflow {
@@ -10,9 +12,10 @@
 enum class TermEnd {
     Killed,
     Resigned,
-    CutOff
+    CutOff,
+    Paused
 };
-constexpr std::array AllTermEnds{TermEnd::Killed, TermEnd::Resigned, TermEnd::CutOff};
+constexpr std::array AllTermEnds{TermEnd::Killed, TermEnd::Resigned, TermEnd::CutOff, TermEnd::Paused};
 
 void submitLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks)
 {
@@ -22,16 +25,16 @@
     rig.submit(rig.leader(), spec);
 }
 
-/** A leader and a successor; the worker w0, whose clock is far ahead of that of its next incarnation, and as much as this. */
+/** A leader and its successors; the worker w0, whose clock is far ahead of that of its next incarnation, and as much as this. */
 class RestartRig : public Rig
 {
 public:
-    RestartRig()
+    explicit RestartRig(int nodeCount = 2)
         : Rig(0, 1)
     {
         fleet.workers["w0"].clockOffsetMs = 3'600'000;
         scheduler.leaseExtensionInterval = {}; // each renewal that does not wait extends the lease
-        for (int i = 0; i < 2; ++i) {
+        for (int i = 0; i < nodeCount; ++i) {
             nodes.push_back(std::make_unique<RigNode>(backend, fleet, clock));
             nodes.back()->port.renewalsWait = true;
             boot(i);
@@ -47,17 +50,24 @@
     /** The worker restarts and executes a start for its former incarnation, of which the leader knows nothing yet. */
     void executeLateStart(const JobKey &job = "a")
     {
-        leaderPort().lostStartReplies = 1;
-        leaderPort().lostStartDelay = 2 * StepTime;
-        submitLongRunning(*this, job, 1);
-        for (int i = 0; i < 100 && leaderPort().lostStartReplies > 0; ++i) {
-            run(StepTime);
-        }
+        sendLateStart(job, 2 * StepTime);
         restartWithClock("w0", fleet.clockMs(fleet.workers["w0"]) / 2);
         run(2 * StepTime);
         checkLateLease();
     }
 
+    /** As above; the worker is silent from the start order on, for @p silence, and restarts then. */
+    void executeLateStartAfterSilence(Duration silence)
+    {
+        sendLateStart("a", silence);
+        fleet.workers["w0"].isReachable = false;
+        run(silence - 3 * StepTime);
+        restartWithClock("w0");
+        backend.write("workers/w0", "restarted");
+        run(3 * StepTime);
+        checkLateLease();
+    }
+
     /** As above, by a renewal that the next incarnation answers; the task starts once the leader has read that. */
     void executeLateRenewal()
     {
@@ -70,6 +80,16 @@
     }
 
 private:
+    void sendLateStart(const JobKey &job, Duration delay)
+    {
+        leaderPort().lostStartReplies = 1;
+        leaderPort().lostStartDelay = delay;
+        submitLongRunning(*this, job, 1);
+        for (int i = 0; i < 100 && leaderPort().lostStartReplies > 0; ++i) {
+            run(StepTime);
+        }
+    }
+
     void checkLateLease()
     {
         ASSERT_EQ(fleet.workers["w0"].running.size(), 1U);
@@ -85,6 +105,8 @@
     successor.port.unreachableWorkers = {lost};
     if (how == TermEnd::CutOff) {
         rig.nodes[static_cast<std::size_t>(former)]->store.isSilent = true;
+    } else if (how == TermEnd::Paused) {
+        rig.nodes[static_cast<std::size_t>(former)]->isFrozen = true;
     } else {
         if (how == TermEnd::Resigned) {
             rig.nodes[static_cast<std::size_t>(former)]->node->beginDrain();
@@ -98,6 +120,7 @@
         rig.run(StepTime);
     }
     EXPECT_EQ(rig.leader(), 1 - former);
+    rig.nodes[static_cast<std::size_t>(former)]->isFrozen = false;
     return successor;
 }
 
@@ -114,7 +137,7 @@
 /** The tasks of w0 start on w1 once the longest lease has passed since @p how has ended the term, and not before its own. */
 void expectStartElsewhereAfterTheLease(RestartRig &rig, TermEnd how, Duration most = 10500ms)
 {
-    most += how == TermEnd::CutOff ? rig.scheduler.formerLeaderOrderTime : Duration{};
+    most += how == TermEnd::CutOff || how == TermEnd::Paused ? rig.scheduler.formerLeaderOrderTime : Duration{};
     EXPECT_LE(timeUntilUsed(rig, "w1", 30s), most);
     EXPECT_GE(rig.clock.now(), rig.fleet.workers["w0"].leaseUntil);
     rig.run(500ms);
@@ -259,6 +282,57 @@
     expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
 }
 
+// Guards against TWICE: the worker was silent before it restarted, and the lease was taken to have begun before that silence.
+TEST(RestartedWorker, lateLeaseIsNotCountedFromASilenceBefore)
+{
+    for (const bool hasLeaderSeenIt : {false, true}) {
+        RestartRig rig;
+        rig.executeLateStartAfterSilence(4s);
+        ASSERT_EQ(decodeWithheldLeases(rig.backend.items.at("ctl/board/withheld/0").value).size(), 1U);
+        rig.run(hasLeaderSeenIt ? 500ms : 0ms);
+        endTerm(rig, TermEnd::Killed, "w0");
+        rig.addWorker("w1");
+        expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
+    }
+}
+
+// Guards against LOST: each leader of a series waited from its own election for a worker that had restarted and was lost.
+TEST(RestartedWorker, lostOneIsNotWaitedForAnewByEachLeader)
+{
+    RestartRig rig(8); // a node that has restarted counts from its start
+    rig.executeLateStartAfterSilence(4s);
+    rig.addWorker("w1");
+    const TimePoint since = rig.clock.now();
+    while (rig.fleet.workers["w1"].running.empty() && rig.clock.now() < since + 40s) { // each leads for about 2 s
+        const int former = rig.leader();
+        rig.kill(former);
+        while (rig.leader() < 0) {
+            rig.run(StepTime);
+        }
+        rig.boot(former); // so that it is known to be gone
+        timeUntilUsed(rig, "w1", 2s);
+    }
+    EXPECT_LT(rig.clock.now(), since + 16s);
+    EXPECT_GE(rig.clock.now(), rig.fleet.workers["w0"].leaseUntil);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against TWICE: a list of an older version says nothing of restarts, and its workers were taken to hold known leases.
+TEST(RestartedWorker, listOfAnOlderVersionSettlesNone)
+{
+    RestartRig rig;
+    rig.executeLateRenewal();
+    rig.addWorker("w1");
+    rig.run(200ms);
+    nlohmann::json list = nlohmann::json::array({StoredVersion});
+    for (const auto &[id, worker] : rig.fleet.workers) {
+        list.push_back(nlohmann::json::array({id, worker.startedAtMs, id, "pool", 1}));
+    }
+    rig.backend.items.at("ctl/workers/0").value = packRecord(list);
+    endTerm(rig, TermEnd::Killed, "w0");
+    expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
+}
+
 // Guards against LOST: a longer wait for workers that no order from before a restart can have reached.
 TEST(RestartedWorker, isWaitedForNoLongerOnceItsLeaseIsKnown)
 {
