A start without an answer is repeated at its worker, and its task starts nowhere else while the next incarnation may execute it

Its start got no answer, the worker confirmed the stop, and the task started elsewhere. The worker restarted, and its next incarnation, which knew neither the stop nor our fencing token and whose clock had begun anew, executed the first start.

Cause: a confirmed stop of a start without an answer was taken to end that start. It ends it for the incarnation that confirmed it.

Change (starts.cpp, into which the sending of starts and their answers move from dispatch.cpp): - A start without an answer is repeated at the same worker under the same run name, with a new time limit, for 5 s while the worker is in contact; a run that is there already is accepted. The room stays reserved. A silent worker gets no repetition, as that would extend its lease; its next report, or the end of its lease, decides as before. - After that, or if a repetition is rejected, the start is stopped as before. But the task may start on no other worker until maxOrderDelay after the last order without an answer, unless a new incarnation has reported under a newer token, or the worker is draining, or is silent or unregistered and its lease has ended. The wait is named start_in_doubt, and lasts 20 s at most. - Such a task is given to no other shard, its job does not move, and a run whose earlier order is still in doubt is not evicted. - A repetition that is superseded means that the run has ended there: the report with its end is awaited.

Evidence: Incarnations.startWithoutAnAnswerIsNotRepeatedElsewhere fails on the sources before with "runs twice at the same time"; .stopOfAStartWithoutAnAnswerEndsItForOneIncarnationOnly and .waitForAStartInDoubtIsBoundedAndNamed fail there as well, since the task starts elsewhere. .startInDoubtEndsWithItsWorker (restarted, lost, draining) holds before and after.

What remains: a former leader's start without an answer, as what is in doubt is not stored. A second attempt that is sent to the same worker after a confirmed stop, and reaches its next incarnation unnoticed, may meet the first one there. A run that ended, with an earlier order still in doubt, may be started again by the next incarnation; it is stopped at the first report.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -560,6 +560,7 @@
     if (task.phase == TaskPhase::Starting) {
         task.phase = TaskPhase::Running;
         task.hasBegun = true;
+        task.openStarts = task.isAcknowledged || task.openStarts != 1 ? task.openStarts : 0; // it has been executed
     }
     if (!task.hasStartedUp && m_now - task.startedAt >= m_settings.crashes.startupTime) {
         task.hasStartedUp = true;
@@ -715,7 +716,9 @@
         }
         const bool isAnswered = task.phase == TaskPhase::Stopping ? task.isStopAcknowledged : task.isAcknowledged;
         if (!isAnswered && task.phase != TaskPhase::Running) {
-            if (task.phase == TaskPhase::Starting && clockMs > task.validUntilMs + ClockMarginMs) {
+            if (task.phase == TaskPhase::Starting && task.isStartUnanswered) {
+                continueUnansweredStart(ref);
+            } else if (task.phase == TaskPhase::Starting && clockMs > task.validUntilMs + ClockMarginMs) {
                 logTaskEvent("start_void", ref, "worker", worker.record.id);
                 releaseAndRequeue(ref);
             } else if (task.phase == TaskPhase::Stopping && m_now >= task.orderedAt + m_settings.callRetryDelay) {
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -15,8 +15,6 @@
 constexpr Duration PlacementRetryInterval
     = 100ms;                             ///< without changes: a task may become due, or a worker eligible, with time
 constexpr Duration SortInterval = 100ms; ///< ranks change with time; a new job is sorted in at once
-constexpr Duration RejectionBackoff = 300ms; ///< a worker gets no starts after it has rejected one
-constexpr Duration StartRetryDelay = 20ms;   ///< of a task after its start was rejected
 
 bool hasLabel(const WorkerState &worker, const std::string &label)
 {
@@ -328,6 +326,9 @@
             isHeldByStarts = true;
             continue;
         }
+        if (start.worker == NoWorker && isStartInDoubt(task, now)) {
+            continue; // the other tasks of the step may start elsewhere
+        }
         if (start.worker == NoWorker) {
             if (!isHopeless) {
                 m_unplaced.add(ref.spec(), job.accepted.pool, canShare);
@@ -446,6 +447,9 @@
     if (worker.isReservedForOther(*ref.job, now)) {
         return Refusal::Reserved;
     }
+    if (!mayStartAt(ref.task(), worker, now)) {
+        return Refusal::StartInDoubt;
+    }
     const bool isPartOfTrial
         = worker.trialJob == ref.job->key() && worker.trialEndVersion == 0 && (step.isGang || ref.task().trial);
     if (worker.trialJob && !isPartOfTrial) {
@@ -638,7 +642,10 @@
         endTrial(ref);
     }
     task.phase = TaskPhase::Waiting;
-    task.waitingSince = std::exchange(task.hasBegun, false) ? m_now : task.waitingSince;
+    if (std::exchange(task.hasBegun, false)) {
+        task.waitingSince = m_now;
+        task.startTriedSince = {};
+    }
     task.retryAt = m_now + delay;
     m_isPlacementDue = true;
 }
@@ -656,9 +663,12 @@
     task.isAcknowledged = false;
     task.hasBegun = false;
     task.isStopAcknowledged = false;
-    task.orderedAt = now;
     task.startedAt = now;
     task.hasStartedUp = false;
+    if (task.startTriedSince == TimePoint{} || !isStartInDoubt(task, now)) {
+        task.startTriedSince = now;
+        task.openStarts = 0;
+    }
     noteStartingJob(worker, ref);
     task.idleSince = {};
     task.percent = 100;
@@ -666,13 +676,6 @@
     task.gauge = 0;
     task.overTargetSince = {};
     task.stalledSince = {};
-    StartOrder order;
-    order.run = {ref.name(), attempt};
-    order.payload = ref.job->accepted.spec.payload;
-    order.checkpoint = task.checkpoint;
-    order.validUntilMs = worker.clock.workerTimeAfter(m_settings.orderValidity, now);
-    task.validUntilMs = order.validUntilMs;
-    worker.leaseEndsBy = std::max(worker.leaseEndsBy, worker.clock.latestLocalTimeAfter(m_settings.orderValidity, now));
     if (ref.job->state == WorkflowState::Queued) {
         ref.job->state = WorkflowState::Running;
         m_scarcityOrder.addFirstStart(*ref.job, m_clock.wallNow().count());
@@ -686,69 +689,7 @@
         m_overdueShares[ref.job->accepted.pool].addStart(step);
     }
     m_recentStarts.push_back({ref.job->accepted.acceptedMs, ref.job->accepted.pool, step.usesSpareCpu});
-    ++worker.pendingExtensions;
-    const auto onReply =
-        [this, ref, key = ref.job->key(), index, attempt, fence = worker.fence, now, validUntilMs = order.validUntilMs](
-            const OrderReply &reply) {
-            const bool isOfThisFence = m_workers[index]->fence == fence;
-            noteExtensionAnswer(*m_workers[index], reply.status, now);
-            noteStartAnswer(index, validUntilMs, isOfThisFence, reply);
-            // Rejected because of our own newer token after the worker restarted: its first report decides.
-            if (reply.status != OrderStatus::Fenced || isOfThisFence) {
-                onStartReply(ref, key, index, attempt, reply);
-            }
-        };
-    m_port.start(target(worker), order, ifAlive(onReply));
-}
-
-void WorkflowScheduler::onStartReply(
-    const TaskRef &ref, const JobKey &key, WorkerIndex index, std::uint64_t attempt, const OrderReply &reply)
-{
-    m_now = m_clock.now();
-    WorkerState &worker = *m_workers[index];
-    if (findJob(key) != ref.job) {
-        return;
-    }
-    TaskState &task = ref.task();
-    const bool isOrderPending = task.worker == index && task.attempt == attempt
-                                && (task.phase == TaskPhase::Starting || task.phase == TaskPhase::Stopping);
-    if (!isOrderPending) {
-        return; // a report has already settled it
-    }
-    if (reply.status == OrderStatus::Accepted) {
-        task.isAcknowledged = true;
-        task.hasBegun = true;
-        task.answeredAt = m_now;
-        orderPendingThrottle(ref);
-        return;
-    }
-    if (reply.status == OrderStatus::Fenced) {
-        m_isDeposed = true;
-        return;
-    }
-    if (reply.status == OrderStatus::Unanswered) {
-        ++m_counters.startsUnanswered;
-        logTaskEvent("start_unanswered", ref, "worker", worker.record.id);
-        if (task.phase == TaskPhase::Starting) {
-            task.avoidedWorker = index;
-            stopTask(ref, "start not answered");
-        }
-        return;
-    }
-    ++m_counters.startsRejected;
-    logTaskEvent("start_rejected",
-                 ref,
-                 "worker",
-                 worker.record.id,
-                 "status",
-                 static_cast<int>(reply.status),
-                 "free_cpu",
-                 worker.freeResources().cpuMillis,
-                 "free_mib",
-                 worker.freeResources().memoryMib);
-    worker.noStartsUntil = m_now + RejectionBackoff;
-    releaseResources(ref);
-    requeueTask(ref, StartRetryDelay);
+    sendStart(ref);
 }
 
 // ---------------------------------------------------------------------------------------------------------------------
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -421,7 +421,8 @@
         for (std::uint32_t s = 0; s < job.occurrences[k].steps.size(); ++s) {
             const auto &tasks = job.occurrences[k].steps[s].tasks;
             for (std::uint32_t i = 0; i < tasks.size(); ++i) {
-                if (tasks[i].phase != TaskPhase::Done && mayBeRunningElsewhere({&job, k, s, i})) {
+                if (tasks[i].phase != TaskPhase::Done
+                    && (mayBeRunningElsewhere({&job, k, s, i}) || isStartInDoubt(tasks[i], m_clock.now()))) {
                     return false;
                 }
             }
--- a/packages/workflow/placement.cpp
+++ b/packages/workflow/placement.cpp
@@ -10,10 +10,10 @@
 constexpr std::int64_t SameImageScore = 1'000'000; ///< exceeds the CPU millis of any worker
 
 constexpr std::array<std::string_view, RefusalCount> RefusalNames{
-    "none",           "leaving",     "unconfirmed",     "unknown_runs", "outdated_entry",  "silent",
-    "backing_off",    "evacuated",   "not_confirmable", "other_pool",   "quarantined",     "reserved",
-    "trial_of_other", "lacks_label", "max_per_worker",  "longer_waits", "others_starting", "no_free_memory",
-    "no_free_cpu",    "no_idle_cpu", "serving_tasks",
+    "none",           "leaving",     "unconfirmed",     "unknown_runs",   "outdated_entry", "silent",
+    "backing_off",    "evacuated",   "not_confirmable", "other_pool",     "quarantined",    "reserved",
+    "trial_of_other", "lacks_label", "max_per_worker",  "start_in_doubt", "longer_waits",   "others_starting",
+    "no_free_memory", "no_free_cpu", "no_idle_cpu",     "serving_tasks",
 };
 static_assert(static_cast<std::size_t>(Refusal::ServingTasks) + 1 == RefusalCount);
 
--- a/packages/workflow/placement.h
+++ b/packages/workflow/placement.h
@@ -82,6 +82,7 @@
     TrialOfOther, ///< a suspected task of another job is tried there
     LacksLabel,
     MaxPerWorker,   ///< has enough tasks of the step
+    StartInDoubt,   ///< a start of the task that got no answer may be executed elsewhere, see starts.cpp
     LongerWaits,    ///< its room is left to long-running tasks of other shards that have waited for longer
     OthersStarting, ///< tasks of another job are starting up there, while some crash the workers that start them
 
@@ -91,7 +92,7 @@
     NoIdleCpu,    ///< for a best-effort task
     ServingTasks, ///< a serving task there misses its target, or would
 };
-constexpr std::size_t RefusalCount = 21;
+constexpr std::size_t RefusalCount = 22;
 
 std::string_view refusalName(Refusal refusal); ///< e.g. "no_free_cpu"
 
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -103,8 +103,17 @@
     std::int64_t validUntilMs = 0;        ///< Starting: worker's clock; the worker rejects the order after that
     TimePoint orderedAt{};                ///< when the last start or stop order was sent
     TimePoint answeredAt{};               ///< when it was answered
-    TimePoint startedAt{};     ///< when the run was ordered, or when a report first listed it if unknown before
-    TimePoint retryAt{};       ///< Waiting: earliest time of the next placement
+    TimePoint startedAt{}; ///< when the run was ordered, or when a report first listed it if unknown before
+    TimePoint retryAt{};   ///< Waiting: earliest time of the next placement
+
+    // Starts without an answer, see starts.cpp
+    bool isStartUnanswered = false;     ///< Starting: the last order got no answer
+    std::uint32_t openStarts = 0;       ///< orders that have no answer so far, or got none, since startTriedSince
+    WorkerIndex doubtWorker = NoWorker; ///< the worker of these orders
+    std::uint64_t doubtFence = 0;       ///< fencing token of the last one
+    TimePoint doubtUntil{};             ///< the worker, or its next incarnation, may execute them until then
+    TimePoint startTriedSince{};        ///< first order to that worker that was not followed by a run; zero: none
+
     TimePoint waitingSince{};  ///< Waiting, Starting: end of its last run; zero: not known, see longestWaitSince()
     bool hasBegun = false;     ///< the worker has accepted the start of the current or last run, or listed it
     bool hasStartedUp = false; ///< a report has listed the run CrashSettings::startupTime after its start
--- a/packages/workflow/room.cpp
+++ b/packages/workflow/room.cpp
@@ -339,8 +339,8 @@
 
 bool WorkflowScheduler::canBeEvicted(const TaskRef &ref) const
 {
-    if (mayBeRunningElsewhere(ref)) {
-        return false; // could not be started again yet
+    if (mayBeRunningElsewhere(ref) || isStartInDoubt(ref.task(), m_now)) {
+        return false; // could not be started again yet, or not elsewhere
     }
     const std::uint32_t limit = ref.spec().maxUnavailable;
     if (limit == 0) {
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -21,8 +21,9 @@
  *     leader cannot start it any more is certain once a run of it is known that ends unheard: the worker rejects the
  *     former leader's orders, and has answered each renewal of it that waited when the new token came.
  *   - An unreachable worker keeps its tasks until its lease has expired, allowing for a slow worker clock.
- *   - The task of an unanswered start is not placed again until the worker has confirmed a stop, which bars the
- *     attempt, or the validity of the start has passed on the worker's clock.
+ *   - An unanswered start is repeated at the same worker under the same attempt number. Its task is not placed again until
+ *     the worker has confirmed a stop, which bars the attempt, or the validity of the start has passed on the worker's clock;
+ *     and on no other worker while the next incarnation, which knows neither, may execute the start. See starts.cpp.
  *   - Attempt numbers increase within an epoch, and each epoch starts with higher ones.
  *   - A worker keeps reporting an ended run until the leader has stored the end.
  */
@@ -65,6 +66,12 @@
     Duration maxOrderDelay
         = std::chrono::seconds(15); ///< an order without an answer has been executed by then, if at all
 
+    /**
+     * A start without an answer is repeated at the same worker for so long. After that its task waits, for maxOrderDelay at the
+     * most, until the start can no longer be executed.
+     */
+    Duration unansweredStartTime = std::chrono::seconds(5);
+
     // Takeover
     /** How long after our election a former leader may still accept jobs: its own lease plus a margin. */
     Duration formerLeaderIntakeTime = std::chrono::milliseconds(1700);
@@ -246,6 +253,18 @@
         int percent = 100;
     };
 
+    /** A start order whose answer is awaited. */
+    struct SentStart
+    {
+        TaskRef ref;
+        JobKey key;
+        WorkerIndex worker = NoWorker;
+        std::uint64_t attempt = 0;
+        std::int64_t validUntilMs = 0; ///< worker's clock
+        TimePoint sentAt{};
+        TimePoint doubtUntil{}; ///< of earlier starts without an answer; zero: there are none
+    };
+
     /** A write that gives tasks of one job to another shard. No other write takes the job until its outcome is known. */
     struct Transfer
     {
@@ -504,8 +523,6 @@
     bool isCapacityKnown(const WorkerState &worker, TimePoint now) const;
     bool mayStartIn(const std::string &failureDomain, TimePoint now) const;
     void startTask(const TaskRef &ref, WorkerIndex worker, std::uint64_t attempt, TimePoint now, int percent = 100);
-    void onStartReply(
-        const TaskRef &ref, const JobKey &key, WorkerIndex worker, std::uint64_t attempt, const OrderReply &reply);
     void stopTask(const TaskRef &ref, std::string_view why);
     void sendStopOrder(const TaskRef &ref);
     void reserveResources(const TaskRef &ref, WorkerIndex worker);
@@ -519,6 +536,15 @@
     Duration jobAge(const JobState &job) const; ///< since its acceptance; compares the wall clocks of two nodes
     void stopAllTasks(JobState &job, std::string_view why);
 
+    // Start orders, their answers, and starts without an answer (starts.cpp)
+    void sendStart(const TaskRef &ref);
+    void onStartReply(const SentStart &sent, const OrderReply &reply);
+    void onRepeatRejected(const TaskRef &ref, OrderStatus status);
+    void continueUnansweredStart(const TaskRef &ref);
+    void endDoubt(const SentStart &sent, OrderStatus status) const;
+    bool isStartInDoubt(const TaskState &task, TimePoint now) const;
+    bool mayStartAt(const TaskState &task, const WorkerState &worker, TimePoint now) const;
+
     // Resources for long-running tasks that have waited too long (room.cpp)
     bool reserveWorkersFor(const TaskRef &ref, TimePoint now);
     std::uint32_t tasksThatNeedRoom(const TaskRef &ref, TimePoint now) const;
--- a/packages/workflow/tests/incarnationtest.cpp
+++ b/packages/workflow/tests/incarnationtest.cpp
@@ -98,4 +98,115 @@
     }
 }
 
+namespace {
+
+/** w0 gets a start that no answer comes to, and that is executed after @p delay. There is another worker, with less capacity. */
+void sendLateStart(Rig &rig, Duration delay, int lostStarts)
+{
+    FakePort &port = rig.nodes[0]->port;
+    rig.fleet.workers["w0"].capacity.cpuMillis = 20'000;
+    rig.backend.write("workers/w0", "larger");
+    rig.run(2500ms);
+    port.lostStartReplies = lostStarts;
+    port.lostStartDelay = delay;
+    rig.submit(0, makeLongRunning(rig, "a", 1));
+    while (port.lostStartReplies == lostStarts) {
+        rig.run(StepTime);
+    }
+}
+
+/** w0 crashes, is back 600 ms later, and is called again only when its next incarnation has executed the late start. */
+void restartBeforeLateStart(Rig &rig)
+{
+    FakeWorker &worker = rig.fleet.workers["w0"];
+    worker.isReachable = false;
+    worker.running.clear();
+    rig.run(600ms);
+    rig.fleet.restartWithClock("w0", 0);
+    for (int i = 0; i < 2000 && worker.running.empty(); ++i) {
+        rig.run(StepTime);
+    }
+    ASSERT_EQ(worker.running.size(), 1U);
+    rig.run(50ms);
+    worker.isReachable = true;
+    rig.backend.write("workers/w0", "restarted");
+}
+
+} // namespace
+
+// Guards against TWICE: a start got no answer, the worker confirmed its stop, and the task started elsewhere; then the worker
+// restarted, and its next incarnation, which knew neither the stop nor our token, executed that start.
+TEST(Incarnations, startWithoutAnAnswerIsNotRepeatedElsewhere)
+{
+    for (const int lostStarts : {1, 2}) {
+        Rig rig(1, 2);
+        sendLateStart(rig, 3s, lostStarts);
+        rig.run(1700ms);
+        EXPECT_EQ(rig.fleet.workers["w0"].running.size(), 1U) << "repeated there";
+        restartBeforeLateStart(rig);
+        rig.run(15s);
+        EXPECT_EQ(rig.fleet.runningTasks(), 1U);
+        EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+    }
+}
+
+// Guards against TWICE: the same when every repetition gets no answer either and the start is stopped after all.
+TEST(Incarnations, stopOfAStartWithoutAnAnswerEndsItForOneIncarnationOnly)
+{
+    Rig rig(1, 2);
+    sendLateStart(rig, 12s, 1000);
+    rig.nodes[0]->port.lostStartDelay = -1s; // the others are never executed
+    rig.run(7s);
+    rig.nodes[0]->port.lostStartReplies = 0;
+    rig.run(1s);
+    EXPECT_EQ(rig.fleet.starts, 0U) << "stopped, and not started elsewhere";
+    restartBeforeLateStart(rig);
+    rig.run(15s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 1U);
+    EXPECT_EQ(rig.fleet.starts, 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
+// Guards against LOST: a worker that answers no start, but everything else, keeps its task for unansweredStartTime and maxOrderDelay.
+TEST(Incarnations, waitForAStartInDoubtIsBoundedAndNamed)
+{
+    Rig rig(1, 2);
+    sendLateStart(rig, -1s, 1000);
+    rig.run(7s);
+    rig.nodes[0]->port.lostStartReplies = 0;
+    rig.run(8s);
+    EXPECT_EQ(rig.fleet.starts, 0U);
+    const auto &waits = rig.nodes[0]->node->schedulers().front()->waitingTasks();
+    EXPECT_TRUE(waits.turnedAway.contains(Refusal::StartInDoubt));
+    rig.run(6500ms);
+    EXPECT_EQ(rig.fleet.runningTasks(), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty());
+}
+
+// Guards against LOST: nothing keeps the task from other workers once the start cannot be executed, or its worker is lost.
+TEST(Incarnations, startInDoubtEndsWithItsWorker)
+{
+    enum class End : std::uint8_t {
+        Restarted,
+        Lost,
+        Draining
+    };
+    for (const End end : {End::Restarted, End::Lost, End::Draining}) {
+        Rig rig(1, 2);
+        sendLateStart(rig, -1s, 1000);
+        rig.run(7s);
+        rig.nodes[0]->port.lostStartReplies = 0;
+        FakeWorker &worker = rig.fleet.workers["w0"];
+        if (end == End::Restarted) {
+            rig.fleet.restartWithClock("w0", 0);
+        }
+        worker.isReachable = end != End::Lost;
+        worker.condition = end == End::Draining ? WorkerCondition::Draining : WorkerCondition::Ready;
+        rig.backend.write("workers/w0", "changed");
+        rig.run(end == End::Lost ? 6s : 1s);
+        EXPECT_EQ(rig.fleet.runningTasks(), 1U) << static_cast<int>(end);
+        EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+    }
+}
+
 } // namespace QuetzalRock::Workflow
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -151,7 +151,8 @@
         const bool hasWaited = isWithoutRoom && !task.trial && now >= task.retryAt
                                && now >= waitingHereSince(job, task) + delay
                                && !yields(ref, ref.spec().need.cpuMillis, now);
-        if (task.phase == TaskPhase::Waiting && (hasWaited || task.isGivenUp) && !mayBeRunningElsewhere(ref)) {
+        if (task.phase == TaskPhase::Waiting && (hasWaited || task.isGivenUp) && !mayBeRunningElsewhere(ref)
+            && !isStartInDoubt(task, now)) {
             refs.push_back(ref);
         }
     }
