A start whose connection broke is not repeated at once

Found by review. A start also counts as unanswered when its connection breaks after it was sent, or after an error of the worker, and was then repeated in the same callback: an order per round trip, for 5 s. It is repeated callRetryDelay after it was sent at the earliest, with the worker's next report. Incarnations.brokenConnectionsAreNotRetriedAtOnce guards it; the rig answered such starts only after the timeout of a call.

--- a/packages/workflow/starts.cpp
+++ b/packages/workflow/starts.cpp
@@ -157,7 +157,9 @@
         logTaskEvent("start_unanswered", ref, "worker", worker.record.id, "open", task.openStarts);
         if (task.phase == TaskPhase::Starting) {
             task.isStartUnanswered = true;
-            continueUnansweredStart(ref);
+            if (m_now >= sent.sentAt + m_settings.callRetryDelay) { // else the next report continues it
+                continueUnansweredStart(ref);
+            }
         }
         return;
     }
--- a/packages/workflow/tests/incarnationtest.cpp
+++ b/packages/workflow/tests/incarnationtest.cpp
@@ -183,6 +183,20 @@
     EXPECT_TRUE(rig.fleet.violations.empty());
 }
 
+// Guards against a flood of orders: a worker that breaks each connection at once got a start per round trip.
+TEST(Incarnations, brokenConnectionsAreNotRetriedAtOnce)
+{
+    Rig rig(1, 2);
+    rig.run(1s);
+    FakePort &port = rig.nodes[0]->port;
+    port.lostStartReplies = 1000;
+    port.lostStartDelay = -1s;
+    port.lostStartTime = StepTime;
+    rig.submit(0, makeLongRunning(rig, "a", 1));
+    rig.run(5s);
+    EXPECT_LE(1000 - port.lostStartReplies, 5s / rig.scheduler.callRetryDelay);
+}
+
 // Guards against LOST: nothing keeps the task from other workers once the start cannot be executed, or its worker is lost.
 TEST(Incarnations, startInDoubtEndsWithItsWorker)
 {
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -337,6 +337,7 @@
     std::set<WorkerId> fullWorkers;               ///< workers that reject each start for lack of capacity
     int lostStartReplies = 0;                     ///< number of starts that get no reply
     Duration lostStartDelay{};                    ///< delay of the execution of these starts; negative: never executed
+    Duration lostStartTime = CallTimeout;         ///< after which they count as unanswered; less: the connection breaks
     int lostOrderReplies = 0;                     ///< number of renewals and stops that get no reply
     Duration lostOrderDelay{};                    ///< delay of the execution of these orders; negative: never executed
     bool lostOrdersReachNextIncarnation = false;  ///< otherwise a connection ends with the worker's process
@@ -359,7 +360,7 @@
             if (lostStartDelay >= Duration::zero()) {
                 m_inTransit.schedule(lostStartDelay, [this, worker, order] { m_fleet.start(worker, order); });
             }
-            m_replies.schedule(CallTimeout, [done] { done({}); });
+            m_replies.schedule(lostStartTime, [done] { done({}); });
             return;
         }
         send(
