A task that starts again at its worker keeps the doubt about an earlier start

Found by review, by reading; no test plays it. A start got no answer, its repetition was accepted, that run ended, and the task started again at the same worker: the count of orders in doubt was reset, although the first one may still be executed by the worker's next incarnation while the task runs elsewhere. The count is reset only if none is in doubt.

--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -665,10 +665,9 @@
     task.isStopAcknowledged = false;
     task.startedAt = now;
     task.hasStartedUp = false;
-    if (task.startTriedSince == TimePoint{} || !isStartInDoubt(task, now)) {
-        task.startTriedSince = now;
-        task.openStarts = 0;
-    }
+    const bool isInDoubt = isStartInDoubt(task, now);
+    task.openStarts = isInDoubt ? task.openStarts : 0;
+    task.startTriedSince = isInDoubt && task.startTriedSince != TimePoint{} ? task.startTriedSince : now;
     noteStartingJob(worker, ref);
     task.idleSince = {};
     task.percent = 100;
