A shard is not handed over while a start is in doubt

Found by review, by reading; no test plays it. What a leader knows of starts without an answer ends with it: a planned handover stopped such a start, had the stop confirmed, and gave the shard to a leader that could start the task elsewhere at once. hasUnknownOutcomes() counts starts in doubt, so the handover is given up and asked for again later.

--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -109,9 +109,16 @@
         return (phase == TaskPhase::Starting && !it.task().isAcknowledged)
                || (phase == TaskPhase::Stopping && !it.task().isStopAcknowledged);
     };
-    return m_transfer || m_jobMove || std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &it) {
-               return std::any_of(it->runs.begin(), it->runs.end(), isUnanswered);
-           });
+    const bool hasUnansweredOrder = std::any_of(m_workers.begin(), m_workers.end(), [&](const auto &it) {
+        return std::any_of(it->runs.begin(), it->runs.end(), isUnanswered);
+    });
+    bool hasStartInDoubt = false; // which the next leader would not know
+    for (const auto &[key, job] : m_activeJobs) {
+        forEachTask(*job, [&](const TaskRef &it) {
+            hasStartInDoubt = hasStartInDoubt || isStartInDoubt(it.task(), m_clock.now());
+        });
+    }
+    return m_transfer || m_jobMove || hasUnansweredOrder || hasStartInDoubt;
 }
 
 ShardId WorkflowScheduler::shard() const
