A leader stores at once that a worker's known incarnation is not the settled one

What callers would have seen: as before, a task that runs twice. The leader to which a late start belongs is lost before it has stored anything of the restart. Its successor sees the new incarnation in the registry, and resigns after the worker's entry is gone. The leader after that knows neither the incarnation nor of the restart, and waits for the lease that leaders grant.

Cause: a successor compared the listed incarnation with the present one, but wrote the result only if the list changed for another reason.

Change: settleLease() clears the settled incarnation as soon as another one is known, which writes the list.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -158,9 +158,16 @@
     }
 }
 
-/** The worker has rejected orders for former incarnations since its first report, and a lease that it had then has expired. */
+/**
+ * Notes which incarnation is settled: none once another one is known, as its entry in the registry may be gone when a successor
+ * takes over; the present one when a lease that it had at its first report has expired, since it rejects orders for others.
+ */
 void WorkflowScheduler::settleLease(WorkerState &worker, TimePoint now)
 {
+    if (worker.settledStartedAtMs != 0 && !worker.isSettled()) {
+        worker.settledStartedAtMs = 0;
+        m_workersDirty = true;
+    }
     if (worker.settlesAt != TimePoint{} && now >= worker.settlesAt) {
         worker.settlesAt = {};
         worker.settledStartedAtMs = worker.record.startedAtMs;
--- a/packages/workflow/tests/restartedworkertest.cpp
+++ b/packages/workflow/tests/restartedworkertest.cpp
@@ -333,6 +333,35 @@
     expectStartElsewhereAfterTheLease(rig, TermEnd::Killed);
 }
 
+// Guards against TWICE: only the first successor knew of the restart, as the worker's entry is gone, and had stored nothing of it.
+TEST(RestartedWorker, restartThatOnlyTheLastLeaderHasSeenIsOutwaited)
+{
+    for (const bool isRead : {true, false}) {
+        RestartRig rig;
+        rig.addWorker("w1");
+        rig.leaderPort().fullWorkers = {"w1"};
+        rig.run(500ms);
+        rig.nodes[static_cast<std::size_t>(rig.leader())]->store.isLost
+            = [](const StoreChange &it) { return it.puts.front().key == "ctl/workers/0"; };
+        rig.executeLateStart();
+        rig.leaderPort().fullWorkers.clear();
+        rig.backend.write("workers/w0", "restarted");
+        const int former = rig.leader();
+        rig.fleet.workers["w0"].isReachable = isRead;
+        rig.kill(former);
+        while (rig.leader() < 0) {
+            rig.run(StepTime);
+        }
+        rig.boot(former);
+        rig.nodes[static_cast<std::size_t>(former)]->store.isLost = {};
+        rig.run(200ms);
+        ++rig.backend.revision;
+        rig.backend.remove("workers/w0");
+        endTerm(rig, TermEnd::Resigned, "w0");
+        expectStartElsewhereAfterTheLease(rig, TermEnd::Resigned);
+    }
+}
+
 // Guards against LOST: a longer wait for workers that no order from before a restart can have reached.
 TEST(RestartedWorker, isWaitedForNoLongerOnceItsLeaseIsKnown)
 {
