--- a/packages/workflow/testing/fakefleet.h
+++ b/packages/workflow/testing/fakefleet.h
@@ -76,6 +76,7 @@
 
     std::map<WorkerId, FakeWorker> workers;
     Duration workTime = 300ms;            ///< run time of tasks that complete
+    std::map<JobKey, Duration> workTimes; ///< of a job's tasks, in place of workTime
     std::set<JobKey> longRunningJobs;     ///< jobs whose tasks run until they are stopped
     std::set<JobKey> failingJobs;         ///< jobs whose tasks fail
     std::set<TaskName> acknowledgedTasks; ///< completed, and a leader has acknowledged the end
@@ -116,7 +117,8 @@
                     end(worker, it.run, RunEnd::LeaseExpired);
                 } else if (worker.failsAll || failingJobs.contains(it.run.task.job)) {
                     end(worker, it.run, RunEnd::Failed);
-                } else if (!longRunningJobs.contains(it.run.task.job) && m_clock.now() >= it.startedAt + workTime) {
+                } else if (!longRunningJobs.contains(it.run.task.job)
+                           && m_clock.now() >= it.startedAt + workTimeOf(it.run.task.job)) {
                     end(worker, it.run, RunEnd::Done);
                 }
             }
@@ -169,6 +171,15 @@
         worker.highestEnded.clear();
     }
 
+    /** As above, and as real machines do it: it loses its lease as well, and its clock begins anew. */
+    void restartWithNewClock(const WorkerId &id, std::int64_t clockStartMs = 0)
+    {
+        FakeWorker &worker = workers.at(id);
+        restartWorker(id);
+        worker.leaseUntil = {};
+        worker.clockOffsetMs += clockStartMs - clockMs(worker);
+    }
+
     /** The worker exits for good: its runs end unreported. With @p isReplaced another worker gets its address. */
     void removeWorker(const WorkerId &id, bool isReplaced)
     {
@@ -279,6 +290,12 @@
     }
 
 private:
+    Duration workTimeOf(const JobKey &job) const
+    {
+        const auto found = workTimes.find(job);
+        return found == workTimes.end() ? workTime : found->second;
+    }
+
     void endGang(const JobKey &job)
     {
         for (auto &[id, worker] : workers) {
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -332,14 +332,16 @@
 
     /** Workers answer a renewal that may wait when a run has ended, or after its wait; otherwise at once. */
     bool renewalsWait = false;
-    bool isDisconnected = false;                  ///< this node reaches no worker
-    std::set<WorkerId> unreachableWorkers;        ///< workers that this node does not reach
-    std::set<WorkerId> fullWorkers;               ///< workers that reject each start for lack of capacity
-    int lostStartReplies = 0;                     ///< number of starts that get no reply
-    Duration lostStartDelay{};                    ///< delay of the execution of these starts; negative: never executed
-    int lostOrderReplies = 0;                     ///< number of renewals and stops that get no reply
-    Duration lostOrderDelay{};                    ///< delay of the execution of these orders; negative: never executed
-    bool lostOrdersReachNextIncarnation = false;  ///< otherwise a connection ends with the worker's process
+    bool isDisconnected = false;                 ///< this node reaches no worker
+    std::set<WorkerId> unreachableWorkers;       ///< workers that this node does not reach
+    std::set<WorkerId> fullWorkers;              ///< workers that reject each start for lack of capacity
+    int lostStartReplies = 0;                    ///< number of starts that get no reply
+    Duration lostStartDelay{};                   ///< delay of the execution of these starts; negative: never executed
+    int lostOrderReplies = 0;                    ///< number of renewals and stops that get no reply
+    Duration lostOrderDelay{};                   ///< delay of the execution of these orders; negative: never executed
+    bool lostStartsReachNextIncarnation = true;  ///< otherwise a connection ends with the worker's process
+    bool lostOrdersReachNextIncarnation = false; ///< otherwise a connection ends with the worker's process
+    bool connectsLate = false; ///< a call to a worker that is down is executed if it is back within CallTimeout
     std::map<WorkerId, Duration> renewReplyDelay; ///< additional delay of replies to renewals
     std::map<WorkerId, Duration> renewSendDelay;  ///< delay after which renewals reach the worker
     std::function<void()> beforeStart;            ///< called before each start is sent
@@ -357,7 +359,12 @@
         if (lostStartReplies > 0) {
             --lostStartReplies;
             if (lostStartDelay >= Duration::zero()) {
-                m_inTransit.schedule(lostStartDelay, [this, worker, order] { m_fleet.start(worker, order); });
+                const std::int64_t startedAtMs = m_fleet.workers.at(worker.id).startedAtMs;
+                m_inTransit.schedule(lostStartDelay, [this, worker, order, startedAtMs] {
+                    if (lostStartsReachNextIncarnation || m_fleet.workers.at(worker.id).startedAtMs == startedAtMs) {
+                        m_fleet.start(worker, order);
+                    }
+                });
             }
             m_replies.schedule(CallTimeout, [done] { done({}); });
             return;
@@ -402,7 +409,7 @@
         if (renewalsWait && order.wait > Duration::zero() && lostOrderReplies == 0 && isReached(worker.id)) {
             const RenewReply reply = m_fleet.renew(worker, order);
             if (reply.order.status == OrderStatus::Accepted && reply.report.ended.empty()) {
-                m_waiting.push_back({worker.id, m_clock.now() + order.wait, std::move(done)});
+                m_waiting.push_back({worker.id, reply.report.startedAtMs, m_clock.now() + order.wait, std::move(done)});
             } else {
                 m_replies.schedule(StepTime, [done, reply] { done(reply); });
             }
@@ -418,11 +425,13 @@
     void deliver()
     {
         m_replies.deliver();
+        connect();
         std::vector<WaitingRenewal> waiting;
         waiting.swap(m_waiting);
         for (WaitingRenewal &it : waiting) {
             const FakeWorker &worker = m_fleet.workers.at(it.worker);
-            if (isReached(it.worker) && (!worker.ended.empty() || m_clock.now() >= it.until)) {
+            const bool isSameProcess = worker.startedAtMs == it.startedAtMs; // a connection ends with it
+            if (isReached(it.worker) && isSameProcess && (!worker.ended.empty() || m_clock.now() >= it.until)) {
                 it.done(m_fleet.report(worker)); // whatever tokens it has accepted meanwhile
             } else if (m_clock.now() >= it.until + CallTimeout) {
                 it.done({});
@@ -442,6 +451,7 @@
     {
         m_replies.clear();
         m_waiting.clear();
+        m_connecting.clear();
     }
 
     std::vector<int> throttles;
@@ -452,9 +462,30 @@
     struct WaitingRenewal
     {
         WorkerId worker;
+        std::int64_t startedAtMs; ///< of the incarnation that has it
         TimePoint until;
         std::function<void(const RenewReply &)> done;
     };
+    /** A call whose connection to a worker is not open yet. */
+    struct Connecting
+    {
+        WorkerId worker;
+        TimePoint until;
+        std::function<void(bool isConnected)> done;
+    };
+
+    void connect()
+    {
+        std::vector<Connecting> calls;
+        calls.swap(m_connecting);
+        for (Connecting &it : calls) {
+            if (isReached(it.worker) || m_clock.now() >= it.until) {
+                it.done(isReached(it.worker));
+            } else {
+                m_connecting.push_back(std::move(it));
+            }
+        }
+    }
 
     bool isReached(const WorkerId &worker) const
     {
@@ -466,6 +497,14 @@
     {
         using Reply = decltype(act());
         if (!isReached(worker.id)) {
+            if (connectsLate) {
+                m_connecting.push_back(
+                    {worker.id, m_clock.now() + CallTimeout, [this, act, done, late](bool isConnected) {
+                         const Reply reply = isConnected ? act() : Reply{};
+                         m_replies.schedule(late, [done, reply] { done(reply); });
+                     }});
+                return;
+            }
             m_replies.schedule(CallTimeout, [done] { done(Reply{}); });
             return;
         }
@@ -500,6 +539,7 @@
     DelayedCalls m_replies;
     DelayedCalls m_inTransit; ///< orders that are executed later
     std::vector<WaitingRenewal> m_waiting;
+    std::vector<Connecting> m_connecting;
 };
 
 // ---------------------------------------------------------------------------------------------------------------------
@@ -546,12 +586,20 @@
         }
         return catalog;
     }
-    WorkerRecord parseWorker(std::string_view id, std::string_view) const override
+    /** Value of an entry that stays that of one incarnation; with any other value it is that of the present one. */
+    static std::string bornAt(std::int64_t startedAtMs)
+    {
+        return std::string(BornPrefix) + std::to_string(startedAtMs);
+    }
+    WorkerRecord parseWorker(std::string_view id, std::string_view text) const override
     {
         const FakeWorker &worker = m_fleet.workers.at(std::string(id));
         WorkerRecord it;
         it.id = worker.id;
         it.startedAtMs = worker.startedAtMs;
+        if (text.starts_with(BornPrefix)) {
+            it.startedAtMs = std::stoll(std::string(text.substr(BornPrefix.size())));
+        }
         it.address = worker.address.empty() ? worker.id : worker.address;
         it.pool = worker.pool;
         it.rack = worker.rack;
@@ -563,6 +611,8 @@
     }
 
 private:
+    static constexpr std::string_view BornPrefix = "born ";
+
     const FakeFleet &m_fleet;
 };
 
