--- a/packages/workflow/tests/schedulertest.cpp
+++ b/packages/workflow/tests/schedulertest.cpp
@@ -807,7 +807,7 @@
 /** The worker starts again under its id; its clock begins anew. */
 void restartWithNewClock(Rig &rig, const WorkerId &id)
 {
-    rig.fleet.restartWithClock(id, 0);
+    rig.fleet.restartWithClock(id);
 }
 
 WorkflowSpec makeLongRunning(Rig &rig, const JobKey &key, std::uint32_t tasks)
