Model of incarnations: a row that tells which incarnation has accepted a newer token

Cause: the long wait of lives.pml includes the time within which an order can cross to the next incarnation. One that has accepted a newer token rejects such orders, so that a successor would wait for it longer than needed.

Change: with -DFENCED the row tells this, written after the first report and not at the sight of the restart (-DFENCED_EARLY fails); a successor to which the registry shows that incarnation waits for the longest lease alone.

--- a/spec/lives.pml
+++ b/spec/lives.pml
@@ -11,6 +11,8 @@
  *              A successor that has not read the worker concludes that nothing runs there SHORT after the last order of the
  *              former leaders, or CROSS + LONG after it if the row is 0 or names another incarnation than the registry showed.
  *              A start without an answer keeps its leader from concluding for CROSS ticks.
+ *              With FENCED, the row also tells that a restarted incarnation has accepted a newer token: then LONG is enough for
+ *              a successor to which the registry shows that incarnation.
  * Invariants   over       when a leader concludes that nothing runs on the worker, nothing does
  *              stays      and nothing begins to run there by an order from before
  * Assumptions  Each flag removes one; an invariant must then fail.
@@ -29,6 +31,7 @@
  *              CUT_AT_SIGHT a leader that has seen a restart waits for LONG in place of CROSS + LONG
  *              LATE_SIGHT   a successor that sees a restart once orders of former leaders have ceased takes it for one without
  *                           orders from before
+ *              FENCED_EARLY the row tells it when the restart is seen (FENCED)
  *              NO_DOUBT     a leader concludes although a start has no answer (CROSS=2, OUTWAIT_CROSS)
  *              NO_ENDS      a leader that has read the worker concludes although orders of former leaders may cross
  * Reachability SEEN_SHORT, SEEN_LONG assert that no successor concludes after the short, the long wait without having read the
@@ -82,6 +85,7 @@
 byte known[LEADERS];    /* incarnation, also before the election: seen by its node; 0: none */
 byte restarts[LEADERS]; /* that it has seen; part of its token */
 bool hasRead[LEADERS];  /* a report of that incarnation under the present token */
+bool wasFenced;         /* the latest leader knows that orders from before its term do not reach the known incarnation */
 bool isDoubtful[LEADERS]; /* orders from before may have extended the lease */
 bool mustStore[LEADERS]; /* 0 in the row */
 byte bound[LEADERS];    /* ticks until the lease has expired, as the leader reckons */
@@ -92,6 +96,7 @@
 byte i;
 bool mayCross;
 
+#define FENCED_ROW(x) ((x) + 8) /* row of incarnation x that is not settled, but has accepted a newer token */
 #define TOKEN(x) ((x) * 4 + restarts[x] + 1)
 #define MAX(x, y) ((x) > (y) -> (x) : (y))
 #define LESS(x) ((x) > 0 -> (x) - 1 : 0)
@@ -138,6 +143,7 @@
     known[l] = x;
     restarts[l]++;
     hasRead[l] = false;
+    wasFenced = false;
     settles[l] = 0;
     if
     :: mayCross || isDoubtful[l] ->
@@ -276,6 +282,9 @@
                 :: isDoubtful[l] ->
 #endif
                     bound[l] = MAX(bound[l], LONG);
+#ifdef FENCED
+                    mustStore[l] = true;
+#endif
 #ifndef SETTLE_EARLY
                     settles[l] = LONG;
 #endif
@@ -287,7 +296,16 @@
         fi;
         l = 0
       }
-    :: atomic { mode[current] == FULL && mustStore[current] -> row = 0; mustStore[current] = false }
+    :: atomic { mode[current] == FULL && mustStore[current] ->
+#if defined(FENCED_EARLY)
+        row = FENCED_ROW(known[current]);
+#elif defined(FENCED)
+        row = (hasRead[current] -> FENCED_ROW(known[current]) : 0);
+#else
+        row = 0;
+#endif
+        mustStore[current] = false
+      }
     :: atomic { /* the lease runs by the incarnation's own clock */
         mode[current] == FULL && hasRead[current] && settles[current] == 0 && !mustStore[current] &&
         (row != known[current] || isDoubtful[current]) ->
@@ -314,8 +332,11 @@
 #else
         isDoubtful[current] = row != known[current];
 #endif
+#ifdef FENCED
+        wasFenced = row == FENCED_ROW(known[current]);
+#endif
 #ifndef NO_PROMPT
-        mustStore[current] = isDoubtful[current]
+        mustStore[current] = isDoubtful[current] && !wasFenced
 #endif
       }
     :: atomic { /* the leader concludes that nothing runs on the worker */
@@ -344,7 +365,7 @@
 #endif
         if
         :: mode[l] == FULL && concluded == 0 && IS_CURRENT(l) && o == 0 && bound[l] == 0 &&
-           (l == 0 || hasRead[l] || since >= (isLong -> LONG_WAIT : SHORT)) ->
+           (l == 0 || hasRead[l] || since >= (isLong -> (wasFenced -> LONG : LONG_WAIT) : SHORT)) ->
             concluded = l + 1;
             giveUp(l);
 #ifdef SEEN_SHORT
--- a/spec/unanswered.pml
+++ b/spec/unanswered.pml
@@ -1,7 +1,8 @@
 /*
- * Model of a start without an answer. One leader runs one task on one of two workers, the first of which restarts. Each copy of a start is executed once or
- * never, up to LATE ticks after it was sent: by the incarnation that it was meant for while it is valid there, or by the next
- * one, whose clock says nothing about that, and which knows neither tokens nor stops nor runs of before.
+ * Model of a start without an answer. One leader runs one task on one of two workers, the first of which restarts. Each copy of
+ * a start is executed once or never, up to LATE ticks after it was sent: by the incarnation that it was meant for while it is
+ * valid there, or by a later one, whose clock says nothing about that, and which knows neither tokens nor stops nor runs of
+ * before.
  *
  * Rule         A copy is in doubt until it is answered or a new incarnation has reported under a newer token, at most for LATE
  *              ticks, and for LEASE more, unless the worker has reported since. The task starts elsewhere only if no copy is in
@@ -18,7 +19,7 @@
  *              NO_LEASE      nobody waits for LEASE after LATE
  * Known holes  LIVES=3: a copy that the second incarnation would reject crosses to the third one; if only time ends the doubt
  *              (TIME_ONLY), the invariant holds.
- *              AFTER_DONE asserts that no start follows a run that has ended done, if the leader takes note of that end. It fails:
+ *              AFTER_DONE asserts that no start follows a run that has ended done, if the leader notes that end. It fails:
  *              a repeated start, or a later one at the same worker, can be done while an earlier copy is in doubt. With WAIT,
  *              nothing starts while a copy is in doubt, and it holds.
  * Reachability SEEN_NEXT asserts that no copy is executed by a later incarnation, SEEN_ELSEWHERE that the task never starts on
@@ -196,7 +197,8 @@
         w = 0; c = 0
       }
     :: atomic { /* the worker confirms a stop, and lists no end that has not been taken note of */
-        at != 0 && known[at - 1] >= fence[at - 1] && !(ended[at - 1] == number && (hasFailed[at - 1] || hasDone[at - 1])) ->
+        at != 0 && known[at - 1] >= fence[at - 1] &&
+        !(ended[at - 1] == number && (hasFailed[at - 1] || hasDone[at - 1])) ->
         w = at - 1;
         fence[w] = known[w];
         if :: running[w] == number -> running[w] = 0 :: else fi;
@@ -252,7 +254,10 @@
                 :: else
                 fi;
                 lingers[w] = 0;
-                if :: running[w] != 0 && (at != w + 1 || running[w] != number) -> ended[w] = running[w]; running[w] = 0 :: else fi; /* stopped */
+                if
+                :: running[w] != 0 && (at != w + 1 || running[w] != number) -> ended[w] = running[w]; running[w] = 0 /* stopped */
+                :: else
+                fi;
                 if
                 :: at == w + 1 && running[w] == number -> isConfirmed = true
                 :: at == w + 1 && ended[w] == number && (hasFailed[w] || hasDone[w]) ->
@@ -292,7 +297,8 @@
         select(w : 0 .. WORKERS - 1);
         if
         :: w == 0 && life[w] < LIVES ->
-            life[w]++; fence[w] = 0; running[w] = 0; ended[w] = 0; lease[w] = 0; hasFailed[w] = false; hasDone[w] = false; startsSince[w] = false
+            life[w]++; fence[w] = 0; running[w] = 0; ended[w] = 0; lease[w] = 0;
+            hasFailed[w] = false; hasDone[w] = false; startsSince[w] = false
         :: else
         fi;
         w = 0
