--- a/packages/workflow/starts.cpp
+++ b/packages/workflow/starts.cpp
@@ -120,6 +120,9 @@
     if (refusal == Refusal::Silent) {
         return; // a start would extend its lease; its next report decides, or the end of the lease
     }
+    if (now < task.orderedAt + m_settings.callRetryDelay) {
+        return; // the connection broke at once; a later report continues it
+    }
     const bool mayRepeat = refusal == Refusal::None || refusal == Refusal::BackingOff || refusal == Refusal::UnknownRuns
                            || refusal == Refusal::OutdatedEntry;
     if (mayRepeat && !m_isPaused && now < task.startTriedSince + m_settings.unansweredStartTime) {
@@ -157,9 +160,7 @@
         logTaskEvent("start_unanswered", ref, "worker", worker.record.id, "open", task.openStarts);
         if (task.phase == TaskPhase::Starting) {
             task.isStartUnanswered = true;
-            if (m_now >= sent.sentAt + m_settings.callRetryDelay) { // else the next report continues it
-                continueUnansweredStart(ref);
-            }
+            continueUnansweredStart(ref);
         }
         return;
     }
