--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -176,8 +176,8 @@
 }
 
 /**
- * When the lease has expired that a start, answered just now, may have extended. The answer does not tell the incarnation, but
- * its clock does: the one that the order was meant for has not gone back behind the time of sending.
+ * Notes the lease that a start, answered just now, may have extended. The answer does not tell the incarnation, but its clock
+ * does: that of the incarnation for which the order was meant does not lie behind the time of sending.
  */
 void WorkflowScheduler::noteStartAnswer(WorkerIndex index,
                                         std::int64_t validUntilMs,
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -66,10 +66,7 @@
     Duration maxOrderDelay
         = std::chrono::seconds(15); ///< an order without an answer has been executed by then, if at all
 
-    /**
-     * A start without an answer is repeated at the same worker for so long. After that its task waits, for maxOrderDelay at the
-     * most, until the start can no longer be executed.
-     */
+    /** A start without an answer is repeated at its worker for so long; then its task waits for maxOrderDelay at the most. */
     Duration unansweredStartTime = std::chrono::seconds(5);
 
     // Takeover
