Logs tell the shard of each task event, and what a job or task rests on when it leaves its shard

A run that is given up with its worker's lease was named by its worker only.

Now each task event names the shard; job_moved and task_given name the basis (all workers read or outwaited, newer than former leaders, runs accounted for) and the revision of the write; job_taken and task_taken the revision of the record, and whether it came with the load; takeover_loaded the registered workers and the revision of the inbox; run_lost names each run, its worker, and the age of its last order.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -789,6 +789,16 @@
     const std::vector<TaskRef> runs = worker.runs;
     for (const TaskRef &ref : runs) {
         ++m_counters.lost;
+        logTaskEvent("run_lost",
+                     ref,
+                     "attempt",
+                     ref.task().attempt,
+                     "worker",
+                     worker.record.id,
+                     "why",
+                     why,
+                     "ordered_ms_ago",
+                     toMilliseconds(m_now - ref.task().orderedAt));
         const bool isUnresolved = !worker.unresolvedRuns.empty() && ref.task().phase != TaskPhase::Done;
         const std::optional<TaskTrial> trial = ref.task().trial;
         releaseAndRequeue(ref);
--- a/packages/workflow/dispatch.cpp
+++ b/packages/workflow/dispatch.cpp
@@ -359,6 +359,8 @@
         m_log.write("tasks_started",
                     "job",
                     job.key(),
+                    "shard",
+                    m_shard,
                     "step",
                     step,
                     "tasks",
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -528,7 +528,7 @@
     change.puts.push_back({makeShardKeys(to).jobs + key, encodeAccepted(accepted), 0});
     change.puts.push_back({progress, accepted.moved->progress, 0});
     change.removals.push_back(m_keys.jobs + key);
-    move.jobs.push_back({key, to});
+    move.jobs.push_back({key, to, basisOfLeaving(job)});
     job.isMoving = true;
     reserveForWrite(key);
 }
@@ -595,12 +595,18 @@
             m_log.write("job_moved",
                         "job",
                         it.key,
+                        "shard",
+                        m_shard,
                         "to",
                         it.to,
                         "moves",
                         job.moves + 1,
                         "why",
-                        move.reason == MoveReason::Evacuation ? "evacuation" : "no room");
+                        move.reason == MoveReason::Evacuation ? "evacuation" : "no room",
+                        "basis",
+                        it.basis,
+                        "revision",
+                        reply.revision); // 0: an earlier copy of the write was executed
             forgetMovedJob(it.key);
             continue;
         }
--- a/packages/workflow/pressureguard.cpp
+++ b/packages/workflow/pressureguard.cpp
@@ -373,8 +373,6 @@
                  std::chrono::duration_cast<std::chrono::milliseconds>(jobAge(job)).count(),
                  "queue",
                  job.accepted.queue,
-                 "shard",
-                 m_shard,
                  "epoch",
                  m_term.epoch);
     return best;
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -268,6 +268,7 @@
         ShardId to = 0;
         std::vector<TaskRef> tasks;
         std::vector<std::uint64_t> recordRevisions; ///< of the tasks at the start of the transfer
+        std::string_view basis;                     ///< see basisOfLeaving()
         StoreChange change;
         std::string progress;      ///< of the job, as written; empty: the tasks belonged here by records
         std::uint64_t version = 0; ///< of the job in that progress
@@ -325,6 +326,7 @@
     {
         JobKey key;
         ShardId to = 0;
+        std::string_view basis; ///< see basisOfLeaving()
     };
 
     /** The progress of a job in a write. */
@@ -375,6 +377,8 @@
     void takeMovedJob(JobState &job, const MovedJob &moved, const StoreItem &item);
     void onCancel(const JobKey &key);
     bool mayBeRunningElsewhere(const TaskRef &ref) const;
+    bool isNewerJob(const JobState &job) const;
+    std::string_view basisOfLeaving(const JobState &job) const;
     void resolveUnreadWorkers(TimePoint now);
     void updateTakeoverStage(TimePoint now);
     void logUnreadWorkers(TimePoint now);
@@ -876,7 +880,7 @@
 template<typename... Fields>
 void WorkflowScheduler::logTaskEvent(std::string_view event, const TaskRef &ref, const Fields &...fields)
 {
-    m_log.write(event, "job", ref.job->key(), "step", ref.step, "task", ref.index, fields...);
+    m_log.write(event, "job", ref.job->key(), "step", ref.step, "task", ref.index, "shard", m_shard, fields...);
 }
 
 template<typename Handler>
--- a/packages/workflow/takeover.cpp
+++ b/packages/workflow/takeover.cpp
@@ -195,7 +195,11 @@
                     "jobs",
                     m_activeJobs.size(),
                     "workers",
-                    m_workers.size());
+                    m_workers.size(),
+                    "registered",
+                    std::count_if(m_workers.begin(), m_workers.end(), [](const auto &it) { return it->isRegistered; }),
+                    "inbox_revision",
+                    m_inbox.revision());
     }
     if (authority == Authority::None) {
         reportWaitingTasks(now);
@@ -471,8 +475,12 @@
         m_log.write("job_taken",
                     "job",
                     job.key(),
+                    "shard",
+                    m_shard,
                     "revision",
                     item.revision,
+                    "loaded_revision",
+                    m_storedRevisions[job.key()],
                     "attempt_base",
                     moved.attemptBase,
                     "moves",
@@ -507,8 +515,7 @@
  */
 bool WorkflowScheduler::mayBeRunningElsewhere(const TaskRef &ref) const
 {
-    const bool isNewerJob = m_maxFormerRevision != 0 && ref.job->createdRevision > m_maxFormerRevision;
-    if (m_unreadWorkerCount == 0 || isNewerJob) {
+    if (m_unreadWorkerCount == 0 || isNewerJob(*ref.job)) {
         return false;
     }
     if (ref.task().isAccountedFor) {
@@ -519,6 +526,21 @@
     return std::none_of(after.begin(), after.end(), [&steps](std::uint32_t it) { return steps[it].isCompletionOurs; });
 }
 
+/** Whether no former leader can know the job. */
+bool WorkflowScheduler::isNewerJob(const JobState &job) const
+{
+    return m_maxFormerRevision != 0 && job.createdRevision > m_maxFormerRevision;
+}
+
+/** Why no former leader can run tasks of the job that leave this shard; for logs. */
+std::string_view WorkflowScheduler::basisOfLeaving(const JobState &job) const
+{
+    if (m_unreadWorkerCount == 0) {
+        return "all workers are read or outwaited";
+    }
+    return isNewerJob(job) ? "the job is newer than former leaders" : "its runs are accounted for";
+}
+
 /** Counts the workers that may still run a former leader's tasks, and determines which jobs it cannot have known. */
 void WorkflowScheduler::resolveUnreadWorkers(TimePoint now)
 {
--- a/packages/workflow/transfer.cpp
+++ b/packages/workflow/transfer.cpp
@@ -327,8 +327,6 @@
         std::chrono::duration_cast<std::chrono::milliseconds>(now - waitingHereSince(*first.job, first.task())).count(),
         "need_cpu",
         first.spec().need.cpuMillis,
-        "shard",
-        m_shard,
         "largest_pieces",
         pieces);
 }
@@ -439,6 +437,7 @@
     const ShardKeys toKeys = makeShardKeys(to);
     Transfer transfer;
     transfer.to = to;
+    transfer.basis = basisOfLeaving(job);
     StoreChange &change = transfer.change;
     change.conditions
         = {{m_keys.leader, m_term.keyRevision}, {registration.key, registration.revision}, {m_keys.cancels + key, 0}};
@@ -561,7 +560,16 @@
         }
         ++m_counters.tasksGiven;
         m_givenCpu.push_back({transfer.to, ref.spec().image, ref.spec().need.cpuMillis, revision});
-        logTaskEvent("task_given", ref, "to", transfer.to, "moves", task.moves + 1);
+        logTaskEvent("task_given",
+                     ref,
+                     "to",
+                     transfer.to,
+                     "moves",
+                     task.moves + 1,
+                     "basis",
+                     transfer.basis,
+                     "revision",
+                     revision);                                   // 0: an earlier copy of the write was executed
         if (task.recordRevision == transfer.recordRevisions[i]) { // otherwise it has come back meanwhile
             task.hasRecord = false;
             task.isAccountedFor = false;
@@ -626,7 +634,16 @@
         restoreSuspect(ref);
         m_isPlacementDue = true;
         ++m_counters.tasksTaken;
-        logTaskEvent("task_taken", ref, "attempt_base", task.attemptBase, "moves", task.moves);
+        logTaskEvent("task_taken",
+                     ref,
+                     "attempt_base",
+                     task.attemptBase,
+                     "moves",
+                     task.moves,
+                     "revision",
+                     item.revision,
+                     "loading",
+                     m_loadStage != LoadStage::Done);
     }
     if (m_earlyCancels.erase(key) > 0) {
         onCancel(key);
--- a/packages/workflow/waiting.cpp
+++ b/packages/workflow/waiting.cpp
@@ -283,8 +283,6 @@
                  milliseconds(diagnosis.age),
                  "queue",
                  diagnosis.queue,
-                 "shard",
-                 m_shard,
                  "epoch",
                  m_term.epoch,
                  "why",
