Soak: several shards, with faults of whole failure domains beside kills of all nodes

Every 4 to 10 s all workers of a failure domain restart, are cut off, drain or are full of larger jobs; in three of four cases all nodes are killed within 5.5 s, in a third of those once more. Long-running tasks need up to 7000 millis, two a worker at the most. Each seed prints the shards that had leaders, and the job_moved, task_given and task_taken lines of the nodes' logs; a node that is killed before it writes a line is not counted. No check is changed.

--- a/soak/test/main.cpp
+++ b/soak/test/main.cpp
@@ -22,6 +22,8 @@
         "t", "seconds", "duration of fault injection; up to 60 s more until all jobs end", false, 12, "S", cmd);
     TCLAP::ValueArg<std::string> folder(
         "f", "folder", "folder for settings files and logs", false, "soak-run", "PATH", cmd);
+    TCLAP::ValueArg<int> shards(
+        "", "shards", "number of shards, of two or three failure domains; 0: one shard", false, 0, "N", cmd);
     TCLAP::SwitchArg forward("", "forward", "nodes forward requests that they cannot decide", cmd);
     TCLAP::UnlabeledValueArg<std::string> program("program", "path of quetzalrockd", true, "", "PATH", cmd);
     cmd.parse(argc, argv);
@@ -32,6 +34,7 @@
         settings.seed = seed.getValue() + static_cast<std::uint64_t>(i);
         settings.nodes = nodes.getValue();
         settings.workers = workers.getValue();
+        settings.shards = shards.getValue();
         settings.faultTime = std::chrono::seconds(seconds.getValue());
         settings.files.forwardsRequests = forward.getValue();
         settings.files.program = program.getValue();
@@ -41,7 +44,13 @@
         const SoakResult result = SoakRun(settings).run();
         std::cout << "seed " << settings.seed << ": " << result.accepted << " jobs accepted, " << result.refused
                   << " refused, " << result.starts << " starts, " << result.faults << " faults, "
-                  << result.violations.size() << " violations" << std::endl;
+                  << result.violations.size() << " violations";
+        if (settings.shards > 0) {
+            std::cout << ", " << result.shards << " shards, " << result.domainFaults << " faults of failure domains, "
+                      << result.allKilled << " times all nodes killed, " << result.jobsMoved << " jobs moved, "
+                      << result.tasksGiven << " tasks given, " << result.tasksTaken << " taken";
+        }
+        std::cout << std::endl;
         for (const std::string &it : result.violations) {
             std::cout << "  " << it << std::endl;
         }
--- a/soak/test/nodeprocess.cpp
+++ b/soak/test/nodeprocess.cpp
@@ -51,7 +51,7 @@
 
 } // namespace
 
-NodeProcess::NodeProcess(NodeFiles files, std::string name, std::uint16_t storePort)
+NodeProcess::NodeProcess(NodeFiles files, std::string name, const std::string &failureDomain, std::uint16_t storePort)
     : m_files(std::move(files))
     , m_name(std::move(name))
     , m_requestsPort(findFreePort())
@@ -59,10 +59,13 @@
     , m_settingsFile(m_files.folder + "/" + m_name + ".ini")
 {
     std::ofstream out(m_settingsFile);
-    out << "[process]\nname = " << m_name << "\nfailure_domain = d0\n"
+    out << "[process]\nname = " << m_name << "\nfailure_domain = " << failureDomain << "\n"
         << "[listen]\nrequests = " << address() << "\nready = 127.0.0.1:" << m_readyPort << "\n"
         << "[platform]\nkind = fleet\nstore = 127.0.0.1:" << storePort << "\n"
         << "[workflow]\nforward_requests = " << (m_files.forwardsRequests ? "yes" : "no") << "\n";
+    if (m_files.workersPerShard > 0) {
+        out << "max_single_shard_workers = 0\nworkers_per_shard = " << m_files.workersPerShard << "\n";
+    }
 }
 
 NodeProcess::~NodeProcess()
--- a/soak/test/nodeprocess.h
+++ b/soak/test/nodeprocess.h
@@ -23,13 +23,14 @@
     std::string program;           ///< path of quetzalrockd
     std::string folder;            ///< holds the settings files and the logs
     bool forwardsRequests = false; ///< [workflow] forward_requests
+    int workersPerShard = 0;       ///< [workflow] workers_per_shard; 0: one shard
 };
 
 class NodeProcess
 {
 public:
     /** Chooses the node's ports and writes its settings file; @p storePort is the store's port on loopback. */
-    NodeProcess(NodeFiles files, std::string name, std::uint16_t storePort);
+    NodeProcess(NodeFiles files, std::string name, const std::string &failureDomain, std::uint16_t storePort);
     ~NodeProcess(); ///< kills the process if it still runs
     NodeProcess(const NodeProcess &) = delete;
     NodeProcess &operator=(const NodeProcess &) = delete;
--- a/soak/test/soak.cpp
+++ b/soak/test/soak.cpp
@@ -9,6 +9,8 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
+#include <fstream>
+#include <set>
 
 #include <csignal>
 #include <sys/wait.h>
@@ -30,17 +32,40 @@
 constexpr Duration LossSlack
     = 200ms;                       ///< a connection that ends so soon after a request may have ended before it was read
 constexpr Duration StartTime = 1s; ///< a process that has not come to handle SIGTERM yet ends by it
-constexpr Duration DisturbanceTime = 1s;      ///< after a signal other than SIGTERM a connection may end at any time
-constexpr int SpareWorkerDivisor = 2;         ///< for every so many workers one more may join
-constexpr std::size_t MaxLongRunningJobs = 8; ///< so that there is always room for all of them
-constexpr int NotFoundStatus = 404;           ///< a node does not know the queue yet
-constexpr int ActionIntervalMs = 250;         ///< mean interval between actions: a new job or a fault
+constexpr Duration DisturbanceTime = 1s; ///< after a signal other than SIGTERM a connection may end at any time
+constexpr int SpareWorkerDivisor = 2;    ///< for every so many workers one more may join
+constexpr int MaxLongRunningJobs = 8;    ///< so that there is always room for all of them
+constexpr int NotFoundStatus = 404;      ///< a node does not know the queue yet
+constexpr std::uint32_t MaxLargeNeed
+    = 9000; ///< CPU millis of a task of a large job, on top of 3000; a worker has 16000
+constexpr std::uint32_t MaxDividedNeed
+    = 6000; ///< CPU millis of long-running tasks of several shards, on top of 1000: two of them fit on a worker
+constexpr int ActionIntervalMs = 250; ///< mean interval between actions: a new job or a fault
+
+int failureDomains(const SoakSettings &settings)
+{
+    return settings.shards > 0 && settings.shards % 3 == 0 ? 3 : 2;
+}
 
 Adapter::StandInSettings platformSettings(const SoakSettings &settings)
 {
     Adapter::StandInSettings it;
     it.workers = settings.workers + std::max(1, settings.workers / SpareWorkerDivisor);
     it.workersPerRack = 2;
+    it.failureDomains = failureDomains(settings);
+    return it;
+}
+
+/** In a divided fleet, two of their tasks, of three a job, for each worker. */
+int maxLongRunningJobs(const SoakSettings &settings)
+{
+    return settings.shards == 0 ? MaxLongRunningJobs : settings.workers * 2 / 3;
+}
+
+NodeFiles nodeFiles(const SoakSettings &settings)
+{
+    NodeFiles it = settings.files;
+    it.workersPerShard = settings.shards == 0 ? 0 : std::max(1, settings.workers / settings.shards);
     return it;
 }
 
@@ -111,6 +136,7 @@
     addQueue();
     for (const auto &[id, address] : m_platform.workerAddresses()) {
         m_links.push_back(m_proxy.addLink(portOf(address)));
+        m_workerLinks[id] = m_links.back();
         const std::string proxied = "127.0.0.1:" + std::to_string(m_proxy.port(m_links.back()));
         m_platform.withState(
             [&worker = id, &proxied](StandInState &state) { state.advertisedAddresses[worker] = proxied; });
@@ -124,8 +150,9 @@
         Node node;
         node.storeLink = m_proxy.addLink(portOf(m_platform.storeAddress()));
         m_links.push_back(node.storeLink);
-        node.process
-            = std::make_unique<NodeProcess>(m_settings.files, "node" + std::to_string(i), m_proxy.port(node.storeLink));
+        const std::string domain = "d" + std::to_string(m_settings.shards == 0 ? 0 : i % failureDomains(m_settings));
+        node.process = std::make_unique<NodeProcess>(
+            nodeFiles(m_settings), "node" + std::to_string(i), domain, m_proxy.port(node.storeLink));
         node.process->start();
         node.state = NodeState::Up;
         m_nodes.push_back(std::move(node));
@@ -140,6 +167,11 @@
 
 void SoakRun::performAction()
 {
+    if (m_settings.shards > 0 && m_clock.now() >= m_nextDomainFaultAt) {
+        m_nextDomainFaultAt = m_clock.now() + randomDuration(4000, 10'000); // between them, moves begin and end
+        injectDomainFault();
+        return;
+    }
     const std::uint32_t action = randomBelow(24);
     if (action < 9) {
         createJob();
@@ -167,11 +199,75 @@
         disturbNode(randomNode());
         return;
     }
+    killAllNodes();
+}
+
+void SoakRun::killAllNodes()
+{
+    ++m_result.allKilled;
     for (Node &it : m_nodes) {
         killNode(it);
     }
 }
 
+/**
+ * Jobs and tasks that find no room leave their shard after two seconds. The kill comes before that, while they are on
+ * their way, or after it, and sometimes again when the next leaders have taken over.
+ */
+void SoakRun::injectDomainFault()
+{
+    ++m_result.faults;
+    ++m_result.domainFaults;
+    const std::string domain
+        = "d" + std::to_string(randomBelow(static_cast<std::uint32_t>(failureDomains(m_settings))));
+    std::vector<std::string> workers = m_workers;
+    m_platform.withState([&workers, &domain](StandInState &state) {
+        std::erase_if(workers, [&](const auto &it) { return state.fleet.workers[it].failureDomain != domain; });
+    });
+    const TimePoint now = m_clock.now();
+    const std::uint32_t fault = randomBelow(4);
+    const TimePoint endsAt = now + randomDuration(2500, 9000);
+    createLargeJobs();
+    for (const std::string &it : workers) {
+        m_dueActions.push_back({now + randomDuration(0, 500), [this, it, fault, endsAt] {
+                                    if (std::find(m_workers.begin(), m_workers.end(), it) == m_workers.end()) {
+                                        return; // it has left meanwhile
+                                    }
+                                    if (fault == 0) {
+                                        restartWorker(it, std::max(endsAt - m_clock.now(), Duration::zero()));
+                                    } else if (fault == 1) {
+                                        cutOffWorker(it, endsAt);
+                                    } else if (fault == 2) {
+                                        drainWorker(it);
+                                    }
+                                }});
+    }
+    if (fault == 3) {
+        m_dueActions.push_back({now + randomDuration(0, 2000), [this] { createLargeJobs(); }});
+    }
+    if (randomBelow(4) > 0) {
+        const TimePoint killAt = now + randomDuration(0, 5500);
+        m_dueActions.push_back({killAt, [this] { killAllNodes(); }});
+        if (randomBelow(3) == 0) {
+            m_dueActions.push_back({killAt + randomDuration(200, 5000), [this] { killAllNodes(); }});
+        }
+    }
+}
+
+void SoakRun::cutOffWorker(const std::string &id, TimePoint restoreAt)
+{
+    m_proxy.setMode(m_workerLinks[id], randomBelow(2) == 0 ? LinkMode::DropAll : LinkMode::Reset);
+    m_linkRestorations.push_back({restoreAt, m_workerLinks[id]});
+}
+
+void SoakRun::createLargeJobs()
+{
+    const int jobs = static_cast<int>(4 + randomBelow(6)) * std::max(1, m_settings.workers / 12);
+    for (int i = 0; i < jobs; ++i) {
+        createJob(true);
+    }
+}
+
 /** Signals several leaders in a row, or one of them several times. */
 void SoakRun::injectLeaderFaults()
 {
@@ -184,8 +280,10 @@
 
 std::size_t SoakRun::leader()
 {
-    const std::string name = m_platform.withState([](StandInState &state) {
-        const auto found = state.store.items.find(Workflow::makeShardKeys(0).leader);
+    const Workflow::ShardId shard
+        = m_settings.shards == 0 ? 0 : randomBelow(static_cast<std::uint32_t>(m_settings.shards));
+    const std::string name = m_platform.withState([shard](StandInState &state) {
+        const auto found = state.store.items.find(Workflow::makeShardKeys(shard).leader);
         return found == state.store.items.end() ? "" : found->second.value.substr(0, found->second.value.find(' '));
     });
     const auto found
@@ -253,17 +351,14 @@
     const std::uint32_t fault = randomBelow(5);
     m_hadFailingWorkers = m_hadFailingWorkers || fault == 0;
     if (fault == 1) {
-        m_restartingWorkers[id] = m_clock.now() + randomDuration(300, 4000);
+        restartWorker(id, randomDuration(300, 4000));
+        return;
     }
     m_platform.withState([&id, fault](StandInState &state) {
         switch (fault) {
         case 0:
             state.fleet.workers[id].failsAll = !state.fleet.workers[id].failsAll;
             break;
-        case 1:
-            state.fleet.restartWorker(id);
-            state.fleet.workers[id].isReachable = false;
-            break;
         case 2:
         case 3: // removes its registry entry, or writes it again
             if (state.unregisteredWorkers.erase(id) == 0) {
@@ -276,6 +371,15 @@
     });
 }
 
+void SoakRun::restartWorker(const std::string &id, Duration downTime)
+{
+    m_restartingWorkers[id] = m_clock.now() + downTime;
+    m_platform.withState([&id](StandInState &state) {
+        state.fleet.restartWorker(id);
+        state.fleet.workers[id].isReachable = false;
+    });
+}
+
 /** The worker drains, then leaves for good. A spare worker joins before or after that. */
 void SoakRun::drainWorker(const std::string &id)
 {
@@ -411,7 +515,7 @@
 // Callers
 // ---------------------------------------------------------------------------------------------------------------------
 
-void SoakRun::createJob()
+void SoakRun::createJob(bool isLarge)
 {
     auto job = std::make_unique<Job>();
     std::array<char, 17> key{};
@@ -422,13 +526,18 @@
     spec.payload = "soak";
     const auto longRunning
         = std::count_if(m_jobs.begin(), m_jobs.end(), [](const auto &it) { return it->isLongRunning; });
-    job->isLongRunning = randomBelow(3) == 0 && static_cast<std::size_t>(longRunning) < MaxLongRunningJobs;
+    job->isLongRunning = randomBelow(3) == 0 && longRunning < maxLongRunningJobs(m_settings);
     const std::uint32_t steps = job->isLongRunning ? 1 : 1 + randomBelow(3);
     for (std::uint32_t i = 0; i < steps; ++i) {
         Workflow::StepSpec step;
         step.isLongRunning = job->isLongRunning;
         step.taskCount = 1 + randomBelow(step.isLongRunning ? 3 : 6);
         step.need = {1000 + randomBelow(step.isLongRunning ? 1000 : 3000), 500, 0};
+        if (m_settings.shards > 0 && step.isLongRunning) {
+            step.need.cpuMillis = 1000 + randomBelow(MaxDividedNeed);
+        } else if (isLarge) {
+            step.need.cpuMillis = 3000 + randomBelow(MaxLargeNeed);
+        }
         step.estimateMs = 300;
         step.isCheckpointed = true;
         if (i > 0) {
@@ -611,6 +720,26 @@
     return areJobsFinished && m_platform.withState([](StandInState &state) { return state.fleet.runningTasks() == 0; });
 }
 
+void SoakRun::countMoves()
+{
+    const auto has
+        = [](const std::string &line, std::string_view text) { return line.find(text) != std::string::npos; };
+    std::set<std::string> shards;
+    for (const Node &it : m_nodes) {
+        std::ifstream log(m_settings.files.folder + "/" + it.process->name() + ".log");
+        for (std::string line; std::getline(log, line);) {
+            m_result.jobsMoved += has(line, " event=job_moved ") ? 1 : 0;
+            m_result.tasksGiven += has(line, " event=task_given ") ? 1 : 0;
+            m_result.tasksTaken += has(line, " event=task_taken ") ? 1 : 0;
+            if (const std::size_t at = line.find(" shard=");
+                at != std::string::npos && has(line, " event=leader_elected ")) {
+                shards.insert(line.substr(at, line.find(' ', at + 1) - at));
+            }
+        }
+    }
+    m_result.shards = shards.size();
+}
+
 void SoakRun::checkFinalState()
 {
     m_platform.withState([this](StandInState &state) {
@@ -637,6 +766,7 @@
         }
         m_result.starts = state.fleet.starts;
     });
+    countMoves();
     for (Node &it : m_nodes) { // a node has to exit in time, with status 0
         it.process->signal(SIGTERM);
         it.state = NodeState::Terminating;
--- a/soak/test/soak.h
+++ b/soak/test/soak.h
@@ -16,6 +16,8 @@
  *              others join
  *   store      drops its history
  *   operator   adds queues to the configuration
+ *   domains    with several shards: all workers of a failure domain restart, are cut off, drain or are full, so that
+ *              jobs and long-running tasks go to other shards; mostly, all nodes are killed at about the same time
  *
  * Callers keep to a node, over open connections, until they find it gone.
  *
@@ -53,6 +55,7 @@
     std::uint64_t seed = 1;
     int nodes = 4;
     int workers = 8;
+    int shards = 0; ///< of two failure domains, or of three if it can be divided by three; 0: one shard
     Duration faultTime = std::chrono::seconds(12); ///< duration of fault injection
 
     /** Time without faults after that, in which all long-running tasks have to run. */
@@ -70,6 +73,14 @@
     std::size_t refused = 0;             ///< jobs of which every submission was refused
     std::uint64_t starts = 0;            ///< of tasks
     std::size_t faults = 0;              ///< injected
+
+    // Only with several shards
+    std::size_t shards = 0;       ///< that had leaders
+    std::size_t domainFaults = 0; ///< included in faults
+    std::size_t allKilled = 0;    ///< times that all nodes were killed at once
+    std::size_t jobsMoved = 0;    ///< to other shards, as the nodes' logs tell
+    std::size_t tasksGiven = 0;   ///< long-running tasks, to other shards
+    std::size_t tasksTaken = 0;   ///< long-running tasks, by other shards; again by each leader that reads them
 };
 
 class SoakRun
@@ -131,6 +142,10 @@
     void performAction(); ///< creates a job or injects a fault
     void injectNodeFault();
     void injectLeaderFaults();
+    void killAllNodes();
+    void injectDomainFault();
+    void cutOffWorker(const std::string &id, TimePoint restoreAt);
+    void createLargeJobs();
     void disturbNode(std::size_t index); ///< sends it one of the signals that it can get in its state
     void killNode(Node &node);
     std::size_t leader(); ///< the node whose name the leader key holds, or else any
@@ -138,13 +153,14 @@
     void injectWorkerFault();
     void drainWorker(const std::string &id);
     void removeWorker(const std::string &id);
+    void restartWorker(const std::string &id, Duration downTime);
     void addQueue();
     void runDueActions(bool all);
     void superviseNodes();
     void restoreLinks(bool all);
     void restoreWorkers(bool all);
     void endAllFaults();
-    void createJob();
+    void createJob(bool isLarge = false); ///< @p isLarge: few of its tasks fill a worker
     void sendDueCalls();
     void submitJob(Job &job);
     void queryJob(Job &job);
@@ -155,6 +171,7 @@
     std::vector<std::string> stoppedLongRunningJobs(); ///< accepted, not to be cancelled, and not all of its tasks run
     bool isSettled();                                  ///< every job has ended and no task runs
     void checkFinalState();
+    void countMoves();           ///< reads the nodes' logs
     void pollFor(Duration time); ///< runs calls, nodes, links and workers for @p time
     void addViolation(const std::string &text);
     std::size_t randomNode();
@@ -167,7 +184,8 @@
     SystemClock m_clock;
     Adapter::StandInPlatform m_platform;
     LoopbackProxy m_proxy;
-    std::vector<std::size_t> m_links; ///< to the workers, then to the store, one for each node
+    std::vector<std::size_t> m_links;                 ///< to the workers, then to the store, one for each node
+    std::map<std::string, std::size_t> m_workerLinks; ///< by worker
     std::vector<Node> m_nodes;
     std::vector<LinkRestoration> m_linkRestorations;
     std::map<std::string, TimePoint> m_restartingWorkers; ///< restarting workers, and when each is reachable again
@@ -176,6 +194,7 @@
     std::vector<std::string> m_spareWorkers; ///< those that have not joined yet
     std::vector<std::string> m_queues;       ///< prefixes of the queues' paths
     std::vector<std::unique_ptr<Job>> m_jobs;
+    TimePoint m_nextDomainFaultAt{};
     bool m_hadFailingWorkers = false; ///< a worker has failed its tasks on purpose, so jobs may fail
     RequestSettings m_requestSettings;
     CurlTransport m_transport;
