Soak: a divided fleet is divided by the workers that have joined

With several shards the spare workers are now taken out before the stand-in starts; with one shard nothing changes.

--- a/soak/test/soak.cpp
+++ b/soak/test/soak.cpp
@@ -132,6 +132,15 @@
 
 void SoakRun::setUp()
 {
+    if (m_settings.shards > 0) { // the fleet is divided by the workers that are registered at first
+        m_platform.withState([this](StandInState &state) {
+            for (const auto &[id, worker] : state.fleet.workers) {
+                if (std::stoi(id.substr(1)) >= m_settings.workers) {
+                    state.unregisteredWorkers.insert(id);
+                }
+            }
+        });
+    }
     m_platform.start();
     addQueue();
     for (const auto &[id, address] : m_platform.workerAddresses()) {
