--- a/soak/test/soak.cpp
+++ b/soak/test/soak.cpp
@@ -177,7 +177,7 @@
 void SoakRun::performAction()
 {
     if (m_settings.shards > 0 && m_clock.now() >= m_nextDomainFaultAt) {
-        m_nextDomainFaultAt = m_clock.now() + randomDuration(4000, 10'000); // between them, moves begin and end
+        m_nextDomainFaultAt = m_clock.now() + randomDuration(3000, 6000); // between them, moves begin and end
         injectDomainFault();
         return;
     }
