A leader without the shard map holds ends of jobs that it doesn't know

Seen: a task started after its end as done had been acknowledged (Leaving.endOfAMovedJobIsNotAcknowledgedWithoutTheShardMap). A worker that was out of reach had completed it; its lease ended, the job moved to another shard, all nodes were killed, and the next leader of shard 0 had not read the map.

Cause: such an end is held until the job's new shard has the task done, but only if there are other shards, and a leader that has not read the map took it that there are none. After all nodes have been killed at once any node may lead shard 0 one second after its start without the map. What is not known yet was taken for absent.

Now an end as done of an unknown job is settled at once only if the map says that there is one shard. The check of held ends needs no map, so it goes on without one, and an end that was held before the map said one shard is settled as well.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -631,7 +631,9 @@
     WorkerState &worker = *m_workers[index];
     const auto ref = findTask(entry.run.task);
     if (!ref) {
-        const bool mayHaveMoved = entry.how == RunEnd::Done && mayMoveJobs();
+        const bool isOnlyShard
+            = m_shardMap != nullptr && m_shardMap->shards.size() == 1; // false while the map is not known
+        const bool mayHaveMoved = entry.how == RunEnd::Done && !isOnlyShard;
         worker.unacknowledgedEnds.push_back(
             {entry.sequence, {}, 0, mayHaveMoved ? std::optional(entry.run.task) : std::nullopt});
         return;
--- a/packages/workflow/jobmove.cpp
+++ b/packages/workflow/jobmove.cpp
@@ -302,10 +302,13 @@
         }
         return;
     }
-    if (!mayMoveJobs() || m_authority != Authority::Full) {
+    if (m_authority != Authority::Full) {
+        return;
+    }
+    checkEndsOfMovedJobs(now); // also of those that were held while the shard map was not known
+    if (!mayMoveJobs()) {
         return;
     }
-    checkEndsOfMovedJobs(now);
     if (m_isReadingStatusesForMove || now < m_nextJobMoveAt) {
         return;
     }
