--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -103,7 +103,6 @@
     Duration answerTime = StepTime;     ///< from the execution of a call to its answer, except watches
     std::function<bool(const StoreChange &)> isLost; ///< such changes are neither executed nor answered
     std::string silentPrefix; ///< ranges and watches of it are neither executed nor answered; empty: none
-    std::string silentKey;    ///< the same for readings of one key
     std::function<Duration()>
         changeDelay; ///< from a change to its execution; none: at once. Unanswered after callTimeout
     bool isLosingRenewalReplies = false;               ///< renewals of leases are executed and not answered
@@ -113,10 +112,6 @@
 
     void get(std::string_view key, StoreDone done) override
     {
-        if (!silentKey.empty() && key == silentKey) {
-            m_replies.schedule(callTimeout, [done] { done({}); });
-            return;
-        }
         reply(done, [this, key = std::string(key)] {
             StoreReply it;
             const auto found = m_backend.items.find(key);
