A leader keeps the list of workers until it has read the registry

Cause: a worker without an entry counts as leaving, and a leader that has not read the registry, or not the shard map, sees no entry at all. It struck each idle worker off the stored list, whose members its successor waits for. After all nodes were killed at once each new leader did so for a moment; one that ended then left a successor that took these workers for never used, so that an order of before could be executed by a restarted worker unseen.

Now nothing is struck off before registry and map are read.

Leaving.workersStayListedUntilTheRegistryIsRead fails on the sources before (0 of 4 workers listed) and passes. The test of ends of moved jobs waits until the former key has certainly ended, and its loop has a bound.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -280,7 +280,10 @@
 /** Takes a worker that leaves, and that runs nothing, off the stored list: a successor need not read it. */
 void WorkflowScheduler::dropFromStoredWorkers(WorkerState &worker)
 {
-    if (!worker.isLeaving() || m_authority != Authority::Full || !m_storedWorkers.contains(worker.record.id)) {
+    const bool isRegistryKnown
+        = m_registryConfirmedAt != TimePoint{} && m_shardMap != nullptr && !m_shardMap->shards.empty();
+    if (!isRegistryKnown || !worker.isLeaving() || m_authority != Authority::Full
+        || !m_storedWorkers.contains(worker.record.id)) {
         return;
     }
     acknowledgeDurableEnds(worker);
--- a/packages/workflow/tests/leavingtest.cpp
+++ b/packages/workflow/tests/leavingtest.cpp
@@ -180,7 +180,7 @@
 {
     LeavingRig rig(3);
     const JobKey key = rig.submitToFirstShard(1, 1);
-    while (rig.fleet.runningTasks() == 0) {
+    for (int i = 0; i < 500 && rig.fleet.runningTasks() == 0; ++i) {
         rig.run(StepTime);
     }
     FakeWorker *lost = nullptr;
@@ -195,7 +195,7 @@
     ASSERT_NE(rig.shardOfJob(key), 0U);
     ASSERT_EQ(rig.fleet.completedTasks.size(), 1U);
     rig.killAll();
-    rig.run(2s);
+    rig.run(4s); // the leader key has ended
     rig.nodes[0]->store.silentPrefix = std::string(ClusterStatePrefix);
     rig.boot(0);
     for (int i = 0; i < 500 && rig.leader(0) != 0; ++i) {
@@ -217,6 +217,25 @@
     rig.expectNoViolations();
 }
 
+// Guards against TWICE: a leader that has not read the registry yet takes idle workers for gone and strikes them off the list of those that
+// its successor waits for.
+TEST(Leaving, workersStayListedUntilTheRegistryIsRead)
+{
+    LeavingRig rig(1);
+    const auto listed = [&rig] { return decodeWorkers(rig.backend.items.at(makeShardKeys(0).workers).value).size(); };
+    ASSERT_EQ(listed(), 4U);
+    rig.killAll();
+    rig.run(4s); // the leader key has ended
+    rig.nodes[0]->store.silentPrefix = "workers/";
+    rig.boot(0);
+    rig.run(3s);
+    ASSERT_EQ(rig.leader(0), 0);
+    EXPECT_EQ(listed(), 4U);
+    rig.nodes[0]->store.silentPrefix.clear();
+    rig.run(5s);
+    EXPECT_EQ(listed(), 4U);
+}
+
 // Guards against older progress: a job goes 0, 2, 0, 2 while leaders of either shard are killed around its moves, beside late writes
 // and pages of progress that are read meanwhile.
 TEST(Leaving, jobThatMovesBackAndForthOverSeveralTermsRunsOnce)
