Random histories with several shards in which all nodes are killed at once

These histories kill all nodes within half a second, also right after a write by which a job or a task leaves its shard, which is executed up to 4 s later. Beside it: restarts, cuts and lost registry entries of a failure domain's workers, slow and lost answers of the store, evacuations, cancels. After each change of the store a job has one record and a task one shard.

The draws of the other histories are as before.

--- a/packages/workflow/tests/faultscenario.h
+++ b/packages/workflow/tests/faultscenario.h
@@ -50,6 +50,7 @@
     std::uint32_t maxEventIntervalMs = 400;
     bool hasLeaderChanges = false; ///< with the faults of histories with changes of leaders, see above
     bool hasEvacuations = false;   ///< with evacuations of failure domains
+    bool hasSeveralShards = false; ///< with even seeds as well
 };
 
 inline HistorySettings leaderHistory(std::uint64_t seed)
@@ -78,7 +79,7 @@
     FaultScenario(std::uint64_t seed, const HistorySettings &settings)
         : m_random(static_cast<std::mt19937::result_type>(seed))
         , m_settings(settings)
-        , m_rig(settings.nodes, settings.workers, seed % 2 == 0 ? 0 : WorkersPerShard)
+        , m_rig(settings.nodes, settings.workers, seed % 2 == 0 && !settings.hasSeveralShards ? 0 : WorkersPerShard)
     {
         for (const auto &[id, worker] : m_rig.fleet.workers) {
             m_workers.push_back(id);
@@ -101,7 +102,10 @@
     void run()
     {
         for (const auto &it : m_rig.nodes) {
-            it->store.onChange = [this](const StoreChange &change) { countTransfers(change); };
+            it->store.onChange = [this](const StoreChange &change) {
+                countTransfers(change);
+                checkChange(change);
+            };
         }
         advance(1s);
         for (int burst = 0; burst < m_settings.bursts; ++burst) {
@@ -154,6 +158,11 @@
         }
     }
 
+    /** Called after each change of the store. */
+    virtual void checkChange(const StoreChange &)
+    {
+    }
+
     void checkShardsOfTasks()
     {
         for (const JobKey &key : m_rig.fleet.longRunningJobs) {
--- a/packages/workflow/tests/historytest.cpp
+++ b/packages/workflow/tests/historytest.cpp
@@ -6,7 +6,7 @@
  * all kinds; WORKFLOW_LOG prints what the nodes log. With WORKFLOW_LATE=1, orders without an answer reach the next incarnation
  * of a worker in histories with restarts (KNOWN-RED.txt, issue 12).
  */
-#include "restartscenario.h"
+#include "massrestartscenario.h"
 
 namespace QuetzalRock::Workflow {
 
@@ -17,6 +17,7 @@
 constexpr int DefaultLeaderHistories = 100;
 constexpr int DefaultEvacuationHistories = 60;
 constexpr int DefaultRestartHistories = 4;
+constexpr int DefaultMassRestartHistories = 12;
 
 template<typename MakeScenario>
 void runHistories(int defaultHistories, MakeScenario makeScenario, bool mustMoveJobs = false)
@@ -77,6 +78,14 @@
     });
 }
 
+TEST(WorkflowFaults, guaranteesHoldWhileAllNodesAreKilledAtOnce)
+{
+    runHistories(
+        DefaultMassRestartHistories,
+        [](std::uint64_t seed) { return std::make_unique<MassRestartScenario>(seed); },
+        true);
+}
+
 // Seeds that have failed. A change of the random choices above gives all seeds another meaning: then look for seeds anew on
 // the commit that is named.
 
--- a/packages/workflow/tests/restartscenario.h
+++ b/packages/workflow/tests/restartscenario.h
@@ -27,12 +27,18 @@
     return it;
 }
 
-class RestartScenario final : public FaultScenario
+class RestartScenario : public FaultScenario
 {
 public:
     /** With @p areLateOrdersExecuted, orders without an answer may be executed by the worker's next incarnation. */
     explicit RestartScenario(std::uint64_t seed, bool areLateOrdersExecuted = false)
-        : FaultScenario(seed, restartHistory(seed))
+        : RestartScenario(seed, restartHistory(seed), areLateOrdersExecuted)
+    {
+    }
+
+protected:
+    RestartScenario(std::uint64_t seed, const HistorySettings &settings, bool areLateOrdersExecuted)
+        : FaultScenario(seed, settings)
         , m_areCrashesSuspected(seed % 4 == 3)
     {
         for (const auto &it : m_rig.nodes) {
@@ -51,7 +57,6 @@
         }
     }
 
-private:
     void applyEvent() override
     {
         randomBelow(8) == 0 ? applyLeaderEvent() : applyRestartEvent();
@@ -179,6 +184,7 @@
         }
     }
 
+private:
     bool m_areCrashesSuspected;
 };
 
--- a/packages/workflow/tests/rig.h
+++ b/packages/workflow/tests/rig.h
@@ -102,6 +102,8 @@
     Duration callTimeout = CallTimeout; ///< of calls without an answer, except watches
     Duration answerTime = StepTime;     ///< from the execution of a call to its answer, except watches
     std::function<bool(const StoreChange &)> isLost; ///< such changes are neither executed nor answered
+    std::function<bool(const StoreChange &)>
+        isDelayed;            ///< such changes are executed after lostChangeDelay without a reply
     std::string silentPrefix; ///< ranges and watches of it are neither executed nor answered; empty: none
     std::function<Duration()>
         changeDelay; ///< from a change to its execution; none: at once. Unanswered after callTimeout
@@ -155,8 +157,9 @@
 
     void change(StoreChange change, StoreDone done) override
     {
-        if (!isRefusing && !isSilent && lostChangeReplies > 0) {
-            --lostChangeReplies;
+        const bool isReachable = !isRefusing && !isSilent;
+        if (isReachable && (lostChangeReplies > 0 || (isDelayed && isDelayed(change)))) {
+            lostChangeReplies = std::max(0, lostChangeReplies - 1);
             m_inTransit.schedule(lostChangeDelay, [this, change] { execute(change); });
             m_replies.schedule(CallTimeout, [done] { done({}); });
             return;
