--- a/packages/workflow/tests/leavingtest.cpp
+++ b/packages/workflow/tests/leavingtest.cpp
@@ -246,8 +246,10 @@
             return least + static_cast<int>(random() % static_cast<unsigned>(most - least + 1));
         };
         LeavingRig rig(3);
+        constexpr int JobCount = 25; // more than a page
         std::vector<JobKey> keys;
-        for (int i = 0; i < 25; ++i) { // more than a page
+        keys.reserve(JobCount);
+        for (int i = 0; i < JobCount; ++i) {
             keys.push_back(rig.submitToFirstShard(1, 10, "j" + std::to_string(i) + "-"));
         }
         rig.request(1);
