--- /dev/null
+++ b/review/15/run.sh
@@ -0,0 +1,5 @@
+#!/usr/bin/env bash
+# Runs the case, see claim.txt. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x target/review-3/case-15 ] && [ -x target/packages/daemon/quetzalrockd ] || exit 2
+exec target/review-3/case-15 review/15
