--- a/review/11/case.cpp
+++ b/review/11/case.cpp
@@ -32,7 +32,11 @@
     store.put("op/config",
               json{{"version", 3},
                    {"routes",
-                    {{{"name", "q"}, {"host", "queue.example"}, {"prefix", "/q/"}, {"service", "booking"}, {"maxAttempts", 3}}}},
+                    {{{"name", "q"},
+                      {"host", "queue.example"},
+                      {"prefix", "/q/"},
+                      {"service", "booking"},
+                      {"maxAttempts", 3}}}},
                    {"services", {{{"name", "booking"}, {"admissionControl", true}}}}}
                   .dump());
     NodeProcess a(temporary, "edge-1", "muuga", store.address());
--- a/review/12/case.cpp
+++ b/review/12/case.cpp
@@ -5,12 +5,12 @@
 
 namespace {
 
-constexpr Ms DownMs = 2000;      ///< of a crashed minion
-constexpr Ms WorkMs = 3500;      ///< that the task works until its minion crashes, at least
-constexpr Ms FinishMs = 14'000;  ///< finish_s
-constexpr Ms NothingMs = 3000;   ///< the 3 s of the rule
+constexpr Ms DownMs = 2000;     ///< of a crashed minion
+constexpr Ms WorkMs = 3500;     ///< that the task works until its minion crashes, at least
+constexpr Ms FinishMs = 14'000; ///< finish_s
+constexpr Ms NothingMs = 3000;  ///< the 3 s of the rule
 constexpr Ms WatchedMs = 15'000;
-constexpr Ms Cpu = 4000;         ///< of each task
+constexpr Ms Cpu = 4000; ///< of each task
 constexpr Ms CapacityCpu = 32'000;
 constexpr int Minions = 10;
 
@@ -106,7 +106,13 @@
     it.store.put("op/config",
                  json{{"version", 3},
                       {"routes",
-                       {{{"name", "q"}, {"host", "queue.example"}, {"prefix", "/q/"}, {"service", "booking"}, {"maxAttempts", 3}, {"stretchFactor", 3}, {"targetDurationMs", 1000}}}},
+                       {{{"name", "q"},
+                         {"host", "queue.example"},
+                         {"prefix", "/q/"},
+                         {"service", "booking"},
+                         {"maxAttempts", 3},
+                         {"stretchFactor", 3},
+                         {"targetDurationMs", 1000}}}},
                       {"services", {{{"name", "booking"}, {"admissionControl", true}}}}}
                      .dump());
     for (const char *name : {"edge-1", "edge-2"}) {
@@ -182,8 +188,18 @@
         longest = std::max(longest, nothingSince == 0 ? 0 : nowMs() - nothingSince);
         if (!isShown) {
             isShown = true;
-            it.record.write("GET ", victim, " -> ", answer.status, " ", answer.body, "; places for its task: ", places,
-                            "; CPU in use: ", used, " of ", Minions * CapacityCpu);
+            it.record.write("GET ",
+                            victim,
+                            " -> ",
+                            answer.status,
+                            " ",
+                            answer.body,
+                            "; places for its task: ",
+                            places,
+                            "; CPU in use: ",
+                            used,
+                            " of ",
+                            Minions * CapacityCpu);
         }
     }
     it.record.write("the job had nothing running for ", longest, " ms of the last ", WatchedMs, " ms");
--- a/review/15/case.cpp
+++ b/review/15/case.cpp
@@ -36,7 +36,11 @@
     store.put("op/config",
               json{{"version", 3},
                    {"routes",
-                    {{{"name", "q"}, {"host", "queue.example"}, {"prefix", "/q/"}, {"service", "booking"}, {"maxAttempts", 3}}}},
+                    {{{"name", "q"},
+                      {"host", "queue.example"},
+                      {"prefix", "/q/"},
+                      {"service", "booking"},
+                      {"maxAttempts", 3}}}},
                    {"services", {{{"name", "booking"}, {"admissionControl", true}}}}}
                   .dump());
     std::mutex mutex;
@@ -82,7 +86,8 @@
          "POST",
          "/q/" + first,
          json{{"spec", "long"},
-              {"steps", {{{"count", 1}, {"cpu", 32'000}, {"memMb", 256}, {"estimateMs", 60'000}, {"requiredLabel", "large"}}}}}
+              {"steps",
+               {{{"count", 1}, {"cpu", 32'000}, {"memMb", 256}, {"estimateMs", 60'000}, {"requiredLabel", "large"}}}}}
              .dump());
     for (int i = 0; i < 100 && !begun(first); ++i) {
         sleepMs(100);
@@ -96,13 +101,15 @@
     const auto submit = [&](unsigned n) {
         const std::string key = jobKey(100 + n);
         for (int i = 0; i < 20; ++i) { // the same job again until there is an answer
-            const Answer answer
-                = call(n % 2 == 0 ? a.address() : b.address(),
-                       "POST",
-                       "/q/" + key,
-                       json{{"spec", "short"},
-                            {"steps", {{{"count", 1}, {"cpu", 1000}, {"memMb", 256}, {"estimateMs", 1000}, {"requiredLabel", "large"}}}}}
-                           .dump());
+            const Answer answer = call(
+                n % 2 == 0 ? a.address() : b.address(),
+                "POST",
+                "/q/" + key,
+                json{
+                    {"spec", "short"},
+                    {"steps",
+                     {{{"count", 1}, {"cpu", 1000}, {"memMb", 256}, {"estimateMs", 1000}, {"requiredLabel", "large"}}}}}
+                    .dump());
             record.write("POST ", key, " -> ", answer.status);
             if (answer.status == 200) {
                 return std::pair(key, nowMs());
--- a/review/standin3/standin.h
+++ b/review/standin3/standin.h
@@ -309,7 +309,8 @@
                 }
             }
             sendAll(fd,
-                    "HTTP/1.1 " + std::to_string(response.status) + " X\r\nContent-Type: application/json\r\nContent-Length: "
+                    "HTTP/1.1 " + std::to_string(response.status)
+                        + " X\r\nContent-Type: application/json\r\nContent-Length: "
                         + std::to_string(response.body.size()) + "\r\n\r\n" + response.body);
         }
         const std::lock_guard guard(state->mutex);
@@ -342,8 +343,8 @@
     if (::connect(fd, reinterpret_cast<sockaddr *>(&to), sizeof to) == 0) {
         sendAll(fd,
                 method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\nContent-Type: application/json\r\n"
-                    + "X-Quetzalrock-Deadline-Ms: " + std::to_string(timeoutMs) + "\r\nContent-Length: "
-                    + std::to_string(body.size()) + "\r\n\r\n" + body);
+                    + "X-Quetzalrock-Deadline-Ms: " + std::to_string(timeoutMs)
+                    + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
         MessageReader reader(fd);
         std::string line;
         std::map<std::string, std::string> headers;
@@ -575,7 +576,8 @@
         for (const json &it : body.value("expected", json::array())) {
             const std::string key = it.at("key");
             const auto found = m_items.find(key);
-            holds = holds && (found == m_items.end() ? 0 : found->second.revision) == it.at("revision").get<std::uint64_t>();
+            holds = holds
+                    && (found == m_items.end() ? 0 : found->second.revision) == it.at("revision").get<std::uint64_t>();
             if (found != m_items.end()) {
                 current.push_back(itemJson(key, found->second));
             }
@@ -844,7 +846,9 @@
                     {"sequence", ++m_sequence},
                     {"born", m_born},
                     {"capacity",
-                     {{"cpu", m_settings.capacity.cpu}, {"memMb", m_settings.capacity.memMb}, {"gpu", m_settings.capacity.gpu}}},
+                     {{"cpu", m_settings.capacity.cpu},
+                      {"memMb", m_settings.capacity.memMb},
+                      {"gpu", m_settings.capacity.gpu}}},
                     {"labels", m_settings.labels}}
             .dump();
     }
@@ -973,7 +977,8 @@
             used.cpu += it.shape.need.cpu;
             used.memMb += it.shape.need.memMb;
         }
-        if (m_settings.guardsCapacity && (used.cpu > m_settings.capacity.cpu || used.memMb > m_settings.capacity.memMb)) {
+        if (m_settings.guardsCapacity
+            && (used.cpu > m_settings.capacity.cpu || used.memMb > m_settings.capacity.memMb)) {
             extendLease(body);
             m_record.write("minion ", id(), " rejects ", name, " for lack of room");
             return reject("room");
@@ -1142,7 +1147,8 @@
 inline std::uint16_t freePort()
 {
     for (int i = 0; i < 200; ++i) {
-        const auto port = static_cast<std::uint16_t>(16'000 + (static_cast<unsigned>(std::rand()) ^ static_cast<unsigned>(::getpid())) % 16'000);
+        const auto port = static_cast<std::uint16_t>(
+            16'000 + (static_cast<unsigned>(std::rand()) ^ static_cast<unsigned>(::getpid())) % 16'000);
         const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in address = loopback(port);
         const bool isFree = ::bind(fd, reinterpret_cast<sockaddr *>(&address), sizeof address) == 0;
