Starts in doubt outlast the lease of a worker that is lost

Cause: isStartInDoubt() took the start for settled once the worker was silent and its lease over, or draining, or without an entry. A lease tells when runs of the incarnation that got it have ended, not whether a late order reaches the next one, which knows neither token nor clock.

Change: the doubt ends with the answers, with a report of a new incarnation under a newer token, or maxOrderDelay after the start. If nobody can read the worker then, the longest lease is outwaited as well.

The bound of 14 s in leavingtest.cpp was shorter than the time in which an order can be executed.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -557,6 +557,7 @@
     void continueUnansweredStart(const TaskRef &ref);
     void endDoubt(const SentStart &sent, OrderStatus status) const;
     bool isStartInDoubt(const TaskState &task, TimePoint now) const;
+    bool mayRunUnread(const TaskState &task, const WorkerState &worker) const;
     bool mayStartAt(const TaskState &task, const WorkerState &worker, TimePoint now) const;
 
     // Resources for long-running tasks that have waited too long (room.cpp)
--- a/packages/workflow/starts.cpp
+++ b/packages/workflow/starts.cpp
@@ -3,7 +3,8 @@
  *
  * A start without an answer may be executed for a while, also by the worker's next incarnation, which knows neither a stop of that
  * run nor our fencing token. Such a start is in doubt until then. It is repeated at the same worker under the same run name,
- * which is idempotent; if its task has to wait after all, it may start nowhere else meanwhile.
+ * which is idempotent; an answer to the repetition says nothing of the first order. If its task has to wait after all, it may
+ * start nowhere else meanwhile.
  */
 #include <workflow/scheduler.h>
 
@@ -80,20 +81,28 @@
 }
 
 /**
- * Whether a start of the task that got no answer may still be executed by the worker's next incarnation, while the present one
- * knows nothing of the run. Not once a new incarnation has reported under a newer token, nor at a worker that is leaving, or is
- * silent until its lease has ended: see requeueLostRuns().
+ * Whether a start of the task that got no answer may still be executed by the worker's next incarnation, or may run there, while
+ * the present one knows nothing of the run. Not once a new incarnation has reported under a newer token, which rejects the start.
+ * Neither silence, the end of a lease, a drain nor a missing registry entry says anything of the next incarnation.
  */
 bool WorkflowScheduler::isStartInDoubt(const TaskState &task, TimePoint now) const
 {
-    if (task.openStarts == 0 || now >= task.doubtUntil) {
+    if (task.openStarts == 0) {
         return false;
     }
     const WorkerState &worker = *m_workers[task.doubtWorker];
     const bool rejectsIt = worker.hasReported && worker.fence > task.doubtFence;
-    const bool isDraining = worker.isRegistered && worker.record.condition == WorkerCondition::Draining;
-    const bool isSilent = !worker.isRegistered || worker.unansweredRenewals > 0;
-    return !rejectsIt && !isDraining && !(isSilent && now >= worker.leaseEndsBy);
+    if (rejectsIt) {
+        return false;
+    }
+    return now < task.doubtUntil || (mayRunUnread(task, worker) && now < cutLeaseEnd(task.doubtUntil));
+}
+
+/** Whether an incarnation of the silent worker that nobody has read may run the task by a start in doubt. */
+bool WorkflowScheduler::mayRunUnread(const TaskState &task, const WorkerState &worker) const
+{
+    const bool isNextIncarnationSeen = worker.fence != task.doubtFence;
+    return !worker.hasReplied() && (worker.isRegistered || isNextIncarnationSeen);
 }
 
 /** Whether no start in doubt keeps the task from @p worker. It is tried for a while where that start may be executed. */
--- a/packages/workflow/tests/leavingtest.cpp
+++ b/packages/workflow/tests/leavingtest.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr Duration RecoveryTime = 30s; ///< includes an election, and the wait for workers that cannot be read
+/** maxOrderDelay, and maxWorkerLease on a slow clock: so long may a run last whose start was sent to a worker that nobody reads. */
+constexpr Duration LongestDoubt = 25300ms;
 
 /** Shards of four workers each, which are failure domains (d0, d1, ...). */
 class LeavingRig : public Rig
@@ -152,7 +154,7 @@
     for (const Way way : {Way::Move}) {
         LeavingRig rig(1, 2);
         startAtACutOffIncarnation(rig, way, 3s);
-        rig.run(14s);
+        rig.run(LongestDoubt + 1s);
         EXPECT_GT(rig.fleet.starts, 1U) << "the wait is bounded";
         rig.expectNoViolations();
     }
