Trials that last give way to tasks that can run on no other worker

Cause: a task that was present at two crashes is tried until its run ends, and a trial keeps its worker from all others. The run has no bound.

Change: a task that has waited for 1.5 s and can run on no other worker ends such a trial, so that others start beside the run, and has its turn there before the next trial. A later crash is still held against that run first: as one of its trial if it was alone, towards the five crashes of any start otherwise; nobody who is tried beside it is convicted by that crash. The suspect itself, which found no worker of its own while each had other work, starts beside others 10 s after its last crash.

--- a/packages/workflow/crashes.cpp
+++ b/packages/workflow/crashes.cpp
@@ -27,10 +27,18 @@
             present.insert(it.run.task.job);
         }
     }
+    const bool isBesideSharedTrial
+        = std::any_of(lost.begin(), lost.end(), [](const LostRun &it) { return it.isSharedTrial && !it.isStarting; });
     std::vector<std::optional<CrashEvidence>> evidence;
     for (const LostRun &it : lost) {
         CrashEvidence crash;
         crash.attempt = it.run.attempt;
+        if (it.isSharedTrial && !it.isStarting) {
+            crash.suspects = static_cast<std::uint32_t>(present.size());
+            crash.role = isCoincident || present.size() > 1 ? CrashRole::CoincidentStart : CrashRole::Trial;
+            evidence.push_back(crash);
+            continue;
+        }
         if (!it.isStarting && !it.isTrial) {
             crash.suspects = static_cast<std::uint32_t>(present.size());
             crash.role = it.hasStartedBefore ? CrashRole::CoincidentStart : CrashRole::Present;
@@ -42,9 +50,10 @@
         const std::set<JobKey> &suspects = it.isStarting ? starting : present;
         crash.suspects = static_cast<std::uint32_t>(suspects.size());
         const bool mayBeUnrelated = isCoincident && (isTimeKnown || it.isTrial);
-        crash.role = mayBeUnrelated                       ? CrashRole::CoincidentStart
-                     : it.isTrial && suspects.size() == 1 ? CrashRole::Trial
-                                                          : CrashRole::Start;
+        const bool wasAlone = suspects.size() == 1 && !isBesideSharedTrial;
+        crash.role = mayBeUnrelated           ? CrashRole::CoincidentStart
+                     : it.isTrial && wasAlone ? CrashRole::Trial
+                                              : CrashRole::Start;
         evidence.push_back(crash);
     }
     return evidence;
@@ -261,7 +270,11 @@
     };
     const auto rankOf = [&](std::size_t i) {
         const bool isLate = isOverdue(i);
-        return std::tuple(areGuiltyApart && isGuilty(i), !isLate, isLate ? 0 : waiting[i].guilt, waiting[i].sinceMs);
+        return std::tuple(areGuiltyApart && isGuilty(i),
+                          !isLate,
+                          isLate ? 0 : waiting[i].guilt,
+                          !isLate && waiting[i].isTriedUntilItsEnd,
+                          waiting[i].sinceMs);
     };
     const auto areOthersTried = [&](std::size_t i) {
         const auto &crashes = waiting[i].crashes;
--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -11,6 +11,10 @@
  *      meanwhile. A task that starts up without a crash is no longer suspected.
  *   3. A task that has crashed a worker in its trial explains the crashes at which it had just been started. What was
  *      started beside it is no longer suspected for them, and need not wait for trials of its own.
+ *      What was present at several crashes is tried until it ends. If another task has waited for maxTrialHold and can run on no
+ *      other worker, that trial ends early, so that others start beside it; and after maxTrialDelay without a worker of its own, the
+ *      task starts beside others. A later crash of the worker is held against it alone if it was alone there, and counts towards
+ *      maxStartCrashes otherwise.
  *   4. A task is given up, and its job fails, once maxTrialCrashes workers have crashed in its trials. One is enough
  *      after a crash at its start, as long as workers hardly crash otherwise.
  * While tasks crash the workers that start them, tasks of one job at a time start up on a worker, so that a crash names its
@@ -66,6 +70,9 @@
     Duration verdictTimeout = std::chrono::seconds(10); ///< a suspect whose worker does not come back waits so
                                                         ///< long after the end of the worker's lease
     Duration trialTimeout = std::chrono::seconds(3);    ///< a trial that could not start chooses another worker
+    Duration maxTrialHold = std::chrono::milliseconds(1500); ///< a trial that waits for others to end, or that lasts until its
+                                                             ///< run ends, gives way after it to a task that can run on no
+                                                             ///< other worker
     Duration machineMemory = std::chrono::seconds(60);  ///< machines that crash twice in it get no trials
     std::uint32_t maxTrialCrashes = 2;                  ///< a task is given up after so many
     std::uint32_t startCrashesPerOther
@@ -90,7 +97,7 @@
     Present = 0, ///< it had been running for longer than startupTime
     CoincidentStart
         = 1,   ///< it had just been started, but another worker crashed at the same time for no such reason, or
-               ///< an earlier run of it had started up (then explained at once)
+               ///< an earlier run of it had started up (then explained at once); or others ran beside its trial
     Start = 2, ///< it had just been started, possibly beside others
     Trial = 3, ///< it was being tried alone
 };
@@ -143,6 +150,7 @@
     bool isStarting = false; ///< no report had listed it startupTime after its start, nor any earlier run of its task
     bool hasStartedBefore = false; ///< it had just been started, but an earlier run of its task had started up
     bool isTrial = false;          ///< its task was being tried alone
+    bool isSharedTrial = false;    ///< it was to be tried until its end, but others ran beside it
     bool isLongRunning = false;    ///< its task has no limited run time
     std::int64_t workerStartedAtMs = 0;
     TimePoint lostAt{}; ///< zero: at the crash; otherwise when the lease expired
@@ -248,6 +256,7 @@
     double guilt = 0;               ///< see guiltEstimate()
     std::int64_t sinceMs = 0;       ///< see suspectedSinceMs()
     std::vector<CrashName> crashes; ///< that it is suspected for
+    bool isTriedUntilItsEnd = false; ///< its trial does not end soon: among equals that are not overdue, it goes last
 };
 
 /**
--- a/packages/workflow/progress.h
+++ b/packages/workflow/progress.h
@@ -135,6 +135,7 @@
     std::optional<TaskTrial> trial; ///< being tried alone; Waiting: the start is prepared, or its outcome is unknown
     /** An attempt that had just been started on a worker that is silent since; stored, as its leader may not see the end. */
     std::optional<TaskTrial> silentStart;
+    std::uint64_t sharedTrial = 0;   ///< attempt that was to be tried until its end, but others ran beside it; 0: none
     bool isWithoutTrialRoom = false; ///< no worker was found for its trial; in a gang, set for the first member
     TimePoint nextTrialSearchAt{};   ///< earliest next search for one
     bool isGivenUp = false;          ///< another shard's task that has crashed its workers: to be returned
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -497,6 +497,8 @@
     bool prepareTrial(std::span<const TaskRef> refs, double risk, TimePoint now);
     bool canTryOn(WorkerIndex index, const TaskRef &ref, TimePoint now) const;
     bool isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const;
+    bool isTrialOverdue(const TaskState &task) const;
+    static bool isBesideOthers(const WorkerState &worker, const TaskRef &ref);
     WorkerIndex chooseTrialWorker(const TaskRef &ref, TimePoint now) const;
     TrialBudget trialBudget(TimePoint now) const;
     double spareWorkers(TimePoint now) const;
@@ -505,6 +507,13 @@
     void releaseTrialWorkers();
     void endTrials(JobState &job);
 
+    // Workers that trials keep from tasks which can run on no other one (trialholds.cpp)
+    void listAwaitedWorkers(TimePoint now);
+    void addAwaitedWorkers(const TaskRef &first, TimePoint now);
+    void addAwaitedWorkersOf(const TaskRef &ref, bool isStartNext, TimePoint now);
+    bool canStartWithoutTrial(WorkerIndex index, const TaskRef &ref, TimePoint now);
+    void shareAwaitedWorkers();
+
     // Placement (dispatch.cpp)
     void placeJobs(TimePoint now);
     void sortJobs(TimePoint now);
@@ -797,6 +806,8 @@
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
     std::vector<WorkerIndex> m_usableWorkers;  ///< see listUsableWorkers()
+    std::set<WorkerIndex> m_awaitedWorkers;      ///< of the current or last pass, see listAwaitedWorkers()
+    std::set<WorkerIndex> m_workersLeftByTrials; ///< the same: tasks that are no suspects have their turn there first
     UnplacedDemands m_unplaced;                ///< in the current or last placement pass
     UnplacedDemands m_unpaced;                 ///< the same for choosePacedStart()
     UnplacedDemands m_heldByStarts;            ///< the same for tasks that have room only where other jobs start
--- a/packages/workflow/suspects.cpp
+++ b/packages/workflow/suspects.cpp
@@ -45,6 +45,7 @@
     it.isTrial = task.trial && task.trial->isOrdered && task.trial->attempt == task.attempt;
     it.hasStartedBefore = !it.isTrial && !task.hasStartedUp && task.isKnownToStartUp();
     it.isStarting = !task.hasStartedUp && !it.hasStartedBefore;
+    it.isSharedTrial = task.sharedTrial != 0 && task.sharedTrial == task.attempt;
     it.isLongRunning = ref.spec().isLongRunning;
     it.workerStartedAtMs = workerStartedAtMs;
     it.lostAt = lostAt;
@@ -368,12 +369,16 @@
     TaskState &task = ref.task();
     task.hasEverStartedUp = true;
     m_isPlacementDue = m_isPlacementDue || areStartsSeparated(ref.job->accepted.pool);
-    if (isTriedUntilItsEnd(task)) {
+    const bool isUntilItsEnd = isTriedUntilItsEnd(task);
+    if (isUntilItsEnd && task.sharedTrial != task.attempt) {
         return;
     }
     if (task.trial) {
         endTrial(ref);
     }
+    if (isUntilItsEnd) {
+        return; // that it starts up says nothing
+    }
     if (std::erase_if(task.crashes, [](const CrashEvidence &it) { return it.role != CrashRole::Present; }) > 0) {
         logTaskEvent("task_cleared", ref, "attempt", task.attempt);
         markDirty(*ref.job, StoreClass::Evidence);
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -57,6 +57,8 @@
             }
         }
     }
+    listAwaitedWorkers(now);
+    shareAwaitedWorkers();
     for (const TrialCandidate &it : candidates) {
         if (it.isPrepared) {
             continueTrial(it.refs, now);
@@ -145,6 +147,7 @@
         suspect.sinceMs = std::max(suspect.sinceMs, suspectedSinceMs(crashes));
         const std::vector<CrashName> names = suspectedCrashes(crashes);
         suspect.crashes.insert(suspect.crashes.end(), names.begin(), names.end());
+        suspect.isTriedUntilItsEnd = suspect.isTriedUntilItsEnd || isTriedUntilItsEnd(ref.task());
     }
     return suspect;
 }
@@ -251,6 +254,7 @@
     std::size_t reserved = 0;
     bool isUsable = true;
     bool isQuiet = true;
+    bool isAwaited = false;
     for (; reserved < refs.size() && isUsable; ++reserved) {
         const TaskRef &ref = refs[reserved];
         const auto found = m_workerIndex.find(ref.task().trial->worker);
@@ -259,6 +263,7 @@
             break;
         }
         isQuiet = isQuiet && isQuietForTrial(*m_workers[found->second], ref);
+        isAwaited = isAwaited || m_awaitedWorkers.contains(found->second);
         reserveResources(ref, found->second);
     }
     for (std::size_t i = 0; i < reserved; ++i) {
@@ -267,7 +272,7 @@
     }
     const Duration timeout
         = isTriedUntilItsEnd(refs.front().task()) ? WholeRunTrialTimeout : m_settings.crashes.trialTimeout;
-    const bool isLate = !isQuiet && now >= trial.storedAt + timeout;
+    const bool isLate = !isQuiet && (isAwaited || now >= trial.storedAt + timeout);
     if (!isStored || !isUsable || isLate) {
         logTaskEvent("trial_abandoned",
                      refs.front(),
@@ -302,6 +307,10 @@
     for (const TaskRef &it : refs) {
         TaskTrial &trial = *it.task().trial;
         it.task().checkpoint = checkpoint;
+        const WorkerIndex worker = m_workerIndex.at(trial.worker);
+        if (isTriedUntilItsEnd(it.task()) && isBesideOthers(*m_workers[worker], it)) {
+            it.task().sharedTrial = trial.attempt;
+        }
         noteTrialOrdered(it);
         logTaskEvent("trial_started",
                      it,
@@ -311,7 +320,7 @@
                      trial.worker,
                      "age_ms",
                      toMilliseconds(now - trial.preparedAt));
-        startTask(it, m_workerIndex.at(trial.worker), trial.attempt, now);
+        startTask(it, worker, trial.attempt, now);
     }
 }
 
@@ -370,12 +379,26 @@
            && scorePlacement(index, ref, canShareSpareCpu(*ref.job));
 }
 
-/** Whether a crash of the worker could be held against no other job. */
+/** Whether a crash of the worker could be held against no other job; once the trial is overdue, at the start of the task only. */
 bool WorkflowScheduler::isQuietForTrial(const WorkerState &worker, const TaskRef &ref) const
 {
-    const bool isWholeRun = isTriedUntilItsEnd(ref.task());
-    return std::all_of(worker.runs.begin(), worker.runs.end(), [&ref, isWholeRun](const TaskRef &it) {
-        return it.job == ref.job || (it.task().hasStartedUp && (!isWholeRun || it.spec().isLongRunning));
+    const bool needsWorkerAlone = isTriedUntilItsEnd(ref.task()) && !isTrialOverdue(ref.task());
+    return std::all_of(worker.runs.begin(), worker.runs.end(), [&ref, needsWorkerAlone](const TaskRef &it) {
+        return it.job == ref.job || (it.task().hasStartedUp && (!needsWorkerAlone || it.spec().isLongRunning));
+    });
+}
+
+bool WorkflowScheduler::isTrialOverdue(const TaskState &task) const
+{
+    return m_clock.wallNow() - std::chrono::milliseconds(suspectedSinceMs(task.crashes))
+           >= m_settings.crashes.maxTrialDelay;
+}
+
+/** Whether a worker crash could be held against the run itself and against others that run there for a limited time. */
+bool WorkflowScheduler::isBesideOthers(const WorkerState &worker, const TaskRef &ref)
+{
+    return std::any_of(worker.runs.begin(), worker.runs.end(), [&ref](const TaskRef &it) {
+        return it.job != ref.job && !it.spec().isLongRunning;
     });
 }
 
@@ -386,7 +409,7 @@
     std::pair<bool, double> leastCost;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         const WorkerState &worker = *m_workers[i];
-        if (!isEligible(worker, ref, now) || !scorePlacement(i, ref, canShareSpareCpu(*ref.job))) {
+        if (m_workersLeftByTrials.contains(i) || !isEligible(worker, ref, now) || !scorePlacement(i, ref, canShareSpareCpu(*ref.job))) {
             continue;
         }
         const auto crashes
