Starts in doubt end once another worker replies at the address

Since starts in doubt outlast the lease of their worker, tasks whose worker crashed under their start waited for 15 s, although its machine was back under another id after 3 s (LOST).

Cause: the answer at the address ended the runs of the worker that is gone, but not the doubt about its starts. An order names the worker that it is meant for, so another one there rejects it.

Test: Incarnations.startInDoubtEndsWhenItsWorkerIsReplaced failed without the change.

--- a/packages/workflow/contact.cpp
+++ b/packages/workflow/contact.cpp
@@ -351,6 +351,7 @@
         if (worker.record.condition != WorkerCondition::Draining) {
             recordReplacement(index);
         }
+        worker.isReplaced = true;
         requeueLostRuns(index, "another worker replies at its address");
         worker.mayRunFormerOrders = false;
         worker.isRegistered = false;
@@ -397,6 +398,7 @@
     }
     const bool isFirst = !worker.hasReported || worker.unansweredRenewals > 0;
     worker.unansweredRenewals = 0;
+    worker.isReplaced = false;
     worker.lastReplyAt = now;
     if (worker.record.startedAtMs == 0) {
         // Its registry entry is missing, or was outdated. Needed to detect a restart before the entry is back.
--- a/packages/workflow/pool.h
+++ b/packages/workflow/pool.h
@@ -120,6 +120,7 @@
     WorkerRecord record;
     bool isRegistered = false; ///< has an entry in the registry
     bool hasReported = false;  ///< has accepted our fencing token and reported its runs since
+    bool isReplaced = false;   ///< another worker has replied at its address since it last did
 
     /**
      * Has reported while this leader held full authority, so that no other leader could exist. Only such workers get
--- a/packages/workflow/starts.cpp
+++ b/packages/workflow/starts.cpp
@@ -82,8 +82,9 @@
 
 /**
  * Whether a start of the task that got no answer may still be executed by the worker's next incarnation, or may run there, while
- * the present one knows nothing of the run. Not once a new incarnation has reported under a newer token, which rejects the start.
- * Neither silence, the end of a lease, a drain nor a missing registry entry says anything of the next incarnation.
+ * the present one knows nothing of the run. Not once a new incarnation has reported under a newer token, which rejects the start, or
+ * another worker replies at the address, as the order names the one that it is meant for. Neither silence, the end of a lease, a
+ * drain nor a missing registry entry says anything of the next incarnation.
  */
 bool WorkflowScheduler::isStartInDoubt(const TaskState &task, TimePoint now) const
 {
@@ -92,7 +93,7 @@
     }
     const WorkerState &worker = *m_workers[task.doubtWorker];
     const bool rejectsIt = worker.hasReported && worker.fence > task.doubtFence;
-    if (rejectsIt) {
+    if (rejectsIt || worker.isReplaced) {
         return false;
     }
     return now < task.doubtUntil || (mayRunUnread(task, worker) && now < cutLeaseEnd(task.doubtUntil));
--- a/packages/workflow/tests/incarnationtest.cpp
+++ b/packages/workflow/tests/incarnationtest.cpp
@@ -247,6 +247,21 @@
     EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
 }
 
+// Guards against LOST: nothing keeps the task from other workers once another worker replies at the address of the one that got the start.
+TEST(Incarnations, startInDoubtEndsWhenItsWorkerIsReplaced)
+{
+    Rig rig(1, 2);
+    sendLateStart(rig, 9s, 1000);
+    rig.run(3s);
+    rig.nodes[0]->port.lostStartReplies = 0;
+    rig.fleet.removeWorker("w0", true);
+    rig.run(3s);
+    EXPECT_EQ(rig.fleet.workers["w1"].running.size(), 1U);
+    rig.run(10s);
+    EXPECT_EQ(rig.fleet.runningTasks(), 1U);
+    EXPECT_TRUE(rig.fleet.violations.empty()) << rig.fleet.violations.front();
+}
+
 // Guards against TWICE and LOST: neither the loss nor the drain of its worker ends the doubt about a start, as a next incarnation may
 // execute it, but the time in which an order can be executed does.
 TEST(Incarnations, startInDoubtAtAWorkerThatLeavesEndsInTime)
