The status of a shard is written under its own revision

Cause: the status was written under the leader key alone. A write that got no answer was executed after later ones of the same term, and the leader took the last answered one for what is stored.

Change: each write of the status, and of the pressure model, rests on the status's revision. After a write without an answer the leader reads it, and writes the status alone until one is answered, so that a conflict keeps no progress from being stored. What is stored counts as unknown after a takeover: a new leader without jobs left its predecessor's status in place.

Tests: Status.lateWriteDoesNotReplaceALaterOne, .lateWriteIsReplacedAlsoByThatOfAnEmptyShard and .newLeaderReplacesThatOfTheFormerOne failed before (1 instead of 12, 1 instead of 0, 3 instead of 0); Status.statusInDoubtDelaysNoProgress bounds the cost.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -687,6 +687,9 @@
     void storeProgressOfJobs(TimePoint now);
     bool mayStoreProgress(TimePoint now) const;
     bool addStatus(StoreChange &change, TimePoint now);
+    void storeStatusInDoubt(TimePoint now);
+    void onStatusRead(const StoreReply &reply);
+    void onStatusStored(const StoreReply &reply);
     std::vector<WrittenJob> addProgress(StoreChange &change, TimePoint now);
     void noteAnswer(const StoreReply &reply);
     void onStored(std::span<const WrittenJob> written, bool hasStatus, const StoreReply &reply);
@@ -868,7 +871,6 @@
     std::size_t m_progressWrites = 0; ///< in flight
     std::uint32_t m_failedWrites
         = 0; ///< of progress and of GivenTask records, since the last one that the store answered
-    bool m_isStoringStatus = false; ///< one of them has ShardStatus or the pressure model
     bool m_isStoringGivenTasks = false;
     bool m_isRemovingJobs = false;
     TimePoint m_lastStoreAt{};                                   ///< start of the last write of progress
@@ -878,7 +880,11 @@
     TimePoint m_nextRemovalAt{};                                 ///< earliest next removal of expired jobs
     std::array<Duration, StoreClassCount> m_longestStoreWaits{}; ///< by class, since the last log line on them
     TimePoint m_nextStoreWaitLogAt{};
-    ShardStatus m_storedStatus;        ///< as last written, without its revision
+    std::optional<ShardStatus> m_storedStatus;     ///< as last written, without its revision; none: not known
+    std::optional<std::uint64_t> m_statusRevision; ///< of ShardStatus in the store; none: not known
+    bool m_isStoringStatus = false;    ///< a call that reads or writes ShardStatus is in flight; the pressure model goes with it
+    bool m_isStatusInDoubt = false;    ///< a write of it got no answer and may be executed; none has succeeded since
+    TimePoint m_nextStatusCallAt{};    ///< earliest next one after a call that failed
     TimePoint m_nextStatusAt{};        ///< earliest next write of ShardStatus
     TimePoint m_nextPressureStoreAt{}; ///< earliest next write of the pressure model
     WorkflowCounters m_counters;
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr std::size_t JobsPerChange = (MaxChangeEntries - 3) / 2; ///< each job takes a condition and a put
+constexpr std::size_t JobsPerChange = (MaxChangeEntries - 4) / 2; ///< each job takes a condition and a put
 constexpr std::int64_t WaitResolutionMs = 500;                    ///< of ShardStatus::waitMs
 constexpr std::int64_t BacklogResolutionMs = 100;                 ///< smaller changes do not cause a write
 constexpr std::int64_t ImageBacklogResolutionMs = 20;             ///< the same by image: dozens of images share a shard
@@ -111,6 +111,9 @@
     if (!m_isStoringGivenTasks && now >= m_nextGivenTasksAt) {
         storeGivenTasks(now);
     }
+    if (!m_isStoringStatus && now >= m_nextStatusCallAt) {
+        storeStatusInDoubt(now);
+    }
     if (mayStoreProgress(now)) {
         storeProgressOfJobs(now);
     }
@@ -130,14 +133,74 @@
     return isWorthwhile && m_progressWrites < most;
 }
 
-/** Adds the shard's status and its pressure model, as far as they are due. False if neither is. */
-bool WorkflowScheduler::addStatus(StoreChange &change, TimePoint now)
+/**
+ * Reads the revision of the status if it is not known. After a write without an answer, writes the status alone: that write may
+ * be executed first, and the conflict must not keep progress from being stored.
+ */
+void WorkflowScheduler::storeStatusInDoubt(TimePoint now)
+{
+    if (!m_statusRevision) {
+        m_isStoringStatus = true;
+        m_store.get(m_keys.status, ifAlive([this](const StoreReply &reply) { onStatusRead(reply); }));
+        return;
+    }
+    if (!m_isStatusInDoubt) {
+        return;
+    }
+    StoreChange change;
+    change.conditions.push_back({m_keys.leader, m_term.keyRevision});
+    if (addStatus(change, now)) {
+        m_isStoringStatus = true;
+        ++m_counters.writes;
+        m_store.change(std::move(change), ifAlive([this](const StoreReply &reply) { onStatusStored(reply); }));
+    }
+}
+
+void WorkflowScheduler::onStatusRead(const StoreReply &reply)
+{
+    m_isStoringStatus = false;
+    if (reply.status == StoreStatus::Ok && !reply.items.empty()) {
+        m_statusRevision = reply.items.front().revision;
+    } else if (reply.status == StoreStatus::NotFound) {
+        m_statusRevision = 0;
+    } else {
+        m_nextStatusCallAt = m_clock.now() + m_settings.storeRetryDelay;
+    }
+}
+
+/** Also for a write that contains progress. */
+void WorkflowScheduler::onStatusStored(const StoreReply &reply)
 {
-    if (m_isStoringStatus) {
-        return false; // two writes could be executed in either order
+    m_isStoringStatus = false;
+    if (reply.status == StoreStatus::Ok) {
+        m_statusRevision = reply.revision;
+        m_isStatusInDoubt = false; // a copy that is executed later meets another revision
+        return;
+    }
+    m_storedStatus.reset();
+    m_nextStatusCallAt = m_clock.now() + m_settings.storeRetryDelay;
+    if (reply.status == StoreStatus::Conflict) {
+        m_statusRevision.reset();
+        bool isLeader = false;
+        for (const StoreItem &it : reply.items) {
+            isLeader = isLeader || (it.key == m_keys.leader && it.revision == m_term.keyRevision);
+            m_statusRevision = it.key == m_keys.status ? it.revision : m_statusRevision;
+        }
+        m_isDeposed = m_isDeposed || !isLeader;
+    } else if (reply.status != StoreStatus::NotExecuted) {
+        m_statusRevision.reset();
+        m_isStatusInDoubt = true;
     }
-    ShardStatus status = m_storedStatus;
-    if (now >= m_nextStatusAt) {
+}
+
+/**
+ * Adds the shard's status, and its pressure model, if either is due; false: neither is. The status is written with each pressure
+ * model, so that its revision guards both against writes that are executed late. Expects its revision to be known.
+ */
+bool WorkflowScheduler::addStatus(StoreChange &change, TimePoint now)
+{
+    ShardStatus status = m_storedStatus.value_or(ShardStatus{});
+    if (now >= m_nextStatusAt || !m_storedStatus) {
         if (m_hasOtherShards && (m_unpromisedAt != now || m_unpromised.size() != m_workers.size())) {
             findUnpromisedResources(now);
         }
@@ -154,23 +217,24 @@
         m_nextPressureStoreAt
             = now + (m_hasOtherShards ? m_settings.pressureShareInterval : m_settings.pressureStoreInterval);
     }
-    const bool isStatusDue = status != m_storedStatus;
-    if (isStatusDue) {
-        m_storedStatus = status;
-        m_nextStatusAt = now + m_settings.statusInterval;
-        ShardStatus stored = status;
-        stored.inboxRevision = m_inbox.revision(); // a new inbox revision alone does not cause a write
-        stored.writtenAtMs = m_settings.scarcity.enabled ? m_clock.wallNow().count() : 0;
-        change.puts.push_back({m_keys.status, encodeStatus(stored), 0});
+    if (!isPressureDue && status == m_storedStatus) {
+        return false;
     }
-    return isPressureDue || isStatusDue;
+    m_storedStatus = status;
+    m_nextStatusAt = now + m_settings.statusInterval;
+    status.inboxRevision = m_inbox.revision(); // a new inbox revision alone does not cause a write
+    status.writtenAtMs = m_settings.scarcity.enabled ? m_clock.wallNow().count() : 0;
+    change.conditions.push_back({m_keys.status, *m_statusRevision});
+    change.puts.push_back({m_keys.status, encodeStatus(status), 0});
+    return true;
 }
 
 void WorkflowScheduler::storeProgressOfJobs(TimePoint now)
 {
     StoreChange change;
     change.conditions.push_back({m_keys.leader, m_term.keyRevision});
-    const bool hasStatus = addStatus(change, now);
+    const bool mayHaveStatus = !m_isStoringStatus && m_statusRevision && !m_isStatusInDoubt;
+    const bool hasStatus = mayHaveStatus && addStatus(change, now);
     std::vector<WrittenJob> written = addProgress(change, now);
     if (change.puts.empty()) {
         return;
@@ -342,7 +406,9 @@
 {
     --m_progressWrites;
     noteAnswer(reply);
-    m_isStoringStatus = m_isStoringStatus && !hasStatus;
+    if (hasStatus) {
+        onStatusStored(reply);
+    }
     if (reply.status == StoreStatus::Ok) {
         for (const WrittenJob &it : written) {
             m_storeQueue.release(it.record.key);
@@ -353,7 +419,6 @@
         }
         return;
     }
-    m_storedStatus = hasStatus ? ShardStatus{} : m_storedStatus;
     if (reply.status == StoreStatus::Conflict) {
         // Either another node leads, or an earlier write took effect although its reply was lost.
         const auto leader = std::find_if(
--- a/packages/workflow/tests/storingtest.cpp
+++ b/packages/workflow/tests/storingtest.cpp
@@ -6,6 +6,7 @@
  *   SlowStore     a store whose answers take time, behind which records wait
  *   Storing       trials, verdicts and the rest behind a backlog, and beside transfers and moves
  *   StoredStates  checks what the store holds against what workers and earlier writes say
+ *   Status        the shard's status, of which a write is executed late
  */
 #include "rig.h"
 
@@ -659,4 +660,122 @@
     EXPECT_GT(mostWrites, 1U) << "several writes were in flight";
 }
 
+// ---------------------------------------------------------------------------------------------------------------------
+// Status
+// ---------------------------------------------------------------------------------------------------------------------
+
+namespace {
+
+/** A shard with jobs that no worker may run; its status is read back from the store. */
+class StatusInStore
+{
+public:
+    StatusInStore()
+    {
+        rig.run(1s);
+    }
+
+    void submit(int jobs)
+    {
+        for (int i = 0; i < jobs; ++i) {
+            keys.push_back("job" + std::to_string(keys.size()));
+            WorkflowSpec spec = Rig::makeJob(keys.back(), 1);
+            spec.steps[0].requiredLabel = "nowhere";
+            rig.submit(rig.leader(), spec);
+        }
+    }
+
+    /** The next write that holds @p key gets no answer, and is executed after @p delay. */
+    void delayNextWriteOf(const std::string &key, Duration delay)
+    {
+        FakeStore &store = rig.nodes[static_cast<std::size_t>(rig.leader())]->store;
+        store.lostChangeDelay = delay;
+        store.isDelayed = [this, key](const StoreChange &change) {
+            const bool holdsKey = std::any_of(
+                change.puts.begin(), change.puts.end(), [&key](const StorePut &it) { return it.key == key; });
+            const bool isDelayed = holdsKey && !hasDelayed;
+            hasDelayed = hasDelayed || isDelayed;
+            return isDelayed;
+        };
+    }
+
+    std::uint32_t pending() const
+    {
+        const auto found = rig.backend.items.find(makeShardKeys(0).status);
+        const auto pending = found == rig.backend.items.end() ? ShardStatus{} : decodeStatus(found->second.value);
+        const auto queue = pending.pending.find("queue");
+        return queue == pending.pending.end() ? 0 : queue->second;
+    }
+
+    Rig rig{2, 2};
+    std::vector<JobKey> keys;
+    bool hasDelayed = false;
+};
+
+} // namespace
+
+// Guards against MIXED: a status without an answer was executed after later ones, and every node showed its numbers from then on.
+TEST(Status, lateWriteDoesNotReplaceALaterOne)
+{
+    StatusInStore shard;
+    shard.delayNextWriteOf(makeShardKeys(0).status, 4s);
+    shard.submit(1);
+    shard.rig.run(1s);
+    ASSERT_TRUE(shard.hasDelayed);
+    shard.submit(11);
+    shard.rig.run(2s);
+    EXPECT_EQ(shard.pending(), 12U);
+    shard.rig.run(4s);
+    EXPECT_EQ(shard.pending(), 12U);
+}
+
+// Guards against MIXED: the status that a late write brings back is the one of an empty shard, or differs from it.
+TEST(Status, lateWriteIsReplacedAlsoByThatOfAnEmptyShard)
+{
+    for (const Duration delay : {600ms, 4000ms}) {
+        StatusInStore shard;
+        shard.delayNextWriteOf(makeShardKeys(0).status, delay);
+        shard.submit(1);
+        shard.rig.run(300ms);
+        ASSERT_TRUE(shard.hasDelayed);
+        shard.rig.cancel(shard.rig.leader(), shard.keys.front());
+        shard.rig.run(6s);
+        EXPECT_EQ(shard.pending(), 0U);
+    }
+}
+
+// Guards against MIXED: a new leader without jobs leaves the status of the former one, whose last jobs ended unnoticed.
+TEST(Status, newLeaderReplacesThatOfTheFormerOne)
+{
+    StatusInStore shard;
+    shard.submit(3);
+    shard.rig.run(2s);
+    EXPECT_EQ(shard.pending(), 3U);
+    const int former = shard.rig.leader();
+    for (const JobKey &it : shard.keys) {
+        shard.rig.cancel(1 - former, it);
+    }
+    shard.rig.run(20ms);
+    shard.rig.kill(former);
+    shard.rig.run(15s);
+    EXPECT_EQ(shard.pending(), 0U);
+}
+
+// Guards against MIXED and LOST: progress that is written beside a status in doubt is stored at once.
+TEST(Status, statusInDoubtDelaysNoProgress)
+{
+    StatusInStore shard;
+    shard.delayNextWriteOf(makeShardKeys(0).status, 1200ms);
+    shard.submit(1);
+    shard.rig.run(1s);
+    ASSERT_TRUE(shard.hasDelayed);
+    for (int i = 0; i < 20; ++i) {
+        const JobKey key = "short" + std::to_string(i);
+        shard.rig.submit(shard.rig.leader(), Rig::makeJob(key, 1));
+        shard.rig.run(600ms);
+        EXPECT_EQ(shard.rig.state(key), WorkflowState::Completed) << key;
+    }
+    EXPECT_EQ(shard.pending(), 1U);
+}
+
 } // namespace QuetzalRock::Workflow
