--- a/packages/workflow/crashes.h
+++ b/packages/workflow/crashes.h
@@ -70,11 +70,12 @@
     Duration verdictTimeout = std::chrono::seconds(10); ///< a suspect whose worker does not come back waits so
                                                         ///< long after the end of the worker's lease
     Duration trialTimeout = std::chrono::seconds(3);    ///< a trial that could not start chooses another worker
-    Duration maxTrialHold = std::chrono::milliseconds(1500); ///< a trial that waits for others to end, or that lasts until its
-                                                             ///< run ends, gives way after it to a task that can run on no
-                                                             ///< other worker
-    Duration machineMemory = std::chrono::seconds(60);  ///< machines that crash twice in it get no trials
-    std::uint32_t maxTrialCrashes = 2;                  ///< a task is given up after so many
+    Duration maxTrialHold
+        = std::chrono::milliseconds(1500); ///< a trial that waits for others to end, or that lasts until its
+                                           ///< run ends, gives way after it to a task that can run on no
+                                           ///< other worker
+    Duration machineMemory = std::chrono::seconds(60); ///< machines that crash twice in it get no trials
+    std::uint32_t maxTrialCrashes = 2;                 ///< a task is given up after so many
     std::uint32_t startCrashesPerOther
         = 10; ///< as long as so many crashes in machineMemory were at a start for each other one, a crash in a trial
               ///< convicts a task that has crashed at a start before
@@ -253,9 +254,9 @@
 /** A suspect that waits for its trial; a gang counts as one. */
 struct WaitingSuspect
 {
-    double guilt = 0;               ///< see guiltEstimate()
-    std::int64_t sinceMs = 0;       ///< see suspectedSinceMs()
-    std::vector<CrashName> crashes; ///< that it is suspected for
+    double guilt = 0;                ///< see guiltEstimate()
+    std::int64_t sinceMs = 0;        ///< see suspectedSinceMs()
+    std::vector<CrashName> crashes;  ///< that it is suspected for
     bool isTriedUntilItsEnd = false; ///< its trial does not end soon: among equals that are not overdue, it goes last
 };
 
--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -808,15 +808,15 @@
     std::vector<std::uint32_t> m_taskOrder; ///< of a step's tasks, see sortTasks()
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
-    std::vector<WorkerIndex> m_usableWorkers;  ///< see listUsableWorkers()
+    std::vector<WorkerIndex> m_usableWorkers;    ///< see listUsableWorkers()
     std::set<WorkerIndex> m_awaitedWorkers;      ///< of the current or last pass, see listAwaitedWorkers()
     std::set<WorkerIndex> m_workersLeftByTrials; ///< the same: tasks that are no suspects have their turn there first
-    UnplacedDemands m_unplaced;                ///< in the current or last placement pass
-    UnplacedDemands m_unpaced;                 ///< the same for choosePacedStart()
-    UnplacedDemands m_heldByStarts;            ///< the same for tasks that have room only where other jobs start
-    bool m_hasRoomBesideStarts = false;        ///< chooseWorker() found room, but only where other jobs start
-    const JobState *m_cpuSharingJob = nullptr; ///< under scarcity, the one job that may exceed the idle CPU
-    TimePoint m_nextSortAt{};                  ///< m_jobOrder is sorted again then
+    UnplacedDemands m_unplaced;                  ///< in the current or last placement pass
+    UnplacedDemands m_unpaced;                   ///< the same for choosePacedStart()
+    UnplacedDemands m_heldByStarts;              ///< the same for tasks that have room only where other jobs start
+    bool m_hasRoomBesideStarts = false;          ///< chooseWorker() found room, but only where other jobs start
+    const JobState *m_cpuSharingJob = nullptr;   ///< under scarcity, the one job that may exceed the idle CPU
+    TimePoint m_nextSortAt{};                    ///< m_jobOrder is sorted again then
     std::deque<std::pair<TimePoint, JobKey>> m_finalJobs; ///< with the times of their ends
     TimePoint m_nextPlacementAt{};
     TimePoint m_nextEvictionAt{};        ///< earliest next eviction by evictToMakeRoom()
@@ -882,7 +882,8 @@
     TimePoint m_nextStoreWaitLogAt{};
     std::optional<ShardStatus> m_storedStatus;     ///< as last written, without its revision; none: not known
     std::optional<std::uint64_t> m_statusRevision; ///< of ShardStatus in the store; none: not known
-    bool m_isStoringStatus = false;    ///< a call that reads or writes ShardStatus is in flight; the pressure model goes with it
+    bool m_isStoringStatus
+        = false; ///< a call that reads or writes ShardStatus is in flight; the pressure model goes with it
     bool m_isStatusInDoubt = false;    ///< a write of it got no answer and may be executed; none has succeeded since
     TimePoint m_nextStatusCallAt{};    ///< earliest next one after a call that failed
     TimePoint m_nextStatusAt{};        ///< earliest next write of ShardStatus
--- a/packages/workflow/trialholds.cpp
+++ b/packages/workflow/trialholds.cpp
@@ -17,8 +17,8 @@
 {
     m_awaitedWorkers.clear();
     m_workersLeftByTrials.clear();
-    const bool areAnySuspected = std::any_of(
-        m_jobOrder.begin(), m_jobOrder.end(), [](const JobState *it) { return it->hasCrashEvidence; });
+    const bool areAnySuspected
+        = std::any_of(m_jobOrder.begin(), m_jobOrder.end(), [](const JobState *it) { return it->hasCrashEvidence; });
     for (JobState *job : m_jobOrder) {
         if (!areAnySuspected || !mayPlace(*job)) {
             continue;
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -409,7 +409,8 @@
     std::pair<bool, double> leastCost;
     for (WorkerIndex i = 0; i < m_workers.size(); ++i) {
         const WorkerState &worker = *m_workers[i];
-        if (m_workersLeftByTrials.contains(i) || !isEligible(worker, ref, now) || !scorePlacement(i, ref, canShareSpareCpu(*ref.job))) {
+        if (m_workersLeftByTrials.contains(i) || !isEligible(worker, ref, now)
+            || !scorePlacement(i, ref, canShareSpareCpu(*ref.job))) {
             continue;
         }
         const auto crashes
