Trials leave a worker only to tasks that may start there at once

A worker was left out for trials while a task waited that could run on no other one, also if that task was held until the starts of other jobs there are over, for up to 5 s. Suspects waited for longer after an outage.

--- a/packages/workflow/trialholds.cpp
+++ b/packages/workflow/trialholds.cpp
@@ -85,7 +85,7 @@
 {
     WorkerState &worker = *m_workers[index];
     const std::optional<JobKey> trialJob = std::exchange(worker.trialJob, std::nullopt);
-    const bool canStart = isEligible(worker, ref, now) && scorePlacement(index, ref, canShareSpareCpu(*ref.job));
+    const bool canStart = isSuitable(worker, ref, now) && scorePlacement(index, ref, canShareSpareCpu(*ref.job));
     worker.trialJob = trialJob;
     return canStart;
 }
