Search for awaited workers four times a second; status with each pressure model

Each placement pass searched for the workers that trials keep from tasks which can run on no other one, whenever any job had evidence of a crash, also if no suspect was tried or waited. With hundreds of waiting steps that costs processor time of the node. Now it is searched each 250 ms, while suspects are tried or wait for it.

A status that was written only because the pressure model was due had the numbers of before and a newer inbox revision: jobs accepted in between were missing from it for up to 0.7 s. It is computed anew with each write.

--- a/packages/workflow/scheduler.h
+++ b/packages/workflow/scheduler.h
@@ -508,7 +508,7 @@
     void endTrials(JobState &job);
 
     // Workers that trials keep from tasks which can run on no other one (trialholds.cpp)
-    void listAwaitedWorkers(TimePoint now);
+    void listAwaitedWorkers(bool areAnyTried, TimePoint now);
     void addAwaitedWorkers(const TaskRef &first, TimePoint now);
     void addAwaitedWorkersOf(const TaskRef &ref, bool isStartNext, TimePoint now);
     bool canStartWithoutTrial(WorkerIndex index, const TaskRef &ref, TimePoint now);
@@ -809,8 +809,9 @@
     ScarcityOrder m_scarcityOrder;
     CompletionRate m_bestEffortRate;
     std::vector<WorkerIndex> m_usableWorkers;    ///< see listUsableWorkers()
-    std::set<WorkerIndex> m_awaitedWorkers;      ///< of the current or last pass, see listAwaitedWorkers()
+    std::set<WorkerIndex> m_awaitedWorkers;      ///< see listAwaitedWorkers()
     std::set<WorkerIndex> m_workersLeftByTrials; ///< the same: tasks that are no suspects have their turn there first
+    TimePoint m_nextAwaitedCheckAt{};            ///< earliest next change of these
     UnplacedDemands m_unplaced;                  ///< in the current or last placement pass
     UnplacedDemands m_unpaced;                   ///< the same for choosePacedStart()
     UnplacedDemands m_heldByStarts;              ///< the same for tasks that have room only where other jobs start
--- a/packages/workflow/storing.cpp
+++ b/packages/workflow/storing.cpp
@@ -199,8 +199,9 @@
  */
 bool WorkflowScheduler::addStatus(StoreChange &change, TimePoint now)
 {
+    const bool isPressureDue = now >= m_nextPressureStoreAt && m_pressure.hasNeighbours();
     ShardStatus status = m_storedStatus.value_or(ShardStatus{});
-    if (now >= m_nextStatusAt || !m_storedStatus) {
+    if (now >= m_nextStatusAt || isPressureDue || !m_storedStatus) {
         if (m_hasOtherShards && (m_unpromisedAt != now || m_unpromised.size() != m_workers.size())) {
             findUnpromisedResources(now);
         }
@@ -211,7 +212,6 @@
         }
         m_nextStatusAt = now + StatusCheckInterval;
     }
-    const bool isPressureDue = now >= m_nextPressureStoreAt && m_pressure.hasNeighbours();
     if (isPressureDue) {
         change.puts.push_back({m_keys.pressure, encodePressure(m_pressure.save()), 0});
         m_nextPressureStoreAt
--- a/packages/workflow/trialholds.cpp
+++ b/packages/workflow/trialholds.cpp
@@ -11,16 +11,14 @@
 
 /**
  * Lists the workers on which a task could start that has waited for maxTrialHold, and that can run on no other one. Other workers
- * count if they have room for it once their short tasks have ended. Expects the list of usable workers as of @p now.
+ * count if they have room for it once their short tasks have ended. None unless suspects are tried, or wait for it. Expects the list of usable workers as of @p now.
  */
-void WorkflowScheduler::listAwaitedWorkers(TimePoint now)
+void WorkflowScheduler::listAwaitedWorkers(bool areAnyTried, TimePoint now)
 {
     m_awaitedWorkers.clear();
     m_workersLeftByTrials.clear();
-    const bool areAnySuspected
-        = std::any_of(m_jobOrder.begin(), m_jobOrder.end(), [](const JobState *it) { return it->hasCrashEvidence; });
     for (JobState *job : m_jobOrder) {
-        if (!areAnySuspected || !mayPlace(*job)) {
+        if (!areAnyTried || !mayPlace(*job)) {
             continue;
         }
         for (std::uint32_t k = 0; k < job->occurrences.size(); ++k) {
--- a/packages/workflow/trials.cpp
+++ b/packages/workflow/trials.cpp
@@ -18,7 +18,8 @@
 
 constexpr Duration TrialRetryDelay = 200ms; ///< after a worker that was chosen for a trial cannot be used
 constexpr Duration TrialSearchInterval
-    = 200ms;                           ///< of a suspect that found no worker for its trial; others go first then
+    = 200ms; ///< of a suspect that found no worker for its trial; others go first then
+constexpr Duration AwaitedCheckInterval = 250ms; ///< between searches for workers that trials keep from others
 constexpr double LongRunningLoss = 10; ///< of a long-running task that a crash ends, in tasks of limited run time
 constexpr Duration WholeRunTrialTimeout
     = 10s; ///< CrashSettings::trialTimeout of a trial that waits for other tasks to end
@@ -57,7 +58,13 @@
             }
         }
     }
-    listAwaitedWorkers(now);
+    const bool areAnyTried = !candidates.empty() || std::any_of(m_workers.begin(), m_workers.end(), [](const auto &it) {
+        return it->trialJob.has_value();
+    });
+    if (now >= m_nextAwaitedCheckAt || !areAnyTried) {
+        m_nextAwaitedCheckAt = now + AwaitedCheckInterval;
+        listAwaitedWorkers(areAnyTried, now);
+    }
     shareAwaitedWorkers();
     for (const TrialCandidate &it : candidates) {
         if (it.isPrepared) {
