--- a/packages/workflow/tests/trialholdtest.cpp
+++ b/packages/workflow/tests/trialholdtest.cpp
@@ -40,6 +40,16 @@
         rig.fleet.crash(only);
     }
 
+    /** Submits a job that was at work for long at two crashes, so that its third run, now under way, is tried until its end. */
+    void startLongTrial(const JobKey &key)
+    {
+        submitLong(key);
+        crashUnder(key);
+        crashUnder(key);
+        runUntilAtWork(key);
+        rig.run(LateCrash);
+    }
+
     void runUntilAtWork(const JobKey &key)
     {
         const TimePoint until = rig.clock.now() + 20s;
@@ -73,11 +83,7 @@
 TEST(TrialHolds, othersStartBesideATaskThatIsTriedUntilItsEnd)
 {
     OneWorkerPool pool;
-    pool.submitLong("long");
-    pool.crashUnder("long");
-    pool.crashUnder("long");
-    pool.runUntilAtWork("long");
-    pool.rig.run(LateCrash);
+    pool.startLongTrial("long");
     pool.expectStarted("second");
     pool.expectStarted("third");
     EXPECT_TRUE(pool.isAtWork("long"));
@@ -106,11 +112,7 @@
 TEST(TrialHolds, suspectIsTriedBesideATaskThatIsTriedUntilItsEnd)
 {
     OneWorkerPool pool;
-    pool.submitLong("long");
-    pool.crashUnder("long");
-    pool.crashUnder("long");
-    pool.runUntilAtWork("long");
-    pool.rig.run(LateCrash);
+    pool.startLongTrial("long");
     pool.submitLong("suspect");
     pool.runUntilAtWork("suspect");
     pool.rig.fleet.crash(pool.only);
@@ -153,11 +155,7 @@
 TEST(TrialHolds, deadlyTaskThatStartsBesideATriedOneIsGivenUp)
 {
     OneWorkerPool pool;
-    pool.submitLong("long");
-    pool.crashUnder("long");
-    pool.crashUnder("long");
-    pool.runUntilAtWork("long");
-    pool.rig.run(LateCrash);
+    pool.startLongTrial("long");
     pool.rig.fleet.crashBehaviour.delay = 50ms;
     pool.rig.fleet.deadlyTasks.insert({"deadly", 0, 0, 0});
     pool.rig.submit(pool.rig.leader(), Rig::makeJob("deadly", 1));
